--- /dev/null
+++ b/crates/jasminepond-backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder replaced by the module's real content.
--- /dev/null
+++ b/crates/jasminepond-types/src/error_kind.rs
@@ -0,0 +1,142 @@
+//! The closed list of error kinds and what a caller is told for each.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a request that ended in an error may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Run {
+    /// The request certainly did not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+/// Whether the caller is told when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// Coming back with the same request does not help.
+    Never,
+    /// The answer carries a time after which to try again.
+    Stated,
+}
+
+/// What a caller is told for an [`ErrorKind`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Whether the request may have run.
+    pub run: Run,
+    /// Whether the answer says when to come back.
+    pub retry_after: RetryAfter,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $name:ident = $text:literal, $status:literal, $run:ident, $retry:ident;)*) => {
+        /// Every way in which a request can be refused or fail.
+        ///
+        /// ```
+        /// use jasminepond_types::{ErrorKind, Run};
+        ///
+        /// let kind: ErrorKind = "overloaded".parse().unwrap();
+        /// assert_eq!(kind.answer().status, 503);
+        /// assert_eq!(kind.answer().run, Run::NotRun);
+        /// ```
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum ErrorKind {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl ErrorKind {
+            /// All kinds, in the order of the documented table.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// The name used in answers, metrics and logs.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+
+            /// What the caller is told.
+            pub const fn answer(self) -> Answer {
+                match self {
+                    $(Self::$name => Answer {
+                        status: $status,
+                        run: Run::$run,
+                        retry_after: RetryAfter::$retry,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request is malformed.
+    BadRequest = "bad_request", 400, NotRun, Never;
+    /// The deadline is missing, zero or above the limit.
+    BadDeadline = "bad_deadline", 400, NotRun, Never;
+    /// The tenant is not configured.
+    UnknownTenant = "unknown_tenant", 403, NotRun, Never;
+    /// The class is not configured.
+    UnknownClass = "unknown_class", 400, NotRun, Never;
+    /// The group is not configured.
+    UnknownGroup = "unknown_group", 404, NotRun, Never;
+    /// The path does not exist.
+    NotFound = "not_found", 404, NotRun, Never;
+    /// The path exists but not with this method.
+    MethodNotAllowed = "method_not_allowed", 405, NotRun, Never;
+    /// The request did not arrive whole in time.
+    SlowRequest = "slow_request", 408, NotRun, Never;
+    /// The body exceeds the limit.
+    BodyTooLarge = "body_too_large", 413, NotRun, Never;
+    /// The headers exceed the limit.
+    HeadersTooLarge = "headers_too_large", 431, NotRun, Never;
+    /// The request key was not issued by this tier.
+    InvalidKey = "invalid_key", 400, NotRun, Never;
+    /// The key was already used for another request, which may have run.
+    KeyReused = "key_reused", 409, Unknown, Never;
+    /// The tenant has used up its share.
+    TenantLimit = "tenant_limit", 429, NotRun, Stated;
+    /// The tier or the backend servers have no capacity left in time.
+    Overloaded = "overloaded", 503, NotRun, Stated;
+    /// The daemon is shutting down.
+    Draining = "draining", 503, NotRun, Stated;
+    /// The daemon has no configuration yet or has just resumed from a pause.
+    NotReady = "not_ready", 503, NotRun, Stated;
+    /// No backend server can take the request.
+    NoBackend = "no_backend", 503, NotRun, Stated;
+    /// The deadline passed before the request was sent to a backend server.
+    DeadlineNotRun = "deadline_not_run", 504, NotRun, Stated;
+    /// The request was sent or forwarded and its outcome is not known.
+    OutcomeUnknown = "outcome_unknown", 502, Unknown, Never;
+    /// A defect in the daemon.
+    Internal = "internal", 500, Unknown, Never;
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A text is not the name of an [`ErrorKind`].
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("unknown error kind {0:?}")]
+pub struct ParseErrorKindError(String);
+
+impl FromStr for ErrorKind {
+    type Err = ParseErrorKindError;
+
+    fn from_str(text: &str) -> Result<Self, ParseErrorKindError> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|kind| kind.as_str() == text)
+            .ok_or_else(|| ParseErrorKindError(text.to_owned()))
+    }
+}
