feat: clients of backend servers and of the platform

Cause: the daemon needs both as sockets behind small traits. Ruled out: one pool per server inside the HTTP client, since the owner must count every connection itself. Change: one task per backend connection that says whether a failed call may have been sent; a platform client with bounded bodies.

--- /dev/null
+++ b/crates/jasminepond-backend/src/conn.rs
@@ -0,0 +1,268 @@
+//! The task of one connection.
+
+use std::{net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use futures_channel::mpsc;
+use futures_util::{FutureExt, StreamExt, select_biased};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request,
+    client::conn::http1::{self, SendRequest},
+};
+
+use crate::{
+    Dialer,
+    call::{Call, CallId, Reply},
+    response,
+};
+
+/// How to open a connection.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Prefix of request ids on the wire, unique to this run of the daemon.
+    /// Without it, one daemon's cancellation could hit another's request.
+    pub origin: Arc<str>,
+    /// Longest time for the TCP handshake.
+    pub connect_timeout: Duration,
+    /// Longest accepted response body in bytes.
+    pub max_body: usize,
+}
+
+/// What a connection is told.
+#[derive(Debug)]
+pub enum Command {
+    /// Make a call. Only after [`Event::Connected`] and with no call running.
+    Call {
+        /// Id of the call, sent to the server as its request id.
+        id: CallId,
+        /// The call.
+        call: Call,
+    },
+    /// Close at once, whatever is running.
+    Close,
+}
+
+/// Whether any byte of a call may have left this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sent {
+    /// Certainly not.
+    No,
+    /// Possibly.
+    Maybe,
+}
+
+/// What a connection reports.
+#[derive(Debug)]
+pub enum Event {
+    /// The connection is open.
+    Connected,
+    /// The connection could not be opened; its task has ended.
+    ConnectFailed(String),
+    /// A call has its response; the connection is free again.
+    Reply {
+        /// Id of the call.
+        id: CallId,
+        /// The response.
+        reply: Reply,
+    },
+    /// The connection has ended; its task too.
+    Closed {
+        /// The call that was running and whether it may have left.
+        call: Option<(CallId, Sent)>,
+        /// Why.
+        cause: String,
+    },
+}
+
+/// Receives the events of one connection.
+pub type Events = Rc<dyn Fn(Event)>;
+
+/// Handle of a connection. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Connection {
+    tx: mpsc::UnboundedSender<Command>,
+}
+
+impl Connection {
+    /// A handle whose commands arrive at the returned receiver.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Command>) {
+        let (tx, rx) = mpsc::unbounded();
+        (Self { tx }, rx)
+    }
+
+    /// Tells the connection what to do. Ignored if the connection has ended.
+    pub fn send(&self, command: Command) {
+        // The task reports its own end, so a lost command needs no second report.
+        let _ = self.tx.unbounded_send(command);
+    }
+}
+
+/// Opens HTTP/1.1 connections over TCP.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct HttpDialer;
+
+impl Dialer for HttpDialer {
+    fn dial(&self, options: Options, events: Events) -> Connection {
+        let (conn, rx) = Connection::new();
+        compio::runtime::spawn(run(options, rx, events)).detach();
+        conn
+    }
+}
+
+type Io = HyperStream<TcpStream>;
+type Client = (SendRequest<Full<Bytes>>, http1::Connection<Io, Full<Bytes>>);
+
+async fn open(options: &Options) -> Result<Client, String> {
+    let connect = TcpStream::connect(options.address);
+    let stream = match compio::time::timeout(options.connect_timeout, connect).await {
+        Err(_) => return Err("no response to the TCP handshake in time".to_owned()),
+        Ok(Err(err)) => return Err(err.to_string()),
+        Ok(Ok(stream)) => stream,
+    };
+    // Small requests must not wait for the acknowledgement of earlier ones.
+    stream.set_nodelay(true).map_err(|err| err.to_string())?;
+    http1::handshake(HyperStream::new_plain(stream))
+        .await
+        .map_err(|err| err.to_string())
+}
+
+async fn run(options: Options, mut rx: mpsc::UnboundedReceiver<Command>, events: Events) {
+    let (sender, conn) = {
+        let mut opening = pin!(open(&options).fuse());
+        loop {
+            select_biased! {
+                opened = opening => match opened {
+                    Ok(client) => break client,
+                    Err(cause) => return events(Event::ConnectFailed(cause)),
+                },
+                command = rx.next() => if !matches!(command, Some(Command::Call { .. })) {
+                    return events(Event::ConnectFailed("closed while opening".to_owned()));
+                },
+            }
+        }
+    };
+    events(Event::Connected);
+    let (call, cause) = serve(&options, sender, conn, &mut rx, &events).await;
+    events(Event::Closed { call, cause });
+}
+
+type End = (Option<(CallId, Sent)>, String);
+
+async fn serve(
+    options: &Options,
+    mut sender: SendRequest<Full<Bytes>>,
+    conn: http1::Connection<Io, Full<Bytes>>,
+    rx: &mut mpsc::UnboundedReceiver<Command>,
+    events: &Events,
+) -> End {
+    let mut conn = pin!(conn.fuse());
+    loop {
+        let (id, call) = select_biased! {
+            ended = conn => return (None, describe(ended.err())),
+            command = rx.next() => match command {
+                Some(Command::Call { id, call }) => (id, call),
+                Some(Command::Close) | None => return (None, "closed".to_owned()),
+            },
+        };
+        let mut exchange = pin!(exchange(options, &mut sender, id, &call).fuse());
+        let ended = loop {
+            select_biased! {
+                ended = exchange => break ended,
+                // The exchange sees the end of the connection as an error of its own.
+                _ = conn => {}
+                command = rx.next() => if !matches!(command, Some(Command::Call { .. })) {
+                    return (Some((id, Sent::Maybe)), "closed during a call".to_owned());
+                },
+            }
+        };
+        match ended {
+            Ok(reply) => events(Event::Reply { id, reply }),
+            Err((sent, cause)) => return (Some((id, sent)), cause),
+        }
+    }
+}
+
+fn describe(err: Option<hyper::Error>) -> String {
+    match err {
+        Some(err) => err.to_string(),
+        None => "closed by the server".to_owned(),
+    }
+}
+
+async fn exchange(
+    options: &Options,
+    sender: &mut SendRequest<Full<Bytes>>,
+    id: CallId,
+    call: &Call,
+) -> Result<Reply, (Sent, String)> {
+    sender
+        .ready()
+        .await
+        .map_err(|err| (Sent::No, err.to_string()))?;
+    let req = request(options, id, call).map_err(|err| (Sent::No, err.to_string()))?;
+    let res = sender.try_send_request(req).await.map_err(|mut err| {
+        // The request comes back only if no byte of it was written.
+        let sent = if err.take_message().is_some() {
+            Sent::No
+        } else {
+            Sent::Maybe
+        };
+        (sent, err.error().to_string())
+    })?;
+    let maybe = |err: &dyn std::fmt::Display| (Sent::Maybe, err.to_string());
+    let (parts, body) = res.into_parts();
+    let body = Limited::new(body, options.max_body)
+        .collect()
+        .await
+        .map_err(|err| maybe(&err))?;
+    let wire_id = format!("{}/{id}", options.origin);
+    response::parse(
+        &wire_id,
+        call,
+        parts.status,
+        &parts.headers,
+        body.to_bytes(),
+    )
+    .map_err(|err| maybe(&err))
+}
+
+fn request(
+    options: &Options,
+    id: CallId,
+    call: &Call,
+) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let wire_id = |id: &CallId| format!("{}/{id}", options.origin);
+    let req = Request::builder()
+        .header("host", options.address.to_string())
+        .header("x-request-id", wire_id(&id));
+    let json = |value: serde_json::Value| Full::new(Bytes::from(value.to_string()));
+    match call {
+        Call::Search(search) => req
+            .method("POST")
+            .uri("/search")
+            .header("x-deadline-ms", search.left.0)
+            .header("x-shard", search.service.as_str())
+            .header("x-version", search.version.0)
+            .body(json(
+                serde_json::json!({"query": &*search.query, "limit": search.limit}),
+            )),
+        Call::Execute(execute) => req
+            .method("POST")
+            .uri("/execute")
+            .header("x-deadline-ms", execute.left.0)
+            .header("x-request-key", &execute.key)
+            .body(Full::new(execute.operation.clone())),
+        Call::Cancel(ids) => {
+            let ids: Vec<String> = ids.iter().map(wire_id).collect();
+            req.method("POST")
+                .uri("/cancel")
+                .body(json(serde_json::json!({ "ids": ids })))
+        }
+        Call::Health => req.method("GET").uri("/health").body(Full::default()),
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-backend/src/response.rs
@@ -0,0 +1,104 @@
+//! Reads a server's HTTP response.
+
+use bytes::Bytes;
+use hyper::{HeaderMap, StatusCode};
+use jasminepond_types::{Millis, Version};
+
+use crate::call::{Call, CallOutcome, Hints, NotRunReason, Reply};
+
+/// A response does not belong to the call or cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ResponseError {
+    /// The response names another request: the connection is out of step.
+    #[error("response is for request {found:?}, expected {expected:?}")]
+    OtherRequest {
+        /// Request id of the call.
+        expected: String,
+        /// Request id in the response.
+        found: String,
+    },
+    /// The body is not what the protocol asks for.
+    #[error("response body: {0}")]
+    Body(#[from] serde_json::Error),
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn hints(headers: &HeaderMap) -> Hints {
+    let load = text(headers, "x-load").and_then(|load| {
+        let (running, slots) = load.split_once('/')?;
+        Some((running.parse().ok()?, slots.parse().ok()?))
+    });
+    Hints {
+        draining: text(headers, "x-draining") == Some("1"),
+        load,
+    }
+}
+
+fn not_run(status: StatusCode, headers: &HeaderMap) -> CallOutcome {
+    let reason = match status {
+        StatusCode::GONE => NotRunReason::VersionUnavailable,
+        StatusCode::CONFLICT => NotRunReason::WrongShard,
+        StatusCode::GATEWAY_TIMEOUT => NotRunReason::Deadline,
+        _ => NotRunReason::Shed,
+    };
+    let retry_after = text(headers, "retry-after-ms")
+        .and_then(|ms| ms.parse().ok())
+        .map(Millis);
+    let versions = text(headers, "x-versions")
+        .unwrap_or_default()
+        .split(',')
+        .filter_map(|version| version.trim().parse::<Version>().ok())
+        .collect();
+    CallOutcome::NotRun {
+        reason,
+        retry_after,
+        versions,
+    }
+}
+
+/// Turns an HTTP response into a [`Reply`] to the call with the request id `id`.
+///
+/// # Errors
+///
+/// [`ResponseError::OtherRequest`] if the response names another request, and
+/// [`ResponseError::Body`] if a successful response has an unreadable body. The
+/// connection must be closed after either.
+pub fn parse(
+    id: &str,
+    call: &Call,
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<Reply, ResponseError> {
+    if let Some(found) = text(headers, "x-request-id")
+        && found != id
+    {
+        let (expected, found) = (id.to_owned(), found.to_owned());
+        return Err(ResponseError::OtherRequest { expected, found });
+    }
+    let outcome = if text(headers, "x-not-run") == Some("1") {
+        not_run(status, headers)
+    } else if status == StatusCode::OK {
+        match call {
+            Call::Search(_) => CallOutcome::Found(serde_json::from_slice(&body)?),
+            Call::Execute(_) => CallOutcome::Executed(body),
+            Call::Cancel(_) | Call::Health => CallOutcome::Acknowledged,
+        }
+    } else if status.as_u16() == CANCELLED_STATUS {
+        CallOutcome::Cancelled
+    } else {
+        CallOutcome::Failed {
+            status: status.as_u16(),
+        }
+    };
+    Ok(Reply {
+        outcome,
+        hints: hints(headers),
+    })
+}
+
+/// Status of a response to a call that was cancelled.
+const CANCELLED_STATUS: u16 = 499;
--- /dev/null
+++ b/crates/jasminepond-platform/src/http.rs
@@ -0,0 +1,161 @@
+//! The platform over HTTP.
+
+use std::{cell::RefCell, net::SocketAddr, pin::pin, time::Duration};
+
+use cyper::Client;
+use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture};
+use jasminepond_types::Revision;
+use serde::{Deserialize, de::DeserializeOwned};
+
+use crate::{FileEntry, Instance, MAX_FILE_BYTES, Platform, PlatformError, Tree};
+
+/// Longest accepted response in bytes. An instance list of 30,000 entries at 150 bytes each
+/// is the largest response.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// How to reach the platform.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Address of the configuration service and instance list.
+    pub address: SocketAddr,
+    /// Longest time for a read; a watch may take this much longer than asked.
+    pub timeout: Duration,
+}
+
+/// Client of the platform's HTTP interface.
+pub struct HttpPlatform {
+    options: Options,
+    client: RefCell<Client>,
+}
+
+#[derive(Deserialize)]
+struct InstanceList {
+    instances: Vec<Instance>,
+}
+
+impl HttpPlatform {
+    /// A client; nothing is connected yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP client cannot be set up.
+    pub fn new(options: Options) -> Result<Self, PlatformError> {
+        let client = RefCell::new(new_client()?);
+        Ok(Self { options, client })
+    }
+
+    async fn get(&self, path: &str, extra: Duration) -> Result<(u16, Vec<u8>), PlatformError> {
+        let url = format!("http://{}{path}", self.options.address);
+        let client = self.client.borrow().clone();
+        let read = async {
+            let res = client.get(url)?.send().await?;
+            let status = res.status().as_u16();
+            Ok::<_, cyper::Error>((status, limited_body(res).await?))
+        };
+        let result = match compio::time::timeout(self.options.timeout + extra, read).await {
+            Err(_) => Err(PlatformError::Unreachable("no response in time".to_owned())),
+            Ok(Err(err)) => Err(PlatformError::Unreachable(err.to_string())),
+            Ok(Ok((_, None))) => Err(PlatformError::Malformed("body too large".to_owned())),
+            Ok(Ok((429, _))) => Err(PlatformError::Limited),
+            Ok(Ok((status, _))) if status >= 500 => {
+                Err(PlatformError::Unreachable(format!("status {status}")))
+            }
+            Ok(Ok((status, Some(body)))) => Ok((status, body)),
+        };
+        if matches!(result, Err(PlatformError::Unreachable(_))) {
+            // A pooled connection may have gone silent: the next read opens a new one.
+            *self.client.borrow_mut() = new_client()?;
+        }
+        result
+    }
+}
+
+/// The whole body, or `None` if it exceeds the limit.
+async fn limited_body(res: cyper::Response) -> Result<Option<Vec<u8>>, cyper::Error> {
+    let mut chunks = pin!(res.bytes_stream());
+    let mut body = Vec::new();
+    while let Some(chunk) = chunks.next().await {
+        let chunk: bytes::Bytes = chunk?;
+        body.extend_from_slice(&chunk);
+        if body.len() > MAX_BODY_BYTES {
+            return Ok(None);
+        }
+    }
+    Ok(Some(body))
+}
+
+fn new_client() -> Result<Client, PlatformError> {
+    // The platform is reached by IP address; proxy variables of the environment do not apply.
+    Client::builder()
+        .no_proxy()
+        .build()
+        .map_err(|err| PlatformError::Unreachable(err.to_string()))
+}
+
+fn json<T: DeserializeOwned>((status, body): (u16, Vec<u8>)) -> Result<T, PlatformError> {
+    if status != 200 {
+        return Err(PlatformError::Malformed(format!("status {status}")));
+    }
+    serde_json::from_slice(&body).map_err(|err| PlatformError::Malformed(err.to_string()))
+}
+
+fn checked(tree: Tree) -> Result<Tree, PlatformError> {
+    let too_large = |file: &&FileEntry| file.size > MAX_FILE_BYTES as u64;
+    match tree.files.iter().find(too_large) {
+        Some(file) => Err(PlatformError::Malformed(format!(
+            "{} has {} bytes",
+            file.name, file.size
+        ))),
+        None => Ok(tree),
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn tree(&self) -> LocalBoxFuture<'_, Result<Tree, PlatformError>> {
+        async move { checked(json(self.get("/v1/tree", Duration::ZERO).await?)?) }.boxed_local()
+    }
+
+    fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Option<Tree>, PlatformError>> {
+        async move {
+            let path = format!("/v1/watch?after={after}&timeout_ms={}", wait.as_millis());
+            match self.get(&path, wait).await? {
+                (204, _) => Ok(None),
+                response => Ok(Some(checked(json(response)?)?)),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn file(
+        &self,
+        name: String,
+        digest: String,
+    ) -> LocalBoxFuture<'_, Result<Vec<u8>, PlatformError>> {
+        async move {
+            let path = format!("/v1/files/{name}?digest={digest}");
+            let body = match self.get(&path, Duration::ZERO).await? {
+                (200, body) => body,
+                (404, _) => return Err(PlatformError::Gone),
+                (status, _) => return Err(PlatformError::Malformed(format!("status {status}"))),
+            };
+            // The digest is the proof that the content belongs to the listed revision.
+            if blake3::hash(&body).to_hex().as_str() != digest {
+                return Err(PlatformError::Gone);
+            }
+            Ok(body)
+        }
+        .boxed_local()
+    }
+
+    fn instances(&self) -> LocalBoxFuture<'_, Result<Vec<Instance>, PlatformError>> {
+        async move {
+            let list: InstanceList = json(self.get("/v1/instances", Duration::ZERO).await?)?;
+            Ok(list.instances)
+        }
+        .boxed_local()
+    }
+}
