--- a/crates/jasminepond-daemon/src/lib.rs
+++ b/crates/jasminepond-daemon/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder replaced by the module's real content.
+//! The daemon: tasks, listeners, metrics and status around the decision crates.
+
+pub mod clock;
+pub mod net;
+pub mod stop;
--- /dev/null
+++ b/crates/jasminepond-daemon/src/net/mod.rs
@@ -0,0 +1,3 @@
+//! Sockets: HTTP listeners and peer links.
+
+pub mod http;
