feat(wire): frames, codec, handshake, credits and datagrams

Cause: the daemon needs the link protocol's types before it can be written.

Ruled out: named fields in frames, which repeat every name per sub-request; deriving the two frequent frames, since derived visitors do not skip appended fields of nested arrays.

Change: first version of the public interface of jasminepond-wire. Every frame is an array of its kind and positional fields; Search and Parts are read and written by hand, the others are read by derived visitors.

--- /dev/null
+++ b/crates/jasminepond-wire/src/codec.rs
@@ -0,0 +1,267 @@
+//! Encoding and decoding of whole frames.
+
+use std::fmt;
+
+use serde::{
+    Deserialize, Deserializer, Serialize,
+    de::{SeqAccess, Visitor, value::SeqAccessDeserializer},
+};
+
+use crate::{
+    Frame, Hit, PartItem, PartOutcome,
+    field::{required, skip_rest},
+    hot::{PartsFrame, SearchFrame, read_parts, read_search},
+};
+
+/// Largest frame: a configuration value of 1 MB and its envelope.
+pub const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// Most sub-requests, results or cancelled sub-requests in one frame.
+pub const MAX_PARTS: usize = 4_096;
+
+/// Most hits in the answer of one shard.
+pub const MAX_HITS: usize = 10_000;
+
+/// Most versions that a server reports to hold.
+pub const MAX_VERSIONS: usize = 64;
+
+mod kind {
+    pub(super) const HELLO: u64 = 1;
+    pub(super) const PROOF: u64 = 2;
+    pub(super) const SEARCH: u64 = 3;
+    pub(super) const PARTS: u64 = 4;
+    pub(super) const CANCEL: u64 = 5;
+    pub(super) const EXECUTE: u64 = 6;
+    pub(super) const EXECUTED: u64 = 7;
+    pub(super) const FORWARD_EXECUTE: u64 = 8;
+    pub(super) const FORWARD_EXECUTED: u64 = 9;
+    pub(super) const CREDIT: u64 = 10;
+    pub(super) const SYNC: u64 = 11;
+    pub(super) const GOODBYE: u64 = 12;
+    pub(super) const PING: u64 = 13;
+    pub(super) const PONG: u64 = 14;
+}
+
+/// Why a frame was not encoded.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum EncodeError {
+    /// A list exceeds its bound; the receiver would reject the frame.
+    #[error("{list} has {len} elements, the limit is {max}")]
+    TooMany {
+        /// Name of the list.
+        list: &'static str,
+        /// Its length.
+        len: usize,
+        /// The bound.
+        max: usize,
+    },
+    /// The id of a hit is longer than [`Hit::MAX_ID_BYTES`].
+    #[error("id of a hit has {0} bytes, the limit is {max}", max = Hit::MAX_ID_BYTES)]
+    HitId(usize),
+    /// The encoded frame exceeds [`MAX_FRAME_BYTES`].
+    #[error("frame has {0} bytes, the limit is {MAX_FRAME_BYTES}")]
+    TooLarge(usize),
+    /// [`Frame::Unknown`] stands for a received frame and cannot be sent.
+    #[error("a frame of unknown kind {0} cannot be encoded")]
+    UnknownKind(u64),
+}
+
+/// Why received bytes are not a frame. The link is to be closed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum DecodeError {
+    /// The frame exceeds [`MAX_FRAME_BYTES`].
+    #[error("frame has {0} bytes, the limit is {MAX_FRAME_BYTES}")]
+    TooLarge(usize),
+    /// The bytes are not a valid frame.
+    #[error("not a frame: {0}")]
+    Invalid(Box<str>),
+    /// Bytes follow the frame.
+    #[error("{0} bytes follow the frame")]
+    Trailing(usize),
+}
+
+/// Appends the encoded frame to `buf`. On an error `buf` is unchanged.
+///
+/// ```
+/// use jasminepond_wire::{Frame, decode, encode};
+///
+/// let mut buf = Vec::new();
+/// encode(&Frame::Ping { n: 7 }, &mut buf).unwrap();
+/// assert_eq!(decode(&buf), Ok(Frame::Ping { n: 7 }));
+/// ```
+///
+/// # Errors
+///
+/// The frame or one of its lists exceeds a bound, or it is [`Frame::Unknown`].
+pub fn encode(frame: &Frame, buf: &mut Vec<u8>) -> Result<(), EncodeError> {
+    check(frame)?;
+    let start = buf.len();
+    write(frame, buf);
+    let len = buf.len() - start;
+    if len > MAX_FRAME_BYTES {
+        buf.truncate(start);
+        return Err(EncodeError::TooLarge(len));
+    }
+    Ok(())
+}
+
+fn check(frame: &Frame) -> Result<(), EncodeError> {
+    match frame {
+        Frame::Search(search) => at_most("parts", search.parts.len(), MAX_PARTS),
+        Frame::Cancel(cancel) => at_most("cancelled parts", cancel.parts.len(), MAX_PARTS),
+        Frame::Parts(parts) => {
+            at_most("items", parts.items.len(), MAX_PARTS)?;
+            parts.items.iter().try_for_each(check_item)
+        }
+        Frame::Unknown { kind } => Err(EncodeError::UnknownKind(*kind)),
+        _ => Ok(()),
+    }
+}
+
+fn check_item(item: &PartItem) -> Result<(), EncodeError> {
+    match &item.outcome {
+        PartOutcome::Failed { versions, .. } => at_most("versions", versions.len(), MAX_VERSIONS),
+        PartOutcome::Answer { hits, .. } => {
+            at_most("hits", hits.len(), MAX_HITS)?;
+            match hits.iter().find(|hit| hit.id.len() > Hit::MAX_ID_BYTES) {
+                Some(hit) => Err(EncodeError::HitId(hit.id.len())),
+                None => Ok(()),
+            }
+        }
+    }
+}
+
+fn at_most(list: &'static str, len: usize, max: usize) -> Result<(), EncodeError> {
+    if len > max {
+        return Err(EncodeError::TooMany { list, len, max });
+    }
+    Ok(())
+}
+
+fn write(frame: &Frame, buf: &mut Vec<u8>) {
+    match frame {
+        Frame::Hello(f) => put(
+            &(
+                kind::HELLO,
+                f.major,
+                f.minor,
+                &f.instance,
+                f.incarnation,
+                f.nonce,
+            ),
+            buf,
+        ),
+        Frame::Proof(f) => put(&(kind::PROOF, f.mac), buf),
+        Frame::Search(f) => put(&SearchFrame(kind::SEARCH, f), buf),
+        Frame::Parts(f) => put(&PartsFrame(kind::PARTS, f), buf),
+        Frame::Cancel(f) => put(&(kind::CANCEL, f.id, &f.parts), buf),
+        Frame::Execute(f) => put(
+            &(
+                kind::EXECUTE,
+                f.id,
+                &f.tenant,
+                &f.class,
+                f.priority,
+                f.weight,
+                &f.group,
+                &f.server,
+                &f.key,
+                &f.operation,
+                f.left,
+            ),
+            buf,
+        ),
+        Frame::Executed(f) => put(&(kind::EXECUTED, f.id, &f.outcome), buf),
+        Frame::ForwardExecute(f) => put(&(kind::FORWARD_EXECUTE, f.id, &f.request), buf),
+        Frame::ForwardExecuted(f) => put(&(kind::FORWARD_EXECUTED, f.id, &f.outcome), buf),
+        Frame::Credit { n } => put(&(kind::CREDIT, n), buf),
+        Frame::Sync { payload } => put(&(kind::SYNC, payload), buf),
+        Frame::Goodbye => put(&(kind::GOODBYE,), buf),
+        Frame::Ping { n } => put(&(kind::PING, n), buf),
+        Frame::Pong { n } => put(&(kind::PONG, n), buf),
+        Frame::Unknown { .. } => {}
+    }
+}
+
+fn put(value: &impl Serialize, buf: &mut Vec<u8>) {
+    ciborium::into_writer(value, buf).expect("a Vec accepts every write");
+}
+
+/// Decodes one frame, which must fill `bytes`.
+///
+/// # Errors
+///
+/// The frame is over [`MAX_FRAME_BYTES`], a list is over its bound, a required
+/// field is missing or malformed, or bytes follow the frame.
+pub fn decode(bytes: &[u8]) -> Result<Frame, DecodeError> {
+    if bytes.len() > MAX_FRAME_BYTES {
+        return Err(DecodeError::TooLarge(bytes.len()));
+    }
+    let mut rest = bytes;
+    let Envelope(frame) = ciborium::from_reader(&mut rest)
+        .map_err(|err| DecodeError::Invalid(err.to_string().into()))?;
+    if !rest.is_empty() {
+        return Err(DecodeError::Trailing(rest.len()));
+    }
+    Ok(frame)
+}
+
+struct Envelope(Frame);
+
+impl<'de> Deserialize<'de> for Envelope {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        d.deserialize_seq(EnvelopeVisitor)
+    }
+}
+
+struct EnvelopeVisitor;
+
+impl<'de> Visitor<'de> for EnvelopeVisitor {
+    type Value = Envelope;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an array of a frame kind and its fields")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Envelope, A::Error> {
+        let kind = required(&mut seq, "kind")?;
+        let frame = read(kind, &mut seq)?;
+        skip_rest(&mut seq)?;
+        Ok(Envelope(frame))
+    }
+}
+
+fn read<'de, A: SeqAccess<'de>>(kind: u64, seq: &mut A) -> Result<Frame, A::Error> {
+    let frame = match kind {
+        kind::SEARCH => Frame::Search(read_search(seq)?),
+        kind::PARTS => Frame::Parts(read_parts(seq)?),
+        kind::HELLO => Frame::Hello(derived(seq)?),
+        kind::PROOF => Frame::Proof(derived(seq)?),
+        kind::CANCEL => Frame::Cancel(derived(seq)?),
+        kind::EXECUTE => Frame::Execute(derived(seq)?),
+        kind::EXECUTED => Frame::Executed(derived(seq)?),
+        kind::FORWARD_EXECUTE => Frame::ForwardExecute(derived(seq)?),
+        kind::FORWARD_EXECUTED => Frame::ForwardExecuted(derived(seq)?),
+        kind::CREDIT => Frame::Credit {
+            n: required(seq, "n")?,
+        },
+        kind::SYNC => Frame::Sync {
+            payload: required(seq, "payload")?,
+        },
+        kind::GOODBYE => Frame::Goodbye,
+        kind::PING => Frame::Ping {
+            n: required(seq, "n")?,
+        },
+        kind::PONG => Frame::Pong {
+            n: required(seq, "n")?,
+        },
+        kind => Frame::Unknown { kind },
+    };
+    Ok(frame)
+}
+
+/// Reads the remaining fields in the order of the struct. Derived visitors accept
+/// a sequence and fill fields marked `serde(default)` when it ends early.
+fn derived<'de, T: Deserialize<'de>, A: SeqAccess<'de>>(seq: &mut A) -> Result<T, A::Error> {
+    T::deserialize(SeqAccessDeserializer::new(seq))
+}
--- /dev/null
+++ b/crates/jasminepond-wire/src/handshake.rs
@@ -0,0 +1,233 @@
+//! Mutual authentication of a peer link.
+
+use jasminepond_types::{Incarnation, InstanceId};
+
+use crate::{Frame, Hello, KeyRing, Proof, Purpose};
+
+/// Major version of the protocol; peers with another one are rejected.
+pub const MAJOR: u16 = 1;
+
+/// Minor version of the protocol; compatible additions raise it.
+pub const MINOR: u16 = 0;
+
+/// Length of the random nonce of each side.
+pub const NONCE_BYTES: usize = 16;
+
+/// Which side of a link this daemon is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Opened the link.
+    Dialer,
+    /// Accepted the link.
+    Acceptor,
+}
+
+impl Role {
+    const fn other(self) -> Self {
+        match self {
+            Self::Dialer => Self::Acceptor,
+            Self::Acceptor => Self::Dialer,
+        }
+    }
+
+    const fn label(self) -> &'static [u8] {
+        match self {
+            Self::Dialer => b"dialer  ",
+            Self::Acceptor => b"acceptor",
+        }
+    }
+}
+
+/// This side of the link.
+#[derive(Debug, Clone)]
+pub struct Local {
+    /// Which side this daemon is.
+    pub role: Role,
+    /// Our instance.
+    pub instance: InstanceId,
+    /// Our incarnation.
+    pub incarnation: Incarnation,
+    /// Random bytes, drawn for this link.
+    pub nonce: [u8; NONCE_BYTES],
+    /// For a dialer: the instance that it means to reach.
+    pub expect: Option<InstanceId>,
+}
+
+/// The authenticated other side.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Its instance.
+    pub instance: InstanceId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its minor version.
+    pub minor: u16,
+}
+
+/// Why a link is not established.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum HandshakeError {
+    /// The peer speaks another major version.
+    #[error("peer has protocol version {0}, ours is {MAJOR}")]
+    Major(u16),
+    /// The peer claims to be this instance, or sent our own hello back.
+    #[error("peer claims to be this instance")]
+    OwnInstance,
+    /// A dialer reached another instance than it meant to.
+    #[error("reached instance {0}")]
+    OtherInstance(InstanceId),
+    /// The peer sent our own proof back.
+    #[error("peer sent our own proof back")]
+    Reflected,
+    /// No known key made the proof.
+    #[error("proof does not match any of our keys")]
+    UnknownKey,
+    /// A frame came out of order.
+    #[error("unexpected frame during the handshake")]
+    UnexpectedFrame,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Send this proof and wait for the next frame.
+    SendProof(Proof),
+    /// The link is established.
+    Established(Peer),
+    /// Close the link.
+    Reject(HandshakeError),
+}
+
+#[derive(Debug)]
+enum State {
+    AwaitHello,
+    AwaitProof { theirs: Hello, ours: Proof },
+    Closed,
+}
+
+/// Handshake of one link: both sides send a hello, then a proof.
+///
+/// The proof is a MAC over the sender's role, both nonces, instances,
+/// incarnations and versions, so that it is valid on this link and in this
+/// direction only.
+///
+/// ```
+/// use jasminepond_wire::{Frame, Handshake, KeyRing, Local, Next, Role};
+///
+/// let keys = KeyRing::new(["some-shared-key-1".parse().unwrap()]).unwrap();
+/// let side = |role, name: &str, nonce| {
+///     let local = Local {
+///         role,
+///         instance: name.parse().unwrap(),
+///         incarnation: Default::default(),
+///         nonce: [nonce; 16],
+///         expect: None,
+///     };
+///     Handshake::new(keys.clone(), local)
+/// };
+/// let (mut a, a_hello) = side(Role::Dialer, "a", 1);
+/// let (mut b, b_hello) = side(Role::Acceptor, "b", 2);
+/// let Next::SendProof(a_proof) = a.receive(Frame::Hello(b_hello)) else { panic!() };
+/// let Next::SendProof(_) = b.receive(Frame::Hello(a_hello)) else { panic!() };
+/// assert!(matches!(b.receive(Frame::Proof(a_proof)), Next::Established(_)));
+/// ```
+#[derive(Debug)]
+pub struct Handshake {
+    keys: KeyRing,
+    local: Local,
+    state: State,
+}
+
+impl Handshake {
+    /// Starts a handshake. The returned hello is to be sent at once.
+    pub fn new(keys: KeyRing, local: Local) -> (Self, Hello) {
+        let hello = hello(&local);
+        let handshake = Self {
+            keys,
+            local,
+            state: State::AwaitHello,
+        };
+        (handshake, hello)
+    }
+
+    /// Handles a frame of the peer. After a rejection or once established, every
+    /// further frame is rejected.
+    pub fn receive(&mut self, frame: Frame) -> Next {
+        let state = std::mem::replace(&mut self.state, State::Closed);
+        let result = match (state, frame) {
+            (State::AwaitHello, Frame::Hello(theirs)) => self.on_hello(theirs),
+            (State::AwaitProof { theirs, ours }, Frame::Proof(proof)) => {
+                self.on_proof(theirs, &ours, &proof)
+            }
+            _ => Err(HandshakeError::UnexpectedFrame),
+        };
+        result.unwrap_or_else(Next::Reject)
+    }
+
+    fn on_hello(&mut self, theirs: Hello) -> Result<Next, HandshakeError> {
+        if theirs.major != MAJOR {
+            return Err(HandshakeError::Major(theirs.major));
+        }
+        if theirs.instance == self.local.instance || theirs.nonce == self.local.nonce {
+            return Err(HandshakeError::OwnInstance);
+        }
+        if self
+            .local
+            .expect
+            .as_ref()
+            .is_some_and(|e| *e != theirs.instance)
+        {
+            return Err(HandshakeError::OtherInstance(theirs.instance));
+        }
+        let message = transcript(self.local.role, &hello(&self.local), &theirs);
+        let ours = Proof {
+            mac: self.keys.sign(Purpose::Link, &message),
+        };
+        self.state = State::AwaitProof {
+            theirs,
+            ours: ours.clone(),
+        };
+        Ok(Next::SendProof(ours))
+    }
+
+    fn on_proof(&self, theirs: Hello, ours: &Proof, proof: &Proof) -> Result<Next, HandshakeError> {
+        if ours == proof {
+            return Err(HandshakeError::Reflected);
+        }
+        let message = transcript(self.local.role.other(), &theirs, &hello(&self.local));
+        if !self.keys.verify(Purpose::Link, &message, &proof.mac) {
+            return Err(HandshakeError::UnknownKey);
+        }
+        Ok(Next::Established(Peer {
+            instance: theirs.instance,
+            incarnation: theirs.incarnation,
+            minor: theirs.minor,
+        }))
+    }
+}
+
+fn hello(local: &Local) -> Hello {
+    Hello {
+        major: MAJOR,
+        minor: MINOR,
+        instance: local.instance.clone(),
+        incarnation: local.incarnation,
+        nonce: local.nonce,
+    }
+}
+
+/// What a proof signs: the signer's role, then the signer's and the verifier's
+/// hello. The only field of variable length carries its length.
+fn transcript(signer: Role, first: &Hello, second: &Hello) -> Vec<u8> {
+    let mut message = signer.label().to_vec();
+    for hello in [first, second] {
+        let instance = hello.instance.as_str().as_bytes();
+        message.extend_from_slice(&hello.major.to_be_bytes());
+        message.extend_from_slice(&hello.minor.to_be_bytes());
+        message.extend_from_slice(&hello.nonce);
+        message.extend_from_slice(&hello.incarnation.get().to_be_bytes());
+        message.extend_from_slice(&(instance.len() as u64).to_be_bytes());
+        message.extend_from_slice(instance);
+    }
+    message
+}
--- /dev/null
+++ b/crates/jasminepond-wire/src/hot.rs
@@ -0,0 +1,229 @@
+//! Hand-written serde code for the frequent frames: positional arrays without
+//! field names.
+
+use std::{fmt, marker::PhantomData};
+
+use jasminepond_types::{Millis, Version};
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{SeqAccess, Visitor},
+    ser::SerializeTuple,
+};
+
+use crate::{
+    Hit, Part, PartFailure, PartItem, PartOutcome, Parts, Score, Search, ServerHint,
+    codec::{MAX_HITS, MAX_PARTS, MAX_VERSIONS},
+    field::{List, Text, id, optional, required, seeded, skip_rest},
+};
+
+const ANSWER: u8 = 0;
+const FAILED: u8 = 1;
+
+/// Implements `Deserialize` by a function that reads the fields in order; any
+/// further fields are skipped.
+macro_rules! positional {
+    ($name:ident, $read:path) => {
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+                struct Fields;
+
+                impl<'de> Visitor<'de> for Fields {
+                    type Value = $name;
+
+                    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                        f.write_str(concat!("the fields of ", stringify!($name)))
+                    }
+
+                    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<$name, A::Error> {
+                        let value = $read(&mut seq)?;
+                        skip_rest(&mut seq)?;
+                        Ok(value)
+                    }
+                }
+
+                d.deserialize_seq(Fields)
+            }
+        }
+    };
+}
+
+positional!(Part, read_part);
+positional!(PartItem, read_item);
+positional!(ServerHint, read_hint);
+positional!(Hit, read_hit);
+
+/// Reads the fields of a search frame after its kind.
+pub(crate) fn read_search<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<Search, A::Error> {
+    Ok(Search {
+        id: required(seq, "id")?,
+        tenant: seeded(seq, id(), "tenant")?,
+        class: seeded(seq, id(), "class")?,
+        priority: required(seq, "priority")?,
+        weight: required(seq, "weight")?,
+        group: seeded(seq, id(), "group")?,
+        version: required(seq, "version")?,
+        query: required(seq, "query")?,
+        limit: required(seq, "limit")?,
+        left: required(seq, "left")?,
+        parts: seeded(seq, List::<PhantomData<Part>>::of(MAX_PARTS), "parts")?,
+    })
+}
+
+/// Reads the fields of a parts frame after its kind.
+pub(crate) fn read_parts<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<Parts, A::Error> {
+    Ok(Parts {
+        id: required(seq, "id")?,
+        items: seeded(seq, List::<PhantomData<PartItem>>::of(MAX_PARTS), "items")?,
+    })
+}
+
+fn read_part<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<Part, A::Error> {
+    Ok(Part {
+        part: required(seq, "part")?,
+        service: seeded(seq, id(), "service")?,
+        server: seeded(seq, id(), "server")?,
+    })
+}
+
+fn read_item<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<PartItem, A::Error> {
+    Ok(PartItem {
+        part: required(seq, "part")?,
+        hint: required(seq, "hint")?,
+        outcome: read_outcome(seq)?,
+    })
+}
+
+fn read_outcome<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<PartOutcome, A::Error> {
+    let code: u8 = required(seq, "outcome")?;
+    match code {
+        ANSWER => Ok(PartOutcome::Answer {
+            version: required(seq, "version")?,
+            count: required(seq, "count")?,
+            hits: seeded(seq, List::<PhantomData<Hit>>::of(MAX_HITS), "hits")?,
+        }),
+        FAILED => read_failed(seq),
+        // A newer peer may have an outcome that is unknown here. It is no answer.
+        _ => Ok(PartOutcome::Failed {
+            reason: PartFailure::Failed,
+            retry_after: None,
+            versions: Vec::new(),
+        }),
+    }
+}
+
+fn read_failed<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<PartOutcome, A::Error> {
+    let reason = PartFailure::from_code(required(seq, "reason")?);
+    let retry_after: Option<Millis> = optional(seq)?;
+    let versions = List::<PhantomData<Version>>::of(MAX_VERSIONS);
+    Ok(PartOutcome::Failed {
+        reason,
+        retry_after,
+        versions: seq.next_element_seed(versions)?.unwrap_or_default(),
+    })
+}
+
+fn read_hint<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<ServerHint, A::Error> {
+    Ok(ServerHint {
+        server: seeded(seq, id(), "server")?,
+        queued: required(seq, "queued")?,
+        running: required(seq, "running")?,
+        slots: required(seq, "slots")?,
+        service_us: required(seq, "service_us")?,
+        draining: optional(seq)?,
+    })
+}
+
+fn read_hit<'de, A: SeqAccess<'de>>(seq: &mut A) -> Result<Hit, A::Error> {
+    let name: BoxedText = seeded(seq, Text::new(Hit::MAX_ID_BYTES), "id")?;
+    let score: Score = required(seq, "score")?;
+    Ok(Hit { id: name.0, score })
+}
+
+struct BoxedText(Box<str>);
+
+impl std::str::FromStr for BoxedText {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(text.into()))
+    }
+}
+
+/// Writes the kind and the fields of a search frame.
+pub(crate) struct SearchFrame<'a>(pub(crate) u64, pub(crate) &'a Search);
+
+impl Serialize for SearchFrame<'_> {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let Self(kind, search) = self;
+        let mut fields = s.serialize_tuple(12)?;
+        fields.serialize_element(kind)?;
+        fields.serialize_element(&search.id)?;
+        fields.serialize_element(&search.tenant)?;
+        fields.serialize_element(&search.class)?;
+        fields.serialize_element(&search.priority)?;
+        fields.serialize_element(&search.weight)?;
+        fields.serialize_element(&search.group)?;
+        fields.serialize_element(&search.version)?;
+        fields.serialize_element(&search.query)?;
+        fields.serialize_element(&search.limit)?;
+        fields.serialize_element(&search.left)?;
+        fields.serialize_element(&search.parts)?;
+        fields.end()
+    }
+}
+
+/// Writes the kind and the fields of a parts frame.
+pub(crate) struct PartsFrame<'a>(pub(crate) u64, pub(crate) &'a Parts);
+
+impl Serialize for PartsFrame<'_> {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let Self(kind, parts) = self;
+        (kind, parts.id, &parts.items).serialize(s)
+    }
+}
+
+impl Serialize for Part {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        (self.part, &self.service, &self.server).serialize(s)
+    }
+}
+
+impl Serialize for PartItem {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        match &self.outcome {
+            PartOutcome::Answer {
+                version,
+                count,
+                hits,
+            } => (self.part, &self.hint, ANSWER, version, count, hits).serialize(s),
+            PartOutcome::Failed {
+                reason,
+                retry_after,
+                versions,
+            } => {
+                let code = reason.code();
+                (self.part, &self.hint, FAILED, code, retry_after, versions).serialize(s)
+            }
+        }
+    }
+}
+
+impl Serialize for ServerHint {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        (
+            &self.server,
+            self.queued,
+            self.running,
+            self.slots,
+            self.service_us,
+            self.draining,
+        )
+            .serialize(s)
+    }
+}
+
+impl Serialize for Hit {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        (&self.id, self.score).serialize(s)
+    }
+}
--- a/crates/jasminepond-wire/src/lib.rs
+++ b/crates/jasminepond-wire/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder replaced by the module's real content.
+//! Frames between daemons: codec, handshake, flow control and authentication.
+//!
+//! Nothing here opens a socket, reads a clock or starts a task. Each frame is a
+//! CBOR array `[kind, fields...]`. A daemon of a newer minor version may add
+//! kinds and trailing fields: an older one decodes an unknown kind to
+//! [`Frame::Unknown`] and skips fields that it does not know.
+
+mod codec;
+mod credits;
+mod datagram;
+mod field;
+mod frame;
+mod handshake;
+mod hot;
+mod keys;
+mod outcome;
+mod score;
+
+pub use codec::{
+    DecodeError, EncodeError, MAX_FRAME_BYTES, MAX_HITS, MAX_PARTS, MAX_VERSIONS, decode, encode,
+};
+pub use credits::{CreditOverrun, Credits};
+pub use datagram::{DatagramError, MAX_DATAGRAM_BYTES, MAX_DATAGRAM_PAYLOAD, open, seal};
+pub use frame::{
+    CallerRequest, Cancel, Execute, Executed, ForwardExecute, ForwardExecuted, Frame, Hello, Part,
+    PartFailure, PartItem, PartOutcome, Parts, Proof, Search, ServerHint,
+};
+pub use handshake::{
+    Handshake, HandshakeError, Local, MAJOR, MINOR, NONCE_BYTES, Next, Peer, Role,
+};
+pub use keys::{KeyRing, MAC_BYTES, NoKeys, Purpose, SharedKey, SharedKeyError};
+pub use outcome::ExecuteOutcome;
+pub use score::{Hit, InvalidScore, Score};
