feat(daemon): peer links with handshake, flow control and silence detection

Cause: daemons forward sub-requests to the owners of backend servers. Ruled out: one shared request queue per peer without credits, which lets a slow owner grow the sender's memory. Change: one task per link owns its socket; frames that were certainly not written are handed back, so that only the others end as unknown.

--- a/crates/jasminepond-daemon/src/lib.rs
+++ b/crates/jasminepond-daemon/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod clock;
 pub mod net;
+pub mod peers;
 pub mod stop;
--- /dev/null
+++ b/crates/jasminepond-daemon/src/net/link.rs
@@ -0,0 +1,387 @@
+//! One WebSocket link to another daemon.
+//!
+//! The link's task owns the socket and the flow control state. Frames that were
+//! certainly not written when the link ends are handed back, so that their
+//! requests can be sent elsewhere.
+
+use std::{cell::RefCell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use futures_channel::mpsc;
+use futures_util::{
+    FutureExt, SinkExt, StreamExt, select_biased,
+    stream::{SplitSink, SplitStream},
+};
+use jasminepond_types::{Incarnation, InstanceId};
+use jasminepond_wire::{
+    Credits, Frame, Handshake, KeyRing, Local, MAX_FRAME_BYTES, Next, Peer, Role, decode, encode,
+};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+/// A link of this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// Settings common to all links.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// This daemon's instance.
+    pub instance: InstanceId,
+    /// This run of it.
+    pub incarnation: Incarnation,
+    /// Keys by which daemons prove that they belong.
+    pub keys: KeyRing,
+    /// Longest time to connect and authenticate.
+    pub handshake_timeout: Duration,
+    /// A link that brings no frame for this long is closed.
+    pub silence_limit: Duration,
+    /// Sub-requests that a peer may have outstanding here.
+    pub window: u32,
+}
+
+/// What happens on a link.
+#[derive(Debug)]
+pub enum Event {
+    /// The peer has proved that it belongs.
+    Up(Rc<Peer>),
+    /// A frame arrived.
+    Frame(Rc<Peer>, Frame),
+    /// The peer's window has no room for this frame; it was not sent.
+    Refused(Frame),
+    /// The link has ended; `unsent` were certainly not written.
+    Down {
+        /// Why.
+        cause: String,
+        /// Frames that were not written.
+        unsent: Vec<Frame>,
+    },
+}
+
+/// Receives the events of links.
+pub type Events = Rc<dyn Fn(LinkId, Event)>;
+
+/// What a link is told.
+#[derive(Debug)]
+pub enum Command {
+    /// Send a frame.
+    Send(Frame),
+    /// Close after what was sent before has been written.
+    Finish,
+    /// Close at once.
+    Close,
+}
+
+/// Receiving end of a link's commands.
+pub type Commands = mpsc::UnboundedReceiver<Command>;
+
+type Socket = WebSocketStream<Compat<HyperStream<TcpStream>>>;
+type Reader = SplitStream<Socket>;
+type Writer = SplitSink<Socket, Message>;
+
+/// Small buffers, since a daemon has links to many others at the target size.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// Frames written between two flushes.
+const WRITE_BATCH: usize = 64;
+
+fn websocket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_write_buffer_size(MAX_FRAME_BYTES * 2)
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES))
+}
+
+/// Connects to `expect` at `address` and runs the link until it ends.
+pub async fn dial(
+    options: Options,
+    id: LinkId,
+    (expect, address): (InstanceId, SocketAddr),
+    rx: Commands,
+    events: Events,
+) {
+    let connect = async {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|err| err.to_string())?;
+        let stream = prepare(stream)?;
+        let url = format!("ws://{address}/peer");
+        let socket = client_async_with_config(url, stream, Some(websocket_config())).await;
+        let (socket, _) = socket.map_err(|err| err.to_string())?;
+        authenticate(&options, Role::Dialer, Some(expect), socket).await
+    };
+    run(&options, id, connect, rx, events).await;
+}
+
+/// Accepts a link on `stream` and runs it until it ends.
+pub async fn accept(options: Options, id: LinkId, stream: TcpStream, rx: Commands, events: Events) {
+    let connect = async {
+        let stream = prepare(stream)?;
+        let socket = accept_async_with_config(stream, Some(websocket_config())).await;
+        let socket = socket.map_err(|err| err.to_string())?;
+        authenticate(&options, Role::Acceptor, None, socket).await
+    };
+    run(&options, id, connect, rx, events).await;
+}
+
+fn prepare(stream: TcpStream) -> Result<Compat<HyperStream<TcpStream>>, String> {
+    stream.set_nodelay(true).map_err(|err| err.to_string())?;
+    Ok(HyperStream::new_plain(stream).compat())
+}
+
+async fn write(socket: &mut Socket, frame: &Frame) -> Result<(), String> {
+    let mut buf = Vec::new();
+    encode(frame, &mut buf).map_err(|err| err.to_string())?;
+    socket
+        .send(Message::binary(buf))
+        .await
+        .map_err(|err| err.to_string())
+}
+
+async fn authenticate(
+    options: &Options,
+    role: Role,
+    expect: Option<InstanceId>,
+    mut socket: Socket,
+) -> Result<(Socket, Peer), String> {
+    let local = Local {
+        role,
+        instance: options.instance.clone(),
+        incarnation: options.incarnation,
+        nonce: rand::random(),
+        expect,
+    };
+    let (mut handshake, hello) = Handshake::new(options.keys.clone(), local);
+    write(&mut socket, &Frame::Hello(hello)).await?;
+    loop {
+        let frame = match socket.next().await {
+            Some(Ok(Message::Binary(bytes))) => decode(&bytes).map_err(|err| err.to_string())?,
+            Some(Ok(_)) => continue,
+            Some(Err(err)) => return Err(err.to_string()),
+            None => return Err("closed during the handshake".to_owned()),
+        };
+        match handshake.receive(frame) {
+            Next::SendProof(proof) => write(&mut socket, &Frame::Proof(proof)).await?,
+            Next::Established(peer) => return Ok((socket, peer)),
+            Next::Reject(err) => return Err(err.to_string()),
+        }
+    }
+}
+
+async fn run(
+    options: &Options,
+    id: LinkId,
+    connect: impl Future<Output = Result<(Socket, Peer), String>>,
+    mut rx: Commands,
+    events: Events,
+) {
+    let established = match compio::time::timeout(options.handshake_timeout, connect).await {
+        Ok(established) => established,
+        Err(_) => Err("no handshake in time".to_owned()),
+    };
+    let mut unsent = Vec::new();
+    let cause = match established {
+        Err(cause) => cause,
+        Ok((socket, peer)) => {
+            let link = Running {
+                id,
+                peer: Rc::new(peer),
+                events: events.clone(),
+                credits: RefCell::new(Credits::new(options.window)),
+                silence_limit: options.silence_limit,
+            };
+            link.run(socket, &mut rx, &mut unsent).await
+        }
+    };
+    rx.close();
+    while let Ok(command) = rx.try_recv() {
+        if let Command::Send(frame) = command {
+            unsent.push(frame);
+        }
+    }
+    events(id, Event::Down { cause, unsent });
+}
+
+struct Running {
+    id: LinkId,
+    peer: Rc<Peer>,
+    events: Events,
+    credits: RefCell<Credits>,
+    silence_limit: Duration,
+}
+
+/// Sub-requests that a frame adds to the receiver's window.
+fn requests(frame: &Frame) -> u32 {
+    match frame {
+        Frame::Search(search) => u32::try_from(search.parts.len()).unwrap_or(u32::MAX),
+        Frame::Execute(_) | Frame::ForwardExecute(_) => 1,
+        _ => 0,
+    }
+}
+
+/// Sub-requests that a frame completes.
+fn completions(frame: &Frame) -> u32 {
+    match frame {
+        Frame::Parts(parts) => u32::try_from(parts.items.len()).unwrap_or(u32::MAX),
+        Frame::Executed(_) | Frame::ForwardExecuted(_) => 1,
+        _ => 0,
+    }
+}
+
+impl Running {
+    async fn run(&self, socket: Socket, rx: &mut Commands, unsent: &mut Vec<Frame>) -> String {
+        let (mut writer, mut reader) = socket.split();
+        // Pings and pongs of the reader go out through the writer.
+        let (own_tx, mut own_rx) = mpsc::unbounded();
+        let window = self.credits.borrow_mut().open();
+        let _ = own_tx.unbounded_send(Frame::Credit { n: window });
+        (self.events)(self.id, Event::Up(self.peer.clone()));
+        select_biased! {
+            cause = pin!(self.write(&mut writer, rx, &mut own_rx, unsent).fuse()) => cause,
+            cause = pin!(self.read(&mut reader, &own_tx).fuse()) => cause,
+        }
+    }
+
+    async fn write(
+        &self,
+        writer: &mut Writer,
+        rx: &mut Commands,
+        own_rx: &mut mpsc::UnboundedReceiver<Frame>,
+        unsent: &mut Vec<Frame>,
+    ) -> String {
+        loop {
+            let mut next = select_biased! {
+                frame = own_rx.next() => frame.map(Command::Send),
+                command = rx.next() => command,
+            };
+            let mut written = 0;
+            loop {
+                match next {
+                    Some(Command::Send(frame)) => {
+                        if let Err(cause) = self.feed(writer, frame, unsent).await {
+                            return cause;
+                        }
+                    }
+                    Some(Command::Finish) | None => {
+                        let _ = writer.close().await;
+                        return "finished".to_owned();
+                    }
+                    Some(Command::Close) => return "closed".to_owned(),
+                }
+                written += 1;
+                if written == WRITE_BATCH {
+                    break;
+                }
+                next = match own_rx.try_recv() {
+                    Ok(frame) => Some(Command::Send(frame)),
+                    Err(_) => match rx.try_recv() {
+                        Ok(command) => Some(command),
+                        Err(_) => break,
+                    },
+                };
+            }
+            if let Err(err) = writer.flush().await {
+                return err.to_string();
+            }
+        }
+    }
+
+    async fn feed(
+        &self,
+        writer: &mut Writer,
+        frame: Frame,
+        unsent: &mut Vec<Frame>,
+    ) -> Result<(), String> {
+        let wanted = requests(&frame);
+        if wanted > 0 && !self.credits.borrow_mut().try_send(wanted) {
+            (self.events)(self.id, Event::Refused(frame));
+            return Ok(());
+        }
+        let mut buf = Vec::new();
+        if let Err(err) = encode(&frame, &mut buf) {
+            // Nothing was written; the request's owner of this frame hears of it.
+            unsent.push(frame);
+            return Err(err.to_string());
+        }
+        writer
+            .feed(Message::binary(buf))
+            .await
+            .map_err(|err| err.to_string())?;
+        let completed = completions(&frame);
+        let credit = if completed > 0 {
+            self.credits.borrow_mut().completed(completed)
+        } else {
+            None
+        };
+        if let Some(n) = credit {
+            let mut buf = Vec::new();
+            encode(&Frame::Credit { n }, &mut buf).map_err(|err| err.to_string())?;
+            writer
+                .feed(Message::binary(buf))
+                .await
+                .map_err(|err| err.to_string())?;
+        }
+        Ok(())
+    }
+
+    async fn read(&self, reader: &mut Reader, own_tx: &mpsc::UnboundedSender<Frame>) -> String {
+        let mut silent_periods = 0;
+        loop {
+            let period = self.silence_limit / SILENCE_PERIODS;
+            let message = match compio::time::timeout(period, reader.next()).await {
+                Err(_) if silent_periods + 1 >= SILENCE_PERIODS => {
+                    return "no frame from the peer in time".to_owned();
+                }
+                Err(_) => {
+                    silent_periods += 1;
+                    let _ = own_tx.unbounded_send(Frame::Ping {
+                        n: u64::from(silent_periods),
+                    });
+                    continue;
+                }
+                Ok(message) => message,
+            };
+            silent_periods = 0;
+            let frame = match message {
+                None => return "closed by the peer".to_owned(),
+                Some(Err(err)) => return err.to_string(),
+                Some(Ok(Message::Binary(bytes))) => match decode(&bytes) {
+                    Ok(frame) => frame,
+                    Err(err) => return err.to_string(),
+                },
+                Some(Ok(_)) => continue,
+            };
+            if let Err(cause) = self.received(frame, own_tx) {
+                return cause;
+            }
+        }
+    }
+
+    fn received(&self, frame: Frame, own_tx: &mpsc::UnboundedSender<Frame>) -> Result<(), String> {
+        let wanted = requests(&frame);
+        if wanted > 0 {
+            self.credits
+                .borrow_mut()
+                .received(wanted)
+                .map_err(|err| err.to_string())?;
+        }
+        match frame {
+            Frame::Credit { n } => self.credits.borrow_mut().granted(n),
+            Frame::Ping { n } => {
+                let _ = own_tx.unbounded_send(Frame::Pong { n });
+            }
+            Frame::Pong { .. } | Frame::Unknown { .. } => {}
+            frame => (self.events)(self.id, Event::Frame(self.peer.clone(), frame)),
+        }
+        Ok(())
+    }
+}
+
+/// A silent peer is pinged this many times, less one, before the link is closed.
+const SILENCE_PERIODS: u32 = 4;
--- a/crates/jasminepond-daemon/src/net/mod.rs
+++ b/crates/jasminepond-daemon/src/net/mod.rs
@@ -1,3 +1,4 @@
 //! Sockets: HTTP listeners and peer links.
 
 pub mod http;
+pub mod link;
--- /dev/null
+++ b/crates/jasminepond-daemon/src/peers.rs
@@ -0,0 +1,350 @@
+//! Links to the other daemons: dials on demand, finds the link for an instance,
+//! and reports lost links to the parts that wait for responses.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use compio::net::{TcpListener, TcpStream};
+use futures_channel::mpsc;
+use futures_util::{FutureExt, StreamExt, select_biased};
+use jasminepond_types::{Incarnation, InstanceId};
+use jasminepond_wire::{Frame, Peer};
+use spdlog::{debug, info, warn};
+
+use crate::net::link::{self, Command, LinkId};
+
+/// Where a daemon is reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Address of its peer listener.
+    pub address: SocketAddr,
+    /// Whether it is believed to be running.
+    pub running: bool,
+}
+
+/// All daemons that are known.
+pub type Directory = BTreeMap<InstanceId, PeerAddress>;
+
+/// What the task is told.
+#[derive(Debug)]
+pub enum Event {
+    /// Send a frame to an instance, dialling it if needed.
+    Send {
+        /// The receiver.
+        to: InstanceId,
+        /// The frame.
+        frame: Frame,
+    },
+    /// Send a frame on a link; dropped if the link has ended.
+    Reply {
+        /// The link.
+        link: LinkId,
+        /// The frame.
+        frame: Frame,
+    },
+    /// The view of the other daemons has changed.
+    Directory(Arc<Directory>),
+    /// The process has resumed from a pause: what waits in the sockets is of
+    /// unknown age.
+    Woke,
+    /// Tell all peers that this daemon stops, and close when all is written.
+    Finish,
+    /// Something happened on a link.
+    Link(LinkId, link::Event),
+    /// A peer has connected.
+    Accepted(TcpStream),
+    /// Ask for the links that are up.
+    Status(futures_channel::oneshot::Sender<Vec<InstanceId>>),
+}
+
+/// What the task reports to others.
+#[derive(Debug)]
+pub enum Report {
+    /// A frame arrived.
+    Frame {
+        /// The link it came on.
+        link: LinkId,
+        /// Its sender.
+        peer: Rc<Peer>,
+        /// The frame.
+        frame: Frame,
+    },
+    /// A frame was certainly not sent.
+    NotSent {
+        /// Its receiver.
+        to: InstanceId,
+        /// The frame.
+        frame: Frame,
+    },
+    /// A link has ended. Responses to frames sent on it will not come, and
+    /// responses to frames received on it cannot be sent.
+    LinkDown {
+        /// The link.
+        link: LinkId,
+        /// The peer.
+        peer: Rc<Peer>,
+    },
+}
+
+/// Sends events to the task.
+pub type Sender = mpsc::UnboundedSender<Event>;
+
+/// Most links accepted from others.
+const MAX_ACCEPTED: usize = 8192;
+
+struct Link {
+    tx: mpsc::UnboundedSender<Command>,
+    /// Known from the start for dialled links, after the handshake for others.
+    instance: Option<InstanceId>,
+    peer: Option<Rc<Peer>>,
+    accepted: bool,
+    finishing: bool,
+}
+
+/// The task's state.
+pub struct Peers {
+    options: link::Options,
+    tx: Sender,
+    report: Rc<dyn Fn(Report)>,
+    directory: Arc<Directory>,
+    links: HashMap<LinkId, Link>,
+    by_instance: HashMap<InstanceId, LinkId>,
+    next_link: u64,
+}
+
+impl Peers {
+    /// State without links.
+    pub fn new(options: link::Options, tx: Sender, report: Rc<dyn Fn(Report)>) -> Self {
+        Self {
+            options,
+            tx,
+            report,
+            directory: Arc::default(),
+            links: HashMap::new(),
+            by_instance: HashMap::new(),
+            next_link: 0,
+        }
+    }
+
+    /// Handles events until the channel closes.
+    pub async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Event>) {
+        while let Some(event) = rx.next().await {
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Send { to, frame } => self.send(to, frame),
+            Event::Reply { link, frame } => {
+                if let Some(link) = self.links.get(&link) {
+                    let _ = link.tx.unbounded_send(Command::Send(frame));
+                }
+            }
+            Event::Directory(directory) => self.set_directory(directory),
+            Event::Woke => self.tell_all(|| Command::Close),
+            Event::Finish => self.finish(),
+            Event::Link(id, event) => self.on_link(id, event),
+            Event::Accepted(stream) => self.accept(stream),
+            Event::Status(tx) => {
+                let up = self.links.values().filter_map(|link| link.peer.as_ref());
+                let _ = tx.send(up.map(|peer| peer.instance.clone()).collect());
+            }
+        }
+    }
+
+    fn send(&mut self, to: InstanceId, frame: Frame) {
+        let link = self
+            .by_instance
+            .get(&to)
+            .copied()
+            .or_else(|| self.dial(&to));
+        let link = link
+            .and_then(|id| self.links.get(&id))
+            .filter(|link| !link.finishing);
+        let Some(link) = link else {
+            return (self.report)(Report::NotSent { to, frame });
+        };
+        if let Err(err) = link.tx.unbounded_send(Command::Send(frame)) {
+            if let Command::Send(frame) = err.into_inner() {
+                (self.report)(Report::NotSent { to, frame });
+            }
+        }
+    }
+
+    fn new_link(&mut self, instance: Option<InstanceId>) -> (LinkId, link::Commands) {
+        let id = LinkId(self.next_link);
+        self.next_link += 1;
+        let (tx, rx) = mpsc::unbounded();
+        let accepted = instance.is_none();
+        let link = Link {
+            tx,
+            instance,
+            peer: None,
+            accepted,
+            finishing: false,
+        };
+        self.links.insert(id, link);
+        (id, rx)
+    }
+
+    fn events(&self) -> link::Events {
+        let tx = self.tx.clone();
+        Rc::new(move |id, event| {
+            let _ = tx.unbounded_send(Event::Link(id, event));
+        })
+    }
+
+    fn dial(&mut self, to: &InstanceId) -> Option<LinkId> {
+        let address = self.directory.get(to).filter(|peer| peer.running)?.address;
+        let (id, rx) = self.new_link(Some(to.clone()));
+        self.by_instance.insert(to.clone(), id);
+        let target = (to.clone(), address);
+        let task = link::dial(self.options.clone(), id, target, rx, self.events());
+        compio::runtime::spawn(task).detach();
+        Some(id)
+    }
+
+    fn accept(&mut self, stream: TcpStream) {
+        let accepted = self.links.values().filter(|link| link.accepted).count();
+        if accepted >= MAX_ACCEPTED {
+            warn!("peers: too many links, one was closed");
+            return;
+        }
+        let (id, rx) = self.new_link(None);
+        let task = link::accept(self.options.clone(), id, stream, rx, self.events());
+        compio::runtime::spawn(task).detach();
+    }
+
+    fn on_link(&mut self, id: LinkId, event: link::Event) {
+        match event {
+            link::Event::Up(peer) => self.on_up(id, peer),
+            link::Event::Frame(_, Frame::Goodbye) => self.on_goodbye(id),
+            link::Event::Frame(peer, frame) => {
+                (self.report)(Report::Frame {
+                    link: id,
+                    peer,
+                    frame,
+                });
+            }
+            link::Event::Refused(frame) => {
+                if let Some(to) = self.links.get(&id).and_then(|link| link.instance.clone()) {
+                    (self.report)(Report::NotSent { to, frame });
+                }
+            }
+            link::Event::Down { cause, unsent } => self.on_down(id, &cause, unsent),
+        }
+    }
+
+    fn on_up(&mut self, id: LinkId, peer: Rc<Peer>) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        debug!("peers: link to {} is up", peer.instance);
+        link.instance = Some(peer.instance.clone());
+        link.peer = Some(peer.clone());
+        // A link accepted from an instance also serves requests to it.
+        self.by_instance.entry(peer.instance.clone()).or_insert(id);
+    }
+
+    fn on_goodbye(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        // Responses to what was sent still arrive; nothing new goes out on this link.
+        link.finishing = true;
+    }
+
+    fn on_down(&mut self, id: LinkId, cause: &str, unsent: Vec<Frame>) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        if let Some(instance) = &link.instance {
+            info!("peers: link to {instance} ended: {cause}");
+            if self.by_instance.get(instance) == Some(&id) {
+                self.by_instance.remove(instance);
+                self.adopt_other_link(instance);
+            }
+            for frame in unsent {
+                (self.report)(Report::NotSent {
+                    to: instance.clone(),
+                    frame,
+                });
+            }
+        } else {
+            info!("peers: a link was refused: {cause}");
+        }
+        if let Some(peer) = link.peer {
+            (self.report)(Report::LinkDown { link: id, peer });
+        }
+    }
+
+    fn adopt_other_link(&mut self, instance: &InstanceId) {
+        let of_instance =
+            |link: &Link| link.peer.is_some() && link.instance.as_ref() == Some(instance);
+        let other = self.links.iter().find(|(_, link)| of_instance(link));
+        if let Some((&id, _)) = other {
+            self.by_instance.insert(instance.clone(), id);
+        }
+    }
+
+    fn set_directory(&mut self, directory: Arc<Directory>) {
+        for link in self.links.values() {
+            let Some(instance) = &link.instance else {
+                continue;
+            };
+            let known = directory.get(instance);
+            let replaced = match (&link.peer, known) {
+                (Some(peer), Some(known)) => {
+                    known.incarnation > peer.incarnation
+                        || (known.incarnation == peer.incarnation && !known.running)
+                }
+                _ => false,
+            };
+            if replaced {
+                // The connection may have gone silent: its requests must not wait for it.
+                let _ = link.tx.unbounded_send(Command::Close);
+            }
+        }
+        self.directory = directory;
+    }
+
+    fn finish(&mut self) {
+        for link in self.links.values() {
+            let _ = link.tx.unbounded_send(Command::Send(Frame::Goodbye));
+        }
+    }
+
+    fn tell_all(&self, command: impl Fn() -> Command) {
+        for link in self.links.values() {
+            let _ = link.tx.unbounded_send(command());
+        }
+    }
+}
+
+/// Accepts links until `stop`.
+pub async fn listen(listener: TcpListener, tx: Sender, stop: crate::stop::Stop) {
+    let mut stopped = std::pin::pin!(stop.wait().fuse());
+    loop {
+        select_biased! {
+            _ = stopped => return,
+            accepted = listener.accept().fuse() => match accepted {
+                Ok((stream, _)) => {
+                    let _ = tx.unbounded_send(Event::Accepted(stream));
+                }
+                Err(err) => {
+                    warn!("peers: accepting a link failed: {err}");
+                    compio::time::sleep(ACCEPT_BACKOFF).await;
+                }
+            },
+        }
+    }
+}
+
+const ACCEPT_BACKOFF: std::time::Duration = std::time::Duration::from_millis(50);
