feat(config): merge, typed configuration, acceptance and settings

Cause: the daemon needs the types of the published folder and of its own settings before it can be written.

Ruled out: serde derive with deny_unknown_fields for the folder, because it stops at the first mistake; a map from every path to its file, because the file of a path is needed only for a mistake and is found in the parsed files.

Change: one table of keys, from which ranges, defaults and unknown keys are checked; merge by json-patch; Config, Settings, Acceptance, Change, check.

--- /dev/null
+++ b/crates/jasminepond-config/src/acceptance.rs
@@ -0,0 +1,175 @@
+//! Which revision of the configuration is in effect.
+
+use std::{fmt, sync::Arc};
+
+use jasminepond_types::Revision;
+
+use crate::{Config, Digest, Files, Mistake, digest};
+
+/// The revision in effect.
+#[derive(Debug, Clone)]
+pub struct Accepted {
+    /// The revision that the configuration service gave.
+    pub revision: Revision,
+    /// The digest of its files.
+    pub digest: Digest,
+    /// What the files mean.
+    pub config: Arc<Config>,
+}
+
+/// Why an offered revision was refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The files have mistakes.
+    Invalid(Vec<Mistake>),
+    /// The revision is in effect with other files.
+    Conflict,
+}
+
+/// An offered revision that was refused, for status and metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// The offered revision.
+    pub revision: Revision,
+    /// The digest of the offered files.
+    pub digest: Digest,
+    /// Why it was refused.
+    pub reason: RefusalReason,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "revision {} refused: ", self.revision)?;
+        match &self.reason {
+            RefusalReason::Conflict => f.write_str("the revision in effect has other files"),
+            RefusalReason::Invalid(mistakes) => {
+                write!(f, "{} mistakes", mistakes.len())?;
+                mistakes
+                    .first()
+                    .map_or(Ok(()), |first| write!(f, ", first: {first}"))
+            }
+        }
+    }
+}
+
+/// What became of an offered revision.
+#[derive(Debug, Clone)]
+pub enum Offer {
+    /// The revision is now in effect.
+    Accepted(Arc<Config>),
+    /// A higher revision is in effect. Nothing changed.
+    Older,
+    /// The revision is in effect already, with the same files.
+    Same,
+    /// The revision is in effect with other files. Nothing changed.
+    Conflict,
+    /// The files have mistakes. Nothing changed.
+    Invalid(Vec<Mistake>),
+}
+
+/// Decides which revision is in effect. The revision only rises, and a
+/// revision with a mistake in any file is refused whole.
+///
+/// ```
+/// use jasminepond_config::{Acceptance, Files, Offer};
+/// use jasminepond_types::Revision;
+///
+/// let mut acceptance = Acceptance::default();
+/// let files = Files::from([("10.json".into(), b"{".to_vec())]);
+/// assert!(matches!(acceptance.offer(Revision(7), &files), Offer::Invalid(_)));
+/// assert!(acceptance.current().is_none());
+/// assert_eq!(acceptance.last_refusal().unwrap().revision, Revision(7));
+/// ```
+#[derive(Debug, Default)]
+pub struct Acceptance {
+    current: Option<Accepted>,
+    last_refusal: Option<Refusal>,
+}
+
+impl Acceptance {
+    /// Offers the whole folder of a revision.
+    pub fn offer(&mut self, revision: Revision, files: &Files) -> Offer {
+        let digest = digest(files);
+        if let Some(current) = &self.current {
+            if revision < current.revision {
+                return Offer::Older;
+            }
+            if revision == current.revision {
+                return self.repeated(revision, digest);
+            }
+        }
+        if let Some(mistakes) = self.refused_before(revision, digest) {
+            return Offer::Invalid(mistakes);
+        }
+        match Config::from_files(files) {
+            Ok(config) => self.accept(revision, digest, Arc::new(config)),
+            Err(mistakes) => {
+                let reason = RefusalReason::Invalid(mistakes.clone());
+                self.last_refusal = Some(Refusal {
+                    revision,
+                    digest,
+                    reason,
+                });
+                Offer::Invalid(mistakes)
+            }
+        }
+    }
+
+    /// The revision in effect; `None` until one is accepted.
+    pub fn current(&self) -> Option<&Accepted> {
+        self.current.as_ref()
+    }
+
+    /// The digest of the files in effect.
+    pub fn digest(&self) -> Option<Digest> {
+        self.current.as_ref().map(|accepted| accepted.digest)
+    }
+
+    /// The latest refusal, until a revision at least as high is accepted.
+    pub fn last_refusal(&self) -> Option<&Refusal> {
+        self.last_refusal.as_ref()
+    }
+
+    fn repeated(&mut self, revision: Revision, digest: Digest) -> Offer {
+        if self.digest() == Some(digest) {
+            return Offer::Same;
+        }
+        let reason = RefusalReason::Conflict;
+        self.last_refusal = Some(Refusal {
+            revision,
+            digest,
+            reason,
+        });
+        Offer::Conflict
+    }
+
+    /// The mistakes of the same offer if it was the latest refused one. A watch
+    /// that is renewed offers a refused revision again and again.
+    fn refused_before(&self, revision: Revision, digest: Digest) -> Option<Vec<Mistake>> {
+        let refusal = self.last_refusal.as_ref()?;
+        if refusal.revision != revision || refusal.digest != digest {
+            return None;
+        }
+        match &refusal.reason {
+            RefusalReason::Invalid(mistakes) => Some(mistakes.clone()),
+            RefusalReason::Conflict => None,
+        }
+    }
+
+    fn accept(&mut self, revision: Revision, digest: Digest, config: Arc<Config>) -> Offer {
+        let accepted = Accepted {
+            revision,
+            digest,
+            config: Arc::clone(&config),
+        };
+        self.current = Some(accepted);
+        if self
+            .last_refusal
+            .as_ref()
+            .is_some_and(|refusal| refusal.revision <= revision)
+        {
+            self.last_refusal = None;
+        }
+        Offer::Accepted(config)
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-config/src/change.rs
@@ -0,0 +1,128 @@
+//! What differs between two configurations.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jasminepond_types::{ClassId, GroupId, ServerId, TenantId, Version, ZoneId};
+
+use crate::{Config, Snapshot};
+
+/// What differs between two maps with the same kind of key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Diff<K> {
+    /// Only in the new one.
+    pub added: BTreeSet<K>,
+    /// Only in the old one.
+    pub removed: BTreeSet<K>,
+    /// In both, with different values.
+    pub changed: BTreeSet<K>,
+}
+
+impl<K> Default for Diff<K> {
+    fn default() -> Self {
+        Self {
+            added: BTreeSet::new(),
+            removed: BTreeSet::new(),
+            changed: BTreeSet::new(),
+        }
+    }
+}
+
+impl<K: Ord + Clone> Diff<K> {
+    /// Whether nothing differs.
+    pub fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.removed.is_empty() && self.changed.is_empty()
+    }
+
+    fn between<V: PartialEq>(old: &BTreeMap<K, V>, new: &BTreeMap<K, V>) -> Self {
+        let mut diff = Self::default();
+        for (key, value) in new {
+            match old.get(key) {
+                None => diff.added.insert(key.clone()),
+                Some(before) if before != value => diff.changed.insert(key.clone()),
+                Some(_) => false,
+            };
+        }
+        let gone = old.keys().filter(|key| !new.contains_key(key));
+        diff.removed = gone.cloned().collect();
+        diff
+    }
+}
+
+/// What differs between two configurations, so that a daemon leaves alone what
+/// did not change.
+///
+/// ```
+/// use jasminepond_config::{Change, Config, Drain};
+/// use jasminepond_types::Millis;
+///
+/// let old = Config::default();
+/// let drain = Drain { limit_ms: Millis(60_000), ..old.drain };
+/// let new = Config { drain, ..old.clone() };
+/// let change = Change::between(&old, &new);
+/// assert!(change.drain && !change.routing && change.servers.is_empty());
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Change {
+    /// Backend servers.
+    pub servers: Diff<ServerId>,
+    /// The changed servers whose address differs: their connections lead to
+    /// the wrong place. Other changes need no new connection.
+    pub readdressed: BTreeSet<ServerId>,
+    /// Groups, whatever differs in them.
+    pub groups: Diff<GroupId>,
+    /// Snapshots of all groups. A snapshot of an added or removed group is
+    /// added or removed too.
+    pub snapshots: Diff<(GroupId, Version)>,
+    /// Tenants.
+    pub tenants: Diff<TenantId>,
+    /// Classes.
+    pub classes: Diff<ClassId>,
+    /// Zones.
+    pub zones: Diff<ZoneId>,
+    /// Whether the routing section differs.
+    pub routing: bool,
+    /// Whether the limits section differs.
+    pub limits: bool,
+    /// Whether the drain section differs.
+    pub drain: bool,
+}
+
+impl Change {
+    /// What differs between `old` and `new`.
+    pub fn between(old: &Config, new: &Config) -> Self {
+        let servers = Diff::between(&old.servers, &new.servers);
+        let readdressed = servers
+            .changed
+            .iter()
+            .filter(|id| old.servers[*id].address != new.servers[*id].address)
+            .cloned()
+            .collect();
+        Self {
+            servers,
+            readdressed,
+            groups: Diff::between(&old.groups, &new.groups),
+            snapshots: Diff::between(&snapshots(old), &snapshots(new)),
+            tenants: Diff::between(&old.tenants, &new.tenants),
+            classes: Diff::between(&old.classes, &new.classes),
+            zones: Diff::between(&old.zones, &new.zones),
+            routing: old.routing != new.routing,
+            limits: old.limits != new.limits,
+            drain: old.drain != new.drain,
+        }
+    }
+
+    /// Whether nothing differs.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+fn snapshots(config: &Config) -> BTreeMap<(GroupId, Version), &Snapshot> {
+    let mut all = BTreeMap::new();
+    for (id, group) in &config.groups {
+        for snapshot in &group.snapshots {
+            all.insert((id.clone(), snapshot.version), snapshot);
+        }
+    }
+    all
+}
--- /dev/null
+++ b/crates/jasminepond-config/src/choice.rs
@@ -0,0 +1,119 @@
+//! Values that are one of a few names.
+
+use std::{fmt, str::FromStr};
+
+/// A text is not one of the names that a key allows.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{found:?} is not one of {}", .names.join(", "))]
+pub struct ParseChoiceError {
+    found: String,
+    names: &'static [&'static str],
+}
+
+macro_rules! choice {
+    ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $text:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+        pub enum $name {
+            $($(#[$vdoc])* $variant,)*
+        }
+
+        impl $name {
+            /// The names, in the order of the variants.
+            pub const NAMES: &'static [&'static str] = &[$($text,)*];
+
+            /// The name used in files.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $text,)*
+                }
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseChoiceError;
+
+            fn from_str(text: &str) -> Result<Self, ParseChoiceError> {
+                match text {
+                    $($text => Ok(Self::$variant),)*
+                    _ => Err(ParseChoiceError { found: text.to_owned(), names: Self::NAMES }),
+                }
+            }
+        }
+    };
+}
+
+choice! {
+    /// What the requests to a group do.
+    GroupKind {
+        /// A search over all services of a snapshot.
+        #[default]
+        Search = "search",
+        /// An operation that runs at most once, on one server.
+        Execute = "execute",
+    }
+}
+choice! {
+    /// Which daemons connect to a backend server.
+    Mode {
+        /// The owner of the server, to which other daemons forward.
+        #[default]
+        Owner = "owner",
+        /// Every daemon, each with a fixed share of the connections.
+        Direct = "direct",
+    }
+}
+choice! {
+    /// What a search gives up first when time runs short.
+    Objective {
+        /// Respond early, if need be without the slowest shards.
+        #[default]
+        Latency = "latency",
+        /// Use the whole deadline to collect every shard.
+        Coverage = "coverage",
+    }
+}
+choice! {
+    /// The least severe log messages that are written.
+    LogLevel {
+        /// Only failures that stop the daemon.
+        Critical = "critical",
+        /// Failures of a request or a component.
+        Error = "error",
+        /// Conditions that an operator should look at.
+        Warn = "warn",
+        /// Changes of state.
+        #[default]
+        Info = "info",
+        /// Decisions about single requests.
+        Debug = "debug",
+        /// Every message and event.
+        Trace = "trace",
+    }
+}
+choice! {
+    /// How a log message is written.
+    LogFormat {
+        /// One line of text.
+        #[default]
+        Text = "text",
+        /// One JSON object on a line.
+        Json = "json",
+    }
+}
+choice! {
+    /// How the outcome of a check is written.
+    Format {
+        /// One line for each value or mistake.
+        #[default]
+        Text = "text",
+        /// One JSON object.
+        Json = "json",
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-config/src/config.rs
@@ -0,0 +1,296 @@
+//! The validated configuration.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use jasminepond_types::{
+    ClassId, ConnectionLimit, GroupId, Millis, RegionId, ServerId, ServiceId, Slots, TenantId,
+    Version, Weight, ZoneId,
+};
+
+use crate::{ByteSize, Files, GroupKind, Merged, Mistake, Mode, Objective, Percent, merge, read};
+
+/// A validated configuration. Shared as `Arc<Config>` and never changed.
+///
+/// ```
+/// use jasminepond_config::{Config, Files};
+///
+/// let file = br#"{
+///     "zones": {"za": {"region": "ra"}},
+///     "tenants": {"moulding": {}},
+///     "classes": {"lookup": {
+///         "priority": 0, "default_deadline_ms": 250, "max_deadline_ms": 2000
+///     }},
+///     "servers": {"s1": {
+///         "address": "127.0.0.1:9001", "zone": "za", "slots": 2, "connection_limit": 25
+///     }},
+///     "groups": {"shop": {
+///         "kind": "search", "snapshots": {"41": {"services": {"shop-01": ["s1"]}}}
+///     }}
+/// }"#;
+/// let config = Config::from_files(&Files::from([("10.json".into(), file.to_vec())])).unwrap();
+/// assert_eq!(config.servers["s1"].slots.get(), 2);
+/// assert_eq!(config.routing.owner_candidates, 7);
+/// ```
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Config {
+    /// On whose behalf requests are made.
+    pub tenants: BTreeMap<TenantId, Tenant>,
+    /// Classes of requests.
+    pub classes: BTreeMap<ClassId, Class>,
+    /// Availability zones of daemons and backend servers.
+    pub zones: BTreeMap<ZoneId, Zone>,
+    /// Backend servers, with the values of their shape filled in.
+    pub servers: BTreeMap<ServerId, Server>,
+    /// What can be searched or executed on.
+    pub groups: BTreeMap<GroupId, Group>,
+    /// How sub-requests reach backend servers.
+    pub routing: Routing,
+    /// What a daemon accepts from callers and backend servers.
+    pub limits: Limits,
+    /// How a daemon shuts down.
+    pub drain: Drain,
+}
+
+impl Config {
+    /// Checks the meaning of merged files.
+    ///
+    /// # Errors
+    ///
+    /// Every mistake, ordered by file and path.
+    pub fn from_merged(merged: &Merged) -> Result<Self, Vec<Mistake>> {
+        let (config, mut mistakes) = read::config(merged);
+        if mistakes.is_empty() {
+            return Ok(config);
+        }
+        mistakes.sort();
+        Err(mistakes)
+    }
+
+    /// Merges and checks the files of a folder.
+    ///
+    /// # Errors
+    ///
+    /// Every mistake, ordered by file and path. While a file is not readable as
+    /// JSON, only the mistakes of [`merge`](crate::merge) are reported: what the
+    /// file holds would otherwise be reported as missing.
+    pub fn from_files(files: &Files) -> Result<Self, Vec<Mistake>> {
+        let attempt = merge::attempt(files);
+        let mut mistakes = attempt.mistakes;
+        if attempt.incomplete {
+            return Err(mistakes);
+        }
+        let (config, more) = read::config(&attempt.merged);
+        mistakes.extend(more);
+        if mistakes.is_empty() {
+            return Ok(config);
+        }
+        mistakes.sort();
+        Err(mistakes)
+    }
+
+    /// The region of a zone, if the zone is configured.
+    pub fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
+        self.zones.get(zone).map(|zone| &zone.region)
+    }
+}
+
+/// On whose behalf requests are made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tenant {
+    /// Share of the tenant among the tenants of a class.
+    pub weight: Weight,
+    /// Requests of the tenant in progress at one entry daemon; `None` for no
+    /// limit of its own.
+    pub max_in_flight: Option<u32>,
+}
+
+impl Default for Tenant {
+    fn default() -> Self {
+        Self {
+            weight: Weight(1),
+            max_in_flight: None,
+        }
+    }
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Class {
+    /// Rank of the class; 0 is served first.
+    pub priority: u32,
+    /// Deadline of a request that states none.
+    pub default_deadline_ms: Millis,
+    /// Longest deadline that a request may state.
+    pub max_deadline_ms: Millis,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Zone {
+    /// The region that the zone is in.
+    pub region: RegionId,
+}
+
+/// A backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Server {
+    /// Where the server accepts connections.
+    pub address: SocketAddr,
+    /// The zone that the server is in.
+    pub zone: ZoneId,
+    /// Requests that the server works on at the same time.
+    pub slots: Slots,
+    /// Connections that the server accepts from all daemons together.
+    pub connection_limit: ConnectionLimit,
+    /// What a new connection costs the server.
+    pub connect_cost_ms: Millis,
+}
+
+/// Services or servers that requests name together.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Group {
+    /// Whether requests search or execute.
+    pub kind: GroupKind,
+    /// Snapshots still served, newest first. Empty for an execute group.
+    pub snapshots: Vec<Snapshot>,
+    /// The servers of an execute group. Empty for a search group.
+    pub servers: Vec<ServerId>,
+    /// Tenants that may use the group; `None` for all.
+    pub tenants: Option<BTreeSet<TenantId>>,
+    /// Classes that may be used with the group; `None` for all.
+    pub classes: Option<BTreeSet<ClassId>>,
+}
+
+impl Group {
+    /// The snapshot with `version`, if it is still served.
+    pub fn snapshot(&self, version: Version) -> Option<&Snapshot> {
+        self.snapshots.iter().find(|s| s.version == version)
+    }
+
+    /// Whether `tenant` may use the group.
+    pub fn allows_tenant(&self, tenant: &TenantId) -> bool {
+        self.tenants
+            .as_ref()
+            .is_none_or(|allowed| allowed.contains(tenant))
+    }
+
+    /// Whether `class` may be used with the group.
+    pub fn allows_class(&self, class: &ClassId) -> bool {
+        self.classes
+            .as_ref()
+            .is_none_or(|allowed| allowed.contains(class))
+    }
+}
+
+/// One version of a search group and its shard map.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The version.
+    pub version: Version,
+    /// The replicas of each service, in the order of the file.
+    pub services: BTreeMap<ServiceId, Vec<ServerId>>,
+}
+
+/// When a search sends a second sub-request for the same shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeAfter {
+    /// After a fixed time.
+    Fixed(Millis),
+    /// After the time within which this share of responses arrived.
+    Quantile(Percent),
+}
+
+/// How sub-requests reach backend servers.
+///
+/// ```
+/// use jasminepond_config::{Mode, Routing};
+///
+/// let routing = Routing { mode: Mode::Direct, ..Routing::default() };
+/// assert_eq!(routing.hedge_budget_percent.get(), 5);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Routing {
+    /// Which daemons connect to a server.
+    pub mode: Mode,
+    /// What a search gives up first.
+    pub objective: Objective,
+    /// Daemons that may consider themselves the owner of one server.
+    pub owner_candidates: u32,
+    /// Hedged requests as a share of sub-requests.
+    pub hedge_budget_percent: Percent,
+    /// Retries as a share of sub-requests.
+    pub retry_budget_percent: Percent,
+    /// Share of responses after whose time a hedged request is sent.
+    pub hedge_quantile_percent: Percent,
+    /// Time after which a hedged request is sent, instead of the quantile.
+    pub hedge_after_ms: Option<Millis>,
+    /// One dispatch in this many goes to the lower classes.
+    pub starvation_share: u32,
+    /// Sub-requests that may wait for one server.
+    pub queue_limit: u32,
+    /// Time that a deadline is reduced by at each hop between daemons.
+    pub hop_allowance_ms: Millis,
+}
+
+impl Routing {
+    /// When a hedged request is sent: `hedge_after_ms` if set, else the quantile.
+    pub fn hedge_after(&self) -> HedgeAfter {
+        match self.hedge_after_ms {
+            Some(time) => HedgeAfter::Fixed(time),
+            None => HedgeAfter::Quantile(self.hedge_quantile_percent),
+        }
+    }
+}
+
+/// What a daemon accepts from callers and backend servers.
+///
+/// ```
+/// use jasminepond_config::Limits;
+///
+/// let limits = Limits { max_hits: 10, ..Limits::default() };
+/// assert_eq!(limits.max_body_bytes.get(), 1_048_576);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Body of a caller's request.
+    pub max_body_bytes: ByteSize,
+    /// Headers of a caller's request.
+    pub max_header_bytes: ByteSize,
+    /// Response of a backend server.
+    pub max_answer_bytes: ByteSize,
+    /// Hits that a search may ask for.
+    pub max_hits: u32,
+    /// Connections from callers to one daemon.
+    pub max_connections: u32,
+    /// Callers' requests in progress at one daemon.
+    pub max_in_flight: u32,
+    /// Time from the first byte of a request to its last.
+    pub request_read_timeout_ms: Millis,
+    /// Time that a caller's connection may stay without a request.
+    pub idle_timeout_ms: Millis,
+    /// Time for which an issued request key can be used.
+    pub key_lifetime_ms: Millis,
+    /// Request keys that one daemon keeps.
+    pub max_issued_keys: u32,
+}
+
+/// How a daemon shuts down.
+///
+/// ```
+/// use jasminepond_config::Drain;
+/// use jasminepond_types::Millis;
+///
+/// let drain = Drain { limit_ms: Millis(10_000), ..Drain::default() };
+/// assert_eq!(drain.announce_ms, Millis(5_000));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Drain {
+    /// Time during which new requests are still accepted while `/readyz`
+    /// already reports the shutdown.
+    pub announce_ms: Millis,
+    /// Time from the signal to the exit of the process.
+    pub limit_ms: Millis,
+}
--- /dev/null
+++ b/crates/jasminepond-config/src/folder.rs
@@ -0,0 +1,196 @@
+//! Reading a folder and checking it, for the command line.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use serde_json::{Value, json};
+
+use crate::{Config, Digest, Files, Format, Merged, Mistake, digest, document::join, merge};
+
+/// Reads the files of a folder. Names that begin with a dot are left out.
+///
+/// # Errors
+///
+/// A folder or file that cannot be read, an entry that is not a file, and a
+/// name that is not UTF-8. Contents are not looked at.
+pub fn load_folder(folder: &Path) -> Result<Files, Vec<Mistake>> {
+    let shown = folder.display().to_string();
+    let unreadable = |e| {
+        vec![Mistake::in_file(
+            &shown,
+            format!("the folder cannot be read: {e}"),
+        )]
+    };
+    let mut files = Files::new();
+    let mut mistakes = Vec::new();
+    for entry in fs::read_dir(folder).map_err(unreadable)? {
+        let path = entry.map_err(unreadable)?.path();
+        match load_file(&path) {
+            Ok(Some((name, bytes))) => {
+                files.insert(name, bytes);
+            }
+            Ok(None) => {}
+            Err(mistake) => mistakes.push(mistake),
+        }
+    }
+    if mistakes.is_empty() {
+        return Ok(files);
+    }
+    // The system lists a folder in no particular order.
+    mistakes.sort();
+    Err(mistakes)
+}
+
+fn load_file(path: &Path) -> Result<Option<(String, Vec<u8>)>, Mistake> {
+    let name = path.file_name().unwrap_or_default();
+    let Some(name) = name.to_str() else {
+        let shown = name.to_string_lossy();
+        return Err(Mistake::in_file(&shown, "the file name is not UTF-8"));
+    };
+    if name.starts_with('.') {
+        return Ok(None);
+    }
+    if path.is_dir() {
+        return Err(Mistake::in_file(
+            name,
+            "a folder within the folder is not allowed",
+        ));
+    }
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some((name.to_owned(), bytes))),
+        Err(e) => Err(Mistake::in_file(
+            name,
+            format!("the file cannot be read: {e}"),
+        )),
+    }
+}
+
+/// What [`check`] is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// The folder to check.
+    pub folder: PathBuf,
+    /// How the outcome is written.
+    pub format: Format,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            folder: ".".into(),
+            format: Format::default(),
+        }
+    }
+}
+
+/// A folder without mistakes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Checked {
+    /// The digest of the files.
+    pub digest: Digest,
+    /// The merged files.
+    pub merged: Merged,
+    /// What the files mean.
+    pub config: Config,
+}
+
+/// What [`check`] found.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outcome {
+    /// The merged and typed folder, or every mistake in it.
+    pub result: Result<Checked, Vec<Mistake>>,
+    /// The result in the requested format, ending in a line break.
+    pub text: String,
+}
+
+impl Outcome {
+    /// Whether the folder has no mistake.
+    pub fn is_valid(&self) -> bool {
+        self.result.is_ok()
+    }
+}
+
+/// Checks a folder as a daemon would.
+///
+/// As text, each value of the merged folder is on a line with its path and the
+/// file that set it, or each mistake is on a line. As JSON, the outcome is
+/// `{valid, digest, merged}` or `{valid, mistakes}`.
+///
+/// ```
+/// use jasminepond_config::{Options, check};
+///
+/// let outcome = check(&Options { folder: "no-such-folder".into(), ..Options::default() });
+/// assert!(!outcome.is_valid());
+/// assert!(outcome.text.starts_with("no-such-folder: the folder cannot be read"));
+/// ```
+pub fn check(options: &Options) -> Outcome {
+    let result = load_folder(&options.folder).and_then(|files| checked(&files));
+    let text = match (&result, options.format) {
+        (Ok(checked), Format::Text) => valid_text(checked),
+        (Ok(checked), Format::Json) => valid_json(checked),
+        (Err(mistakes), Format::Text) => mistakes_text(mistakes),
+        (Err(mistakes), Format::Json) => pretty(&json!({"valid": false, "mistakes": mistakes})),
+    };
+    Outcome { result, text }
+}
+
+fn checked(files: &Files) -> Result<Checked, Vec<Mistake>> {
+    let config = Config::from_files(files)?;
+    Ok(Checked {
+        digest: digest(files),
+        merged: merge(files)?,
+        config,
+    })
+}
+
+fn valid_text(checked: &Checked) -> String {
+    let mut text = String::new();
+    leaves(&checked.merged, checked.merged.value(), "", &mut text);
+    let config = &checked.config;
+    let _ = writeln!(
+        text,
+        "valid: {} zones, {} servers, {} groups, {} tenants, {} classes, digest {}",
+        config.zones.len(),
+        config.servers.len(),
+        config.groups.len(),
+        config.tenants.len(),
+        config.classes.len(),
+        checked.digest,
+    );
+    text
+}
+
+/// Writes each scalar and each list on a line of its own.
+fn leaves(merged: &Merged, value: &Value, path: &str, text: &mut String) {
+    if let Value::Object(map) = value {
+        for (key, value) in map {
+            leaves(merged, value, &join(path, key), text);
+        }
+        return;
+    }
+    let file = merged.file_of(path).unwrap_or_default();
+    let _ = writeln!(text, "{path} = {value}  ({file})");
+}
+
+fn valid_json(checked: &Checked) -> String {
+    pretty(&json!({
+        "valid": true,
+        "digest": checked.digest.to_string(),
+        "merged": checked.merged.value(),
+    }))
+}
+
+fn mistakes_text(mistakes: &[Mistake]) -> String {
+    let mut text = String::new();
+    for mistake in mistakes {
+        let _ = writeln!(text, "{mistake}");
+    }
+    text
+}
+
+fn pretty(value: &Value) -> String {
+    format!("{value:#}\n")
+}
--- /dev/null
+++ b/crates/jasminepond-config/src/read.rs
@@ -0,0 +1,257 @@
+//! From merged files to a [`Config`].
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    str::FromStr,
+};
+
+use jasminepond_types::{Millis, Weight};
+use serde_json::{Map, Value};
+
+use crate::{
+    ByteSize, Class, Config, Drain, Limits, Merged, Mistake, Percent, Routing, Tenant, Zone,
+    document::join,
+    read_groups::groups,
+    read_servers::servers,
+    schema::{self, SectionSpec},
+    section::{self, Report, Section, narrow},
+};
+
+/// Reads the merged files. The configuration is usable only without mistakes.
+pub(crate) fn config(merged: &Merged) -> (Config, Vec<Mistake>) {
+    let mut report = Report::default();
+    let config = root(&mut report, merged.value()).unwrap_or_default();
+    let to_mistake = |(path, reason): (String, String)| merged.mistake(&path, reason);
+    (
+        config,
+        report.mistakes.into_iter().map(to_mistake).collect(),
+    )
+}
+
+fn root(report: &mut Report, value: &Value) -> Option<Config> {
+    let root = Section::open(report, schema::ROOT, value, String::new())?;
+    let names = Names::of(&root);
+    Some(Config {
+        zones: entries(report, &root, "zones", schema::ZONE, zone),
+        tenants: entries(report, &root, "tenants", schema::TENANT, |r, s| {
+            Some(tenant(r, s))
+        }),
+        classes: entries(report, &root, "classes", schema::CLASS, |r, s| {
+            Some(class(r, s))
+        }),
+        servers: servers(report, &root, &names),
+        groups: groups(report, &root, &names),
+        routing: part(report, &root, "routing", schema::ROUTING, routing),
+        limits: part(report, &root, "limits", schema::LIMITS, limits),
+        drain: part(report, &root, "drain", schema::DRAIN, drain),
+    })
+}
+
+/// The ids that each section defines, whether or not their values are right: a
+/// reference to an entry with a mistake is not a second mistake.
+pub(crate) struct Names<'a> {
+    pub(crate) zones: BTreeSet<&'a str>,
+    pub(crate) tenants: BTreeSet<&'a str>,
+    pub(crate) classes: BTreeSet<&'a str>,
+    pub(crate) servers: BTreeSet<&'a str>,
+    pub(crate) shapes: BTreeSet<&'a str>,
+}
+
+impl<'a> Names<'a> {
+    fn of(root: &Section<'a>) -> Self {
+        let names = |key| -> BTreeSet<&'a str> {
+            let map = root.raw(key).and_then(Value::as_object);
+            map.into_iter()
+                .flat_map(Map::keys)
+                .map(String::as_str)
+                .collect()
+        };
+        Self {
+            zones: names("zones"),
+            tenants: names("tenants"),
+            classes: names("classes"),
+            servers: names("servers"),
+            shapes: names("shapes"),
+        }
+    }
+}
+
+/// Reports a reference to an id that its section does not define.
+pub(crate) fn refer(report: &mut Report, what: &str, known: &BTreeSet<&str>, id: &str, path: &str) {
+    if known.contains(id) {
+        return;
+    }
+    let reason = match section::closest(id, known.iter().copied()) {
+        Some(name) => format!("{what} {id:?} is not defined, did you mean {name:?}?"),
+        None => format!("{what} {id:?} is not defined"),
+    };
+    report.add(path, reason);
+}
+
+/// Reads an object whose keys are ids.
+pub(crate) fn entries<K: FromStr<Err: fmt::Display> + Ord, V>(
+    report: &mut Report,
+    root: &Section<'_>,
+    name: &str,
+    spec: SectionSpec,
+    read: impl Fn(&mut Report, &Section<'_>) -> Option<V>,
+) -> BTreeMap<K, V> {
+    let mut entries = BTreeMap::new();
+    let Some(value) = root.value(report, name) else {
+        return entries;
+    };
+    for (id, value, path) in items(report, value, &root.path_of(name)) {
+        let Some(section) = Section::open(report, spec, value, path) else {
+            continue;
+        };
+        if let Some(entry) = read(report, &section) {
+            entries.insert(id, entry);
+        }
+    }
+    entries
+}
+
+/// The entries of an object whose keys are ids, with their paths. Reports an
+/// object without entries and keys that are not ids.
+pub(crate) fn items<'a, K: FromStr<Err: fmt::Display>>(
+    report: &mut Report,
+    value: &'a Value,
+    path: &str,
+) -> Vec<(K, &'a Value, String)> {
+    let Some(map) = section::object(report, value, path) else {
+        return Vec::new();
+    };
+    if map.is_empty() {
+        report.add(path, "the object is empty, at least one entry is needed");
+    }
+    let mut items = Vec::with_capacity(map.len());
+    for (key, value) in map {
+        let path = join(path, key);
+        match key.parse() {
+            Ok(id) => items.push((id, value, path)),
+            Err(e) => report.add(path, format!("{key:?} is not valid: {e}")),
+        }
+    }
+    items
+}
+
+/// Reads a section that may be absent, in which case every default applies.
+fn part<T: Default>(
+    report: &mut Report,
+    root: &Section<'_>,
+    name: &str,
+    spec: SectionSpec,
+    read: impl Fn(&mut Report, &Section<'_>) -> T,
+) -> T {
+    let value = root.value(report, name);
+    let section = value.and_then(|value| Section::open(report, spec, value, root.path_of(name)));
+    section
+        .map(|section| read(report, &section))
+        .unwrap_or_default()
+}
+
+/// What a section holds when no file mentions it.
+pub(crate) fn absent<T>(spec: SectionSpec, read: impl Fn(&mut Report, &Section<'_>) -> T) -> T {
+    let empty = Value::Object(Map::new());
+    let report = &mut Report::default();
+    let section = Section::open(report, spec, &empty, String::new()).expect("it is an object");
+    let value = read(report, &section);
+    debug_assert!(
+        report.mistakes.is_empty(),
+        "{:?} has a required key",
+        spec.path
+    );
+    value
+}
+
+fn zone(report: &mut Report, s: &Section<'_>) -> Option<Zone> {
+    Some(Zone {
+        region: s.parsed(report, "region")?,
+    })
+}
+
+fn tenant(report: &mut Report, s: &Section<'_>) -> Tenant {
+    Tenant {
+        weight: Weight(s.number32(report, "weight")),
+        max_in_flight: s.optional_number(report, "max_in_flight").map(narrow),
+    }
+}
+
+fn class(report: &mut Report, s: &Section<'_>) -> Class {
+    let before = report.mistakes.len();
+    let class = Class {
+        priority: s.number32(report, "priority"),
+        default_deadline_ms: Millis(s.number(report, "default_deadline_ms")),
+        max_deadline_ms: Millis(s.number(report, "max_deadline_ms")),
+    };
+    if report.mistakes.len() == before && class.default_deadline_ms > class.max_deadline_ms {
+        let reason = format!("above max_deadline_ms, which is {}", class.max_deadline_ms);
+        report.add(s.path_of("default_deadline_ms"), reason);
+    }
+    class
+}
+
+pub(crate) fn routing(report: &mut Report, s: &Section<'_>) -> Routing {
+    Routing {
+        mode: s.choice(report, "mode"),
+        objective: s.choice(report, "objective"),
+        owner_candidates: s.number32(report, "owner_candidates"),
+        hedge_budget_percent: Percent(s.number32(report, "hedge_budget_percent")),
+        retry_budget_percent: Percent(s.number32(report, "retry_budget_percent")),
+        hedge_quantile_percent: Percent(s.number32(report, "hedge_quantile_percent")),
+        hedge_after_ms: s.optional_number(report, "hedge_after_ms").map(Millis),
+        starvation_share: s.number32(report, "starvation_share"),
+        queue_limit: s.number32(report, "queue_limit"),
+        hop_allowance_ms: Millis(s.number(report, "hop_allowance_ms")),
+    }
+}
+
+pub(crate) fn limits(report: &mut Report, s: &Section<'_>) -> Limits {
+    Limits {
+        max_body_bytes: ByteSize(s.number(report, "max_body_bytes")),
+        max_header_bytes: ByteSize(s.number(report, "max_header_bytes")),
+        max_answer_bytes: ByteSize(s.number(report, "max_answer_bytes")),
+        max_hits: s.number32(report, "max_hits"),
+        max_connections: s.number32(report, "max_connections"),
+        max_in_flight: s.number32(report, "max_in_flight"),
+        request_read_timeout_ms: Millis(s.number(report, "request_read_timeout_ms")),
+        idle_timeout_ms: Millis(s.number(report, "idle_timeout_ms")),
+        key_lifetime_ms: Millis(s.number(report, "key_lifetime_ms")),
+        max_issued_keys: s.number32(report, "max_issued_keys"),
+    }
+}
+
+pub(crate) fn drain(report: &mut Report, s: &Section<'_>) -> Drain {
+    let before = report.mistakes.len();
+    let drain = Drain {
+        announce_ms: Millis(s.number(report, "announce_ms")),
+        limit_ms: Millis(s.number(report, "limit_ms")),
+    };
+    if report.mistakes.len() == before && drain.limit_ms <= drain.announce_ms {
+        let reason = format!(
+            "not above announce_ms, which is {}: requests in flight have no time to complete",
+            drain.announce_ms
+        );
+        report.add(s.path_of("limit_ms"), reason);
+    }
+    drain
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        absent(schema::ROUTING, routing)
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        absent(schema::LIMITS, limits)
+    }
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        absent(schema::DRAIN, drain)
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-config/src/section.rs
@@ -0,0 +1,235 @@
+//! Reads one object of a file against its table of keys and collects every
+//! mistake instead of stopping at the first.
+
+use std::{collections::BTreeSet, str::FromStr};
+
+use serde_json::{Map, Value};
+
+use crate::{
+    document::{describe, join},
+    schema::{Key, Kind, SectionSpec},
+};
+
+/// Names less similar than this to every known key get no suggestion.
+/// At 0.7 `zone` is suggested for `zonse`, and nothing for `colour`.
+const SUGGESTION_SIMILARITY: f64 = 0.7;
+
+/// The mistakes found so far, by path.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) mistakes: Vec<(String, String)>,
+}
+
+impl Report {
+    pub(crate) fn add(&mut self, path: impl Into<String>, reason: impl Into<String>) {
+        self.mistakes.push((path.into(), reason.into()));
+    }
+
+    /// Adds a mistake for a key that must be present.
+    pub(crate) fn missing(&mut self, path: String) {
+        self.add(path, "the key is missing and has no default");
+    }
+}
+
+/// One object of the file being read.
+pub(crate) struct Section<'a> {
+    spec: SectionSpec,
+    map: &'a Map<String, Value>,
+    path: String,
+}
+
+impl<'a> Section<'a> {
+    /// Starts reading the object `value` at `path` and reports its unknown keys.
+    pub(crate) fn open(
+        report: &mut Report,
+        spec: SectionSpec,
+        value: &'a Value,
+        path: String,
+    ) -> Option<Self> {
+        let map = object(report, value, &path)?;
+        for key in map.keys() {
+            if !spec.keys.iter().any(|known| known.name == key) {
+                report.add(join(&path, key), unknown(key, spec.keys));
+            }
+        }
+        Some(Self { spec, map, path })
+    }
+
+    /// The path of a key of this section.
+    pub(crate) fn path_of(&self, name: &str) -> String {
+        join(&self.path, name)
+    }
+
+    /// The raw value of a key, if present.
+    pub(crate) fn raw(&self, name: &str) -> Option<&'a Value> {
+        debug_assert!(self.spec.key(name).name == name);
+        self.map.get(name)
+    }
+
+    /// The raw value of a key; reports the absence of a required one.
+    pub(crate) fn value(&self, report: &mut Report, name: &str) -> Option<&'a Value> {
+        let value = self.raw(name);
+        if value.is_none() && self.spec.key(name).required {
+            report.missing(self.path_of(name));
+        }
+        value
+    }
+
+    /// A number without a default, `None` if absent or wrong.
+    pub(crate) fn optional_number(&self, report: &mut Report, name: &str) -> Option<u64> {
+        let value = self.value(report, name)?;
+        let Kind::Number { unit, min, max, .. } = self.spec.key(name).kind else {
+            unreachable!("{name} is not a number in the table of keys");
+        };
+        match value.as_u64() {
+            Some(n) if (min..=max).contains(&n) => Some(n),
+            _ => {
+                let found = describe(value);
+                let reason =
+                    format!("expected a whole number from {min} to {max} ({unit}), found {found}");
+                report.add(self.path_of(name), reason);
+                None
+            }
+        }
+    }
+
+    /// A number, or its default if absent. A wrong number is reported and
+    /// replaced by the smallest one, so that reading can go on.
+    pub(crate) fn number(&self, report: &mut Report, name: &str) -> u64 {
+        let Kind::Number { min, default, .. } = self.spec.key(name).kind else {
+            unreachable!("{name} is not a number in the table of keys");
+        };
+        let found = self.optional_number(report, name);
+        found.or(default).unwrap_or(min)
+    }
+
+    /// [`Self::number`] for a value that the table bounds to 32 bits.
+    pub(crate) fn number32(&self, report: &mut Report, name: &str) -> u32 {
+        narrow(self.number(report, name))
+    }
+
+    /// A choice, or its default if absent.
+    pub(crate) fn choice<T: FromStr + Default>(&self, report: &mut Report, name: &str) -> T
+    where
+        T::Err: std::fmt::Display,
+    {
+        let Kind::Choice { default, .. } = self.spec.key(name).kind else {
+            unreachable!("{name} is not a choice in the table of keys");
+        };
+        let found = self.parsed(report, name);
+        let default = || default.and_then(|text| text.parse().ok());
+        found.or_else(default).unwrap_or_default()
+    }
+
+    /// A text that is parsed into `T`, `None` if absent or wrong.
+    pub(crate) fn parsed<T: FromStr>(&self, report: &mut Report, name: &str) -> Option<T>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let value = self.value(report, name)?;
+        parse(report, value, &self.path_of(name))
+    }
+
+    /// A list of texts that are parsed into `T`, each at most once. Wrong
+    /// entries are reported and left out; `None` if absent or not a list.
+    pub(crate) fn list<T: FromStr + Ord + Clone>(
+        &self,
+        report: &mut Report,
+        name: &str,
+    ) -> Option<Vec<T>>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let value = self.value(report, name)?;
+        list(report, value, &self.path_of(name))
+    }
+}
+
+/// The object behind `value`, or a mistake.
+pub(crate) fn object<'a>(
+    report: &mut Report,
+    value: &'a Value,
+    path: &str,
+) -> Option<&'a Map<String, Value>> {
+    let map = value.as_object();
+    if map.is_none() {
+        report.add(
+            path,
+            format!("expected an object, found {}", describe(value)),
+        );
+    }
+    map
+}
+
+/// The text `value` parsed into `T`, or a mistake.
+pub(crate) fn parse<T: FromStr>(report: &mut Report, value: &Value, path: &str) -> Option<T>
+where
+    T::Err: std::fmt::Display,
+{
+    let Some(text) = value.as_str() else {
+        report.add(path, format!("expected a text, found {}", describe(value)));
+        return None;
+    };
+    match text.parse() {
+        Ok(parsed) => Some(parsed),
+        Err(e) => {
+            report.add(path, format!("{text:?} is not valid: {e}"));
+            None
+        }
+    }
+}
+
+/// See [`Section::list`].
+pub(crate) fn list<T: FromStr + Ord + Clone>(
+    report: &mut Report,
+    value: &Value,
+    path: &str,
+) -> Option<Vec<T>>
+where
+    T::Err: std::fmt::Display,
+{
+    let Some(items) = value.as_array() else {
+        report.add(path, format!("expected a list, found {}", describe(value)));
+        return None;
+    };
+    let mut seen = BTreeSet::new();
+    let mut list = Vec::with_capacity(items.len());
+    for (index, item) in items.iter().enumerate() {
+        let path = join(path, &index.to_string());
+        let Some(parsed) = parse::<T>(report, item, &path) else {
+            continue;
+        };
+        if seen.insert(parsed.clone()) {
+            list.push(parsed);
+        } else {
+            report.add(path, format!("{} is listed twice", describe(item)));
+        }
+    }
+    Some(list)
+}
+
+/// A number that the table of keys bounds to 32 bits.
+pub(crate) fn narrow(n: u64) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+fn unknown(key: &str, known: &[Key]) -> String {
+    let names = known.iter().map(|k| k.name);
+    match closest(key, names) {
+        Some(name) => format!("unknown key, did you mean {name:?}?"),
+        None => {
+            let names: Vec<_> = known.iter().map(|k| k.name).collect();
+            format!("unknown key, the keys here are {}", names.join(", "))
+        }
+    }
+}
+
+/// The name most similar to `key`, if any is similar enough.
+pub(crate) fn closest<'a>(key: &str, names: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    names
+        .into_iter()
+        .map(|name| (strsim::normalized_damerau_levenshtein(key, name), name))
+        .filter(|(similarity, _)| *similarity >= SUGGESTION_SIMILARITY)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, name)| name)
+}
