feat(dispatch): queue, slots, connections and health of one server

Ruled out: bursts of plain deficit round robin with the weight as quantum, so one request costs the largest weight present; binary heaps with lazy deletion, since queues are bounded to a few hundred entries and cancellation is frequent.

Adds ServerQueue with class priority and starvation share, tenant shares, deadline order, adaptive slot limit, connection quota and checks, circuit and drain.

--- a/crates/jasminepond-dispatch/src/lib.rs
+++ b/crates/jasminepond-dispatch/src/lib.rs
@@ -1,1 +1,48 @@
-//! Placeholder replaced by the module's real content.
+//! One backend server from its owner's point of view.
+//!
+//! [`ServerQueue`] holds the work waiting for one server, counts the server's
+//! slots and connections, and decides what to do next. It uses no sockets,
+//! clocks or tasks: the caller passes `now` with each event and performs the
+//! actions that [`ServerQueue::next`] returns.
+//!
+//! ```
+//! use jasminepond_dispatch::{
+//!     ConnId, Enqueue, Next, Outcome, ServerQueue, Settings, Work, WorkId,
+//! };
+//! use jasminepond_types::{Timestamp, Weight};
+//!
+//! let now = Timestamp::from_millis(1);
+//! let mut queue = ServerQueue::new(now, Settings::default(), 7);
+//! let work = Work {
+//!     id: WorkId(1),
+//!     tenant: "foundry".parse().unwrap(),
+//!     weight: Weight(1),
+//!     priority: 0,
+//!     deadline: Timestamp::from_millis(250),
+//!     idempotent: true,
+//! };
+//! assert_eq!(queue.enqueue(now, work), Enqueue::Queued);
+//! assert_eq!(queue.next(now), Next::Open);
+//! queue.connected(now, ConnId(1));
+//! assert_eq!(queue.next(now), Next::Start { work: WorkId(1), conn: ConnId(1) });
+//! let later = Timestamp::from_millis(6);
+//! assert_eq!(queue.answered(later, ConnId(1), Outcome::Done), Some(WorkId(1)));
+//! ```
+
+mod circuit;
+mod connections;
+mod estimate;
+mod fair;
+mod limit;
+mod schedule;
+mod server;
+mod settings;
+mod work;
+
+pub use estimate::{Ewma, Quantile};
+pub use server::ServerQueue;
+pub use settings::Settings;
+pub use work::{
+    Cancelled, ConnId, Enqueue, Health, Hint, Lost, Next, NotRun, Outcome, ServerState, Work,
+    WorkId,
+};
--- /dev/null
+++ b/crates/jasminepond-dispatch/src/server.rs
@@ -0,0 +1,556 @@
+//! Events of a server's queue: offered work, responses, lost connections.
+
+use std::{collections::VecDeque, time::Duration};
+
+use jasminepond_types::{ErrorKind, Millis, Timestamp};
+
+use crate::{
+    Cancelled, ConnId, Enqueue, Ewma, Health, Hint, Lost, NotRun, Outcome, Quantile, ServerState,
+    Settings, Work, WorkId,
+    circuit::Circuit,
+    connections::{Connections, Running, State},
+    fair::{Push, Waiting},
+    limit::SlotLimit,
+};
+
+/// Multiple of the 99th percentile of service time after which a connection
+/// without progress counts as unresponsive. One request in a hundred takes ten
+/// times the usual time, which the percentile covers; this adds a margin.
+const PROGRESS_FACTOR: u32 = 4;
+
+/// Responses before the service times are trusted for the progress timeout. At
+/// fewer, a 99th percentile has not settled.
+const PROGRESS_SAMPLES: u32 = 100;
+
+/// Multiple of the median service time for which a fast failure holds its slot.
+/// Without it a server that fails fast empties its queue faster than a good one.
+const FAILURE_FACTOR: u32 = 2;
+
+/// Multiple of the mean service time to which a sample is cut. One response
+/// delayed by a pause of seconds would otherwise refuse all work for a while.
+const OUTLIER_FACTOR: u32 = 16;
+
+/// Share of recent failures above which the server counts as failing.
+const FAILING_SHARE: f32 = 0.5;
+
+/// Weight of one outcome in the share of recent failures.
+const FAILURE_WEIGHT: f32 = 0.125;
+
+/// Pause after a "starting" answer without a retry-after.
+const STARTING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Retry-after for work refused by a leaving server. Another replica can take
+/// it at once; this one does not come back soon.
+const DRAINING_RETRY: Millis = Millis(1_000);
+
+/// One backend server as its owner sees it. See the crate documentation for an
+/// example.
+#[derive(Debug)]
+pub struct ServerQueue {
+    pub(crate) settings: Settings,
+    pub(crate) waiting: Waiting,
+    pub(crate) conns: Connections,
+    pub(crate) circuit: Circuit,
+    pub(crate) limit: SlotLimit,
+    /// Work that ended without being sent and was not reported yet.
+    pub(crate) ended: VecDeque<(WorkId, ErrorKind)>,
+    /// Connections to close that were not reported yet.
+    pub(crate) closing: VecDeque<ConnId>,
+    /// Ends of slots held after a fast failure or a lost connection.
+    pub(crate) held: Vec<Timestamp>,
+    /// No dispatch before this time, because the server asked for it.
+    pub(crate) paused_until: Timestamp,
+    pub(crate) draining: bool,
+    created: Timestamp,
+    pub(crate) last_work: Option<Timestamp>,
+    mean: Ewma,
+    median: Quantile,
+    p99: Quantile,
+    samples: u32,
+    failures: f32,
+}
+
+impl ServerQueue {
+    /// A queue for a server that is new to this owner: it starts with one slot.
+    /// `seed` feeds the jitter of connection attempts.
+    pub fn new(now: Timestamp, settings: Settings, seed: u64) -> Self {
+        Self {
+            waiting: Waiting::default(),
+            conns: Connections::default(),
+            circuit: Circuit::new(seed),
+            limit: SlotLimit::new(settings.slot_limit()),
+            ended: VecDeque::new(),
+            closing: VecDeque::new(),
+            held: Vec::new(),
+            paused_until: now,
+            draining: false,
+            created: now,
+            last_work: None,
+            mean: Ewma::starting_at(settings.initial_service),
+            median: Quantile::starting_at(settings.initial_service),
+            p99: Quantile::starting_at(settings.initial_service),
+            samples: 0,
+            failures: 0.0,
+            settings,
+        }
+    }
+
+    /// Offers work. Work that cannot finish before its deadline behind the work
+    /// in front of it is refused at once.
+    ///
+    /// Refusals are `overloaded`, `deadline_not_run`, `no_backend` (the server
+    /// cannot be reached), `draining`, or `internal` if the id is in use.
+    pub fn enqueue(&mut self, now: Timestamp, work: Work) -> Enqueue {
+        // Also for refused work: demand is what makes a lost server be probed.
+        self.last_work = Some(now);
+        if let Some(refused) = self.refuse(now, &work) {
+            return refused;
+        }
+        let wait = self.wait_for(now, &work);
+        match self.waiting.push(work, self.settings.queue_limit as usize) {
+            Push::Added => Enqueue::Queued,
+            Push::Replaced(id) => {
+                self.ended.push_back((id, ErrorKind::Overloaded));
+                Enqueue::Queued
+            }
+            Push::Full => refusal(ErrorKind::Overloaded, wait),
+        }
+    }
+
+    fn refuse(&self, now: Timestamp, work: &Work) -> Option<Enqueue> {
+        if self.waiting.contains(work.id) || self.conns.running(work.id) {
+            return Some(refusal(ErrorKind::Internal, Duration::ZERO));
+        }
+        if self.draining {
+            return Some(Enqueue::Refused {
+                kind: ErrorKind::Draining,
+                retry_after: DRAINING_RETRY,
+            });
+        }
+        if self.circuit.is_open() {
+            let wait = self.circuit.retry_at().since(now) + self.median.get();
+            return Some(refusal(ErrorKind::NoBackend, wait));
+        }
+        if work.deadline <= now {
+            return Some(refusal(ErrorKind::DeadlineNotRun, Duration::ZERO));
+        }
+        // An unused server is always tried, or a service time estimate from a
+        // slow period could never be corrected.
+        if self.is_unused() && self.paused_until <= now {
+            return None;
+        }
+        let left = work.deadline.since(now);
+        let wait = self.wait_for(now, work);
+        let needed = wait + self.median.get();
+        if needed <= left {
+            return None;
+        }
+        if wait.is_zero() {
+            return Some(refusal(ErrorKind::DeadlineNotRun, Duration::ZERO));
+        }
+        Some(refusal(ErrorKind::Overloaded, needed - left))
+    }
+
+    /// Estimated time until `work` would be sent.
+    fn wait_for(&self, now: Timestamp, work: &Work) -> Duration {
+        let pause = self.paused_until.since(now);
+        let ahead = self.waiting.ahead_of(work, self.settings.starvation_share);
+        let limit = u64::from(self.limit.get());
+        let used = u64::from(self.used_slots());
+        if ahead + used < limit {
+            return pause;
+        }
+        let turns = ahead + used + 1 - limit;
+        let mean = self.mean.get().unwrap_or(self.settings.initial_service);
+        let micros = mean.as_micros() as u64 * turns / limit;
+        pause.max(Duration::from_micros(micros))
+    }
+
+    /// A connection asked for by [`Next::Open`] is established.
+    pub fn connected(&mut self, now: Timestamp, conn: ConnId) {
+        self.conns.open_ended();
+        self.circuit.connected();
+        // A server that was down must answer a check first: a process that
+        // hangs still accepts connections.
+        let state = if self.circuit.is_open() {
+            State::Suspect
+        } else {
+            State::Idle
+        };
+        self.conns.add(conn, state, now);
+    }
+
+    /// A connection asked for by [`Next::Open`] could not be established.
+    pub fn connect_failed(&mut self, now: Timestamp) {
+        self.conns.open_ended();
+        if self.circuit.connect_failed(now, &self.settings) {
+            self.went_down();
+        }
+    }
+
+    /// The first byte of the response on `conn` arrived: the progress timeout
+    /// no longer applies, the deadline does.
+    pub fn progressed(&mut self, _now: Timestamp, conn: ConnId) {
+        let grace = self.settings.deadline_grace;
+        if let Some(conn) = self.conns.get_mut(conn)
+            && let State::Busy(running) = &mut conn.state
+        {
+            running.give_up = running.deadline + grace;
+        }
+    }
+
+    /// The response on `conn` is complete. Returns the work that it answers;
+    /// `None` if that work was cancelled, in which case the response is dropped.
+    pub fn answered(&mut self, now: Timestamp, conn: ConnId, outcome: Outcome) -> Option<WorkId> {
+        let entry = self.conns.get_mut(conn)?;
+        let running = match entry.state {
+            State::Busy(running) => running,
+            State::Abandoned { .. } => {
+                entry.now_idle(now);
+                self.responded();
+                return None;
+            }
+            _ => return None,
+        };
+        entry.now_idle(now);
+        self.last_work = Some(now);
+        self.account(now, running, outcome);
+        Some(running.work)
+    }
+
+    fn account(&mut self, now: Timestamp, running: Running, outcome: Outcome) {
+        match outcome {
+            Outcome::Done => {
+                self.responded();
+                self.sample(now.since(running.sent_at));
+                self.note_failure(0.0);
+                self.limit
+                    .succeeded(running.saturated, self.settings.growth_run);
+            }
+            Outcome::Failed => {
+                self.responded();
+                self.failed(now, running);
+            }
+            Outcome::Cancelled => self.responded(),
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            } => self.not_run(now, running, reason, retry_after),
+        }
+    }
+
+    fn not_run(
+        &mut self,
+        now: Timestamp,
+        running: Running,
+        reason: NotRun,
+        retry_after: Option<Millis>,
+    ) {
+        if reason == NotRun::NotSent {
+            return;
+        }
+        self.responded();
+        match reason {
+            NotRun::Shed => {
+                if self.limit.shed(now, running.sent_at) {
+                    let pause = self.circuit.jittered(self.median.get());
+                    self.pause(now, retry_after, pause);
+                }
+            }
+            NotRun::Starting => {
+                self.limit.ramp();
+                self.pause(now, retry_after, STARTING_PAUSE);
+            }
+            NotRun::Draining => self.set_draining(now),
+            NotRun::Version | NotRun::Deadline | NotRun::NotSent => {}
+        }
+    }
+
+    fn pause(&mut self, now: Timestamp, asked: Option<Millis>, otherwise: Duration) {
+        let pause = asked.map_or(otherwise, Millis::duration);
+        let until = now + pause.min(self.settings.pause_limit);
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    fn failed(&mut self, now: Timestamp, running: Running) {
+        self.limit.failed();
+        self.note_failure(1.0);
+        let hold_until = running.sent_at + self.median.get() * FAILURE_FACTOR;
+        self.hold(now, hold_until);
+    }
+
+    fn note_failure(&mut self, outcome: f32) {
+        let was_failing = self.is_failing();
+        self.failures += (outcome - self.failures) * FAILURE_WEIGHT;
+        if !was_failing && self.is_failing() {
+            self.limit.ramp();
+        }
+    }
+
+    fn is_failing(&self) -> bool {
+        self.failures > FAILING_SHARE
+    }
+
+    fn hold(&mut self, now: Timestamp, until: Timestamp) {
+        if until > now {
+            self.held.push(until);
+        }
+    }
+
+    fn responded(&mut self) {
+        if self.circuit.responded() {
+            self.limit.ramp();
+        }
+    }
+
+    fn sample(&mut self, time: Duration) {
+        self.samples = self.samples.saturating_add(1);
+        self.mean
+            .add(time.min(self.mean.get().unwrap_or(time) * OUTLIER_FACTOR));
+        self.median.add(0.5, time);
+        self.p99.add(0.99, time);
+    }
+
+    /// A check asked for by [`Next::Check`] was answered.
+    pub fn checked(&mut self, now: Timestamp, conn: ConnId, state: ServerState) {
+        let Some(entry) = self.conns.get_mut(conn) else {
+            return;
+        };
+        if !matches!(entry.state, State::Checking { .. }) {
+            return;
+        }
+        entry.state = State::Idle;
+        entry.seen_at = now;
+        match state {
+            ServerState::Ready => self.responded(),
+            ServerState::Starting => self.starting(now, conn),
+            ServerState::Draining => self.set_draining(now),
+        }
+    }
+
+    fn starting(&mut self, now: Timestamp, conn: ConnId) {
+        self.limit.ramp();
+        if !self.circuit.is_open() {
+            self.pause(now, None, STARTING_PAUSE);
+            return;
+        }
+        self.circuit.not_ready(now, &self.settings);
+        self.close(conn);
+    }
+
+    /// The connection is closed, by either side. Reports what that means for
+    /// the work that ran on it.
+    pub fn closed(&mut self, now: Timestamp, conn: ConnId) -> Lost {
+        let Some(entry) = self.conns.remove(conn) else {
+            return Lost::Nothing;
+        };
+        match entry.state {
+            State::Busy(running) => {
+                self.lost(now);
+                self.classify(now, running)
+            }
+            State::Closing(Some(running)) => self.classify(now, running),
+            State::Abandoned { deadline, .. } => {
+                self.hold(now, deadline.min(now + self.median.get()));
+                Lost::Nothing
+            }
+            State::Checking { .. } => {
+                self.lost(now);
+                Lost::Nothing
+            }
+            State::Idle | State::Suspect | State::Closing(None) => Lost::Nothing,
+        }
+    }
+
+    fn classify(&mut self, now: Timestamp, running: Running) -> Lost {
+        self.last_work = Some(now);
+        // At least this long, so the progress timeout follows a slower server.
+        self.p99.add(0.99, now.since(running.sent_at));
+        // The server may still work on the request until its deadline.
+        self.hold(now, running.deadline.min(now + self.median.get()));
+        let work = running.work;
+        if running.idempotent {
+            Lost::Retry { work }
+        } else {
+            Lost::Unknown { work }
+        }
+    }
+
+    /// Counts a connection that was lost without a response.
+    pub(crate) fn lost(&mut self, now: Timestamp) {
+        self.limit.failed();
+        self.conns.suspect_idle();
+        if self.circuit.lost(now, &self.settings) {
+            self.went_down();
+        }
+    }
+
+    fn went_down(&mut self) {
+        self.end_waiting(ErrorKind::NoBackend);
+        self.close_idle();
+    }
+
+    fn end_waiting(&mut self, kind: ErrorKind) {
+        let ended = self.waiting.drain().map(|id| (id, kind));
+        self.ended.extend(ended);
+    }
+
+    fn close_idle(&mut self) {
+        for conn in self.conns.iter_mut() {
+            if matches!(conn.state, State::Idle | State::Suspect) {
+                conn.state = State::Closing(None);
+                self.closing.push_back(conn.id);
+            }
+        }
+    }
+
+    pub(crate) fn close(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.get_mut(id) {
+            let running = match conn.state {
+                State::Busy(running) => Some(running),
+                _ => None,
+            };
+            conn.state = State::Closing(running);
+            self.closing.push_back(id);
+        }
+    }
+
+    /// Gives up work. Afterwards the queue reports nothing about it.
+    pub fn cancel(&mut self, now: Timestamp, work: WorkId) -> Cancelled {
+        if self.waiting.remove(work).is_some() {
+            return Cancelled::Removed;
+        }
+        if let Some(at) = self.ended.iter().position(|(id, _)| *id == work) {
+            self.ended.remove(at);
+            return Cancelled::Removed;
+        }
+        let until = now + self.settings.drain_limit;
+        let Some(conn) = self.conns.abandon(work, until) else {
+            return Cancelled::Gone;
+        };
+        let via = self.conns.take_idle().map(|idle| {
+            idle.state = State::Checking {
+                until: now + self.settings.check_timeout,
+            };
+            idle.id
+        });
+        Cancelled::SendCancel { conn, via }
+    }
+
+    /// The server is leaving: queued work ends as `draining`, running work
+    /// completes, idle connections are closed.
+    pub fn set_draining(&mut self, _now: Timestamp) {
+        self.draining = true;
+        self.end_waiting(ErrorKind::Draining);
+        self.close_idle();
+    }
+
+    /// The server takes work again; it starts with one slot.
+    pub fn set_ready(&mut self, _now: Timestamp) {
+        if std::mem::take(&mut self.draining) {
+            self.limit.ramp();
+        }
+    }
+
+    /// Whether the server is draining and nothing runs or is connected.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.ended.is_empty() && self.conns.total() == 0
+    }
+
+    /// Puts changed settings into effect. Surplus connections are closed as
+    /// they become idle; queued work stays.
+    pub fn set_limits(&mut self, _now: Timestamp, settings: Settings) {
+        self.limit.set_max(settings.slot_limit());
+        self.settings = settings;
+    }
+
+    /// The process was paused. Connections of unknown state are closed: the
+    /// server may have given up on them. Idle ones are checked before use, and
+    /// queued work past its deadline expires in [`next`](Self::next).
+    pub fn woke(&mut self, now: Timestamp) {
+        let answer_by = now + self.settings.check_timeout;
+        let mut unknown = Vec::new();
+        for conn in self.conns.iter_mut() {
+            match &mut conn.state {
+                State::Idle => conn.state = State::Suspect,
+                State::Busy(running) if running.idempotent && running.deadline <= now => {
+                    unknown.push(conn.id);
+                }
+                // The response may wait in the socket buffer.
+                State::Busy(running) => running.give_up = running.give_up.max(answer_by),
+                State::Abandoned { .. } | State::Checking { .. } => unknown.push(conn.id),
+                State::Suspect | State::Closing(_) => {}
+            }
+        }
+        for id in unknown {
+            self.close(id);
+        }
+    }
+
+    /// What entry daemons need to know about the server.
+    pub fn hint(&self) -> Hint {
+        let micros = self.median.get().as_micros();
+        Hint {
+            queued: self.waiting.len() as u32,
+            running: self.used_slots(),
+            slots: self.limit.get(),
+            service_time: u32::try_from(micros).unwrap_or(u32::MAX),
+            healthy: self.health(),
+        }
+    }
+
+    fn health(&self) -> Health {
+        if self.draining {
+            Health::Draining
+        } else if self.circuit.is_open() {
+            Health::Down
+        } else if self.is_failing() {
+            Health::Failing
+        } else if self.limit.is_ramping() {
+            Health::Ramping
+        } else {
+            Health::Ready
+        }
+    }
+
+    /// How long the server has had no work; zero while it has some.
+    pub fn is_idle_for(&self, now: Timestamp) -> Duration {
+        if !self.waiting.is_empty() || !self.ended.is_empty() || self.conns.in_use() > 0 {
+            return Duration::ZERO;
+        }
+        now.since(self.last_work.unwrap_or(self.created))
+    }
+
+    /// Connections open, being opened or being closed.
+    pub fn connections(&self) -> u32 {
+        self.conns.total() as u32
+    }
+
+    pub(crate) fn used_slots(&self) -> u32 {
+        self.conns.in_use() + self.held.len() as u32
+    }
+
+    pub(crate) fn is_unused(&self) -> bool {
+        self.waiting.is_empty() && self.used_slots() == 0
+    }
+
+    pub(crate) fn median(&self) -> Duration {
+        self.median.get()
+    }
+
+    /// Time without a response byte after which an idempotent request is given
+    /// up. Other requests wait for their deadline: giving them up early turns a
+    /// slow response into an unknown outcome.
+    pub(crate) fn progress_timeout(&self) -> Option<Duration> {
+        if self.samples < PROGRESS_SAMPLES {
+            return None;
+        }
+        let timeout = self.p99.get() * PROGRESS_FACTOR;
+        Some(timeout.max(self.settings.progress_floor))
+    }
+}
+
+fn refusal(kind: ErrorKind, wait: Duration) -> Enqueue {
+    let retry_after = Millis::from(wait).max(Millis(1));
+    Enqueue::Refused { kind, retry_after }
+}
