feat(standin-backend): stand-in for backend servers

Ruled out: one process per server, since a deployment has up to 100 servers and the machine allows a few hundred processes; deriving responses from a stored index, since a checker must be able to compute them by itself.

Change: `standin-backend` serves any number of servers from one process; `standin-http` holds the JSON server and client that the stand-ins share.

--- /dev/null
+++ b/tools/standin-backend/src/service.rs
@@ -0,0 +1,172 @@
+//! Listeners, connections and requests.
+
+use std::{
+    cell::Cell,
+    collections::BTreeMap,
+    convert::Infallible,
+    future::pending,
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime::Runtime,
+    time::sleep_until,
+};
+use cyper_core::HyperStream;
+use futures_util::future::{Either, select};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+
+use crate::{Options, Server, ServerSpec, control, request};
+
+/// Pause before binding again an address that is not free yet.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
+/// Addresses on which the program listens.
+#[derive(Debug, Clone, Serialize)]
+pub struct Bound {
+    /// Control endpoint.
+    pub control: SocketAddr,
+    /// Servers by id.
+    pub servers: BTreeMap<String, SocketAddr>,
+}
+
+/// One accepted connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub id: u64,
+    /// Cancelled to cut the connection.
+    pub cut: CancellationToken,
+    /// When the cost of the connection has been paid.
+    pub ready_at: Cell<Option<Instant>>,
+}
+
+/// Binds every listener, passes the addresses to `bound`, and serves for ever.
+///
+/// # Errors
+///
+/// An address that cannot be bound.
+pub fn serve(options: Options, bound: impl FnOnce(Bound)) -> io::Result<()> {
+    let mut servers = Vec::new();
+    let mut shares: Vec<Vec<_>> = (0..options.threads.max(1)).map(|_| Vec::new()).collect();
+    for (number, spec) in options.servers.into_iter().enumerate() {
+        let (server, listener) = bind(spec)?;
+        let share = number % shares.len();
+        shares[share].push((server.clone(), listener));
+        servers.push(server);
+    }
+    let control = std::net::TcpListener::bind(options.control)?;
+    bound(Bound {
+        control: control.local_addr()?,
+        servers: servers
+            .iter()
+            .map(|s| (s.id.clone(), s.lock().address))
+            .collect(),
+    });
+    for share in shares {
+        std::thread::Builder::new().spawn(move || serve_share(share))?;
+    }
+    Runtime::new()?.block_on(async {
+        let listener = TcpListener::from_std(control)?;
+        let servers = Rc::new(servers);
+        standin_http::serve(listener, move |request| {
+            let servers = servers.clone();
+            async move { control::handle(&servers, &request) }
+        })
+        .await;
+        Ok(())
+    })
+}
+
+fn bind(spec: ServerSpec) -> io::Result<(Arc<Server>, std::net::TcpListener)> {
+    let fault = |e: io::Error| io::Error::new(e.kind(), format!("server {}: {e}", spec.id));
+    let listener = std::net::TcpListener::bind(spec.address).map_err(fault)?;
+    let address = listener.local_addr()?;
+    Ok((Arc::new(Server::new(spec, address)), listener))
+}
+
+fn serve_share(share: Vec<(Arc<Server>, std::net::TcpListener)>) {
+    let runtime = Runtime::new().expect("a runtime can be built");
+    runtime.block_on(async {
+        for (server, listener) in share {
+            let listener = TcpListener::from_std(listener).expect("the listener can be registered");
+            compio::runtime::spawn(listen(server, listener)).detach();
+        }
+        pending::<()>().await;
+    });
+}
+
+async fn listen(server: Arc<Server>, first: TcpListener) {
+    let mut listener = Some(first);
+    loop {
+        let (down, up, address) = {
+            let state = server.lock();
+            (state.down.clone(), state.up.clone(), state.address)
+        };
+        if down.is_cancelled() {
+            listener = None;
+            up.cancelled().await;
+            continue;
+        }
+        let Some(open) = &listener else {
+            match TcpListener::bind(address).await {
+                Ok(bound) => listener = Some(bound),
+                Err(_) => compio::time::sleep(REBIND_PAUSE).await,
+            }
+            continue;
+        };
+        let accept = pin!(open.accept());
+        if let Either::Left((Ok((stream, _)), _)) = select(accept, pin!(down.cancelled())).await {
+            accepted(&server, stream);
+        }
+    }
+}
+
+fn accepted(server: &Arc<Server>, stream: TcpStream) {
+    let mut state = server.lock();
+    if state.take_drop(crate::Stage::BeforeRequest, "") {
+        return;
+    }
+    let Some((id, cut)) = state.connect() else {
+        return;
+    };
+    let cost = Duration::from_millis(state.spec.connect_cost_ms);
+    drop(state);
+    let _ = stream.set_nodelay(true);
+    let connection = Connection {
+        id,
+        cut,
+        ready_at: Cell::new(Some(Instant::now() + cost)),
+    };
+    compio::runtime::spawn(serve_connection(
+        server.clone(),
+        stream,
+        Rc::new(connection),
+    ))
+    .detach();
+}
+
+async fn serve_connection(server: Arc<Server>, stream: TcpStream, connection: Rc<Connection>) {
+    let service = service_fn(|request: hyper::Request<Incoming>| {
+        let (server, connection) = (server.clone(), connection.clone());
+        async move { Ok::<_, Infallible>(request::respond(server, connection, request).await) }
+    });
+    let serving = http1::Builder::new().serve_connection(HyperStream::new_plain(stream), service);
+    // An error means that the peer has closed; there is nothing to do about it.
+    let _ = select(pin!(serving), pin!(connection.cut.cancelled())).await;
+    server.lock().disconnect(connection.id);
+}
+
+/// Waits until the cost of the connection has been paid.
+pub(crate) async fn pay_connection(connection: &Connection) {
+    if let Some(ready_at) = connection.ready_at.take() {
+        sleep_until(ready_at).await;
+    }
+}
--- /dev/null
+++ b/tools/standin-http/src/lib.rs
@@ -0,0 +1,8 @@
+//! HTTP/1.1 helpers shared by the stand-ins and the load tool: a JSON server
+//! for control endpoints and a client that holds one connection.
+
+mod client;
+mod server;
+
+pub use client::{CallError, Connection, call, get, post};
+pub use server::{Reply, Request, error, json, read_request, serve, serve_stream};
