--- a/tools/standin-backend/src/control.rs
+++ b/tools/standin-backend/src/control.rs
@@ -51,6 +51,7 @@
             "spec": state.spec,
             "modes": state.modes,
             "running": state.running,
+            "waiting": state.waiting(),
         });
         (server.id.clone(), value)
     };
--- a/tools/standin-backend/src/server.rs
+++ b/tools/standin-backend/src/server.rs
@@ -214,6 +214,10 @@
         Admission::Wait { ticket, granted }
     }
 
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Gives up waiting; a slot granted in the meantime is passed on.
     pub fn abandon(&mut self, ticket: u64) {
         let before = self.waiting.len();
