feat(daemon): owner task for backend servers

Cause: one daemon must count the slots and connections of a backend server. Ruled out: one task per server, which needs a channel hop more for each sub-request and gains nothing on one thread. Conclusion: compiles and is linted; measured once the path is whole.

--- a/crates/jasminepond-backend/src/call.rs
+++ b/crates/jasminepond-backend/src/call.rs
@@ -88,6 +88,18 @@
     Deadline,
 }
 
+/// What a server says when asked for its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ServerState {
+    /// Not ready yet.
+    Starting,
+    /// Takes requests.
+    Ready,
+    /// Shutting down.
+    Draining,
+}
+
 /// How a call ended on the server.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallOutcome {
@@ -95,8 +107,10 @@
     Found(SearchResult),
     /// The result of a non-idempotent request, as JSON.
     Executed(Bytes),
-    /// A cancel or health call succeeded.
+    /// A cancel call succeeded.
     Acknowledged,
+    /// The server's state.
+    Health(ServerState),
     /// The call was cancelled.
     Cancelled,
     /// The server states that the call did not run.
--- a/crates/jasminepond-backend/src/lib.rs
+++ b/crates/jasminepond-backend/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use call::{
     Call, CallId, CallOutcome, ExecuteCall, Hints, Hit, NotRunReason, Reply, SearchCall,
-    SearchResult,
+    SearchResult, ServerState,
 };
 pub use conn::{Command, Connection, Event, Events, HttpDialer, Options, Sent};
 pub use response::{ResponseError, parse};
--- a/crates/jasminepond-backend/src/response.rs
+++ b/crates/jasminepond-backend/src/response.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 use jasminepond_types::{Millis, Version};
+use serde::Deserialize;
 
-use crate::call::{Call, CallOutcome, Hints, NotRunReason, Reply};
+use crate::call::{Call, CallOutcome, Hints, NotRunReason, Reply, ServerState};
 
 /// A response does not belong to the call or cannot be read.
 #[derive(Debug, thiserror::Error)]
@@ -22,6 +23,11 @@
     Body(#[from] serde_json::Error),
 }
 
+#[derive(Deserialize)]
+struct HealthBody {
+    state: ServerState,
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -85,7 +91,8 @@
         match call {
             Call::Search(_) => CallOutcome::Found(serde_json::from_slice(&body)?),
             Call::Execute(_) => CallOutcome::Executed(body),
-            Call::Cancel(_) | Call::Health => CallOutcome::Acknowledged,
+            Call::Cancel(_) => CallOutcome::Acknowledged,
+            Call::Health => CallOutcome::Health(serde_json::from_slice::<HealthBody>(&body)?.state),
         }
     } else if status.as_u16() == CANCELLED_STATUS {
         CallOutcome::Cancelled
--- a/crates/jasminepond-daemon/src/lib.rs
+++ b/crates/jasminepond-daemon/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod clock;
 pub mod net;
+pub mod owner;
 pub mod peers;
 pub mod stop;
--- a/crates/jasminepond-daemon/src/peers.rs
+++ b/crates/jasminepond-daemon/src/peers.rs
@@ -171,10 +171,10 @@
         let Some(link) = link else {
             return (self.report)(Report::NotSent { to, frame });
         };
-        if let Err(err) = link.tx.unbounded_send(Command::Send(frame)) {
-            if let Command::Send(frame) = err.into_inner() {
-                (self.report)(Report::NotSent { to, frame });
-            }
+        if let Err(err) = link.tx.unbounded_send(Command::Send(frame))
+            && let Command::Send(frame) = err.into_inner()
+        {
+            (self.report)(Report::NotSent { to, frame });
         }
     }
 
