feat(membership): add the membership state machine

Cause: routing, status and configuration spreading need one view of the daemons, and the daemon is written against its interface now.

Change: SWIM-like probes, suspicion and gossip, exchange of views by digests of 64 buckets, tombstones against old gossip, reports about backend servers, pauses.

--- /dev/null
+++ b/crates/jasminepond-membership/src/membership.rs
@@ -0,0 +1,470 @@
+//! The state machine: its state, its inputs and its timers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use jasminepond_types::RegionId;
+use jasminepond_types::{Incarnation, InstanceId, Millis, Revision, ServerId, Timestamp, ZoneId};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::{
+    Body, ConfigMark, Me, Member, MemberState, Message, Rank, ReportKind, ServerReport, Settings,
+    View,
+    exchange::Pull,
+    gossip::{Order, Queue},
+    probe::Probes,
+    reports::{ReportKey, Reports},
+    tombstone::Tombstones,
+};
+
+/// Seeds contacted at a time while joining.
+const JOIN_FANOUT: usize = 3;
+
+/// Members told at once when this daemon leaves or refutes.
+const URGENT_FANOUT: usize = 4;
+
+/// Suspicion timeouts after which a resumed daemon that finds every other
+/// member dead stops waiting for an answer.
+const ALONE_AFTER: u32 = 2;
+
+/// What the caller has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Send a datagram.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What.
+        message: Box<Message>,
+    },
+    /// A member changed in [`Membership::view`].
+    Changed(Change),
+    /// A report about a backend server arrived for the first time.
+    Report(ServerReport),
+    /// The view is confirmed again after [`Membership::woke`].
+    Confirmed,
+    /// Another daemon runs under this instance with this or a higher
+    /// incarnation. This one has to stop or to restart with a higher one.
+    Superseded(Incarnation),
+}
+
+/// A change of one member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The incarnation after the change, or the last one if it was forgotten.
+    pub incarnation: Incarnation,
+    /// The state before, none if it was not known.
+    pub from: Option<MemberState>,
+    /// The state after, none if it was forgotten.
+    pub to: Option<MemberState>,
+}
+
+/// A suspected member and when it is declared dead.
+#[derive(Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) rank: Rank,
+    pub(crate) until: Timestamp,
+}
+
+/// Times at which periodic work is due.
+#[derive(Debug, Default)]
+pub(crate) struct Due {
+    probe: Timestamp,
+    gossip: Timestamp,
+    exchange: Timestamp,
+    heal: Timestamp,
+    join: Timestamp,
+}
+
+/// Membership of one daemon.
+///
+/// ```
+/// use jasminepond_membership::{Me, Membership, Settings};
+/// use jasminepond_types::{Incarnation, Timestamp};
+///
+/// let me = Me {
+///     instance: "entry-1".parse().unwrap(),
+///     incarnation: Incarnation(1),
+///     zone: "a".parse().unwrap(),
+///     region: "r".parse().unwrap(),
+///     peer_address: "127.0.0.1:7000".parse().unwrap(),
+///     membership_address: "127.0.0.1:7001".parse().unwrap(),
+/// };
+/// let mut membership = Membership::new(Settings::default(), me, 42);
+/// membership.seed(["127.0.0.1:7002".parse().unwrap()]);
+/// // The first thing to do is to ask the seed for its view.
+/// assert_eq!(membership.tick(Timestamp::ZERO).len(), 1);
+/// assert_eq!(membership.view().len(), 1);
+/// ```
+#[derive(Debug)]
+pub struct Membership {
+    pub(crate) settings: Settings,
+    pub(crate) rng: StdRng,
+    pub(crate) me: Member,
+    pub(crate) view: View,
+    pub(crate) changes: Queue<InstanceId>,
+    pub(crate) config_changes: Queue<InstanceId>,
+    pub(crate) report_changes: Queue<ReportKey>,
+    pub(crate) reports: Reports,
+    pub(crate) report_sequence: u64,
+    pub(crate) tombstones: Tombstones,
+    pub(crate) suspicions: BTreeMap<InstanceId, Suspicion>,
+    pub(crate) gone: BTreeMap<InstanceId, Timestamp>,
+    pub(crate) zones: BTreeSet<ZoneId>,
+    pub(crate) regions: BTreeSet<RegionId>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) probes: Probes,
+    pub(crate) pull: Option<Pull>,
+    /// Number of the last question for a view; older answers are stale.
+    pub(crate) nonce: u32,
+    pub(crate) joined: bool,
+    /// When the process resumed, until a member has answered.
+    pub(crate) unconfirmed_since: Option<Timestamp>,
+    pub(crate) superseded: Option<Incarnation>,
+    pub(crate) due: Due,
+    last_tick: Option<Timestamp>,
+}
+
+impl Membership {
+    /// A daemon that knows only itself. `seed` makes its random choices
+    /// reproducible; daemons should have different ones.
+    pub fn new(settings: Settings, me: Me, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let me = me.member();
+        let mut changes = Queue::new(Order::LeastSent);
+        changes.push(me.instance.clone());
+        Self {
+            view: View::from_members([me.clone()]),
+            changes,
+            config_changes: Queue::new(Order::Turns),
+            report_changes: Queue::new(Order::LeastSent),
+            reports: Reports::default(),
+            report_sequence: 0,
+            tombstones: Tombstones::default(),
+            suspicions: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            zones: BTreeSet::from([me.zone.clone()]),
+            regions: BTreeSet::from([me.region.clone()]),
+            seeds: Vec::new(),
+            probes: Probes::new(&mut rng),
+            pull: None,
+            nonce: rng.random(),
+            joined: false,
+            unconfirmed_since: None,
+            superseded: None,
+            due: Due::default(),
+            last_tick: None,
+            settings,
+            rng,
+            me,
+        }
+    }
+
+    /// The members as this daemon sees them.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// This daemon's own record.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Whether the view can be acted on. False from [`Self::woke`] until
+    /// another member has answered, or until every other member has been
+    /// found dead since.
+    pub fn is_confirmed(&self) -> bool {
+        self.unconfirmed_since.is_none()
+    }
+
+    /// Whether a full view was received from another member since the start.
+    pub fn is_joined(&self) -> bool {
+        self.joined
+    }
+
+    /// Replaces the addresses from the instance list. They are contacted if
+    /// no member is known under them; an address that is missing from the
+    /// list says nothing.
+    pub fn seed(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        self.seeds = addresses.into_iter().collect();
+        self.seeds.retain(|&a| a != self.me.membership_address);
+        self.seeds.sort_unstable();
+        self.seeds.dedup();
+    }
+
+    /// Announces that this daemon leaves. It keeps answering until it stops.
+    pub fn leave(&mut self, now: Timestamp) -> Vec<Output> {
+        let mut out = Vec::new();
+        if self.me.state != MemberState::Leaving {
+            self.set_me(MemberState::Leaving, &mut out);
+            self.tell_urgently(now, &mut out);
+        }
+        out
+    }
+
+    /// The process resumed after a pause. Everything known is of unknown age:
+    /// nothing is concluded from earlier probes, nothing but this daemon's own
+    /// record is passed on, and a member is asked for its view.
+    pub fn woke(&mut self, now: Timestamp) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.unconfirmed_since = Some(now);
+        self.probes.reset();
+        self.pull = None;
+        self.changes.clear();
+        self.config_changes.clear();
+        self.report_changes.clear();
+        self.restart_suspicions(now);
+        self.due = Due {
+            probe: now,
+            join: now,
+            ..Due::default()
+        };
+        self.refute(now, self.me.refutation, &mut out);
+        self.ask_for_view(now, &mut out);
+        out
+    }
+
+    /// The configuration that this daemon has in effect. An older revision
+    /// than the one set before is ignored.
+    pub fn set_config(&mut self, revision: Revision, digest: &[u8; 32]) {
+        let mark = ConfigMark::new(revision, digest);
+        if mark > self.me.config {
+            self.me.config = mark;
+            self.view.put(self.me.clone());
+            self.config_changes.push(self.me.instance.clone());
+        }
+    }
+
+    /// Spreads what this daemon observed of a backend server.
+    pub fn report(&mut self, now: Timestamp, server: ServerId, kind: ReportKind) {
+        self.report_sequence += 1;
+        let report = ServerReport {
+            server,
+            kind,
+            reporter: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            sequence: self.report_sequence,
+            age: Millis(0),
+        };
+        self.learn_report(now, &report);
+    }
+
+    /// All reports that have not expired, this daemon's own included.
+    pub fn reports(&self, now: Timestamp) -> impl Iterator<Item = ServerReport> {
+        self.reports.iter(now)
+    }
+
+    /// When [`Self::tick`] has something to do at the earliest.
+    pub fn next_tick(&self) -> Timestamp {
+        let probe_timeout = self.probes.current.as_ref().filter(|p| !p.indirect);
+        let probe_timeout = probe_timeout.map(|p| p.sent + self.settings.probe_timeout);
+        let pull = self.last_tick.filter(|_| self.pull.is_some());
+        let pull = pull.map(|at| at + self.settings.probe_timeout);
+        let times = [
+            Some(self.due.probe),
+            Some(self.due.heal),
+            Some(self.due.gossip),
+        ];
+        let times = times.into_iter().chain([probe_timeout, pull]);
+        times.flatten().min().unwrap_or_default()
+    }
+
+    /// Does what is due. To be called at [`Self::next_tick`], at the latest
+    /// every 100 ms.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.notice_late_tick(now);
+        self.tick_probe(now, &mut out);
+        self.tick_suspicions(now, &mut out);
+        self.tick_views(now, &mut out);
+        self.tick_gossip(now, &mut out);
+        self.expire(now, &mut out);
+        self.last_tick = Some(now);
+        out
+    }
+
+    /// A probe is not missed and a suspicion does not end because this daemon
+    /// was late: the answer may be waiting in a socket.
+    fn notice_late_tick(&mut self, now: Timestamp) {
+        let Some(last) = self.last_tick else {
+            return;
+        };
+        let gap = now.since(last);
+        if gap >= self.settings.probe_period {
+            self.probes.current = None;
+            for suspicion in self.suspicions.values_mut() {
+                suspicion.until = suspicion.until + gap;
+            }
+        }
+    }
+
+    fn tick_probe(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        if now >= self.due.probe {
+            self.due.probe = now + self.settings.probe_period;
+            self.finish_probe(now, out);
+            self.start_probe(now, out);
+        }
+        self.probe_indirectly(now, out);
+        self.probes
+            .expire_relays(now, self.settings.probe_period * 2);
+    }
+
+    /// Suspects the member that has not answered in this period.
+    fn finish_probe(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let Some(probe) = self.probes.current.take() else {
+            return;
+        };
+        let member = self.view.get(&probe.target).map(|m| Member::clone(m));
+        let unchanged = member.filter(|m| m.rank() == probe.rank);
+        if let Some(member) = unchanged
+            && member.state == MemberState::Alive
+        {
+            let state = MemberState::Suspect;
+            self.learn(now, Member { state, ..member }, 0, out);
+        }
+    }
+
+    fn start_probe(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let me = &self.me.instance;
+        let target = self.probes.next_target(&self.view, me, &mut self.rng);
+        let Some(member) = target.and_then(|t| self.view.get(&t).cloned()) else {
+            return;
+        };
+        let sequence = self.probes.sequence();
+        self.probes.current = Some(crate::probe::Probe {
+            target: member.instance.clone(),
+            rank: member.rank(),
+            sequence,
+            sent: now,
+            indirect: false,
+        });
+        let target = member.instance.clone();
+        self.send_to(now, &member, Body::Probe { sequence, target }, out);
+    }
+
+    /// Asks others to probe the member that has not answered directly.
+    fn probe_indirectly(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let timeout = self.settings.probe_timeout;
+        let Some(probe) = &mut self.probes.current else {
+            return;
+        };
+        if probe.indirect || now.since(probe.sent) < timeout {
+            return;
+        }
+        probe.indirect = true;
+        let (target, sequence) = (probe.target.clone(), probe.sequence);
+        for helper in self.random_members(self.settings.indirect_probes, Some(&target)) {
+            let target = target.clone();
+            self.send_to(now, &helper, Body::ProbeFor { sequence, target }, out);
+        }
+    }
+
+    fn tick_suspicions(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        if !self.is_confirmed() && !self.is_alone_since(now) {
+            return;
+        }
+        let due = self.suspicions.iter().filter(|(_, s)| now >= s.until);
+        let due: Vec<InstanceId> = due.map(|(instance, _)| instance.clone()).collect();
+        for instance in due {
+            let suspicion = self.suspicions.remove(&instance);
+            let member = self.view.get(&instance).map(|m| Member::clone(m));
+            let unchanged = |m: &Member| suspicion.as_ref().is_some_and(|s| s.rank == m.rank());
+            if let Some(member) = member.filter(unchanged) {
+                let state = MemberState::Dead;
+                self.learn(now, Member { state, ..member }, 0, out);
+            }
+        }
+    }
+
+    fn tick_views(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        self.step_pull(now, out);
+        let searching = !self.joined || !self.is_confirmed();
+        if searching && self.pull.is_none() && now >= self.due.join {
+            self.due.join = now + self.settings.probe_timeout;
+            self.ask_for_view(now, out);
+        }
+        if self.joined && now >= self.due.exchange {
+            self.due.exchange = now + self.jittered(self.settings.exchange_period);
+            if self.pull.is_none() {
+                let peers = self.random_members(1, None);
+                self.summarise_to(now, peers.iter().map(|m| m.membership_address), out);
+            }
+        }
+        if self.joined && now >= self.due.heal {
+            self.due.heal = now + self.jittered(self.settings.heal_period);
+            let address = self.unreached_address();
+            self.summarise_to(now, address, out);
+        }
+        self.give_up_waiting(now, out);
+    }
+
+    /// Asks members and seeds for their views, to join or after a pause.
+    fn ask_for_view(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let members = self.random_members(JOIN_FANOUT, None);
+        let mut peers: Vec<_> = members.iter().map(|m| m.membership_address).collect();
+        if peers.len() < JOIN_FANOUT {
+            peers.extend(self.random_seeds(JOIN_FANOUT - peers.len()));
+        }
+        self.summarise_to(now, peers, out);
+    }
+
+    /// A time between half and one and a half of `period`, so that daemons
+    /// that started together spread out.
+    fn jittered(&mut self, period: Duration) -> Duration {
+        period.mul_f64(self.rng.random_range(0.5..1.5))
+    }
+
+    /// Whether a resumed daemon has waited long enough without any answer to
+    /// conclude from its own probes.
+    fn is_alone_since(&self, now: Timestamp) -> bool {
+        let timeout = self.settings.suspicion_timeout(self.view.len());
+        let since = self.unconfirmed_since;
+        since.is_some_and(|at| now.since(at) >= timeout * ALONE_AFTER)
+    }
+
+    fn give_up_waiting(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let others = |m: &&std::sync::Arc<Member>| m.instance != self.me.instance;
+        let mut others = self.view.members().iter().filter(others);
+        let nobody = self.view.len() == 1 && self.seeds.is_empty();
+        let alone = self.is_alone_since(now) && others.all(|m| m.is_gone());
+        if !self.is_confirmed() && (nobody || alone) {
+            self.confirm(now, out);
+        }
+    }
+
+    fn tick_gossip(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let idle = self.changes.is_empty() && self.report_changes.is_empty();
+        if now < self.due.gossip {
+            return;
+        }
+        self.due.gossip = now + self.settings.gossip_period;
+        if !idle {
+            for peer in self.random_members(1, None) {
+                self.send_to(now, &peer, Body::Gossip, out);
+            }
+        }
+    }
+
+    /// Tells a few members at once about this daemon's own change.
+    pub(crate) fn tell_urgently(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        for peer in self.random_members(URGENT_FANOUT, None) {
+            self.send_to(now, &peer, Body::Gossip, out);
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        self.reports.expire(now, self.settings.report_age);
+        self.tombstones.expire(now, self.settings.tombstone_age);
+        let old = |at: Timestamp| now.since(at) >= self.settings.forget_after;
+        let due = self.gone.iter().filter(|&(_, &at)| old(at));
+        let due: Vec<InstanceId> = due.map(|(instance, _)| instance.clone()).collect();
+        for instance in due {
+            self.forget(now, &instance, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-membership/src/tombstone.rs
@@ -0,0 +1,60 @@
+//! What is left of forgotten members: enough to reject old gossip about them.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use jasminepond_types::{InstanceId, Timestamp};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Member, Rank};
+
+/// The last rank of each forgotten member by the hash of its instance. Two
+/// instances with one hash are improbable and only delay a member's return
+/// until it refutes.
+#[derive(Debug, Default)]
+pub(crate) struct Tombstones {
+    ranks: BTreeMap<u64, Rank>,
+    order: VecDeque<(Timestamp, u64)>,
+}
+
+impl Tombstones {
+    pub(crate) fn bury(&mut self, now: Timestamp, member: &Member, limit: usize) {
+        let key = key(&member.instance);
+        let rank = self.ranks.entry(key).or_insert(member.rank());
+        *rank = member.rank().max(*rank);
+        self.order.push_back((now, key));
+        while self.order.len() > limit {
+            self.drop_oldest();
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now: Timestamp, age: Duration) {
+        while self
+            .order
+            .front()
+            .is_some_and(|&(at, _)| now.since(at) >= age)
+        {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((_, key)) = self.order.pop_front() else {
+            return;
+        };
+        if !self.order.iter().any(|&(_, other)| other == key) {
+            self.ranks.remove(&key);
+        }
+    }
+
+    /// The last rank of a forgotten member.
+    pub(crate) fn rank(&self, instance: &InstanceId) -> Option<Rank> {
+        self.ranks.get(&key(instance)).copied()
+    }
+}
+
+fn key(instance: &InstanceId) -> u64 {
+    xxh3_64(instance.as_str().as_bytes())
+}
