feat(standin-platform): stand-in for configuration service and instance list

Cause: the tier must stay correct while the platform is down, stale, gone back to an older revision or inconsistent; tests need to cause each of these.

Ruled out: watching the folder for changes, since several files then cannot change as one revision; a per-second window for the read limit, since it admits twice the limit around its edge.

`standin-http` gains a gate that closes a listener and cuts its connections.

--- a/tools/standin-http/src/lib.rs
+++ b/tools/standin-http/src/lib.rs
@@ -2,7 +2,9 @@
 //! for control endpoints and a client that holds one connection.
 
 mod client;
+mod gate;
 mod server;
 
 pub use client::{CallError, Connection, call, get, post};
-pub use server::{Reply, Request, error, json, read_request, serve, serve_stream};
+pub use gate::{Gate, serve_gated};
+pub use server::{Reply, Request, empty, error, json, read_request, serve, serve_stream};
--- a/tools/standin-http/src/server.rs
+++ b/tools/standin-http/src/server.rs
@@ -66,6 +66,13 @@
     reply
 }
 
+/// A reply without a body.
+pub fn empty(status: u16) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = StatusCode::from_u16(status).expect("status code is valid");
+    reply
+}
+
 /// A JSON reply `{"error": message}`.
 pub fn error(status: u16, message: impl Into<String>) -> Reply {
     json(status, &serde_json::json!({ "error": message.into() }))
--- /dev/null
+++ b/tools/standin-platform/src/service.rs
@@ -0,0 +1,96 @@
+//! Listeners and the first revision.
+
+use std::{cell::RefCell, collections::BTreeMap, fs, io, net::SocketAddr, path::Path, rc::Rc};
+
+use compio::{net::TcpListener, runtime::Runtime};
+use futures_util::future::join;
+use serde::Serialize;
+use standin_http::Gate;
+
+use crate::{
+    Instance, Options,
+    control::{self, InstanceList, check_name},
+    platform,
+    state::{File, Folder, State, VALUE_LIMIT},
+};
+
+/// Addresses on which the program listens.
+#[derive(Debug, Clone, Serialize)]
+pub struct Bound {
+    /// The platform.
+    pub platform: SocketAddr,
+    /// Control endpoint.
+    pub control: SocketAddr,
+}
+
+/// Reads the first revision, binds both listeners, passes the addresses to
+/// `bound`, and serves for ever.
+///
+/// # Errors
+///
+/// An unreadable file, a value over 1 MB, or an address that cannot be bound.
+pub fn serve(options: Options, bound: impl FnOnce(Bound)) -> io::Result<()> {
+    let files = options
+        .dir
+        .as_deref()
+        .map_or(Ok(BTreeMap::new()), read_dir)?;
+    let first = Folder {
+        revision: options.revision,
+        files,
+    };
+    let instances = options
+        .instances
+        .as_deref()
+        .map_or(Ok(Vec::new()), read_instances)?;
+    let state = Rc::new(RefCell::new(State::new(
+        first,
+        instances,
+        options.reads_per_s,
+    )));
+    let gate = Gate::default();
+    Runtime::new()?.block_on(async {
+        let listener = TcpListener::bind(options.listen).await?;
+        let control_listener = TcpListener::bind(options.control).await?;
+        bound(Bound {
+            platform: listener.local_addr()?,
+            control: control_listener.local_addr()?,
+        });
+        let served = state.clone();
+        let platform = standin_http::serve_gated(listener, gate.clone(), move |request| {
+            platform::handle(served.clone(), request)
+        });
+        let control = standin_http::serve(control_listener, move |request| {
+            std::future::ready(control::handle(&state, &gate, &request))
+        });
+        join(platform, control).await.0
+    })
+}
+
+fn invalid(path: &Path, fault: impl std::fmt::Display) -> io::Error {
+    let text = format!("{}: {fault}", path.display());
+    io::Error::new(io::ErrorKind::InvalidData, text)
+}
+
+fn read_dir(dir: &Path) -> io::Result<BTreeMap<String, File>> {
+    let mut files = BTreeMap::new();
+    for entry in fs::read_dir(dir).map_err(|e| invalid(dir, e))? {
+        let path = entry?.path();
+        if !path.is_file() {
+            continue;
+        }
+        let name = path.file_name().unwrap_or_default().to_string_lossy();
+        check_name(&name).map_err(|e| invalid(&path, e))?;
+        let bytes = fs::read(&path).map_err(|e| invalid(&path, e))?;
+        if bytes.len() > VALUE_LIMIT {
+            return Err(invalid(&path, format!("larger than {VALUE_LIMIT} bytes")));
+        }
+        files.insert(name.into_owned(), File::new(bytes.into()));
+    }
+    Ok(files)
+}
+
+fn read_instances(path: &Path) -> io::Result<Vec<Instance>> {
+    let text = fs::read_to_string(path).map_err(|e| invalid(path, e))?;
+    let list: InstanceList = serde_json::from_str(&text).map_err(|e| invalid(path, e))?;
+    Ok(list.instances)
+}
--- /dev/null
+++ b/tools/standin-platform/src/state.rs
@@ -0,0 +1,299 @@
+//! Revisions, instance list, modes and counters.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize};
+use tokio_util::sync::CancellationToken;
+
+/// Largest value of the configuration service, in bytes.
+pub(crate) const VALUE_LIMIT: usize = 1_000_000;
+
+/// Calls since start or reset.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    /// `GET /v1/tree`.
+    pub tree: u64,
+    /// `GET /v1/watch`, one per call.
+    pub watch: u64,
+    /// `GET /v1/files/..`.
+    pub files: u64,
+    /// `GET /v1/instances`.
+    pub instances: u64,
+    /// Calls among the above that were refused with 429.
+    pub limited: u64,
+    /// Watches pending now; not affected by a reset.
+    pub pending_watches: u64,
+    /// Bytes of files and trees served.
+    pub bytes: u64,
+}
+
+/// How the platform is down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Down {
+    /// Connections are refused and open ones cut.
+    Refuse,
+    /// Connections are accepted and requests get no response until the mode ends.
+    Hang,
+}
+
+/// Tree and files from different revisions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Torn {
+    /// Revision of the tree.
+    pub tree: u64,
+    /// Revision of the files, served whatever digest is asked for.
+    pub files: u64,
+}
+
+/// Modes that a test changes while the platform runs.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Modes {
+    /// Set while the platform is down.
+    pub down: Option<Down>,
+    /// Tree, files, watches and instance list stay as they were when this was set.
+    pub stale: bool,
+    /// The revision served in place of the newest.
+    pub rollback: Option<u64>,
+    /// Set while tree and files differ in revision.
+    pub torn: Option<Torn>,
+    /// Delay of each response, in ms.
+    pub delay_ms: u64,
+    /// Delay from a change of the instance list to its being served, in ms.
+    pub instance_lag_ms: u64,
+}
+
+/// Change of modes; absent fields stay as they are, `null` ends a mode.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Patch {
+    /// See [`Modes::down`].
+    #[serde(deserialize_with = "present")]
+    pub down: Option<Option<Down>>,
+    /// See [`Modes::stale`].
+    pub stale: Option<bool>,
+    /// See [`Modes::rollback`].
+    #[serde(deserialize_with = "present")]
+    pub rollback: Option<Option<u64>>,
+    /// See [`Modes::torn`].
+    #[serde(deserialize_with = "present")]
+    pub torn: Option<Option<Torn>>,
+    /// See [`Modes::delay_ms`].
+    pub delay_ms: Option<u64>,
+    /// See [`Modes::instance_lag_ms`].
+    pub instance_lag_ms: Option<u64>,
+}
+
+/// Tells `null` from an absent field.
+fn present<'de, D: Deserializer<'de>, T: Deserialize<'de>>(
+    deserializer: D,
+) -> Result<Option<Option<T>>, D::Error> {
+    Option::<T>::deserialize(deserializer).map(Some)
+}
+
+/// One entry of the instance list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Instance id.
+    pub id: String,
+    /// `daemon` or `backend`.
+    pub role: String,
+    /// Availability zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Address, `ip:port`.
+    pub address: String,
+    /// `live` or `leaving`.
+    #[serde(default = "live")]
+    pub state: String,
+}
+
+fn live() -> String {
+    "live".to_string()
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct File {
+    pub digest: String,
+    pub bytes: Bytes,
+}
+
+impl File {
+    pub fn new(bytes: Bytes) -> Self {
+        Self {
+            digest: blake3::hash(&bytes).to_hex().to_string(),
+            bytes,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Folder {
+    pub revision: u64,
+    pub files: BTreeMap<String, File>,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+    /// In order of publication; the last one is the newest.
+    pub history: Vec<Folder>,
+    pub modes: Modes,
+    pub counters: Counters,
+    /// Cancelled and replaced on every change, so that watches look again.
+    changed: CancellationToken,
+    /// Instance lists with the time from which each is served.
+    lists: Vec<(Instant, Vec<Instance>)>,
+    /// What is served while stale: number of revisions, instance list.
+    frozen: Option<(usize, Vec<Instance>)>,
+    tokens: f64,
+    refilled: Instant,
+    reads_per_s: f64,
+}
+
+impl State {
+    pub fn new(first: Folder, instances: Vec<Instance>, reads_per_s: u64) -> Self {
+        let now = Instant::now();
+        Self {
+            history: vec![first],
+            modes: Modes::default(),
+            counters: Counters::default(),
+            changed: CancellationToken::new(),
+            lists: vec![(now, instances)],
+            frozen: None,
+            tokens: reads_per_s as f64,
+            refilled: now,
+            reads_per_s: reads_per_s as f64,
+        }
+    }
+
+    pub fn newest(&self) -> &Folder {
+        self.history.last().expect("the first revision stays")
+    }
+
+    /// The next change of anything that is served.
+    pub fn changed(&self) -> CancellationToken {
+        self.changed.clone()
+    }
+
+    fn notify(&mut self) {
+        std::mem::take(&mut self.changed).cancel();
+    }
+
+    /// Takes one read of the limit; false if none is left.
+    pub fn take_read(&mut self, now: Instant) -> bool {
+        let refill = (now - self.refilled).as_secs_f64() * self.reads_per_s;
+        self.tokens = (self.tokens + refill).min(self.reads_per_s);
+        self.refilled = now;
+        if self.tokens < 1.0 {
+            self.counters.limited += 1;
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    pub fn publish(&mut self, folder: Folder) {
+        self.history.push(folder);
+        self.notify();
+    }
+
+    pub fn folder(&self, revision: u64) -> Option<&Folder> {
+        self.history.iter().rev().find(|f| f.revision == revision)
+    }
+
+    fn visible(&self) -> &[Folder] {
+        match &self.frozen {
+            Some((n, _)) => &self.history[..*n],
+            None => &self.history,
+        }
+    }
+
+    /// The folder that `GET /v1/tree` describes.
+    pub fn served_tree(&self) -> &Folder {
+        let stated = self.modes.torn.map(|t| t.tree).or(self.modes.rollback);
+        let newest = || self.visible().last().expect("the first revision stays");
+        stated.and_then(|r| self.folder(r)).unwrap_or_else(newest)
+    }
+
+    pub fn served_file(&self, name: &str, digest: Option<&str>) -> Option<&File> {
+        if let Some(torn) = self.modes.torn {
+            return self.folder(torn.files)?.files.get(name);
+        }
+        let Some(digest) = digest else {
+            return self.served_tree().files.get(name);
+        };
+        let files = self
+            .visible()
+            .iter()
+            .rev()
+            .filter_map(|f| f.files.get(name));
+        files.into_iter().find(|file| file.digest == digest)
+    }
+
+    pub fn served_instances(&self, now: Instant) -> &[Instance] {
+        if let Some((_, list)) = &self.frozen {
+            return list;
+        }
+        let served = self.lists.iter().rev().find(|(from, _)| *from <= now);
+        served.map_or(&[], |(_, list)| list)
+    }
+
+    pub fn newest_instances(&self) -> &[Instance] {
+        self.lists.last().map_or(&[], |(_, list)| list)
+    }
+
+    pub fn set_instances(&mut self, now: Instant, list: Vec<Instance>) {
+        let served = self.lists.iter().rposition(|(from, _)| *from <= now);
+        self.lists.drain(..served.unwrap_or(0));
+        let mut from = now + Duration::from_millis(self.modes.instance_lag_ms);
+        // Lists are served in the order of their changes, also when the lag shrinks.
+        if let Some((last, _)) = self.lists.last() {
+            from = from.max(*last);
+        }
+        self.lists.push((from, list));
+    }
+
+    pub fn apply(&mut self, now: Instant, patch: Patch) -> Result<(), String> {
+        let torn = patch.torn.flatten().map(|t| [t.tree, t.files]);
+        let named = torn.into_iter().flatten().chain(patch.rollback.flatten());
+        for revision in named {
+            if self.folder(revision).is_none() {
+                return Err(format!("revision {revision} does not exist"));
+            }
+        }
+        if let Some(down) = patch.down {
+            self.modes.down = down;
+        }
+        if let Some(rollback) = patch.rollback {
+            self.modes.rollback = rollback;
+        }
+        if let Some(torn) = patch.torn {
+            self.modes.torn = torn;
+        }
+        if let Some(delay_ms) = patch.delay_ms {
+            self.modes.delay_ms = delay_ms;
+        }
+        if let Some(lag_ms) = patch.instance_lag_ms {
+            self.modes.instance_lag_ms = lag_ms;
+        }
+        if let Some(stale) = patch.stale {
+            self.set_stale(now, stale);
+        }
+        self.notify();
+        Ok(())
+    }
+
+    fn set_stale(&mut self, now: Instant, stale: bool) {
+        self.modes.stale = stale;
+        if !stale {
+            self.frozen = None;
+        } else if self.frozen.is_none() {
+            self.frozen = Some((self.history.len(), self.served_instances(now).to_vec()));
+        }
+    }
+}
