feat(dispatch): report the highest waiting class in the hint

The entry estimates the wait per class; a total queue length made the highest class appear to wait behind all others. Ruled out: one length per class, which grows with the configuration. The hint carries the highest waiting priority and its length. Service time estimates move to their own file.

--- a/crates/jasminepond-dispatch/src/fair.rs
+++ b/crates/jasminepond-dispatch/src/fair.rs
@@ -69,6 +69,13 @@
         self.items.contains_key(&id)
     }
 
+    /// Priority and length of the highest class that waits.
+    pub(crate) fn top(&self) -> (u32, u32) {
+        self.classes.first().map_or((0, 0), |class| {
+            (class.priority, class.arrivals.len() as u32)
+        })
+    }
+
     /// A lower bound on the deadlines of all waiting work.
     pub(crate) fn earliest(&self) -> Option<Timestamp> {
         self.earliest
--- a/crates/jasminepond-dispatch/src/lib.rs
+++ b/crates/jasminepond-dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod limit;
 mod schedule;
 mod server;
+mod service;
 mod settings;
 mod work;
 
--- a/crates/jasminepond-dispatch/src/schedule.rs
+++ b/crates/jasminepond-dispatch/src/schedule.rs
@@ -57,7 +57,7 @@
         if self.used_slots() == 0 {
             Duration::ZERO
         } else {
-            self.median()
+            self.service.median()
         }
     }
 
@@ -120,7 +120,9 @@
         }
         let work = self.waiting.pop(self.settings.starvation_share)?;
         let answer_by = work.deadline + self.settings.deadline_grace;
-        let give_up = match self.progress_timeout() {
+        // Other than idempotent requests wait for their deadline: giving them up
+        // early turns a slow response into an unknown outcome.
+        let give_up = match self.service.progress_timeout(self.settings.progress_floor) {
             Some(timeout) if work.idempotent => answer_by.min(now + timeout),
             _ => answer_by,
         };
--- a/crates/jasminepond-dispatch/src/server.rs
+++ b/crates/jasminepond-dispatch/src/server.rs
@@ -5,37 +5,19 @@
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 
 use crate::{
-    Cancelled, ConnId, Enqueue, Ewma, Health, Hint, Lost, NotRun, Outcome, Quantile, ServerState,
-    Settings, Work, WorkId,
+    Cancelled, ConnId, Enqueue, Health, Hint, Lost, NotRun, Outcome, ServerState, Settings, Work,
+    WorkId,
     circuit::Circuit,
     connections::{Connections, Running, State},
     fair::{Push, Waiting},
     limit::SlotLimit,
+    service::Service,
 };
 
-/// Multiple of the 99th percentile of service time after which a connection
-/// without progress counts as unresponsive. One request in a hundred takes ten
-/// times the usual time, which the percentile covers; this adds a margin.
-const PROGRESS_FACTOR: u32 = 4;
-
-/// Responses before the service times are trusted for the progress timeout. At
-/// fewer, a 99th percentile has not settled.
-const PROGRESS_SAMPLES: u32 = 100;
-
 /// Multiple of the median service time for which a fast failure holds its slot.
 /// Without it a server that fails fast empties its queue faster than a good one.
 const FAILURE_FACTOR: u32 = 2;
 
-/// Multiple of the mean service time to which a sample is cut. One response
-/// delayed by a pause of seconds would otherwise refuse all work for a while.
-const OUTLIER_FACTOR: u32 = 16;
-
-/// Share of recent failures above which the server counts as failing.
-const FAILING_SHARE: f32 = 0.5;
-
-/// Weight of one outcome in the share of recent failures.
-const FAILURE_WEIGHT: f32 = 0.125;
-
 /// Pause after a "starting" answer without a retry-after.
 const STARTING_PAUSE: Duration = Duration::from_millis(100);
 
@@ -63,11 +45,7 @@
     pub(crate) draining: bool,
     created: Timestamp,
     pub(crate) last_work: Option<Timestamp>,
-    mean: Ewma,
-    median: Quantile,
-    p99: Quantile,
-    samples: u32,
-    failures: f32,
+    pub(crate) service: Service,
 }
 
 impl ServerQueue {
@@ -86,11 +64,7 @@
             draining: false,
             created: now,
             last_work: None,
-            mean: Ewma::starting_at(settings.initial_service),
-            median: Quantile::starting_at(settings.initial_service),
-            p99: Quantile::starting_at(settings.initial_service),
-            samples: 0,
-            failures: 0.0,
+            service: Service::new(settings.initial_service),
             settings,
         }
     }
@@ -128,7 +102,7 @@
             });
         }
         if self.circuit.is_open() {
-            let wait = self.circuit.retry_at().since(now) + self.median.get();
+            let wait = self.circuit.retry_at().since(now) + self.service.median();
             return Some(refusal(ErrorKind::NoBackend, wait));
         }
         if work.deadline <= now {
@@ -141,7 +115,7 @@
         }
         let left = work.deadline.since(now);
         let wait = self.wait_for(now, work);
-        let needed = wait + self.median.get();
+        let needed = wait + self.service.median();
         if needed <= left {
             return None;
         }
@@ -161,8 +135,7 @@
             return pause;
         }
         let turns = ahead + used + 1 - limit;
-        let mean = self.mean.get().unwrap_or(self.settings.initial_service);
-        let micros = mean.as_micros() as u64 * turns / limit;
+        let micros = self.service.mean().as_micros() as u64 * turns / limit;
         pause.max(Duration::from_micros(micros))
     }
 
@@ -222,8 +195,8 @@
         match outcome {
             Outcome::Done => {
                 self.responded();
-                self.sample(now.since(running.sent_at));
-                self.note_failure(0.0);
+                self.service.sample(now.since(running.sent_at));
+                self.service.outcome(false);
                 self.limit
                     .succeeded(running.saturated, self.settings.growth_run);
             }
@@ -253,7 +226,7 @@
         match reason {
             NotRun::Shed => {
                 if self.limit.shed(now, running.sent_at) {
-                    let pause = self.circuit.jittered(self.median.get());
+                    let pause = self.circuit.jittered(self.service.median());
                     self.pause(now, retry_after, pause);
                 }
             }
@@ -274,21 +247,11 @@
 
     fn failed(&mut self, now: Timestamp, running: Running) {
         self.limit.failed();
-        self.note_failure(1.0);
-        let hold_until = running.sent_at + self.median.get() * FAILURE_FACTOR;
-        self.hold(now, hold_until);
-    }
-
-    fn note_failure(&mut self, outcome: f32) {
-        let was_failing = self.is_failing();
-        self.failures += (outcome - self.failures) * FAILURE_WEIGHT;
-        if !was_failing && self.is_failing() {
+        if self.service.outcome(true) {
             self.limit.ramp();
         }
-    }
-
-    fn is_failing(&self) -> bool {
-        self.failures > FAILING_SHARE
+        let hold_until = running.sent_at + self.service.median() * FAILURE_FACTOR;
+        self.hold(now, hold_until);
     }
 
     fn hold(&mut self, now: Timestamp, until: Timestamp) {
@@ -303,14 +266,6 @@
         }
     }
 
-    fn sample(&mut self, time: Duration) {
-        self.samples = self.samples.saturating_add(1);
-        self.mean
-            .add(time.min(self.mean.get().unwrap_or(time) * OUTLIER_FACTOR));
-        self.median.add(0.5, time);
-        self.p99.add(0.99, time);
-    }
-
     /// A check asked for by [`Next::Check`] was answered.
     pub fn checked(&mut self, now: Timestamp, conn: ConnId, state: ServerState) {
         let Some(entry) = self.conns.get_mut(conn) else {
@@ -351,7 +306,7 @@
             }
             State::Closing(Some(running)) => self.classify(now, running),
             State::Abandoned { deadline, .. } => {
-                self.hold(now, deadline.min(now + self.median.get()));
+                self.hold(now, deadline.min(now + self.service.median()));
                 Lost::Nothing
             }
             State::Checking { .. } => {
@@ -364,10 +319,9 @@
 
     fn classify(&mut self, now: Timestamp, running: Running) -> Lost {
         self.last_work = Some(now);
-        // At least this long, so the progress timeout follows a slower server.
-        self.p99.add(0.99, now.since(running.sent_at));
+        self.service.at_least(now.since(running.sent_at));
         // The server may still work on the request until its deadline.
-        self.hold(now, running.deadline.min(now + self.median.get()));
+        self.hold(now, running.deadline.min(now + self.service.median()));
         let work = running.work;
         if running.idempotent {
             Lost::Retry { work }
@@ -489,9 +443,12 @@
 
     /// What entry daemons need to know about the server.
     pub fn hint(&self) -> Hint {
-        let micros = self.median.get().as_micros();
+        let micros = self.service.median().as_micros();
+        let (top_priority, top_queued) = self.waiting.top();
         Hint {
             queued: self.waiting.len() as u32,
+            top_priority,
+            top_queued,
             running: self.used_slots(),
             slots: self.limit.get(),
             service_time: u32::try_from(micros).unwrap_or(u32::MAX),
@@ -504,7 +461,7 @@
             Health::Draining
         } else if self.circuit.is_open() {
             Health::Down
-        } else if self.is_failing() {
+        } else if self.service.is_failing() {
             Health::Failing
         } else if self.limit.is_ramping() {
             Health::Ramping
@@ -533,21 +490,6 @@
     pub(crate) fn is_unused(&self) -> bool {
         self.waiting.is_empty() && self.used_slots() == 0
     }
-
-    pub(crate) fn median(&self) -> Duration {
-        self.median.get()
-    }
-
-    /// Time without a response byte after which an idempotent request is given
-    /// up. Other requests wait for their deadline: giving them up early turns a
-    /// slow response into an unknown outcome.
-    pub(crate) fn progress_timeout(&self) -> Option<Duration> {
-        if self.samples < PROGRESS_SAMPLES {
-            return None;
-        }
-        let timeout = self.p99.get() * PROGRESS_FACTOR;
-        Some(timeout.max(self.settings.progress_floor))
-    }
 }
 
 fn refusal(kind: ErrorKind, wait: Duration) -> Enqueue {
--- a/crates/jasminepond-dispatch/src/work.rs
+++ b/crates/jasminepond-dispatch/src/work.rs
@@ -214,8 +214,13 @@
 /// The state of a server that its owner sends with each response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Hint {
-    /// Requests waiting.
+    /// Requests waiting in all classes.
     pub queued: u32,
+    /// Highest priority among the waiting requests, zero if none waits. Work of
+    /// a higher class waits only for a slot.
+    pub top_priority: u32,
+    /// Requests waiting in the class of that priority.
+    pub top_queued: u32,
     /// Slots in use.
     pub running: u32,
     /// Slots that the owner currently uses at most.
