--- a/crates/jasminepond-daemon/src/lib.rs
+++ b/crates/jasminepond-daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: tasks, listeners, metrics and status around the decision crates.
 
 pub mod clock;
+pub mod control;
 pub mod net;
 pub mod owner;
 pub mod peers;
