--- /dev/null
+++ b/crates/jasminepond-query/src/search/drive.rs
@@ -0,0 +1,191 @@
+//! Deciding and sending the next attempt of a shard.
+
+use std::{cmp::Reverse, time::Duration};
+
+use jasminepond_types::Timestamp;
+
+use crate::{Candidates, Choice};
+
+use super::{
+    Cx, MissingReason, Objective, Search, Step,
+    shard::{Attempt, Shard},
+};
+
+/// Shortest time until a shard is looked at again, so that a chooser that names
+/// a past time cannot cause a busy loop.
+const MIN_PAUSE: Duration = Duration::from_micros(500);
+
+/// What to do for a shard that has no attempt in flight.
+enum Move {
+    Send(usize),
+    Wait(Timestamp),
+    GiveUp {
+        reason: MissingReason,
+        /// Another version may have an answer.
+        version: bool,
+    },
+}
+
+impl Search {
+    /// Gives an open shard without an attempt in flight its next attempt or a
+    /// time to look again, or gives it up.
+    pub(super) fn advance(&mut self, cx: &mut Cx<'_>, shard: usize) {
+        match self.next_move(cx, shard) {
+            Move::Send(replica) => self.send(cx, shard, replica, false),
+            Move::Wait(until) => self.set_timer(cx, shard, until),
+            Move::GiveUp { reason, version } => self.give_up(shard, reason, version),
+        }
+    }
+
+    fn next_move(&mut self, cx: &mut Cx<'_>, shard: usize) -> Move {
+        let plan = &self.plan.versions[self.current];
+        let (service, replicas) = &plan.services[shard];
+        let state = &mut self.shards[shard];
+        if !state.has_untried(replicas.len()) {
+            return self.next_round(cx.now, shard);
+        }
+        if state.attempts >= self.settings.objective.max_attempts() {
+            return state.give_up(false);
+        }
+        let candidates = Candidates::masked(replicas, state.tried);
+        match cx.chooser.choose(cx.now, service, plan.version, candidates) {
+            Choice::Use(replica) if candidates.contains(replica) => {
+                let retry = state.attempts > 0;
+                if retry && !cx.chooser.may_retry(cx.now, &replicas[replica]) {
+                    return self.refused(cx.now, shard);
+                }
+                Move::Send(replica)
+            }
+            Choice::Use(_) => state.give_up(false),
+            Choice::Wait { until } => Move::Wait(until),
+            Choice::None(reason) if state.attempts == 0 => Move::GiveUp {
+                reason,
+                version: reason == MissingReason::VersionUnavailable,
+            },
+            Choice::None(_) => self.next_round(cx.now, shard),
+        }
+    }
+
+    /// No replica is left in this round.
+    fn next_round(&mut self, now: Timestamp, shard: usize) -> Move {
+        let replicas = self.replicas(shard);
+        let state = &mut self.shards[shard];
+        match self.settings.objective {
+            Objective::Coverage { rounds } if state.next_round(replicas, rounds) => {
+                Move::Wait(now + self.settings.retry_pause)
+            }
+            _ => state.give_up(true),
+        }
+    }
+
+    /// The budget refused a retry.
+    fn refused(&self, now: Timestamp, shard: usize) -> Move {
+        match self.settings.objective {
+            Objective::Coverage { .. } => Move::Wait(now + self.settings.retry_pause),
+            Objective::Latency { .. } => self.shards[shard].give_up(false),
+        }
+    }
+
+    fn replicas(&self, shard: usize) -> usize {
+        self.plan.versions[self.current].services[shard].1.len()
+    }
+
+    fn send(&mut self, cx: &mut Cx<'_>, shard: usize, replica: usize, hedged: bool) {
+        let plan = &self.plan.versions[self.current];
+        let (service, replicas) = &plan.services[shard];
+        let server = &replicas[replica];
+        let part = self.attempts.len() as u32;
+        self.attempts.push(Attempt {
+            shard: shard as u32,
+            replica: replica as u8,
+            open: true,
+        });
+        cx.steps.push(Step::Send {
+            attempt: self.attempt_id(part),
+            service: service.clone(),
+            server: server.clone(),
+            version: plan.version,
+        });
+        let state = &mut self.shards[shard];
+        state.tried |= 1 << replica;
+        state.due = None;
+        state.add_in_flight(part);
+        if hedged {
+            return;
+        }
+        state.attempts += 1;
+        if state.has_untried(replicas.len())
+            && let Some(delay) = cx.chooser.hedge_after(cx.now, server)
+        {
+            self.set_timer(cx, shard, cx.now + delay);
+        }
+    }
+
+    /// Sends a hedged request for a shard that has one attempt in flight.
+    fn hedge(&mut self, cx: &mut Cx<'_>, shard: usize) {
+        let plan = &self.plan.versions[self.current];
+        let (service, replicas) = &plan.services[shard];
+        let candidates = Candidates::masked(replicas, self.shards[shard].tried);
+        match cx.chooser.choose(cx.now, service, plan.version, candidates) {
+            Choice::Use(replica) if candidates.contains(replica) => {
+                if cx.chooser.may_hedge(cx.now, &replicas[replica]) {
+                    self.send(cx, shard, replica, true);
+                } else {
+                    self.set_timer(cx, shard, cx.now + self.settings.retry_pause);
+                }
+            }
+            Choice::Wait { until } => self.set_timer(cx, shard, until),
+            Choice::Use(_) | Choice::None(_) => {}
+        }
+    }
+
+    fn set_timer(&mut self, cx: &Cx<'_>, shard: usize, until: Timestamp) {
+        let until = until.max(cx.now + MIN_PAUSE);
+        self.shards[shard].due = Some(until);
+        self.timers.push(Reverse((until, shard as u32)));
+    }
+
+    pub(super) fn run_timers(&mut self, cx: &mut Cx<'_>) {
+        while let Some(&Reverse((at, shard))) = self.timers.peek() {
+            if at > cx.now || cx.now >= self.finish_at {
+                return;
+            }
+            self.timers.pop();
+            self.run_timer(cx, at, shard as usize);
+        }
+    }
+
+    fn run_timer(&mut self, cx: &mut Cx<'_>, at: Timestamp, shard: usize) {
+        let state = &mut self.shards[shard];
+        if state.due != Some(at) || !state.is_open() {
+            return;
+        }
+        state.due = None;
+        if state.is_in_flight() {
+            self.hedge(cx, shard);
+        } else {
+            self.advance(cx, shard);
+        }
+    }
+}
+
+impl Objective {
+    const fn max_attempts(self) -> u32 {
+        match self {
+            Self::Coverage { .. } => u32::MAX,
+            Self::Latency { max_attempts } => max_attempts,
+        }
+    }
+}
+
+impl Shard {
+    /// Gives up for the last reason. `exhausted` says that no replica is left,
+    /// so that a lacking version is what prevents an answer.
+    fn give_up(&self, exhausted: bool) -> Move {
+        let version = exhausted && self.lacks_version();
+        Move::GiveUp {
+            reason: self.last,
+            version,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-query/src/search/mod.rs
@@ -0,0 +1,412 @@
+//! One search at its entry daemon.
+
+mod answer;
+mod drive;
+mod merge;
+mod plan;
+mod shard;
+mod step;
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use jasminepond_types::{Millis, QueryId, Timestamp, Version};
+use jasminepond_wire::PartFailure;
+
+pub use answer::{Answer, Coverage, Failure, MissingReason, RankedHit, ShardAnswer};
+pub use plan::{Chooser, NoVersions, Objective, Plan, Settings, VersionPlan};
+pub use step::{AttemptId, Step};
+
+use merge::Merge;
+use shard::{Attempt, Shard, Status, mask};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    New,
+    Running,
+    Finished,
+}
+
+/// Time, decisions and collected steps of one event.
+struct Cx<'a> {
+    now: Timestamp,
+    chooser: &'a mut dyn Chooser,
+    steps: Vec<Step>,
+}
+
+/// One search: an aggregate over all shards of one version.
+///
+/// ```
+/// use std::time::Duration;
+/// use jasminepond_query::*;
+/// use jasminepond_types::{QueryId, ServerId, ServiceId, Timestamp, Version};
+///
+/// struct First;
+///
+/// impl Chooser for First {
+///     fn choose(&mut self, _: Timestamp, _: &ServiceId, _: Version, c: Candidates<'_>) -> Choice {
+///         let first = c.iter().next();
+///         first.map_or(Choice::None(MissingReason::NoReplica), |(i, _)| Choice::Use(i))
+///     }
+///     fn hedge_after(&mut self, _: Timestamp, _: &ServerId) -> Option<Duration> {
+///         None
+///     }
+///     fn may_hedge(&mut self, _: Timestamp, _: &ServerId) -> bool {
+///         false
+///     }
+///     fn may_retry(&mut self, _: Timestamp, _: &ServerId) -> bool {
+///         true
+///     }
+///     fn service_time(&mut self, _: Timestamp) -> Duration {
+///         Duration::from_millis(10)
+///     }
+/// }
+///
+/// let services = vec![("s-1".parse().unwrap(), vec!["server-1".parse().unwrap()])];
+/// let plan = Plan {
+///     id: QueryId(1),
+///     group: "kits".parse().unwrap(),
+///     versions: [VersionPlan { version: Version(41), services }].into(),
+///     limit: 10,
+/// };
+/// let now = Timestamp::ZERO;
+/// let deadline = Timestamp::from_millis(250);
+/// let mut search = Search::new(plan, now, deadline, Settings::default()).unwrap();
+/// let steps = search.start(now, &mut First);
+/// let Step::Send { attempt, .. } = steps[0] else { panic!() };
+/// let empty = ShardAnswer { version: Version(41), count: 0, hits: vec![] };
+/// let steps = search.on_answer(now, &mut First, attempt, empty);
+/// let [Step::Finish(answer)] = &steps[..] else { panic!() };
+/// assert_eq!(answer.coverage.answered, 1);
+/// ```
+#[derive(Debug)]
+pub struct Search {
+    plan: Plan,
+    settings: Settings,
+    finish_at: Timestamp,
+    stage: Stage,
+    /// Index of the current version in the plan.
+    current: usize,
+    /// Versions that were started, one bit each. None is started twice.
+    started: u64,
+    shards: Vec<Shard>,
+    /// Shards that are neither answered nor given up.
+    open: usize,
+    attempts: Vec<Attempt>,
+    merge: Merge,
+    /// Shards by due time; entries whose time is not the shard's are stale.
+    timers: BinaryHeap<Reverse<(Timestamp, u32)>>,
+    /// Shards given up in this event because of the version.
+    wanting: Vec<u32>,
+    /// Time last given by [`Step::Wait`].
+    wait: Option<Timestamp>,
+}
+
+impl Search {
+    /// A search that has not started. It finishes at `deadline` less the
+    /// allowance in `settings`, at the latest.
+    ///
+    /// # Errors
+    ///
+    /// The plan has no version.
+    pub fn new(
+        plan: Plan,
+        now: Timestamp,
+        deadline: Timestamp,
+        settings: Settings,
+    ) -> Result<Self, NoVersions> {
+        if plan.versions.is_empty() {
+            return Err(NoVersions);
+        }
+        let merge = Merge::new(plan.limit);
+        Ok(Self {
+            finish_at: (deadline - settings.finish_allowance).max(now),
+            plan,
+            settings,
+            stage: Stage::New,
+            current: 0,
+            started: 0,
+            shards: Vec::new(),
+            open: 0,
+            attempts: Vec::new(),
+            merge,
+            timers: BinaryHeap::new(),
+            wanting: Vec::new(),
+            wait: None,
+        })
+    }
+
+    /// Identity of the search.
+    pub fn id(&self) -> QueryId {
+        self.plan.id
+    }
+
+    /// The version that is searched at present.
+    pub fn version(&self) -> Version {
+        self.plan.versions[self.current].version
+    }
+
+    /// Whether [`Step::Finish`] was given.
+    pub fn is_finished(&self) -> bool {
+        self.stage == Stage::Finished
+    }
+
+    /// Time left for sub-requests sent at `now`, in milliseconds, rounded down.
+    pub fn left(&self, now: Timestamp) -> Millis {
+        let left = self.finish_at.since(now).as_millis();
+        Millis(u64::try_from(left).unwrap_or(u64::MAX))
+    }
+
+    /// Sends a sub-request for each shard of the newest version. Does nothing
+    /// when called again.
+    pub fn start(&mut self, now: Timestamp, chooser: &mut dyn Chooser) -> Vec<Step> {
+        if self.stage != Stage::New {
+            return Vec::new();
+        }
+        self.stage = Stage::Running;
+        self.event(now, chooser, |search, cx| search.begin_version(cx, 0))
+    }
+
+    /// A shard answered. A late, repeated or foreign answer is dropped; one from
+    /// another version counts as a failure.
+    pub fn on_answer(
+        &mut self,
+        now: Timestamp,
+        chooser: &mut dyn Chooser,
+        attempt: AttemptId,
+        answer: ShardAnswer,
+    ) -> Vec<Step> {
+        self.event(now, chooser, |search, cx| {
+            let Some(taken) = search.close(attempt) else {
+                return;
+            };
+            if answer.version == search.version() {
+                search.accept(cx, taken.shard, answer);
+            } else {
+                let failure = PartFailure::WrongVersion.into();
+                search.fail(cx, taken, failure, &[answer.version]);
+            }
+        })
+    }
+
+    /// A sub-request failed. `held` are the versions that the server reported.
+    pub fn on_failure(
+        &mut self,
+        now: Timestamp,
+        chooser: &mut dyn Chooser,
+        attempt: AttemptId,
+        failure: Failure,
+        held: &[Version],
+    ) -> Vec<Step> {
+        self.event(now, chooser, |search, cx| {
+            if let Some(taken) = search.close(attempt) {
+                search.fail(cx, taken, failure, held);
+            }
+        })
+    }
+
+    /// The link to an owner broke while these sub-requests were with it.
+    pub fn on_owner_lost(
+        &mut self,
+        now: Timestamp,
+        chooser: &mut dyn Chooser,
+        lost: impl IntoIterator<Item = AttemptId>,
+    ) -> Vec<Step> {
+        self.event(now, chooser, |search, cx| {
+            for attempt in lost {
+                if let Some(taken) = search.close(attempt) {
+                    search.fail(cx, taken, Failure::OwnerLost, &[]);
+                }
+            }
+        })
+    }
+
+    /// Time has passed: sends hedged requests and delayed retries that are due,
+    /// and finishes when the time is up. Otherwise it always gives the next time,
+    /// so that a timer that fires early does no harm.
+    pub fn on_tick(&mut self, now: Timestamp, chooser: &mut dyn Chooser) -> Vec<Step> {
+        self.wait = None;
+        self.event(now, chooser, Self::run_timers)
+    }
+
+    /// Runs one event and what follows from it, unless the search is not running.
+    fn event(
+        &mut self,
+        now: Timestamp,
+        chooser: &mut dyn Chooser,
+        handle: impl FnOnce(&mut Self, &mut Cx<'_>),
+    ) -> Vec<Step> {
+        if self.stage != Stage::Running {
+            return Vec::new();
+        }
+        let mut cx = Cx {
+            now,
+            chooser,
+            steps: Vec::new(),
+        };
+        handle(self, &mut cx);
+        self.settle(&mut cx);
+        cx.steps
+    }
+
+    /// Restarts, finishes, or states when to be called again.
+    fn settle(&mut self, cx: &mut Cx<'_>) {
+        while let Some(shard) = self.wanting.pop() {
+            if let Some(index) = self.other_version(cx, shard) {
+                self.restart(cx, index);
+            }
+        }
+        if self.open == 0 || cx.now >= self.finish_at {
+            self.finish(cx);
+            return;
+        }
+        let until = self.next_due();
+        if self.wait != Some(until) {
+            self.wait = Some(until);
+            cx.steps.push(Step::Wait { until });
+        }
+    }
+
+    fn next_due(&mut self) -> Timestamp {
+        while let Some(&Reverse((at, shard))) = self.timers.peek() {
+            if self.shards[shard as usize].due == Some(at) {
+                return at.min(self.finish_at);
+            }
+            self.timers.pop();
+        }
+        self.finish_at
+    }
+
+    /// A version that was not started and that the shard's replicas may hold, if
+    /// there is time for it.
+    fn other_version(&self, cx: &mut Cx<'_>, shard: u32) -> Option<usize> {
+        if cx.now + cx.chooser.service_time(cx.now) > self.finish_at {
+            return None;
+        }
+        let unused = mask(self.plan.versions.len()) & !self.started;
+        let held = self.shards[shard as usize].held;
+        let usable = if held == 0 { unused } else { unused & held };
+        (usable != 0).then(|| usable.trailing_zeros() as usize)
+    }
+
+    fn restart(&mut self, cx: &mut Cx<'_>, index: usize) {
+        for shard in 0..self.shards.len() {
+            self.cancel_in_flight(cx, shard);
+        }
+        self.begin_version(cx, index);
+    }
+
+    fn begin_version(&mut self, cx: &mut Cx<'_>, index: usize) {
+        let shards = self.plan.versions[index].services.len();
+        self.current = index;
+        self.started |= 1 << index;
+        self.shards.clear();
+        self.shards.resize(shards, Shard::NEW);
+        self.open = shards;
+        self.merge.clear();
+        self.timers.clear();
+        self.wanting.clear();
+        for shard in 0..shards {
+            self.advance(cx, shard);
+        }
+    }
+
+    /// Takes an attempt whose result is wanted; every other id is dropped.
+    fn close(&mut self, id: AttemptId) -> Option<Attempt> {
+        if id.search != self.plan.id {
+            return None;
+        }
+        let attempt = self.attempts.get_mut(id.part as usize)?;
+        if !attempt.open {
+            return None;
+        }
+        attempt.open = false;
+        let taken = *attempt;
+        self.shards[taken.shard as usize].remove_in_flight(id.part);
+        Some(taken)
+    }
+
+    fn accept(&mut self, cx: &mut Cx<'_>, shard: u32, answer: ShardAnswer) {
+        let state = &mut self.shards[shard as usize];
+        state.status = Status::Answered;
+        state.due = None;
+        self.open -= 1;
+        self.merge.add(shard, answer.count, answer.hits);
+        self.cancel_in_flight(cx, shard as usize);
+    }
+
+    fn fail(&mut self, cx: &mut Cx<'_>, taken: Attempt, failure: Failure, held: &[Version]) {
+        let versions = &self.plan.versions[..self.plan.versions.len().min(64)];
+        let state = &mut self.shards[taken.shard as usize];
+        state.failed(taken.replica, failure);
+        for (index, plan) in versions.iter().enumerate() {
+            if held.contains(&plan.version) {
+                state.held |= 1 << index;
+            }
+        }
+        if !state.is_in_flight() && cx.now < self.finish_at {
+            self.advance(cx, taken.shard as usize);
+        }
+    }
+
+    fn give_up(&mut self, shard: usize, reason: MissingReason, version: bool) {
+        let state = &mut self.shards[shard];
+        state.status = Status::Missing(reason);
+        state.due = None;
+        self.open -= 1;
+        if version {
+            self.wanting.push(shard as u32);
+        }
+    }
+
+    fn cancel_in_flight(&mut self, cx: &mut Cx<'_>, shard: usize) {
+        let in_flight = std::mem::take(&mut self.shards[shard].in_flight);
+        for part in in_flight.into_iter().flatten() {
+            self.attempts[part as usize].open = false;
+            let attempt = self.attempt_id(part);
+            cx.steps.push(Step::Cancel { attempt });
+        }
+    }
+
+    fn attempt_id(&self, part: u32) -> AttemptId {
+        AttemptId {
+            search: self.plan.id,
+            part,
+        }
+    }
+
+    fn finish(&mut self, cx: &mut Cx<'_>) {
+        let coverage = self.coverage();
+        for shard in 0..self.shards.len() {
+            self.cancel_in_flight(cx, shard);
+        }
+        let (count, hits) = self.merge.take(&self.plan.versions[self.current].services);
+        self.stage = Stage::Finished;
+        cx.steps.push(Step::Finish(Answer {
+            version: self.version(),
+            coverage,
+            count,
+            limited: count > hits.len() as u64,
+            hits,
+        }));
+    }
+
+    fn coverage(&self) -> Coverage {
+        let services = &self.plan.versions[self.current].services;
+        let mut coverage = Coverage {
+            shards: self.shards.len(),
+            answered: 0,
+            missing: Vec::new(),
+        };
+        for (state, (service, _)) in self.shards.iter().zip(services) {
+            match state.status {
+                Status::Answered => coverage.answered += 1,
+                Status::Missing(reason) => coverage.missing.push((service.clone(), reason)),
+                Status::Open => {
+                    let reason = state.reason_at_finish();
+                    coverage.missing.push((service.clone(), reason));
+                }
+            }
+        }
+        coverage
+    }
+}
