--- /dev/null
+++ b/crates/jasminepond-routing/src/admission.rs
@@ -0,0 +1,247 @@
+//! Which queries the entry admits; the rest is refused immediately.
+
+use std::{collections::HashMap, time::Duration};
+
+use jasminepond_dispatch::Ewma;
+use jasminepond_types::{ErrorKind, Millis, TenantId, Timestamp};
+
+use crate::{ConcurrencySettings, Deadline, Estimate, concurrency::Concurrency};
+
+/// Settings of [`Admission`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdmissionSettings {
+    /// The self-adjusting limit on queries in progress.
+    pub concurrency: ConcurrencySettings,
+    /// A class always gets one part in this many of the limit, at least one
+    /// query, so that higher classes cannot starve it.
+    pub starvation_share: u32,
+    /// Duration of a query assumed before the first one has finished.
+    pub initial_latency: Duration,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            concurrency: ConcurrencySettings::default(),
+            starvation_share: 8,
+            initial_latency: Duration::from_millis(50),
+        }
+    }
+}
+
+/// A query that asks for admission.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// The tenant.
+    pub tenant: &'a TenantId,
+    /// Queries that the tenant may have in progress at this daemon.
+    pub tenant_limit: u32,
+    /// Priority of the class; a higher number goes first.
+    pub priority: u32,
+    /// Deadline of the query.
+    pub deadline: Deadline,
+    /// Estimate at the slowest required shard for this priority.
+    pub slowest: Estimate,
+}
+
+/// What an admitted query used.
+#[derive(Debug, Clone, Copy)]
+pub struct Used {
+    /// Time from admission to the response.
+    pub latency: Duration,
+    /// Time that the query had at admission.
+    pub budget: Duration,
+    /// Whether every required shard was answered in time, or was missing for a
+    /// reason other than time or load.
+    pub in_time: bool,
+}
+
+/// Whether a query is admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admit {
+    /// Run it, then report [`Admission::finished`].
+    Go,
+    /// Refuse it; it did not run.
+    Refuse {
+        /// Why.
+        kind: ErrorKind,
+        /// When the same query has a chance of being admitted.
+        retry_after: Millis,
+    },
+}
+
+#[derive(Debug)]
+struct Class {
+    priority: u32,
+    in_progress: u32,
+}
+
+/// Admission control of one entry daemon.
+///
+/// ```
+/// use std::time::Duration;
+/// use jasminepond_routing::{
+///     Admission, AdmissionSettings, Admit, Deadline, Estimate, Query, Used,
+/// };
+/// use jasminepond_types::{ErrorKind, Timestamp};
+///
+/// let mut admission = Admission::new(AdmissionSettings::default());
+/// let tenant = "foundry".parse().unwrap();
+/// let now = Timestamp::from_millis(1);
+/// let query = Query {
+///     tenant: &tenant,
+///     tenant_limit: 1,
+///     priority: 0,
+///     deadline: Deadline::at(Timestamp::from_millis(251)),
+///     slowest: Estimate::default(),
+/// };
+/// assert_eq!(admission.admit(now, query), Admit::Go);
+/// let Admit::Refuse { kind, .. } = admission.admit(now, query) else { panic!() };
+/// assert_eq!(kind, ErrorKind::TenantLimit);
+/// let used = Used {
+///     latency: Duration::from_millis(12),
+///     budget: Duration::from_millis(250),
+///     in_time: true,
+/// };
+/// admission.finished(Timestamp::from_millis(13), &tenant, 0, used);
+/// assert_eq!(admission.in_progress(), 0);
+/// ```
+#[derive(Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    concurrency: Concurrency,
+    tenants: HashMap<TenantId, u32>,
+    /// Highest priority first.
+    classes: Vec<Class>,
+    latency: Ewma,
+}
+
+impl Admission {
+    /// Admission with nothing in progress.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            concurrency: Concurrency::new(settings.concurrency.clone()),
+            tenants: HashMap::new(),
+            classes: Vec::new(),
+            latency: Ewma::starting_at(settings.initial_latency),
+            settings,
+        }
+    }
+
+    /// Decides about a query at once; nothing waits here.
+    ///
+    /// Refusals are `deadline_not_run` (the query needs longer than its time
+    /// even without a queue), `tenant_limit`, or `overloaded`.
+    pub fn admit(&mut self, now: Timestamp, query: Query<'_>) -> Admit {
+        if let Some(refusal) = self.refuse_by_time(now, &query) {
+            return refusal;
+        }
+        let tenant = self.tenants.get(query.tenant).copied().unwrap_or(0);
+        if tenant >= query.tenant_limit {
+            return refuse(ErrorKind::TenantLimit, self.usual_latency());
+        }
+        if !self.has_room(query.priority) {
+            self.concurrency.refused();
+            return refuse(ErrorKind::Overloaded, self.time_to_room());
+        }
+        *self.tenants.entry(query.tenant.clone()).or_default() += 1;
+        self.class_mut(query.priority).in_progress += 1;
+        let in_progress = self.in_progress();
+        self.concurrency.admitted(in_progress);
+        Admit::Go
+    }
+
+    fn refuse_by_time(&self, now: Timestamp, query: &Query<'_>) -> Option<Admit> {
+        let left = query.deadline.left(now);
+        let Estimate { wait, service, .. } = query.slowest;
+        let needed = wait + service;
+        if needed <= left && !left.is_zero() {
+            return None;
+        }
+        if service >= left {
+            return Some(refuse(ErrorKind::DeadlineNotRun, wait));
+        }
+        Some(refuse(ErrorKind::Overloaded, needed - left))
+    }
+
+    /// A class sees only itself and higher classes, so lower ones never keep it
+    /// out; its own share is free even when higher classes fill the limit.
+    fn has_room(&self, priority: u32) -> bool {
+        let limit = self.concurrency.limit();
+        let seen: u32 = self
+            .classes
+            .iter()
+            .take_while(|class| class.priority >= priority)
+            .map(|class| class.in_progress)
+            .sum();
+        if seen < limit {
+            return true;
+        }
+        let own = self.classes.iter().find(|c| c.priority == priority);
+        let share = limit / self.settings.starvation_share.max(1);
+        own.map_or(0, |class| class.in_progress) < share.max(1)
+    }
+
+    fn usual_latency(&self) -> Duration {
+        self.latency.get().unwrap_or(self.settings.initial_latency)
+    }
+
+    /// One query's duration frees the room of all in progress; the callers
+    /// refused in the meantime compete for it.
+    fn time_to_room(&self) -> Duration {
+        self.usual_latency()
+            .mul_f64(1.0 + self.concurrency.excess())
+    }
+
+    fn class_mut(&mut self, priority: u32) -> &mut Class {
+        let at = self
+            .classes
+            .partition_point(|class| class.priority > priority);
+        if self.classes.get(at).is_none_or(|c| c.priority != priority) {
+            let in_progress = 0;
+            self.classes.insert(
+                at,
+                Class {
+                    priority,
+                    in_progress,
+                },
+            );
+        }
+        &mut self.classes[at]
+    }
+
+    /// An admitted query has ended.
+    pub fn finished(&mut self, now: Timestamp, tenant: &TenantId, priority: u32, used: Used) {
+        if let Some(in_progress) = self.tenants.get_mut(tenant) {
+            *in_progress -= 1;
+            if *in_progress == 0 {
+                self.tenants.remove(tenant);
+            }
+        }
+        let class = self.class_mut(priority);
+        class.in_progress = class.in_progress.saturating_sub(1);
+        self.latency.add(used.latency);
+        let share_used = if used.in_time {
+            used.latency.as_secs_f64() / used.budget.as_secs_f64().max(f64::EPSILON)
+        } else {
+            1.0
+        };
+        let usual = self.usual_latency();
+        self.concurrency.finished(now, share_used, usual);
+    }
+
+    /// Queries in progress.
+    pub fn in_progress(&self) -> u32 {
+        self.classes.iter().map(|class| class.in_progress).sum()
+    }
+
+    /// The present limit on queries in progress.
+    pub fn limit(&self) -> u32 {
+        self.concurrency.limit()
+    }
+}
+
+fn refuse(kind: ErrorKind, wait: Duration) -> Admit {
+    let retry_after = Millis::from(wait).max(Millis(1));
+    Admit::Refuse { kind, retry_after }
+}
--- a/crates/jasminepond-routing/src/lib.rs
+++ b/crates/jasminepond-routing/src/lib.rs
@@ -1,1 +1,43 @@
-//! Placeholder replaced by the module's real content.
+//! Decisions of the entry role: which daemon owns a server, which replica takes
+//! a sub-request, when to hedge or retry, and which queries to admit.
+//!
+//! Everything here is a state machine that takes `now`; no sockets, clocks or
+//! tasks.
+//!
+//! ```
+//! use jasminepond_routing::{Ask, Choice, Replicas, ReplicaSettings};
+//! use jasminepond_types::{ServerId, Timestamp, Version};
+//!
+//! let servers: Vec<ServerId> = vec!["kit-1a".parse().unwrap(), "kit-1b".parse().unwrap()];
+//! let mut replicas = Replicas::new(ReplicaSettings::default(), 7);
+//! let ask = Ask {
+//!     servers: &servers,
+//!     version: Version(41),
+//!     priority: 0,
+//!     exclude: &[],
+//!     can_hedge: true,
+//! };
+//! let Choice::Use { server } = replicas.choose(Timestamp::ZERO, ask) else {
+//!     panic!("no replica");
+//! };
+//! assert!(servers.contains(&server));
+//! ```
+
+mod admission;
+mod budget;
+mod concurrency;
+mod deadline;
+mod hedging;
+mod ownership;
+mod quota;
+mod replicas;
+mod server;
+
+pub use admission::{Admission, AdmissionSettings, Admit, Query, Used};
+pub use budget::{HedgeBudget, RetryBudget, Share};
+pub use concurrency::ConcurrencySettings;
+pub use deadline::Deadline;
+pub use hedging::{Hedge, HedgeAsk, Hedging, HedgingSettings, NoHedge};
+pub use ownership::{Candidate, Ownership};
+pub use quota::DirectQuota;
+pub use replicas::{Ask, Choice, Estimate, NoChoice, ReplicaSettings, Replicas, Reply};
--- /dev/null
+++ b/crates/jasminepond-routing/src/replicas.rs
@@ -0,0 +1,317 @@
+//! Which replica of a shard takes a sub-request.
+
+use std::{collections::HashMap, time::Duration};
+
+use jasminepond_dispatch::Hint;
+use jasminepond_types::{ServerId, Timestamp, Version};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::server::Server;
+
+/// Estimates within this share of the best count as equal. Without it, all
+/// daemons would send to the same server on a difference of microseconds.
+const EQUAL_WITHIN: f64 = 0.1;
+
+/// Settings of [`Replicas`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReplicaSettings {
+    /// Latency assumed for a server before its first response.
+    pub initial_latency: Duration,
+    /// Slots assumed for a server without a recent hint.
+    pub assumed_slots: u32,
+    /// Time for which a hint describes the server.
+    pub hint_life: Duration,
+    /// Penalty for the first failure; it doubles with each further one.
+    pub failure_penalty: Duration,
+    /// Largest penalty.
+    pub penalty_limit: Duration,
+    /// Time in which a penalty halves.
+    pub penalty_half_life: Duration,
+    /// Failures in a row after which a server ramps up again.
+    pub cold_after: u8,
+    /// Successes per step of the ramp.
+    pub ramp_run: u16,
+    /// Time after which a server that was not tried may be explored.
+    pub explore_after: Duration,
+    /// Share of choices that explore, between 0 and 1.
+    pub explore_share: f64,
+    /// Time for which a server that reported "version not held" is not asked
+    /// for that version.
+    pub version_memory: Duration,
+    /// Time for which a report that a server is leaving counts.
+    pub drain_memory: Duration,
+    /// Time after such a report during which hints that do not mention it are
+    /// taken to be older than the report.
+    pub drain_settle: Duration,
+}
+
+impl Default for ReplicaSettings {
+    fn default() -> Self {
+        Self {
+            initial_latency: Duration::from_millis(20),
+            assumed_slots: 2,
+            hint_life: Duration::from_secs(1),
+            failure_penalty: Duration::from_millis(50),
+            penalty_limit: Duration::from_secs(10),
+            penalty_half_life: Duration::from_secs(2),
+            cold_after: 3,
+            ramp_run: 8,
+            explore_after: Duration::from_secs(1),
+            explore_share: 0.01,
+            version_memory: Duration::from_secs(2),
+            drain_memory: Duration::from_secs(30),
+            drain_settle: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A sub-request that needs a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The replicas of the shard.
+    pub servers: &'a [ServerId],
+    /// Snapshot version of the query.
+    pub version: Version,
+    /// Priority of the query's class.
+    pub priority: u32,
+    /// Replicas already tried.
+    pub exclude: &'a [ServerId],
+    /// Whether a hedged request can cover a slow response, see
+    /// [`Hedging::can_cover`](crate::Hedging::can_cover).
+    pub can_hedge: bool,
+}
+
+/// The replica to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// Send the sub-request to this server.
+    Use {
+        /// The chosen server.
+        server: ServerId,
+    },
+    /// No replica can take it.
+    None {
+        /// Why.
+        reason: NoChoice,
+    },
+}
+
+/// Why no replica can take a sub-request. With several causes, the one that
+/// rules out the last remaining replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum NoChoice {
+    /// The shard has no replicas.
+    NoReplica,
+    /// All replicas were tried.
+    Tried,
+    /// All untried replicas are leaving.
+    Draining,
+    /// All remaining replicas cannot be reached.
+    Down,
+    /// No remaining replica holds the version.
+    VersionUnavailable,
+}
+
+/// How a sub-request to a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// It was answered.
+    Done,
+    /// The server reported an error.
+    Failed,
+    /// The owner or the server refused it for lack of capacity.
+    Refused,
+    /// It did not run for another reason, such as a version not held.
+    NotRun,
+    /// No response arrived: the connection or the link was lost, or the time
+    /// was up.
+    Lost,
+    /// It was cancelled because another copy was answered first.
+    Cancelled,
+}
+
+/// What a sub-request sent to a server now would meet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Estimate {
+    /// Time in the server's queue.
+    pub wait: Duration,
+    /// Service time.
+    pub service: Duration,
+    /// Time until the response, with penalties for failures.
+    pub completion: Duration,
+}
+
+impl Estimate {
+    /// Whether the queue is longer than one service time. Hedged requests and
+    /// retries would only make it longer.
+    pub fn is_overloaded(&self) -> bool {
+        self.wait > self.service
+    }
+}
+
+/// What this daemon knows about all backend servers. See the crate
+/// documentation for an example.
+#[derive(Debug)]
+pub struct Replicas {
+    settings: ReplicaSettings,
+    servers: HashMap<ServerId, Server>,
+    rng: SmallRng,
+}
+
+impl Replicas {
+    /// Knows nothing yet; every server ramps up. `seed` feeds the random source
+    /// that breaks ties and chooses explorations.
+    pub fn new(settings: ReplicaSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            servers: HashMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses the replica with the earliest estimated response.
+    pub fn choose(&mut self, now: Timestamp, ask: Ask<'_>) -> Choice {
+        let mut best: Option<(Duration, &ServerId)> = None;
+        let mut equals = 0;
+        let mut stale: Option<&ServerId> = None;
+        let mut reason = NoChoice::NoReplica;
+        for id in ask.servers {
+            if let Some(why) = self.ruled_out(now, id, &ask) {
+                reason = reason.max(why);
+                continue;
+            }
+            if ask.can_hedge && self.is_stale(now, id) {
+                stale = Some(id);
+            }
+            let estimate = self.estimate(now, id, ask.priority).completion;
+            let order = best.map_or(Order::Better, |(best, _)| compare(estimate, best));
+            match order {
+                Order::Better => {
+                    best = Some((estimate, id));
+                    equals = 1;
+                }
+                Order::Equal => {
+                    // Reservoir sampling: each of the equals is as likely.
+                    equals += 1;
+                    let keep = best.map_or(estimate, |(best, _)| best.min(estimate));
+                    let chosen = best.map_or(id, |(_, id)| id);
+                    let replace = self.rng.random_range(0..equals) == 0;
+                    best = Some((keep, if replace { id } else { chosen }));
+                }
+                Order::Worse => {}
+            }
+        }
+        let Some((_, best)) = best else {
+            return Choice::None { reason };
+        };
+        let server = match stale {
+            Some(stale) if self.explores() => stale,
+            _ => best,
+        };
+        Choice::Use {
+            server: server.clone(),
+        }
+    }
+
+    fn explores(&mut self) -> bool {
+        let share = self.settings.explore_share.clamp(0.0, 1.0);
+        self.rng.random_bool(share)
+    }
+
+    fn is_stale(&self, now: Timestamp, id: &ServerId) -> bool {
+        let known = self.servers.get(id);
+        known.is_none_or(|server| server.is_stale(now, &self.settings))
+    }
+
+    fn ruled_out(&self, now: Timestamp, id: &ServerId, ask: &Ask<'_>) -> Option<NoChoice> {
+        if ask.exclude.contains(id) {
+            return Some(NoChoice::Tried);
+        }
+        let server = self.servers.get(id)?;
+        if server.is_draining(now) {
+            Some(NoChoice::Draining)
+        } else if server.is_down(now, &self.settings) {
+            Some(NoChoice::Down)
+        } else if server.lacks(now, ask.version) {
+            Some(NoChoice::VersionUnavailable)
+        } else {
+            None
+        }
+    }
+
+    /// What a sub-request of the given priority would meet at a server.
+    pub fn estimate(&self, now: Timestamp, id: &ServerId, priority: u32) -> Estimate {
+        match self.servers.get(id) {
+            Some(server) => server.estimate(now, priority, &self.settings),
+            None => Server::new(now, &self.settings).estimate(now, priority, &self.settings),
+        }
+    }
+
+    /// A sub-request was sent to the server.
+    pub fn sent(&mut self, now: Timestamp, id: &ServerId) {
+        self.entry(now, id).sent(now);
+    }
+
+    /// A sub-request sent to the server has ended after `latency`.
+    pub fn ended(&mut self, now: Timestamp, id: &ServerId, latency: Duration, reply: Reply) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.ended(now, latency, reply, &self.settings);
+        }
+    }
+
+    /// The owner of the server reported its state.
+    pub fn hinted(&mut self, now: Timestamp, id: &ServerId, hint: Hint) {
+        self.entry(now, id);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.hinted(now, hint, &self.settings);
+        }
+    }
+
+    /// The server reported that it does not hold the version.
+    pub fn lacks_version(&mut self, now: Timestamp, id: &ServerId, version: Version) {
+        let until = now + self.settings.version_memory;
+        self.entry(now, id).lacks_version(version, until);
+    }
+
+    /// The server is leaving, by any report.
+    pub fn leaving(&mut self, now: Timestamp, id: &ServerId) {
+        self.entry(now, id);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.leaving(now, &self.settings);
+        }
+    }
+
+    /// The server takes work again; it ramps up.
+    pub fn returned(&mut self, now: Timestamp, id: &ServerId) {
+        self.entry(now, id).returned(now);
+    }
+
+    /// Forgets servers that are no longer configured.
+    pub fn retain(&mut self, mut keep: impl FnMut(&ServerId) -> bool) {
+        self.servers.retain(|id, _| keep(id));
+    }
+
+    fn entry(&mut self, now: Timestamp, id: &ServerId) -> &mut Server {
+        let settings = &self.settings;
+        self.servers
+            .entry(id.clone())
+            .or_insert_with(|| Server::new(now, settings))
+    }
+}
+
+enum Order {
+    Better,
+    Equal,
+    Worse,
+}
+
+fn compare(estimate: Duration, best: Duration) -> Order {
+    let (estimate, best) = (estimate.as_secs_f64(), best.as_secs_f64());
+    if estimate < best * (1.0 - EQUAL_WITHIN) {
+        Order::Better
+    } else if estimate <= best * (1.0 + EQUAL_WITHIN) {
+        Order::Equal
+    } else {
+        Order::Worse
+    }
+}
