feat(daemon): entry task for searches and non-idempotent requests

Ruled out: checking a foreign key's request before forwarding it: only the issuer knows whether an earlier copy has run, so only it may say not run. Change: one task drives searches and executions and collects sub-requests per owner into one frame.

--- a/crates/jasminepond-daemon/src/control/membership.rs
+++ b/crates/jasminepond-daemon/src/control/membership.rs
@@ -99,7 +99,13 @@
     mut rx: mpsc::UnboundedReceiver<Event>,
 ) {
     let membership = Membership::new(Settings::default(), me, rand::random());
-    let mut task = Task { cx, socket, membership, generation: (0, 0), confirmed: true };
+    let mut task = Task {
+        cx,
+        socket,
+        membership,
+        generation: (0, 0),
+        confirmed: true,
+    };
     let mut next_tick = Timestamp::ZERO;
     loop {
         let now = task.cx.clock.now();
--- /dev/null
+++ b/crates/jasminepond-daemon/src/entry/chooser.rs
@@ -0,0 +1,160 @@
+//! Answers the questions of a search or an execution: which replica, whether to
+//! hedge, whether to retry.
+
+use std::time::Duration;
+
+use jasminepond_dispatch as dispatch;
+use jasminepond_query::{Candidates, Choice, Chooser, ExecuteChooser, MissingReason};
+use jasminepond_routing::{
+    self as routing, Ask, Deadline, Hedge, HedgeAsk, HedgeBudget, HedgingSettings, NoChoice,
+    RetryBudget, Share,
+};
+use jasminepond_types::{GroupId, ServerId, ServiceId, Timestamp, Version};
+use jasminepond_wire::ServerHint;
+
+use super::Routing;
+
+/// Hedging and its budgets as configured.
+pub fn hedging(cfg: &jasminepond_config::Routing) -> (HedgingSettings, HedgeBudget, RetryBudget) {
+    let settings = match cfg.hedge_after() {
+        jasminepond_config::HedgeAfter::Fixed(after) => HedgingSettings {
+            // A fixed delay is a floor that no quantile exceeds.
+            quantile: 0.0,
+            floor: after.duration(),
+            ..Default::default()
+        },
+        jasminepond_config::HedgeAfter::Quantile(percent) => HedgingSettings {
+            quantile: percent.fraction() as f32,
+            ..Default::default()
+        },
+    };
+    let share = |percent: jasminepond_config::Percent| {
+        Share::percent((percent.fraction() * 100.0).round() as u32)
+    };
+    let hedges = HedgeBudget::new(share(cfg.hedge_budget_percent), BUDGET_BURST);
+    let retries = RetryBudget::new(share(cfg.retry_budget_percent), BUDGET_BURST);
+    (settings, hedges, retries)
+}
+
+/// Extra sub-requests that may be sent at once after a quiet time.
+const BUDGET_BURST: u32 = 48;
+
+/// The owner's hint in the terms of the decision crates.
+pub fn hint(hint: &ServerHint) -> dispatch::Hint {
+    let health = if hint.draining {
+        dispatch::Health::Draining
+    } else {
+        dispatch::Health::Ready
+    };
+    dispatch::Hint {
+        queued: hint.queued,
+        top_priority: 0,
+        top_queued: hint.queued,
+        running: hint.running,
+        slots: hint.slots.get(),
+        service_time: hint.service_us,
+        healthy: health,
+    }
+}
+
+/// Decides for one request.
+pub struct RequestChooser<'a> {
+    /// What the daemon knows.
+    pub routing: &'a mut Routing,
+    /// Group of the request.
+    pub group: &'a GroupId,
+    /// Rank of its class, higher first.
+    pub rank: u32,
+    /// Its deadline.
+    pub deadline: Timestamp,
+}
+
+impl RequestChooser<'_> {
+    fn pick(&mut self, now: Timestamp, version: Version, candidates: Candidates<'_>) -> Choice {
+        let (indexes, servers): (Vec<usize>, Vec<ServerId>) = candidates
+            .iter()
+            .map(|(index, server)| (index, server.clone()))
+            .unzip();
+        let ask = Ask {
+            servers: &servers,
+            version,
+            priority: self.rank,
+            exclude: &[],
+            can_hedge: self.routing.hedging.can_cover(),
+        };
+        match self.routing.replicas.choose(now, ask) {
+            routing::Choice::Use { server } => {
+                let chosen = servers.iter().position(|candidate| *candidate == server);
+                match chosen {
+                    Some(at) => Choice::Use(indexes[at]),
+                    None => Choice::None(MissingReason::Failed),
+                }
+            }
+            routing::Choice::None { reason } => Choice::None(missing_reason(reason)),
+        }
+    }
+
+    fn ask<'b>(&'b self, now: Timestamp, server: &ServerId) -> HedgeAsk<'b> {
+        HedgeAsk {
+            group: self.group,
+            // The search itself waits for the hedge delay.
+            sent_at: Timestamp::ZERO,
+            deadline: Deadline::at(self.deadline),
+            target: self.routing.replicas.estimate(now, server, self.rank),
+        }
+    }
+}
+
+fn missing_reason(reason: NoChoice) -> MissingReason {
+    match reason {
+        NoChoice::Tried => MissingReason::Failed,
+        NoChoice::NoReplica | NoChoice::Draining | NoChoice::Down => MissingReason::NoReplica,
+        NoChoice::VersionUnavailable => MissingReason::VersionUnavailable,
+    }
+}
+
+impl Chooser for RequestChooser<'_> {
+    fn choose(
+        &mut self,
+        now: Timestamp,
+        _service: &ServiceId,
+        version: Version,
+        candidates: Candidates<'_>,
+    ) -> Choice {
+        self.pick(now, version, candidates)
+    }
+
+    fn hedge_after(&mut self, _now: Timestamp, _server: &ServerId) -> Option<Duration> {
+        Some(self.routing.hedging.delay(self.group))
+    }
+
+    fn may_hedge(&mut self, now: Timestamp, server: &ServerId) -> bool {
+        let ask = HedgeAsk {
+            group: self.group,
+            ..self.ask(now, server)
+        };
+        self.routing.hedging.hedge(now, ask) == Hedge::Send
+    }
+
+    fn may_retry(&mut self, now: Timestamp, server: &ServerId) -> bool {
+        let ask = HedgeAsk {
+            group: self.group,
+            ..self.ask(now, server)
+        };
+        self.routing.hedging.retry(now, ask) == Hedge::Send
+    }
+
+    fn service_time(&mut self, _now: Timestamp) -> Duration {
+        self.routing.hedging.delay(self.group)
+    }
+}
+
+impl ExecuteChooser for RequestChooser<'_> {
+    fn choose(&mut self, now: Timestamp, candidates: Candidates<'_>) -> Choice {
+        self.pick(now, Version(0), candidates)
+    }
+
+    fn may_retry(&mut self, now: Timestamp, server: &ServerId) -> bool {
+        Chooser::may_retry(self, now, server)
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-daemon/src/entry/search.rs
@@ -0,0 +1,569 @@
+//! Searches in progress.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use futures_channel::oneshot;
+use jasminepond_config::{Group, GroupKind, Objective};
+use jasminepond_query::{
+    Answer, AttemptId, Failure, Plan, Search, Settings, ShardAnswer, Step, VersionPlan,
+};
+use jasminepond_routing::{Admit, Deadline, Estimate, Query, Reply, Used};
+use jasminepond_types::{
+    ErrorKind, InstanceId, Millis, QueryId, ServerId, ServiceId, Timestamp, Version,
+};
+use jasminepond_wire::{
+    Cancel, Frame, MAX_PARTS, Part, PartFailure, PartItem, PartOutcome, Parts,
+    Search as SearchFrame,
+};
+
+use super::{
+    Entry, Names, Refusal, SearchRequest, check,
+    chooser::{self, RequestChooser},
+    rank,
+    timers::Due,
+};
+use crate::metrics::SentKind;
+
+/// The answer to a search.
+#[derive(Debug)]
+pub struct SearchAnswer {
+    /// What was found and from how many shards.
+    pub answer: Answer,
+    /// Time from arrival to answer.
+    pub elapsed: Duration,
+}
+
+type ReplySender = oneshot::Sender<Result<SearchAnswer, Refusal>>;
+
+/// A sub-request that was sent.
+struct Sent {
+    service: ServiceId,
+    owner: InstanceId,
+    server: ServerId,
+    version: Version,
+    at: Timestamp,
+    open: bool,
+}
+
+struct Running {
+    search: Search,
+    checked: super::Checked,
+    query: Box<str>,
+    limit: u32,
+    started: Timestamp,
+    deadline: Timestamp,
+    reply: ReplySender,
+    sent: Vec<Sent>,
+}
+
+impl Running {
+    /// A frame without parts.
+    fn frame(&self, now: Timestamp, id: QueryId, version: Version) -> SearchFrame {
+        let caller = &self.checked.caller;
+        let allowance = self.checked.config.routing.hop_allowance_ms;
+        SearchFrame {
+            id: id.get(),
+            tenant: caller.tenant.clone(),
+            class: caller.class.clone(),
+            priority: self.checked.priority,
+            weight: self.checked.weight,
+            group: caller.group.clone(),
+            version,
+            query: self.query.clone(),
+            limit: self.limit,
+            left: Millis(self.search.left(now).0.saturating_sub(allowance.0)),
+            parts: Vec::new(),
+        }
+    }
+}
+
+/// What a sub-request for a shard is, given those sent before.
+fn sent_kind(before: &[Sent], service: &ServiceId) -> SentKind {
+    let mut earlier = before
+        .iter()
+        .filter(|sent| sent.service == *service)
+        .peekable();
+    if earlier.peek().is_none() {
+        SentKind::First
+    } else if earlier.any(|sent| sent.open) {
+        SentKind::Hedge
+    } else {
+        SentKind::Retry
+    }
+}
+
+/// All searches in progress, and frames not yet sent.
+#[derive(Default)]
+pub struct Searches {
+    running: HashMap<QueryId, Running>,
+    frames: Vec<(InstanceId, Frame)>,
+}
+
+impl Searches {
+    /// Takes the frames collected since the last call.
+    pub fn take_frames(&mut self) -> Vec<(InstanceId, Frame)> {
+        std::mem::take(&mut self.frames)
+    }
+
+    /// Whether no search is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    /// Searches in progress.
+    pub fn len(&self) -> usize {
+        self.running.len()
+    }
+}
+
+/// The versions of a group that a search may answer from, newest first.
+pub fn plan(group: &Group) -> Arc<[VersionPlan]> {
+    let version = |snapshot: &jasminepond_config::Snapshot| VersionPlan {
+        version: snapshot.version,
+        services: snapshot
+            .services
+            .iter()
+            .map(|(id, r)| (id.clone(), r.clone()))
+            .collect(),
+    };
+    group.snapshots.iter().map(version).collect()
+}
+
+fn search_settings(objective: Objective) -> Settings {
+    let objective = match objective {
+        Objective::Coverage => jasminepond_query::Objective::Coverage { rounds: 2 },
+        Objective::Latency => jasminepond_query::Objective::Latency { max_attempts: 3 },
+    };
+    Settings {
+        objective,
+        ..Settings::default()
+    }
+}
+
+impl Entry {
+    pub(super) fn on_search(&mut self, req: SearchRequest, reply: ReplySender) {
+        match self.admit_search(&req) {
+            Ok((checked, limit)) => self.start_search(req, checked, limit, reply),
+            Err(refusal) => {
+                self.cx.metrics.refused(refusal.kind);
+                let _ = reply.send(Err(refusal));
+            }
+        }
+    }
+
+    fn admit_search(&mut self, req: &SearchRequest) -> Result<(super::Checked, u32), Refusal> {
+        let now = self.cx.clock.now();
+        let config = self.ready()?;
+        let max_hits = config.limits.max_hits;
+        let names = Names {
+            tenant: &req.tenant,
+            class: &req.class,
+            group: &req.group,
+            deadline: req.deadline,
+        };
+        let checked = check(config, &names, GroupKind::Search)?;
+        let limit = req.limit.unwrap_or(max_hits);
+        if limit == 0 || limit > max_hits {
+            let message = format!("limit is {limit}, allowed are 1 to {max_hits}");
+            return Err(Refusal::new(ErrorKind::BadRequest, message));
+        }
+        let slowest = self.slowest_shard(now, &checked);
+        let query = Query {
+            tenant: &checked.caller.tenant,
+            tenant_limit: checked.tenant_limit,
+            priority: rank(checked.priority),
+            deadline: Deadline::from_remaining(now, checked.caller.left),
+            slowest,
+        };
+        match self.routing.admission.admit(now, query) {
+            Admit::Go => Ok((checked, limit)),
+            Admit::Refuse { kind, retry_after } => {
+                let refusal = Refusal::new(kind, "no capacity before the deadline");
+                Err(refusal.retry_after(retry_after))
+            }
+        }
+    }
+
+    /// What the search would meet at the shard whose best replica is slowest.
+    fn slowest_shard(&self, now: Timestamp, checked: &super::Checked) -> Estimate {
+        let priority = rank(checked.priority);
+        let versions = self.plans.get(&checked.caller.group);
+        let Some(newest) = versions.and_then(|versions| versions.first()) else {
+            return Estimate::default();
+        };
+        let replicas = &self.routing.replicas;
+        let best = |servers: &Vec<ServerId>| {
+            let estimates = servers
+                .iter()
+                .map(|server| replicas.estimate(now, server, priority));
+            estimates.min_by_key(|estimate| estimate.wait + estimate.service)
+        };
+        let shards = newest
+            .services
+            .iter()
+            .filter_map(|(_, servers)| best(servers));
+        shards
+            .max_by_key(|estimate| estimate.wait + estimate.service)
+            .unwrap_or_default()
+    }
+
+    fn start_search(
+        &mut self,
+        req: SearchRequest,
+        checked: super::Checked,
+        limit: u32,
+        reply: ReplySender,
+    ) {
+        let now = self.cx.clock.now();
+        let id = QueryId(self.new_id());
+        let deadline = now + checked.caller.left.duration();
+        let versions = self
+            .plans
+            .get(&checked.caller.group)
+            .cloned()
+            .unwrap_or_default();
+        let plan = Plan {
+            id,
+            group: checked.caller.group.clone(),
+            versions,
+            limit,
+        };
+        let settings = search_settings(checked.config.routing.objective);
+        let Ok(search) = Search::new(plan, now, deadline, settings) else {
+            let refusal = Refusal::new(ErrorKind::NoBackend, "the group has no snapshot");
+            let _ = reply.send(Err(refusal));
+            return;
+        };
+        let query = req.query.into();
+        let sent = Vec::new();
+        let running = Running {
+            search,
+            checked,
+            query,
+            limit,
+            started: now,
+            deadline,
+            reply,
+            sent,
+        };
+        self.searches.running.insert(id, running);
+        self.drive(id, |search, now, chooser| search.start(now, chooser));
+    }
+
+    /// Passes an event to a search and performs the steps that it asks for.
+    fn drive(
+        &mut self,
+        id: QueryId,
+        event: impl FnOnce(&mut Search, Timestamp, &mut RequestChooser<'_>) -> Vec<Step>,
+    ) {
+        let now = self.cx.clock.now();
+        let Some(running) = self.searches.running.get_mut(&id) else {
+            return;
+        };
+        let group = running.checked.caller.group.clone();
+        let mut chooser = RequestChooser {
+            routing: &mut self.routing,
+            group: &group,
+            rank: rank(running.checked.priority),
+            deadline: running.deadline,
+        };
+        let initial = running.sent.is_empty();
+        let steps = event(&mut running.search, now, &mut chooser);
+        let mut cancels: HashMap<InstanceId, Vec<u32>> = HashMap::new();
+        for step in steps {
+            match step {
+                Step::Send {
+                    attempt,
+                    service,
+                    server,
+                    version,
+                } => {
+                    let part = Part {
+                        part: attempt.part,
+                        service,
+                        server,
+                    };
+                    self.send_part(now, id, part, version, initial);
+                }
+                Step::Cancel { attempt } => {
+                    if let Some(owner) = self.end_attempt(now, attempt, Reply::Cancelled) {
+                        cancels.entry(owner).or_default().push(attempt.part);
+                    }
+                }
+                Step::Wait { until } => self.timers.add(until, Due::Search(id)),
+                Step::Finish(answer) => self.finish_search(now, id, answer),
+            }
+        }
+        for (owner, parts) in cancels {
+            let cancel = Frame::Cancel(Cancel {
+                id: id.get(),
+                parts,
+            });
+            self.searches.frames.push((owner, cancel));
+        }
+    }
+
+    fn send_part(
+        &mut self,
+        now: Timestamp,
+        id: QueryId,
+        part: Part,
+        version: Version,
+        initial: bool,
+    ) {
+        let owner = self.owner(&part.server);
+        let Some(running) = self.searches.running.get_mut(&id) else {
+            return;
+        };
+        let kind = if initial {
+            SentKind::First
+        } else {
+            sent_kind(&running.sent, &part.service)
+        };
+        self.routing.replicas.sent(now, &part.server);
+        self.routing.hedging.sent(1);
+        self.cx.metrics.sent(&running.checked.caller.group, kind);
+        running.sent.push(Sent {
+            service: part.service.clone(),
+            owner: owner.clone(),
+            server: part.server.clone(),
+            version,
+            at: now,
+            open: true,
+        });
+        let frames = &mut self.searches.frames;
+        let same = frames.iter_mut().rev().find_map(|(to, frame)| match frame {
+            Frame::Search(search)
+                if *to == owner
+                    && search.id == id.get()
+                    && search.version == version
+                    && search.parts.len() < MAX_PARTS =>
+            {
+                Some(search)
+            }
+            _ => None,
+        });
+        match same {
+            Some(search) => search.parts.push(part),
+            None => {
+                let mut frame = running.frame(now, id, version);
+                frame.parts.push(part);
+                frames.push((owner, Frame::Search(frame)));
+            }
+        }
+    }
+
+    /// Marks a sub-request as ended and returns its owner, unless it had ended.
+    fn end_attempt(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        reply: Reply,
+    ) -> Option<InstanceId> {
+        let running = self.searches.running.get_mut(&attempt.search)?;
+        let sent = running.sent.get_mut(attempt.part as usize)?;
+        if !std::mem::replace(&mut sent.open, false) {
+            return None;
+        }
+        let latency = now.since(sent.at);
+        self.routing
+            .replicas
+            .ended(now, &sent.server, latency, reply);
+        if reply == Reply::Done {
+            self.routing
+                .hedging
+                .observed(&running.checked.caller.group, latency);
+        }
+        Some(sent.owner.clone())
+    }
+
+    pub(super) fn on_parts(&mut self, from: &InstanceId, parts: Parts) {
+        let id = QueryId(parts.id);
+        for item in parts.items {
+            self.on_part(from, id, item);
+        }
+    }
+
+    fn on_part(&mut self, from: &InstanceId, id: QueryId, item: PartItem) {
+        let now = self.cx.clock.now();
+        if let Some(hint) = &item.hint {
+            self.routing
+                .replicas
+                .hinted(now, &hint.server, chooser::hint(hint));
+        }
+        let attempt = AttemptId {
+            search: id,
+            part: item.part,
+        };
+        // A part of this search that was sent to another owner is not this peer's to answer.
+        let Some(running) = self.searches.running.get(&id) else {
+            return;
+        };
+        let sent = running.sent.get(item.part as usize);
+        let Some(sent) = sent.filter(|sent| sent.owner == *from && sent.open) else {
+            return;
+        };
+        let (server, version) = (sent.server.clone(), sent.version);
+        match item.outcome {
+            PartOutcome::Answer {
+                version,
+                count,
+                hits,
+            } => {
+                self.end_attempt(now, attempt, Reply::Done);
+                let answer = ShardAnswer {
+                    version,
+                    count,
+                    hits,
+                };
+                self.drive(id, |search, now, chooser| {
+                    search.on_answer(now, chooser, attempt, answer)
+                });
+            }
+            PartOutcome::Failed {
+                reason, versions, ..
+            } => {
+                self.note_failure(now, &server, version, reason);
+                self.end_attempt(now, attempt, failure_reply(reason));
+                self.drive(id, |search, now, chooser| {
+                    search.on_failure(now, chooser, attempt, Failure::from(reason), &versions)
+                });
+            }
+        }
+    }
+
+    fn note_failure(
+        &mut self,
+        now: Timestamp,
+        server: &ServerId,
+        version: Version,
+        reason: PartFailure,
+    ) {
+        let replicas = &mut self.routing.replicas;
+        match reason {
+            PartFailure::VersionUnavailable => replicas.lacks_version(now, server, version),
+            PartFailure::Draining => replicas.leaving(now, server),
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_search_not_sent(&mut self, frame: &SearchFrame) {
+        let id = QueryId(frame.id);
+        let lost: Vec<_> = frame
+            .parts
+            .iter()
+            .map(|p| AttemptId {
+                search: id,
+                part: p.part,
+            })
+            .collect();
+        self.attempts_lost(id, lost);
+    }
+
+    pub(super) fn search_owner_lost(&mut self, owner: &InstanceId) {
+        let affected: Vec<QueryId> = self.searches.running.keys().copied().collect();
+        for id in affected {
+            let Some(running) = self.searches.running.get(&id) else {
+                continue;
+            };
+            let open = |(_, sent): &(usize, &Sent)| sent.open && sent.owner == *owner;
+            let lost: Vec<_> = running
+                .sent
+                .iter()
+                .enumerate()
+                .filter(open)
+                .map(|(part, _)| AttemptId {
+                    search: id,
+                    part: part as u32,
+                })
+                .collect();
+            if !lost.is_empty() {
+                self.attempts_lost(id, lost);
+            }
+        }
+    }
+
+    fn attempts_lost(&mut self, id: QueryId, lost: Vec<AttemptId>) {
+        let now = self.cx.clock.now();
+        for attempt in &lost {
+            // The owner is at fault, not the server.
+            self.end_attempt(now, *attempt, Reply::Cancelled);
+        }
+        self.drive(id, |search, now, chooser| {
+            search.on_owner_lost(now, chooser, lost)
+        });
+    }
+
+    pub(super) fn on_search_timer(&mut self, id: QueryId) {
+        let Some(running) = self.searches.running.get(&id) else {
+            return;
+        };
+        if running.reply.is_canceled() {
+            // The caller has gone away.
+            return self.abandon_search(id);
+        }
+        self.drive(id, |search, now, chooser| search.on_tick(now, chooser));
+    }
+
+    fn abandon_search(&mut self, id: QueryId) {
+        let now = self.cx.clock.now();
+        let Some(running) = self.searches.running.get(&id) else {
+            return;
+        };
+        let parts = 0..u32::try_from(running.sent.len()).unwrap_or(u32::MAX);
+        let mut cancels: HashMap<InstanceId, Vec<u32>> = HashMap::new();
+        for part in parts {
+            let attempt = AttemptId { search: id, part };
+            if let Some(owner) = self.end_attempt(now, attempt, Reply::Cancelled) {
+                cancels.entry(owner).or_default().push(part);
+            }
+        }
+        for (owner, parts) in cancels {
+            let cancel = Frame::Cancel(Cancel {
+                id: id.get(),
+                parts,
+            });
+            self.searches.frames.push((owner, cancel));
+        }
+        if let Some(running) = self.searches.running.remove(&id) {
+            self.release(now, &running, false);
+        }
+    }
+
+    fn finish_search(&mut self, now: Timestamp, id: QueryId, answer: Answer) {
+        let Some(running) = self.searches.running.remove(&id) else {
+            return;
+        };
+        self.release(now, &running, now <= running.deadline);
+        let elapsed = now.since(running.started);
+        let caller = &running.checked.caller;
+        let labels = (&caller.tenant, &caller.class, &caller.group);
+        self.cx
+            .metrics
+            .searched(labels, elapsed.as_secs_f64(), &answer);
+        let _ = running.reply.send(Ok(SearchAnswer { answer, elapsed }));
+    }
+
+    fn release(&mut self, now: Timestamp, running: &Running, in_time: bool) {
+        let used = Used {
+            latency: now.since(running.started),
+            budget: running.deadline.since(running.started),
+            in_time,
+        };
+        let tenant = &running.checked.caller.tenant;
+        let priority = rank(running.checked.priority);
+        self.routing.admission.finished(now, tenant, priority, used);
+    }
+}
+
+fn failure_reply(reason: PartFailure) -> Reply {
+    match reason {
+        PartFailure::Failed | PartFailure::WrongVersion => Reply::Failed,
+        PartFailure::Overloaded => Reply::Refused,
+        PartFailure::Timeout | PartFailure::Unreachable => Reply::Lost,
+        PartFailure::Cancelled => Reply::Cancelled,
+        PartFailure::VersionUnavailable | PartFailure::Draining | PartFailure::NotOwner => {
+            Reply::NotRun
+        }
+    }
+}
--- a/crates/jasminepond-daemon/src/lib.rs
+++ b/crates/jasminepond-daemon/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod clock;
 pub mod control;
+pub mod entry;
+pub mod metrics;
 pub mod net;
 pub mod owner;
 pub mod peers;
--- /dev/null
+++ b/crates/jasminepond-daemon/src/metrics.rs
@@ -0,0 +1,314 @@
+//! Metrics in the Prometheus text format.
+//!
+//! Label values come from the configuration or from closed lists, never from a
+//! request, so that a caller cannot create time series.
+
+use std::sync::atomic::{AtomicI64, AtomicU64};
+
+use jasminepond_query::{Answer, ExecuteOutcome};
+use jasminepond_types::{ClassId, ErrorKind, GroupId, TenantId};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram, info::Info},
+    registry::{Registry, Unit},
+};
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    tenant: String,
+    class: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MissingLabels {
+    group: String,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SentLabels {
+    group: String,
+    kind: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabel {
+    state: &'static str,
+}
+
+/// Why a sub-request was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentKind {
+    /// The first for its shard.
+    First,
+    /// A second copy of a slow one.
+    Hedge,
+    /// Again after a failure.
+    Retry,
+}
+
+impl SentKind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+        }
+    }
+}
+
+/// Upper bounds of the latency histograms in seconds, dense around the 250 ms
+/// within which 99 of 100 answers are due.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.5,
+];
+
+type Requests = Family<RequestLabels, Counter>;
+type Latencies = Family<RequestLabels, Histogram, fn() -> Histogram>;
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
+
+/// All metrics of a daemon.
+pub struct Metrics {
+    registry: Registry,
+    searches: Requests,
+    search_seconds: Latencies,
+    incomplete: Requests,
+    executes: Family<KindLabel, Counter>,
+    execute_seconds: Latencies,
+    refusals: Family<KindLabel, Counter>,
+    missing: Family<MissingLabels, Counter>,
+    sent: Family<SentLabels, Counter>,
+    members: Family<StateLabel, Gauge>,
+    revision: Gauge<i64, AtomicI64>,
+    config_age: Gauge<f64, AtomicU64>,
+    config_refused: Counter,
+    in_progress: Gauge,
+    admission_limit: Gauge,
+    pauses: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("jasminepond");
+        let build = Info::new(vec![("version", env!("CARGO_PKG_VERSION"))]);
+        registry.register("build", "Version of the daemon", build);
+        let latency = Latencies::new_with_constructor(latency_histogram);
+        let metrics = Self {
+            searches: Requests::default(),
+            search_seconds: latency.clone(),
+            incomplete: Requests::default(),
+            executes: Family::default(),
+            execute_seconds: Latencies::new_with_constructor(latency_histogram),
+            refusals: Family::default(),
+            missing: Family::default(),
+            sent: Family::default(),
+            members: Family::default(),
+            revision: Gauge::default(),
+            config_age: Gauge::default(),
+            config_refused: Counter::default(),
+            in_progress: Gauge::default(),
+            admission_limit: Gauge::default(),
+            pauses: Counter::default(),
+            registry: Registry::default(),
+        };
+        metrics.register(&mut registry);
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+}
+
+impl Metrics {
+    fn register(&self, r: &mut Registry) {
+        r.register("searches", "Searches answered", self.searches.clone());
+        r.register_with_unit(
+            "search_latency",
+            "Time from the arrival of a search to its answer",
+            Unit::Seconds,
+            self.search_seconds.clone(),
+        );
+        r.register(
+            "searches_incomplete",
+            "Searches answered without all shards",
+            self.incomplete.clone(),
+        );
+        r.register(
+            "executes",
+            "Non-idempotent requests by outcome",
+            self.executes.clone(),
+        );
+        r.register_with_unit(
+            "execute_latency",
+            "Time from the arrival of a non-idempotent request to its answer",
+            Unit::Seconds,
+            self.execute_seconds.clone(),
+        );
+        r.register(
+            "refusals",
+            "Requests refused by kind",
+            self.refusals.clone(),
+        );
+        r.register(
+            "missing_shards",
+            "Shards missing from answers by reason",
+            self.missing.clone(),
+        );
+        r.register(
+            "sub_requests",
+            "Sub-requests sent by kind",
+            self.sent.clone(),
+        );
+        r.register("members", "Known daemons by state", self.members.clone());
+        r.register(
+            "config_revision",
+            "Configuration revision in effect",
+            self.revision.clone(),
+        );
+        r.register_with_unit(
+            "config_confirmed_age",
+            "Time since a reader confirmed that the configuration is current",
+            Unit::Seconds,
+            self.config_age.clone(),
+        );
+        r.register(
+            "config_refused",
+            "Configuration revisions refused",
+            self.config_refused.clone(),
+        );
+        r.register(
+            "queries_in_progress",
+            "Queries admitted and not answered",
+            self.in_progress.clone(),
+        );
+        r.register(
+            "admission_limit",
+            "Queries that admission lets run at the same time",
+            self.admission_limit.clone(),
+        );
+        r.register(
+            "process_pauses",
+            "Pauses of the process that were noticed",
+            self.pauses.clone(),
+        );
+    }
+
+    /// The text for a scrape.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string fails only if a metric's own encoding does.
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(err) => format!("# encoding failed: {err}\n"),
+        }
+    }
+
+    /// A search was answered.
+    pub fn searched(
+        &self,
+        (tenant, class, group): (&TenantId, &ClassId, &GroupId),
+        seconds: f64,
+        answer: &Answer,
+    ) {
+        let labels = RequestLabels {
+            tenant: tenant.to_string(),
+            class: class.to_string(),
+        };
+        self.searches.get_or_create(&labels).inc();
+        self.search_seconds.get_or_create(&labels).observe(seconds);
+        if answer.coverage.missing.is_empty() {
+            return;
+        }
+        self.incomplete.get_or_create(&labels).inc();
+        for (_, reason) in &answer.coverage.missing {
+            let labels = MissingLabels {
+                group: group.to_string(),
+                reason: reason.as_str(),
+            };
+            self.missing.get_or_create(&labels).inc();
+        }
+    }
+
+    /// A non-idempotent request ended.
+    pub fn executed(
+        &self,
+        tenant: &TenantId,
+        class: &ClassId,
+        seconds: f64,
+        outcome: &ExecuteOutcome,
+    ) {
+        let kind = match outcome {
+            ExecuteOutcome::Done { .. } => "done",
+            ExecuteOutcome::NotRun { .. } => "not_run",
+            ExecuteOutcome::Unknown { .. } => "unknown",
+        };
+        self.executes.get_or_create(&KindLabel { kind }).inc();
+        let labels = RequestLabels {
+            tenant: tenant.to_string(),
+            class: class.to_string(),
+        };
+        self.execute_seconds.get_or_create(&labels).observe(seconds);
+    }
+
+    /// A request was refused.
+    pub fn refused(&self, kind: ErrorKind) {
+        self.refusals
+            .get_or_create(&KindLabel {
+                kind: kind.as_str(),
+            })
+            .inc();
+    }
+
+    /// A sub-request was sent.
+    pub fn sent(&self, group: &GroupId, kind: SentKind) {
+        let labels = SentLabels {
+            group: group.to_string(),
+            kind: kind.as_str(),
+        };
+        self.sent.get_or_create(&labels).inc();
+    }
+
+    /// The members as counted by state.
+    pub fn set_members(&self, counts: impl IntoIterator<Item = (&'static str, usize)>) {
+        for (state, count) in counts {
+            self.members
+                .get_or_create(&StateLabel { state })
+                .set(count as i64);
+        }
+    }
+
+    /// A configuration came into effect.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// Seconds since a reader confirmed the configuration.
+    pub fn set_config_age(&self, seconds: f64) {
+        self.config_age.set(seconds);
+    }
+
+    /// A configuration was refused.
+    pub fn config_refused(&self) {
+        self.config_refused.inc();
+    }
+
+    /// State of admission.
+    pub fn set_admission(&self, in_progress: u32, limit: u32) {
+        self.in_progress.set(i64::from(in_progress));
+        self.admission_limit.set(i64::from(limit));
+    }
+
+    /// The process resumed from a pause.
+    pub fn paused(&self) {
+        self.pauses.inc();
+    }
+}
