feat(config): example folders, manual and tests

Ruled out: a hand-kept list of keys in the manual's test; the rows are made from the table of keys that the code reads with, so a changed range or default fails the test.

Two servers with one address are now found even if one of them has another mistake, and a version in an unusual form is one mistake instead of two.

--- a/crates/jasminepond-config/src/read.rs
+++ b/crates/jasminepond-config/src/read.rs
@@ -95,7 +95,7 @@
     root: &Section<'_>,
     name: &str,
     spec: SectionSpec,
-    read: impl Fn(&mut Report, &Section<'_>) -> Option<V>,
+    mut read: impl FnMut(&mut Report, &Section<'_>) -> Option<V>,
 ) -> BTreeMap<K, V> {
     let mut entries = BTreeMap::new();
     let Some(value) = root.value(report, name) else {
--- a/crates/jasminepond-config/src/read_groups.rs
+++ b/crates/jasminepond-config/src/read_groups.rs
@@ -1,6 +1,6 @@
 //! Reads groups and their snapshots.
 
-use std::collections::{BTreeMap, BTreeSet, btree_map::Entry};
+use std::collections::{BTreeMap, BTreeSet};
 
 use jasminepond_types::{ClassId, GroupId, ServerId, ServiceId, TenantId, Version};
 use serde_json::Value;
@@ -115,27 +115,32 @@
         return Vec::new();
     };
     let mut snapshots = BTreeMap::new();
-    for (version, value, path) in items::<Version>(report, value, &s.path_of("snapshots")) {
-        if !path.ends_with(&format!("/{version}")) {
-            report.add(
-                &*path,
-                format!("the version is to be written as \"{version}\""),
-            );
+    let path = s.path_of("snapshots");
+    for (version, value, own_path) in items::<Version>(report, value, &path) {
+        if own_path != join(&path, &version.to_string()) {
+            report.add(own_path, unusual(version, s));
+            continue;
         }
-        let Some(section) = Section::open(report, schema::SNAPSHOT, value, path.clone()) else {
+        let Some(section) = Section::open(report, schema::SNAPSHOT, value, own_path) else {
             continue;
         };
         let services = services(report, &section, names);
-        match snapshots.entry(version) {
-            Entry::Vacant(entry) => {
-                entry.insert(Snapshot { version, services });
-            }
-            Entry::Occupied(_) => report.add(path, format!("version {version} is listed twice")),
-        }
+        snapshots.insert(version, Snapshot { version, services });
     }
     snapshots.into_values().rev().collect()
 }
 
+/// What is wrong with a version that is not written in its one form. Only so
+/// can two different keys of an object be the same version.
+fn unusual(version: Version, group: &Section<'_>) -> String {
+    let usual = version.to_string();
+    let snapshots = group.raw("snapshots").and_then(Value::as_object);
+    if snapshots.is_some_and(|map| map.contains_key(&usual)) {
+        return format!("version {version} is listed twice");
+    }
+    format!("the version is to be written as \"{usual}\"")
+}
+
 fn services(
     report: &mut Report,
     s: &Section<'_>,
--- a/crates/jasminepond-config/src/read_servers.rs
+++ b/crates/jasminepond-config/src/read_servers.rs
@@ -43,12 +43,17 @@
             Some(shape(r, s))
         });
     }
-    let read = |report: &mut Report, s: &Section<'_>| server(report, s, names, &shapes);
-    let servers = entries(report, root, "servers", schema::SERVER, read);
-    unique_addresses(report, &servers);
-    servers
+    let mut used = Addresses::new();
+    entries(report, root, "servers", schema::SERVER, |report, s| {
+        let address = address(report, s, &mut used);
+        server(report, s, names, &shapes, address)
+    })
 }
 
+/// The path of the server's address, by address. Two servers with one address
+/// would each be given the whole of its slots.
+type Addresses = HashMap<SocketAddr, String>;
+
 fn shape(report: &mut Report, s: &Section<'_>) -> Shape {
     let mut number = |name| s.raw(name).map(|_| s.number(report, name));
     Shape {
@@ -63,6 +68,7 @@
     s: &Section<'_>,
     names: &Names<'_>,
     shapes: &BTreeMap<String, Shape>,
+    address: Option<SocketAddr>,
 ) -> Option<Server> {
     let shape = shape_of(report, s, names, shapes);
     let own = self::shape(report, s);
@@ -87,7 +93,6 @@
             &s.path_of("zone"),
         );
     }
-    let address = address(report, s);
     Some(Server {
         address: address?,
         zone: zone?,
@@ -115,25 +120,15 @@
     shapes.get(&name).copied().unwrap_or(Shape::UNDEFINED)
 }
 
-fn address(report: &mut Report, s: &Section<'_>) -> Option<SocketAddr> {
+fn address(report: &mut Report, s: &Section<'_>, used: &mut Addresses) -> Option<SocketAddr> {
     let address: SocketAddr = s.parsed(report, "address")?;
+    let path = s.path_of("address");
     if address.port() == 0 || address.ip().is_unspecified() {
-        report.add(
-            s.path_of("address"),
-            format!("{address} cannot be connected to"),
-        );
+        report.add(path, format!("{address} cannot be connected to"));
         return None;
     }
-    Some(address)
-}
-
-/// Two servers with one address would each be given the whole of its slots.
-fn unique_addresses(report: &mut Report, servers: &BTreeMap<ServerId, Server>) {
-    let mut first = HashMap::new();
-    for (id, server) in servers {
-        if let Some(other) = first.insert(server.address, id) {
-            let reason = format!("server \"{other}\" has the same address {}", server.address);
-            report.add(format!("/servers/{id}/address"), reason);
-        }
+    if let Some(other) = used.insert(address, path.clone()) {
+        report.add(path, format!("{other} is the same address {address}"));
     }
+    Some(address)
 }
--- /dev/null
+++ b/crates/jasminepond-config/tests/config/change.rs
@@ -0,0 +1,85 @@
+use std::collections::BTreeSet;
+
+use jasminepond_config::{Change, Diff};
+use jasminepond_types::Version;
+use test_case::test_case;
+
+use crate::base::config;
+
+fn set<T: std::str::FromStr<Err: std::fmt::Debug> + Ord>(ids: &[&str]) -> BTreeSet<T> {
+    ids.iter().map(|id| id.parse().unwrap()).collect()
+}
+
+fn diff<T: std::str::FromStr<Err: std::fmt::Debug> + Ord>(
+    added: &[&str],
+    removed: &[&str],
+    changed: &[&str],
+) -> Diff<T> {
+    Diff {
+        added: set(added),
+        removed: set(removed),
+        changed: set(changed),
+    }
+}
+
+/// Each row is a patch and everything that it changes in the base folder.
+/// Guards against disturbing connections and queues that did not change.
+#[test_case(
+    r#"{"servers": {"s4": {"shape": "small", "zone": "za", "address": "127.0.0.1:9004"}}}"#,
+    Change { servers: diff(&["s4"], &[], &[]), ..Change::default() };
+    "server added"
+)]
+#[test_case(
+    r#"{"servers": {"s1": {"address": "127.0.0.1:9009"}, "s2": {"slots": 4}}}"#,
+    Change {
+        servers: diff(&[], &[], &["s1", "s2"]), readdressed: set(&["s1"]), ..Change::default()
+    };
+    "address of one server and slots of another"
+)]
+#[test_case(
+    r#"{"servers": {"s3": null}, "groups": {"run": null}}"#,
+    Change {
+        servers: diff(&[], &["s3"], &[]), groups: diff(&[], &["run"], &[]), ..Change::default()
+    };
+    "server and its group removed"
+)]
+#[test_case(
+    r#"{"tenants": {"tb": {}}, "classes": {"ca": {"priority": 1}}, "zones": {"zc": {"region": "r"}}}"#,
+    Change {
+        tenants: diff(&["tb"], &[], &[]),
+        classes: diff(&[], &[], &["ca"]),
+        zones: diff(&["zc"], &[], &[]),
+        ..Change::default()
+    };
+    "tenant, class and zone"
+)]
+#[test_case(r#"{"routing": {"mode": "direct"}}"#, Change { routing: true, ..Change::default() }; "routing")]
+#[test_case(r#"{"limits": {"max_hits": 1}}"#, Change { limits: true, ..Change::default() }; "limits")]
+#[test_case(r#"{"drain": {"announce_ms": 0}}"#, Change { drain: true, ..Change::default() }; "drain")]
+#[test_case(
+    r#"{"routing": {"mode": "owner"}, "shapes": {"unused": {"slots": 9}}}"#, Change::default();
+    "default written out and unused shape"
+)]
+fn change(patch: &str, expected: Change) {
+    let change = Change::between(&config("{}"), &config(patch));
+    assert_eq!(change.is_empty(), expected == Change::default());
+    assert_eq!(change, expected);
+}
+
+#[test]
+fn snapshots_are_compared_by_group_and_version() {
+    let old = config("{}");
+    let new = config(
+        r#"{"groups": {"find": {"snapshots": {
+            "41": {"services": {"f1": ["s2", "s1"]}},
+            "42": {"services": {"f1": ["s1"]}}
+        }}}}"#,
+    );
+    let key = |version| ("find".parse().unwrap(), Version(version));
+    let change = Change::between(&old, &new);
+    assert_eq!(change.groups, diff(&[], &[], &["find"]));
+    assert_eq!(change.snapshots.added, BTreeSet::from([key(42)]));
+    assert_eq!(change.snapshots.changed, BTreeSet::from([key(41)]));
+    let back = Change::between(&new, &old);
+    assert_eq!(back.snapshots.removed, BTreeSet::from([key(42)]));
+}
--- /dev/null
+++ b/crates/jasminepond-config/tests/config/folder.rs
@@ -0,0 +1,76 @@
+use std::path::PathBuf;
+
+use jasminepond_config::{Format, Options, check, load_folder};
+use serde_json::Value;
+
+fn fixture(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/fixtures")
+        .join(name)
+}
+
+fn checked(name: &str, format: Format) -> jasminepond_config::Outcome {
+    check(&Options {
+        folder: fixture(name),
+        format,
+    })
+}
+
+#[test]
+fn hidden_files_are_left_out() {
+    let files = load_folder(&fixture("broken")).unwrap();
+    let names: Vec<_> = files.keys().collect();
+    assert_eq!(
+        names,
+        ["10-cut-off.json", "20-not-json.txt", "30-good.json"]
+    );
+}
+
+#[test]
+fn folder_within_the_folder_is_a_mistake() {
+    let mistakes = load_folder(&fixture("")).unwrap_err();
+    let named: Vec<_> = mistakes.iter().map(|m| m.file.as_str()).collect();
+    assert_eq!(named, ["broken", "small"]);
+}
+
+#[test]
+fn mistakes_as_text() {
+    let outcome = checked("broken", Format::Text);
+    assert!(!outcome.is_valid());
+    assert_eq!(
+        outcome.text,
+        "10-cut-off.json:3:0: not JSON: EOF while parsing an object\n\
+         20-not-json.txt: the file name does not end in .json\n"
+    );
+}
+
+#[test]
+fn mistakes_as_json() {
+    let json: Value = serde_json::from_str(&checked("broken", Format::Json).text).unwrap();
+    assert_eq!(json["valid"], false);
+    assert_eq!(json["mistakes"][0]["file"], "10-cut-off.json");
+    assert_eq!(json["mistakes"][0]["position"]["line"], 3);
+    assert_eq!(json["mistakes"][1]["path"], "");
+}
+
+// Operators look here for the file to change.
+#[test]
+fn merged_text_names_the_file_of_each_value() {
+    let outcome = checked("small", Format::Text);
+    assert!(outcome.is_valid(), "{}", outcome.text);
+    let has = |line: &str| assert!(outcome.text.lines().any(|l| l == line), "{}", outcome.text);
+    has("/servers/s1/slots = 4  (90-overrides.json)");
+    has("/servers/s1/zone = \"za\"  (10-all.json)");
+    let last = outcome.text.lines().last().unwrap();
+    let summary = "valid: 1 zones, 1 servers, 1 groups, 1 tenants, 1 classes, digest ";
+    assert!(last.starts_with(summary), "{last}");
+}
+
+#[test]
+fn merged_json_holds_the_digest() {
+    let outcome = checked("small", Format::Json);
+    let json: Value = serde_json::from_str(&outcome.text).unwrap();
+    assert_eq!(json["valid"], true);
+    assert_eq!(json["merged"]["servers"]["s1"]["slots"], 4);
+    assert_eq!(json["digest"], outcome.result.unwrap().digest.to_string());
+}
--- /dev/null
+++ b/crates/jasminepond-config/tests/config/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the configuration: merging, mistakes, acceptance, settings,
+//! examples and the manual.
+
+mod acceptance;
+mod base;
+mod change;
+mod examples;
+mod folder;
+mod manual;
+mod merging;
+mod mistakes;
+mod settings;
--- /dev/null
+++ b/crates/jasminepond-config/tests/config/manual.rs
@@ -0,0 +1,104 @@
+use std::{fs, path::PathBuf};
+
+use jasminepond_config::{
+    CONFIG_SECTIONS, Config, Files, Key, Kind, SETTINGS_SECTIONS, SectionSpec, Settings,
+};
+
+fn page() -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/CONFIGURATION.md");
+    fs::read_to_string(path).unwrap()
+}
+
+/// The row of the page's table that a key must have.
+fn row(key: &Key) -> String {
+    let (kind, default, range) = match key.kind {
+        Kind::Number {
+            unit,
+            min,
+            max,
+            default,
+        } => (
+            format!("number, {unit}"),
+            default.map(|n| n.to_string()),
+            format!("{min} to {max}"),
+        ),
+        Kind::Choice { names, default } => (
+            "choice".to_owned(),
+            default.map(str::to_owned),
+            names.join(", "),
+        ),
+        Kind::Other { what } => (what.to_owned(), None, "-".to_owned()),
+    };
+    let default = match default {
+        Some(default) => default,
+        None if key.required => "required".to_owned(),
+        None => "-".to_owned(),
+    };
+    format!("| `{}` | {kind} | {default} | {range} |", key.name)
+}
+
+fn heading(part: &str, section: &SectionSpec) -> String {
+    match section.path {
+        "" => format!("### {part}: top level"),
+        path => format!("### {part}: `{path}`"),
+    }
+}
+
+/// Guards against a page that does not say what the code accepts: each key must
+/// have its row, with type, unit, default and range, below its section.
+#[test]
+fn every_key_has_its_row() {
+    let page = page();
+    let mut missing = Vec::new();
+    for (part, sections) in [("folder", CONFIG_SECTIONS), ("settings", SETTINGS_SECTIONS)] {
+        for section in sections {
+            let heading = heading(part, section);
+            let text = page
+                .split(&format!("{heading}\n"))
+                .nth(1)
+                .unwrap_or_default();
+            let text = text.split("\n#").next().unwrap_or_default();
+            let rows = section.keys.iter().map(row);
+            let absent = rows.filter(|row| !text.lines().any(|line| line.starts_with(row)));
+            missing.extend(absent.map(|row| format!("{heading}\n{row}")));
+            // A row too many is a key that the code no longer has.
+            let count = text.lines().filter(|line| line.starts_with("| `")).count();
+            assert_eq!(
+                count,
+                section.keys.len(),
+                "rows below {heading}\n{missing:#?}"
+            );
+        }
+    }
+    assert!(missing.is_empty(), "{}", missing.join("\n"));
+}
+
+/// The first JSON block after a heading.
+fn block<'a>(page: &'a str, heading: &str) -> &'a str {
+    let text = page
+        .split(&format!("{heading}\n"))
+        .nth(1)
+        .expect("the page has the heading");
+    let block = text
+        .split("```json\n")
+        .nth(1)
+        .expect("a JSON block follows the heading");
+    block.split("```").next().unwrap_or_default()
+}
+
+// Examples that are refused teach the wrong thing.
+#[test]
+fn examples_of_the_page_are_valid() {
+    let page = page();
+    let folder = block(&page, "## Example of a folder").as_bytes().to_vec();
+    let change = block(&page, "## How files are merged").as_bytes().to_vec();
+    let files = Files::from([
+        ("10-all.json".into(), folder),
+        ("90-change.json".into(), change),
+    ]);
+    let config = Config::from_files(&files).unwrap();
+    assert_eq!(config.groups["shop"].snapshots.len(), 2);
+    assert_eq!(config.servers["shop-01-a"].slots.get(), 3);
+    assert!(!config.tenants.contains_key("office"));
+    Settings::from_json("page", block(&page, "## Example of settings").as_bytes()).unwrap();
+}
