test(dispatch): invariants under arbitrary events, order and fault tables

A request reported as not sent closes its connection, since the server had closed it; a connection that closes is no longer reported for closing; a cancelled request on a connection about to close keeps its slot while the server may work on it. The invariants cover 512 random event sequences per run.

--- a/crates/jasminepond-dispatch/src/connections.rs
+++ b/crates/jasminepond-dispatch/src/connections.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// A cancelled request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Abandoned {
+    pub(crate) conn: ConnId,
+    pub(crate) deadline: Timestamp,
+    /// Whether its connection was about to be closed.
+    pub(crate) closing: bool,
+}
+
 /// All connections that count against the quota, and attempts to open one.
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
@@ -147,20 +156,27 @@
     }
 
     /// Takes the work off its connection, which must drain until `until`.
-    pub(crate) fn abandon(&mut self, work: WorkId, until: Timestamp) -> Option<ConnId> {
+    pub(crate) fn abandon(&mut self, work: WorkId, until: Timestamp) -> Option<Abandoned> {
         for conn in &mut self.list {
-            match conn.state {
-                State::Busy(running) if running.work == work => {
-                    let deadline = running.deadline;
-                    conn.state = State::Abandoned { until, deadline };
-                    return Some(conn.id);
-                }
-                State::Closing(Some(running)) if running.work == work => {
-                    conn.state = State::Closing(None);
-                    return Some(conn.id);
-                }
-                _ => {}
+            let (running, closing) = match conn.state {
+                State::Busy(running) => (running, false),
+                State::Closing(Some(running)) => (running, true),
+                _ => continue,
+            };
+            if running.work != work {
+                continue;
             }
+            let deadline = running.deadline;
+            conn.state = if closing {
+                State::Closing(None)
+            } else {
+                State::Abandoned { until, deadline }
+            };
+            return Some(Abandoned {
+                conn: conn.id,
+                deadline,
+                closing,
+            });
         }
         None
     }
--- a/crates/jasminepond-dispatch/src/server.rs
+++ b/crates/jasminepond-dispatch/src/server.rs
@@ -187,11 +187,11 @@
         };
         entry.now_idle(now);
         self.last_work = Some(now);
-        self.account(now, running, outcome);
+        self.account(now, conn, running, outcome);
         Some(running.work)
     }
 
-    fn account(&mut self, now: Timestamp, running: Running, outcome: Outcome) {
+    fn account(&mut self, now: Timestamp, conn: ConnId, running: Running, outcome: Outcome) {
         match outcome {
             Outcome::Done => {
                 self.responded();
@@ -205,6 +205,11 @@
                 self.failed(now, running);
             }
             Outcome::Cancelled => self.responded(),
+            // The connection turned out to be closed; no response arrived.
+            Outcome::NotRun {
+                reason: NotRun::NotSent,
+                ..
+            } => self.close(conn),
             Outcome::NotRun {
                 reason,
                 retry_after,
@@ -219,9 +224,6 @@
         reason: NotRun,
         retry_after: Option<Millis>,
     ) {
-        if reason == NotRun::NotSent {
-            return;
-        }
         self.responded();
         match reason {
             NotRun::Shed => {
@@ -299,6 +301,7 @@
         let Some(entry) = self.conns.remove(conn) else {
             return Lost::Nothing;
         };
+        self.closing.retain(|id| *id != conn);
         match entry.state {
             State::Busy(running) => {
                 self.lost(now);
@@ -379,9 +382,14 @@
             return Cancelled::Removed;
         }
         let until = now + self.settings.drain_limit;
-        let Some(conn) = self.conns.abandon(work, until) else {
+        let Some(abandoned) = self.conns.abandon(work, until) else {
             return Cancelled::Gone;
         };
+        if abandoned.closing {
+            let deadline = abandoned.deadline;
+            self.hold(now, deadline.min(now + self.service.median()));
+        }
+        let conn = abandoned.conn;
         let via = self.conns.take_idle().map(|idle| {
             idle.state = State::Checking {
                 until: now + self.settings.check_timeout,
--- a/crates/jasminepond-dispatch/src/work.rs
+++ b/crates/jasminepond-dispatch/src/work.rs
@@ -145,7 +145,8 @@
     /// The deadline had passed when the server looked at the request.
     Deadline,
     /// No byte of the request was written, for example because the server had
-    /// closed the idle connection. The work may be enqueued again.
+    /// closed the idle connection. The work may be enqueued again; the
+    /// connection is closed.
     NotSent,
 }
 
--- /dev/null
+++ b/crates/jasminepond-dispatch/tests/faults.rs
@@ -0,0 +1,301 @@
+//! Reaction to faults of the server and its connections.
+
+mod support;
+
+use std::time::Duration;
+
+use jasminepond_dispatch::{
+    Cancelled, ConnId, Enqueue, Health, Lost, Next, NotRun, Outcome, ServerQueue, ServerState,
+    Settings, Work, WorkId,
+};
+use jasminepond_types::{ErrorKind, Millis, Slots, Timestamp};
+use support::{ms, new_conn, run, run_all, warm, work};
+use test_case::test_case;
+
+fn settings(slots: u32) -> Settings {
+    Settings {
+        slots: Slots(slots),
+        connection_quota: slots + 1,
+        ..Default::default()
+    }
+}
+
+fn start(queue: &mut ServerQueue, now: Timestamp, ids: std::ops::Range<u64>) -> Vec<ConnId> {
+    for id in ids {
+        assert_eq!(queue.enqueue(now, work(id)), Enqueue::Queued);
+    }
+    run(queue, now).into_iter().map(|(_, conn)| conn).collect()
+}
+
+fn not_run(reason: NotRun) -> Outcome {
+    let retry_after = Some(Millis(40));
+    Outcome::NotRun {
+        reason,
+        retry_after,
+    }
+}
+
+/// Guards against overloading a server that sheds, and against one burst of
+/// shed answers taking the limit to its floor.
+#[test]
+fn slots_halve_once_per_round_trip() {
+    let mut queue = warm(settings(8));
+    let conns = start(&mut queue, ms(500), 0..8);
+    assert_eq!(conns.len(), 8);
+    for conn in conns {
+        queue.answered(ms(505), conn, not_run(NotRun::Shed));
+    }
+    assert_eq!(queue.hint().slots, 4);
+    let conns = start(&mut queue, ms(506), 10..20);
+    assert_eq!(conns.len(), 4);
+    queue.answered(ms(511), conns[0], not_run(NotRun::Shed));
+    assert_eq!(queue.hint().slots, 2);
+}
+
+/// Guards against a cold server getting full load at once.
+#[test_case(|queue| queue.set_draining(ms(500)) ; "returned from draining")]
+#[test_case(|_| {} ; "new")]
+fn a_server_ramps_up_from_one_slot(leave: fn(&mut ServerQueue)) {
+    let mut queue = ServerQueue::new(ms(0), settings(3), 1);
+    leave(&mut queue);
+    run(&mut queue, ms(500));
+    queue.set_ready(ms(500));
+    let mut used = Vec::new();
+    for round in 0..20 {
+        let now = ms(600 + round * 20);
+        let mut conns = start(&mut queue, now, round * 10..round * 10 + 6);
+        used.push(conns.len());
+        while !conns.is_empty() {
+            for conn in conns {
+                queue.answered(now + Duration::from_millis(5), conn, Outcome::Done);
+            }
+            conns = start(&mut queue, now, 0..0);
+        }
+    }
+    assert_eq!(used[0], 1);
+    assert!(used.is_sorted(), "{used:?}");
+    assert_eq!(used.last(), Some(&3));
+}
+
+/// Guards against a server that fails fast drawing all the work.
+#[test]
+fn a_fast_failure_holds_its_slot() {
+    let mut queue = warm(settings(1));
+    let conns = start(&mut queue, ms(500), 0..2);
+    queue.answered(ms(501), conns[0], Outcome::Failed);
+    assert_eq!(run(&mut queue, ms(501)), []);
+    let Next::Idle { until: Some(until) } = queue.next(ms(501)) else {
+        panic!("not idle");
+    };
+    assert!((ms(510)..ms(540)).contains(&until), "{until}");
+    assert_eq!(run(&mut queue, until).len(), 1);
+}
+
+/// Guards against a permanently unresponsive connection holding a slot, work
+/// that must not run twice being retried, and other connections of the same
+/// path being trusted.
+#[test_case(true, Lost::Retry { work: WorkId(0) } ; "idempotent is retried")]
+#[test_case(false, Lost::Unknown { work: WorkId(0) } ; "other work is unknown")]
+fn an_unresponsive_connection_is_closed(idempotent: bool, expected: Lost) {
+    let mut queue = warm(settings(2));
+    let deadline = ms(900);
+    let work = Work {
+        idempotent,
+        deadline,
+        ..work(0)
+    };
+    queue.enqueue(ms(500), work);
+    let (_, conn) = run(&mut queue, ms(500))[0];
+    assert!(matches!(queue.next(ms(949)), Next::Idle { .. }));
+    assert_eq!(queue.next(ms(950)), Next::Close { conn });
+    assert_eq!(queue.closed(ms(950), conn), expected);
+    assert!(matches!(queue.next(ms(950)), Next::Check { .. }));
+}
+
+/// Guards against waiting for the deadline on a connection that is dead: the
+/// time left must suffice for another replica.
+#[test]
+fn the_progress_timeout_follows_the_service_times() {
+    let mut queue = warm(settings(1));
+    let mut now = ms(1_000);
+    for id in 0..200 {
+        let conn = start(&mut queue, now, id..id + 1)[0];
+        now = now + Duration::from_millis(10);
+        queue.answered(now, conn, Outcome::Done);
+    }
+    start(&mut queue, now, 1_000..1_001);
+    let Next::Idle { until: Some(until) } = queue.next(now) else {
+        panic!("not idle");
+    };
+    assert!(until.since(now) <= Duration::from_millis(100), "{until}");
+    assert!(matches!(queue.next(until), Next::Close { .. }));
+}
+
+/// Guards against a late response being taken for the answer to another
+/// request, and against abandoned requests exceeding the quota.
+#[test]
+fn an_abandoned_connection_drains_before_reuse() {
+    let mut queue = warm(settings(1));
+    let conn = start(&mut queue, ms(500), 0..1)[0];
+    let Cancelled::SendCancel { conn: on, via } = queue.cancel(ms(501), WorkId(0)) else {
+        panic!("not running");
+    };
+    assert_eq!(on, conn);
+    assert_ne!(via, Some(conn));
+    assert_eq!(
+        start(&mut queue, ms(502), 1..2),
+        [],
+        "the slot is still in use"
+    );
+    assert_eq!(queue.answered(ms(510), conn, Outcome::Done), None);
+    assert_eq!(run(&mut queue, ms(510)).len(), 1);
+    queue.cancel(ms(511), WorkId(1));
+    assert_eq!(queue.next(ms(1_511)), Next::Close { conn });
+}
+
+/// Guards against hammering a server that is down, queued work waiting for it,
+/// and trusting a process that accepts connections but hangs.
+#[test]
+fn a_server_that_is_down_is_probed_once_at_a_time() {
+    let mut queue = ServerQueue::new(ms(0), settings(2), 1);
+    queue.enqueue(ms(1), work(0));
+    let mut now = ms(1);
+    let mut delays = Vec::new();
+    while delays.len() < 8 {
+        match queue.next(now) {
+            Next::Open => queue.connect_failed(now),
+            Next::Expire {
+                work: WorkId(0),
+                kind,
+            } => assert_eq!(kind, ErrorKind::NoBackend),
+            Next::Idle { until: Some(until) } => {
+                delays.push(until.since(now));
+                now = until;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(queue.hint().healthy, Health::Down);
+    assert!(delays[7] > delays[2] * 4, "{delays:?}");
+    assert!(matches!(
+        queue.enqueue(now, work(1)),
+        Enqueue::Refused {
+            kind: ErrorKind::NoBackend,
+            ..
+        }
+    ));
+    assert_eq!(queue.next(now), Next::Open);
+    assert!(
+        matches!(queue.next(now), Next::Idle { .. }),
+        "one probe at a time"
+    );
+    let conn = new_conn();
+    queue.connected(now, conn);
+    assert_eq!(queue.next(now), Next::Check { conn });
+    assert_eq!(queue.hint().healthy, Health::Down);
+    queue.checked(now, conn, ServerState::Ready);
+    assert_eq!(queue.hint().healthy, Health::Ramping);
+    assert_eq!(start(&mut queue, now, 2..5), [conn]);
+}
+
+/// Guards against new work for a leaving server and aborted requests on it.
+#[test_case(|queue, _| queue.set_draining(ms(510)) ; "told by the caller")]
+#[test_case(|queue, conn| {
+    queue.answered(ms(510), conn, not_run(NotRun::Draining));
+} ; "told by the server")]
+fn a_leaving_server_finishes_what_runs(leave: fn(&mut ServerQueue, ConnId)) {
+    let mut queue = warm(settings(2));
+    let conns = start(&mut queue, ms(500), 0..4);
+    leave(&mut queue, conns[0]);
+    let (started, expired) = run_all(&mut queue, ms(510));
+    assert_eq!(started, []);
+    assert!(expired.iter().all(|(_, kind)| *kind == ErrorKind::Draining));
+    assert_eq!(expired.len(), 2);
+    assert!(matches!(
+        queue.enqueue(ms(511), work(9)),
+        Enqueue::Refused {
+            kind: ErrorKind::Draining,
+            ..
+        }
+    ));
+    assert!(queue.answered(ms(520), conns[1], Outcome::Done).is_some());
+    queue.answered(ms(520), conns[0], Outcome::Done);
+    run(&mut queue, ms(520));
+    assert!(queue.is_drained());
+}
+
+/// Guards against a resumed process using stale state: expired work is
+/// dropped, a possible response is awaited for work that must not run twice,
+/// idle connections are checked.
+#[test_case(true, true ; "expired idempotent request is given up")]
+#[test_case(false, false ; "other request may still be answered")]
+fn a_pause_leaves_no_state_unverified(idempotent: bool, closed: bool) {
+    let mut queue = warm(settings(1));
+    let deadline = ms(700);
+    queue.enqueue(
+        ms(500),
+        Work {
+            idempotent,
+            deadline,
+            ..work(0)
+        },
+    );
+    let (_, conn) = run(&mut queue, ms(500))[0];
+    queue.enqueue(
+        ms(500),
+        Work {
+            deadline,
+            ..work(1)
+        },
+    );
+    queue.woke(ms(9_000));
+    let next = queue.next(ms(9_000));
+    assert_eq!(next == Next::Close { conn }, closed);
+    if !closed {
+        assert_eq!(
+            next,
+            Next::Expire {
+                work: WorkId(1),
+                kind: ErrorKind::DeadlineNotRun
+            }
+        );
+        assert!(matches!(queue.next(ms(9_000)), Next::Check { .. }));
+        assert_eq!(
+            queue.answered(ms(9_001), conn, Outcome::Done),
+            Some(WorkId(0))
+        );
+    }
+}
+
+/// Guards against a request meeting a connection that the server has closed
+/// while it was idle, and against idle connections kept forever.
+#[test]
+fn idle_connections_are_checked_and_then_closed() {
+    let mut queue = warm(settings(2));
+    assert!(queue.connections() > 0);
+    let (mut now, mut checks) = (ms(1_000), 0);
+    while queue.connections() > 0 {
+        match queue.next(now) {
+            Next::Check { conn } => {
+                checks += 1;
+                queue.checked(now, conn, ServerState::Ready);
+            }
+            Next::Close { conn } => assert_eq!(queue.closed(now, conn), Lost::Nothing),
+            Next::Idle { until } => now = until.unwrap(),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(checks >= 5, "{checks} checks");
+    assert!((ms(55_000)..ms(75_000)).contains(&now), "{now}");
+}
+
+/// Guards against sending to a server that asked for a pause.
+#[test_case(NotRun::Shed ; "no slot at all")]
+#[test_case(NotRun::Starting ; "still starting")]
+fn a_retry_after_of_the_server_is_respected(reason: NotRun) {
+    let mut queue = warm(settings(1));
+    let conn = start(&mut queue, ms(500), 0..2)[0];
+    queue.answered(ms(501), conn, not_run(reason));
+    assert_eq!(run(&mut queue, ms(540)), []);
+    assert_eq!(run(&mut queue, ms(541)).len(), 1);
+}
--- /dev/null
+++ b/crates/jasminepond-dispatch/tests/invariants.rs
@@ -0,0 +1,350 @@
+//! Invariants of a queue under arbitrary events, against a scripted server.
+
+mod support;
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use jasminepond_dispatch::{
+    Cancelled, ConnId, Enqueue, Lost, Next, NotRun, Outcome, ServerQueue, ServerState, Settings,
+    Work, WorkId,
+};
+use jasminepond_types::{Slots, Timestamp, Weight};
+use proptest::prelude::*;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Enqueue {
+        tenant: u8,
+        priority: u32,
+        left: u64,
+        idempotent: bool,
+    },
+    Connected,
+    ConnectFailed,
+    Answer(usize, Outcome),
+    Progress(usize),
+    Drop(usize),
+    Checked(usize, ServerState),
+    Cancel(u64),
+    Advance(u64),
+    Woke(u64),
+    Drain,
+    Ready,
+    Limits {
+        slots: u32,
+        quota: u32,
+    },
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    let not_run = |reason| Outcome::NotRun {
+        reason,
+        retry_after: None,
+    };
+    prop_oneof![
+        8 => Just(Outcome::Done),
+        2 => Just(Outcome::Failed),
+        1 => Just(Outcome::Cancelled),
+        2 => Just(not_run(NotRun::Shed)),
+        1 => Just(not_run(NotRun::Starting)),
+        1 => Just(not_run(NotRun::NotSent)),
+        1 => Just(not_run(NotRun::Deadline)),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let enqueue = (0..4u8, 0..3u32, 1..400u64, any::<bool>()).prop_map(
+        |(tenant, priority, left, idempotent)| Event::Enqueue {
+            tenant,
+            priority,
+            left,
+            idempotent,
+        },
+    );
+    let state = prop_oneof![
+        4 => Just(ServerState::Ready),
+        1 => Just(ServerState::Starting),
+    ];
+    prop_oneof![
+        12 => enqueue,
+        6 => Just(Event::Connected),
+        2 => Just(Event::ConnectFailed),
+        10 => (0..8usize, outcome()).prop_map(|(n, o)| Event::Answer(n, o)),
+        1 => (0..8usize).prop_map(Event::Progress),
+        2 => (0..8usize).prop_map(Event::Drop),
+        4 => (0..8usize, state).prop_map(|(n, s)| Event::Checked(n, s)),
+        2 => (0..200u64).prop_map(Event::Cancel),
+        10 => (1..60u64).prop_map(Event::Advance),
+        1 => (500..5_000u64).prop_map(Event::Woke),
+        1 => Just(Event::Drain),
+        2 => Just(Event::Ready),
+        1 => (1..5u32, 1..6u32).prop_map(|(slots, quota)| Event::Limits { slots, quota }),
+    ]
+}
+
+/// The caller of a queue, which checks every action.
+struct Caller {
+    queue: ServerQueue,
+    now: Timestamp,
+    slots: u32,
+    quota: usize,
+    ids: u64,
+    conns: Vec<ConnId>,
+    opening: usize,
+    checking: Vec<ConnId>,
+    running: HashMap<ConnId, WorkId>,
+    /// Cancelled requests whose response has not arrived.
+    abandoned: HashSet<ConnId>,
+    waiting: HashSet<WorkId>,
+    idempotent: HashMap<WorkId, bool>,
+    started: HashMap<WorkId, u32>,
+    wake_at: Option<Timestamp>,
+}
+
+impl Caller {
+    fn new() -> Self {
+        let settings = Settings {
+            slots: Slots(4),
+            connection_quota: 5,
+            queue_limit: 16,
+            ..Default::default()
+        };
+        Self {
+            queue: ServerQueue::new(Timestamp::ZERO, settings, 3),
+            now: Timestamp::ZERO,
+            slots: 4,
+            quota: 5,
+            ids: 0,
+            conns: Vec::new(),
+            opening: 0,
+            checking: Vec::new(),
+            running: HashMap::new(),
+            abandoned: HashSet::new(),
+            waiting: HashSet::new(),
+            idempotent: HashMap::new(),
+            started: HashMap::new(),
+            wake_at: None,
+        }
+    }
+
+    fn ended(&mut self, work: WorkId) {
+        let queued = self.waiting.remove(&work);
+        let conn = self.running.iter().find(|(_, w)| **w == work);
+        let conn = conn.map(|(conn, _)| *conn);
+        if let Some(conn) = conn {
+            self.running.remove(&conn);
+        }
+        assert!(queued || conn.is_some(), "{work} ended twice");
+    }
+
+    fn gone(&mut self, conn: ConnId) {
+        self.conns.retain(|c| *c != conn);
+        self.checking.retain(|c| *c != conn);
+        self.abandoned.remove(&conn);
+        match self.queue.closed(self.now, conn) {
+            Lost::Nothing => assert!(!self.running.contains_key(&conn), "work was lost silently"),
+            Lost::Retry { work } => {
+                assert!(self.idempotent[&work], "{work} must not be sent again");
+                assert_eq!(self.running.get(&conn), Some(&work));
+                self.ended(work);
+            }
+            Lost::Unknown { work } => {
+                assert!(!self.idempotent[&work]);
+                assert_eq!(self.running.get(&conn), Some(&work));
+                self.ended(work);
+            }
+        }
+    }
+
+    fn act(&mut self) {
+        for step in 0.. {
+            assert!(step < 1_000, "next() never becomes idle");
+            match self.queue.next(self.now) {
+                Next::Start { work, conn } => self.start(work, conn),
+                Next::Open => {
+                    self.opening += 1;
+                    let total = self.opening + self.conns.len();
+                    assert!(total <= self.quota, "more connections than the quota");
+                }
+                Next::Close { conn } => {
+                    assert!(self.conns.contains(&conn), "unknown connection");
+                    self.gone(conn);
+                }
+                Next::Check { conn } => {
+                    assert!(!self.running.contains_key(&conn));
+                    assert!(!self.abandoned.contains(&conn));
+                    self.checking.push(conn);
+                }
+                Next::Expire { work, .. } => {
+                    assert!(self.waiting.contains(&work), "{work} was not queued");
+                    self.ended(work);
+                }
+                Next::Idle { until } => {
+                    assert!(until.is_none_or(|at| at > self.now), "idle until the past");
+                    self.wake_at = until;
+                    break;
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, work: WorkId, conn: ConnId) {
+        assert!(self.waiting.remove(&work), "{work} was not queued");
+        assert!(self.conns.contains(&conn), "unknown connection");
+        assert!(!self.abandoned.contains(&conn), "connection not drained");
+        assert!(!self.checking.contains(&conn), "connection being checked");
+        assert!(self.running.insert(conn, work).is_none(), "connection busy");
+        let in_use = (self.running.len() + self.abandoned.len()) as u32;
+        assert!(in_use <= self.slots, "more running than slots");
+        *self.started.entry(work).or_default() += 1;
+        assert!(self.started[&work] == 1, "{work} was handed out twice");
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Enqueue {
+                tenant,
+                priority,
+                left,
+                idempotent,
+            } => self.enqueue(tenant, priority, left, idempotent),
+            Event::Connected if self.opening > 0 => {
+                self.opening -= 1;
+                let conn = support::new_conn();
+                self.conns.push(conn);
+                self.queue.connected(now, conn);
+            }
+            Event::ConnectFailed if self.opening > 0 => {
+                self.opening -= 1;
+                self.queue.connect_failed(now);
+            }
+            Event::Answer(nth, outcome) => self.answer(nth, outcome),
+            Event::Progress(nth) => {
+                if let Some(&conn) = self.conns.get(nth) {
+                    self.queue.progressed(now, conn);
+                }
+            }
+            Event::Drop(nth) => {
+                if let Some(&conn) = self.conns.get(nth) {
+                    self.gone(conn);
+                }
+            }
+            Event::Checked(nth, state) if nth < self.checking.len() => {
+                let conn = self.checking.swap_remove(nth);
+                self.queue.checked(now, conn, state);
+            }
+            Event::Cancel(id) => self.cancel(WorkId(id)),
+            Event::Advance(millis) => self.now = now + Duration::from_millis(millis),
+            Event::Woke(millis) => {
+                self.now = now + Duration::from_millis(millis);
+                self.queue.woke(self.now);
+            }
+            Event::Drain => self.queue.set_draining(now),
+            Event::Ready => self.queue.set_ready(now),
+            Event::Limits { slots, quota } => self.limits(slots, quota),
+            _ => {}
+        }
+        self.act();
+    }
+
+    fn enqueue(&mut self, tenant: u8, priority: u32, left: u64, idempotent: bool) {
+        self.ids += 1;
+        let id = WorkId(self.ids);
+        let work = Work {
+            id,
+            tenant: format!("t{tenant}").parse().unwrap(),
+            weight: Weight(u32::from(tenant)),
+            priority,
+            deadline: self.now + Duration::from_millis(left),
+            idempotent,
+        };
+        self.idempotent.insert(id, idempotent);
+        match self.queue.enqueue(self.now, work) {
+            Enqueue::Queued => {
+                self.waiting.insert(id);
+            }
+            Enqueue::Refused { retry_after, .. } => assert!(retry_after.0 > 0),
+        }
+    }
+
+    fn answer(&mut self, nth: usize, outcome: Outcome) {
+        let Some(&conn) = self.conns.get(nth) else {
+            return;
+        };
+        let answered = self.queue.answered(self.now, conn, outcome);
+        self.abandoned.remove(&conn);
+        assert_eq!(answered, self.running.get(&conn).copied());
+        if let Some(work) = answered {
+            self.ended(work);
+        }
+    }
+
+    fn cancel(&mut self, work: WorkId) {
+        let running = self.running.values().any(|w| *w == work);
+        match self.queue.cancel(self.now, work) {
+            Cancelled::Removed => {
+                assert!(self.waiting.contains(&work));
+                self.ended(work);
+            }
+            Cancelled::SendCancel { conn, via } => {
+                assert_eq!(self.running.get(&conn), Some(&work));
+                self.ended(work);
+                self.abandoned.insert(conn);
+                self.checking.extend(via);
+            }
+            Cancelled::Gone => assert!(!running && !self.waiting.contains(&work)),
+        }
+    }
+
+    fn limits(&mut self, slots: u32, quota: u32) {
+        // Requests and connections from before the change may exceed it.
+        self.slots = slots.max(self.slots);
+        self.quota = (quota as usize).max(self.quota);
+        let settings = Settings {
+            slots: Slots(slots),
+            connection_quota: quota,
+            queue_limit: 16,
+            ..Default::default()
+        };
+        self.queue.set_limits(self.now, settings);
+    }
+
+    /// Lets time pass without any event but the timers until all work ended.
+    fn settle(&mut self) {
+        for _ in 0..10_000 {
+            self.act();
+            while self.opening > 0 {
+                self.opening -= 1;
+                self.queue.connect_failed(self.now);
+            }
+            self.act();
+            if self.waiting.is_empty() && self.running.is_empty() {
+                return;
+            }
+            self.now = self.wake_at.expect("work waits but no timer is set");
+        }
+        panic!("work never ended");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    /// Guards against lost or doubled work, a request sent over an unusable
+    /// connection, exceeded limits, and a queue that hangs or spins when the
+    /// server stops responding.
+    #[test]
+    fn every_work_ends_once_within_the_limits(
+        events in proptest::collection::vec(event(), 1..300),
+    ) {
+        let mut caller = Caller::new();
+        for event in events {
+            caller.event(event);
+        }
+        caller.settle();
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-dispatch/tests/support/mod.rs
@@ -0,0 +1,88 @@
+//! Helpers shared by the tests.
+
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use jasminepond_dispatch::{
+    ConnId, Enqueue, Next, Outcome, ServerQueue, ServerState, Settings, Work, WorkId,
+};
+use jasminepond_types::{ErrorKind, Timestamp, Weight};
+
+pub fn ms(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// Idempotent work of tenant `t` with a deadline far away.
+pub fn work(id: u64) -> Work {
+    Work {
+        id: WorkId(id),
+        tenant: "t".parse().unwrap(),
+        weight: Weight(1),
+        priority: 0,
+        deadline: ms(1_000_000),
+        idempotent: true,
+    }
+}
+
+/// A queue with one connection per slot, warmed up to all its slots.
+pub fn warm(settings: Settings) -> ServerQueue {
+    let slots = settings.slots.get();
+    let mut queue = ServerQueue::new(ms(0), settings, 1);
+    let mut id = 1_000_000;
+    let mut now = ms(0);
+    while queue.hint().slots < slots {
+        for _ in 0..slots {
+            id += 1;
+            assert_eq!(queue.enqueue(now, work(id)), Enqueue::Queued);
+        }
+        let started = run(&mut queue, now);
+        now = now + std::time::Duration::from_millis(10);
+        for (_, conn) in started {
+            queue.answered(now, conn, Outcome::Done);
+        }
+        loop {
+            let started = run(&mut queue, now);
+            if started.is_empty() {
+                break;
+            }
+            now = now + std::time::Duration::from_millis(10);
+            for (_, conn) in started {
+                queue.answered(now, conn, Outcome::Done);
+            }
+        }
+    }
+    queue
+}
+
+/// Performs actions until idle and returns the started work. Connections open
+/// at once, checks succeed at once.
+pub fn run(queue: &mut ServerQueue, now: Timestamp) -> Vec<(WorkId, ConnId)> {
+    run_all(queue, now).0
+}
+
+type Started = Vec<(WorkId, ConnId)>;
+type Expired = Vec<(WorkId, ErrorKind)>;
+
+/// Like [`run`], and returns the work that ended unsent.
+pub fn run_all(queue: &mut ServerQueue, now: Timestamp) -> (Started, Expired) {
+    let (mut started, mut expired) = (Vec::new(), Vec::new());
+    for step in 0.. {
+        assert!(step < 10_000, "next() never becomes idle");
+        match queue.next(now) {
+            Next::Start { work, conn } => started.push((work, conn)),
+            Next::Open => queue.connected(now, new_conn()),
+            Next::Close { conn } => {
+                queue.closed(now, conn);
+            }
+            Next::Check { conn } => queue.checked(now, conn, ServerState::Ready),
+            Next::Expire { work, kind } => expired.push((work, kind)),
+            Next::Idle { .. } => break,
+        }
+    }
+    (started, expired)
+}
+
+pub fn new_conn() -> ConnId {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    ConnId(NEXT.fetch_add(1, Ordering::Relaxed))
+}
