feat(sync): add the state machine that spreads the configuration

Cause: few daemons may read the configuration service; the others need the files from peers, and the daemon is written against this interface now.

Ruled out: announcements to any random daemon, which at 3,900 would open a link to almost every other one (most go within the zone, one to a slowly changing set of far peers); ages that pass through several daemons as proof that a reader is there, since each hop makes them younger (heartbeats carry the reader's own sequence).

--- a/crates/jasminepond-sync/src/lib.rs
+++ b/crates/jasminepond-sync/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder replaced by the module's real content.
+//! Spreading the configuration: which daemons read the service, and how the
+//! others get the files from each other.
+//!
+//! [`Sync`] is a state machine. The caller passes the time, the membership
+//! view, responses of the configuration service and messages of peers in, and
+//! gets [`Action`]s back. It uses no sockets, clocks or tasks.
+//!
+//! A few readers per zone watch the service. Whoever has a new revision in
+//! effect announces it to some peers, which pull the files that changed and
+//! announce in turn. Files and the list of files are addressed by digest, so
+//! that each is verified and only changed ones travel. The revision in effect
+//! never falls.
+
+mod digest;
+mod manifest;
+mod message;
+mod peers;
+mod pull;
+mod receive;
+mod roles;
+mod service;
+mod settings;
+mod store;
+mod sync;
+
+pub use digest::{Digest, ParseDigestError};
+pub use manifest::{FileRef, MAX_FILE_BYTES, MAX_FILES};
+pub use message::{MAX_PIECE_BYTES, SyncMessage};
+pub use roles::Role;
+pub use service::ServiceFailure;
+pub use settings::Settings;
+pub use sync::{Action, File, InEffect, Refusal, Source, Sync};
--- /dev/null
+++ b/crates/jasminepond-sync/src/receive.rs
@@ -0,0 +1,401 @@
+//! Responses of the service and messages of peers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use jasminepond_types::{InstanceId, Millis, Revision, Timestamp};
+
+use crate::{
+    Action, Digest, FileRef, MAX_PIECE_BYTES, Role, ServiceFailure, Source, Sync, SyncMessage,
+    manifest::Manifest, pull::Target, service::Phase,
+};
+
+impl Sync {
+    /// The service answered with the list of files of a revision.
+    pub fn service_tree(
+        &mut self,
+        now: Timestamp,
+        revision: Revision,
+        files: Vec<FileRef>,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.pace(now);
+        if revision < self.store.revision() {
+            self.fail(now, ServiceFailure::Stale, &mut out);
+            return out;
+        }
+        self.confirm(now);
+        match Self::manifest(files) {
+            Ok(manifest) => self.take_tree(revision, manifest, &mut out),
+            Err(reason) => self.manifest_error(revision, reason, &mut out),
+        }
+        self.step_service(now, &mut out);
+        self.step_pull(now, &mut out);
+        out
+    }
+
+    fn take_tree(&mut self, revision: Revision, manifest: Manifest, out: &mut Vec<Action>) {
+        let digest = Digest::of(&manifest.encode());
+        if revision == self.store.revision() {
+            self.compare(revision, digest, Source::Service, out);
+            return;
+        }
+        let newer = |other: Option<Revision>| other.is_some_and(|other| other > revision);
+        let target = self.target.as_ref().map(|t| t.revision);
+        let offered = self.offered.as_ref().map(|o| o.complete.revision);
+        let known = newer(target) || newer(offered) || offered == Some(revision);
+        if known || self.is_refused(revision, digest) {
+            return;
+        }
+        self.collect(Target::from_service(revision, digest, manifest));
+    }
+
+    /// The service has nothing newer than the watched revision.
+    pub fn service_unchanged(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.pace(now);
+        self.confirm(now);
+        self.step_service(now, &mut out);
+        out
+    }
+
+    /// The service answered with the content of a file.
+    pub fn service_file(&mut self, now: Timestamp, name: &str, bytes: Bytes) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.pace(now);
+        let target = self.target.as_mut().filter(|t| t.from_service);
+        let asked = target.and_then(|t| t.reading.take_if(|f| *f.name == *name));
+        let Some(file) = asked else {
+            return out;
+        };
+        self.confirm(now);
+        if Digest::of(&bytes) == file.digest {
+            self.service.whole();
+            self.store.pool.insert(file.digest, bytes);
+        } else {
+            self.read_again(now);
+        }
+        self.step_service(now, &mut out);
+        self.step_pull(now, &mut out);
+        out
+    }
+
+    /// A call to the service gave no result.
+    pub fn service_failed(&mut self, now: Timestamp, failure: ServiceFailure) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.pace(now);
+        match failure {
+            ServiceFailure::FileChanged => self.read_again(now),
+            _ => self.fail(now, failure, &mut out),
+        }
+        self.step_pull(now, &mut out);
+        out
+    }
+
+    /// The list and a file are of different revisions: the list is read again.
+    fn read_again(&mut self, now: Timestamp) {
+        self.service.torn(now, &self.settings);
+        self.leave_to_peers();
+    }
+
+    fn fail(&mut self, now: Timestamp, failure: ServiceFailure, out: &mut Vec<Action>) {
+        let wait = self
+            .service
+            .failed(now, failure, &self.settings, &mut self.rng);
+        self.leave_to_peers();
+        if failure == ServiceFailure::Refused {
+            let before = self.roles.role;
+            self.roles.step_back(now, wait);
+            if self.roles.role != before {
+                out.push(Action::RoleChanged(Role::Follower));
+            }
+        }
+    }
+
+    fn confirm(&mut self, now: Timestamp) {
+        self.service.succeeded(now);
+        self.confirmed = Some(now);
+    }
+
+    /// Makes the next call to the service if it is time.
+    pub(crate) fn step_service(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.roles.role == Role::Follower || !self.service.may_read(now) {
+            return;
+        }
+        let target = self.target.as_mut().filter(|t| t.from_service);
+        if let Some(target) = target {
+            let file = target.missing(&self.store).next().cloned();
+            if let Some(file) = file {
+                self.service.phase = Phase::Fetching;
+                out.push(Action::FetchFromService {
+                    name: Arc::clone(&file.name),
+                    digest: file.digest,
+                });
+                target.reading = Some(file);
+            }
+            return;
+        }
+        // A watch at the old revision would return the offered one again.
+        if self.offered.is_none() {
+            self.service.phase = Phase::Watching;
+            let after = self.store.revision().max(self.service.skip);
+            out.push(Action::Watch { after });
+        }
+    }
+
+    /// Takes a message from another daemon.
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        message: SyncMessage,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        match message {
+            SyncMessage::State { revision, digest } => {
+                self.told(now, &from, revision, digest, &mut out);
+            }
+            SyncMessage::Heartbeat {
+                revision, digest, ..
+            } => {
+                self.told(now, &from, revision, digest, &mut out);
+                self.heard(now, message, &mut out);
+            }
+            SyncMessage::Get {
+                revision,
+                digest,
+                offset,
+            } => self.give(now, from, (revision, digest, offset), &mut out),
+            SyncMessage::Piece {
+                digest,
+                offset,
+                total,
+                bytes,
+            } => self.take_piece(now, &from, digest, (offset, total), &bytes, &mut out),
+            SyncMessage::Missing { digest: _ } => {
+                if let Some(target) = &mut self.target {
+                    target.drop_source(&from);
+                }
+                self.step_pull(now, &mut out);
+            }
+            SyncMessage::Busy {
+                digest,
+                retry_after,
+            } => {
+                if let Some(target) = &mut self.target {
+                    target.wait(now, &digest, retry_after.duration());
+                }
+            }
+        }
+        out
+    }
+
+    /// A peer has a revision in effect.
+    fn told(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        revision: Revision,
+        digest: Option<Digest>,
+        out: &mut Vec<Action>,
+    ) {
+        if revision < self.store.revision() {
+            let message = self.state();
+            let to = from.clone();
+            out.push(Action::Send { to, message });
+            return;
+        }
+        let Some(digest) = digest else {
+            return;
+        };
+        if revision == self.store.revision() {
+            self.compare(revision, digest, Source::Peer(from.clone()), out);
+            return;
+        }
+        self.consider(now, from, revision, digest, out);
+    }
+
+    /// Collects a newer revision that a peer has.
+    fn consider(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        revision: Revision,
+        digest: Digest,
+        out: &mut Vec<Action>,
+    ) {
+        let offered = self.offered.as_ref().map(|o| o.complete.revision);
+        if self.is_refused(revision, digest) || offered >= Some(revision) {
+            return;
+        }
+        match &mut self.target {
+            Some(target) if target.revision > revision => return,
+            Some(target) if target.revision == revision && target.digest == digest => {
+                target.add_source(from.clone());
+            }
+            Some(target) if target.revision == revision => {
+                let ours = target.digest;
+                let source = Source::Peer(from.clone());
+                self.conflict((revision, ours, digest), source, out);
+            }
+            _ => {
+                // A call to the service may be on the way for the old target.
+                if self.service.phase == Phase::Fetching {
+                    self.stop_reading(out);
+                }
+                let target = Target::from_peer(revision, digest, from.clone());
+                self.collect(target);
+            }
+        }
+        self.take_held_manifest();
+        self.step_pull(now, out);
+    }
+
+    /// A revision with the content in effect needs no list from a peer.
+    fn take_held_manifest(&mut self) {
+        let Some(target) = &mut self.target else {
+            return;
+        };
+        let current = self.store.current.as_ref();
+        let same = current.filter(|c| c.digest == target.digest);
+        if let (None, Some(current)) = (&target.manifest, same) {
+            target.manifest = Some(current.manifest.clone());
+        }
+    }
+
+    fn compare(
+        &mut self,
+        revision: Revision,
+        theirs: Digest,
+        source: Source,
+        out: &mut Vec<Action>,
+    ) {
+        let ours = self.store.digest();
+        if let Some(ours) = ours.filter(|&ours| ours != theirs) {
+            self.conflict((revision, ours, theirs), source, out);
+        }
+    }
+
+    /// Passes a reader's heartbeat on, once.
+    fn heard(&mut self, now: Timestamp, message: SyncMessage, out: &mut Vec<Action>) {
+        let SyncMessage::Heartbeat {
+            reader,
+            incarnation,
+            sequence,
+            substitute,
+            confirmed,
+            ..
+        } = message
+        else {
+            return;
+        };
+        let version = (incarnation, sequence);
+        let own = reader == self.me.instance;
+        if own || !self.roles.heard(now, reader.clone(), version, substitute) {
+            return;
+        }
+        let at = confirmed.map(|age| now - age.duration());
+        self.confirmed = self.confirmed.max(at);
+        if !self.roles.may_forward(now, &self.settings) {
+            return;
+        }
+        let message = SyncMessage::Heartbeat {
+            reader,
+            incarnation,
+            sequence,
+            substitute,
+            revision: self.store.revision(),
+            digest: self.store.digest(),
+            confirmed,
+        };
+        for to in self.peers.near(&mut self.rng, self.settings.fanout) {
+            let message = message.clone();
+            out.push(Action::Send { to, message });
+        }
+    }
+
+    /// Answers a question for a part of the revision in effect. One for an
+    /// older revision is answered with what is in effect.
+    fn give(
+        &mut self,
+        now: Timestamp,
+        to: InstanceId,
+        (revision, digest, offset): (Revision, Digest, u64),
+        out: &mut Vec<Action>,
+    ) {
+        let current = self.store.current.as_ref();
+        let current = current.filter(|c| c.revision == revision);
+        let blob = current.and_then(|c| c.blobs.get(&digest)).cloned();
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let Some(blob) = blob.filter(|blob| start <= blob.len()) else {
+            if revision < self.store.revision() {
+                let message = self.state();
+                let to = to.clone();
+                out.push(Action::Send { to, message });
+            }
+            let message = SyncMessage::Missing { digest };
+            out.push(Action::Send { to, message });
+            return;
+        };
+        let end = blob.len().min(start + MAX_PIECE_BYTES);
+        let (rate, burst) = (self.settings.send_rate, self.settings.send_burst);
+        let message = match self.share.take(now, end - start, rate, burst) {
+            Ok(()) => SyncMessage::Piece {
+                digest,
+                offset,
+                total: blob.len() as u64,
+                bytes: blob.slice(start..end),
+            },
+            Err(wait) => SyncMessage::Busy {
+                digest,
+                retry_after: Millis::from(wait),
+            },
+        };
+        out.push(Action::Send { to, message });
+    }
+
+    fn take_piece(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        digest: Digest,
+        place: (u64, u64),
+        bytes: &Bytes,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(target) = &mut self.target else {
+            return;
+        };
+        let (whole, next) = target.take_piece(now, from, digest, place, bytes);
+        if let Some(question) = next {
+            self.ask(question, out);
+        }
+        if let Some(whole) = whole {
+            self.take_blob(digest, whole, out);
+        }
+        self.step_pull(now, out);
+    }
+
+    /// A verified list of files or file.
+    fn take_blob(&mut self, digest: Digest, blob: Bytes, out: &mut Vec<Action>) {
+        let Some(target) = &mut self.target else {
+            return;
+        };
+        if target.manifest.is_some() || target.digest != digest {
+            self.store.pool.insert(digest, blob);
+            return;
+        }
+        match Manifest::decode(&blob) {
+            Ok(manifest) => {
+                self.store.keep_only(&manifest);
+                target.manifest = Some(manifest);
+            }
+            Err(err) => {
+                let (revision, reason) = (target.revision, err.to_string());
+                self.target = None;
+                self.remember_refused(revision, Some(digest), reason.clone());
+                out.push(Action::RefusedRevision { revision, reason });
+            }
+        }
+    }
+}
