feat: the daemon's wiring and the jasminepond binary

Cause: the tasks had no process around them. Change: control task (membership and configuration), callers' and operators' HTTP interfaces, ordered shutdown, pause detection by the clock that every task reads before it acts, and a command line for serve, check, search, execute and status.

--- a/crates/jasminepond-daemon/src/control/mod.rs
+++ b/crates/jasminepond-daemon/src/control/mod.rs
@@ -1,4 +1,297 @@
-//! The control tasks: membership of the daemons and spreading of the
-//! configuration.
+//! The control task: membership of the daemons, and the configuration with its
+//! spreading. One task owns both, because spreading reads the membership view
+//! on each tick and a copy of 3,900 members per change would cost more than
+//! both state machines.
 
-pub mod membership;
+mod config;
+mod members;
+mod platform;
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use compio::net::UdpSocket;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{FutureExt, StreamExt, select_biased};
+use jasminepond_config::{Acceptance, Config};
+use jasminepond_membership::{Me, Member, Membership, ReportKind};
+use jasminepond_platform::{Instance, Platform, PlatformError, Tree};
+use jasminepond_sync::{InEffect, Sync};
+use jasminepond_types::{Incarnation, InstanceId, Revision, ServerId, Timestamp};
+use jasminepond_wire::{Frame, KeyRing};
+use serde::Serialize;
+use spdlog::warn;
+
+use crate::{
+    clock::{Clock, PauseCount},
+    metrics::Metrics,
+};
+
+pub use members::{receive, state_name};
+
+/// What the task is told.
+#[derive(Debug)]
+pub enum Event {
+    /// A membership datagram arrived.
+    Datagram(SocketAddr, Vec<u8>),
+    /// A peer sent a message about the configuration.
+    Sync {
+        /// The peer.
+        from: InstanceId,
+        /// The encoded message.
+        payload: bytes::Bytes,
+    },
+    /// This daemon observed something of a backend server.
+    Server(ServerId, ReportKind),
+    /// The configuration service answered a watch.
+    Watched(u64, Result<Option<Tree>, PlatformError>),
+    /// The configuration service answered a read of a file.
+    File(Arc<str>, Result<Vec<u8>, PlatformError>),
+    /// The instance list.
+    Instances(Result<Vec<Instance>, PlatformError>),
+    /// This daemon stops.
+    Leave,
+    /// Ask for the state.
+    Status(oneshot::Sender<ControlStatus>),
+}
+
+/// What the task reports.
+#[derive(Debug)]
+pub enum Report {
+    /// The members have changed.
+    View(Arc<[Arc<Member>]>),
+    /// Something was observed of a backend server, here or elsewhere.
+    Server(ServerId, ReportKind),
+    /// Whether the membership view can be acted on.
+    Confirmed(bool),
+    /// A newer daemon runs under the same instance: this one must stop.
+    Superseded(Incarnation),
+    /// A configuration came into effect.
+    Config(Revision, Arc<Config>),
+}
+
+/// State of the control task for the status page.
+#[derive(Debug, Clone, Serialize)]
+pub struct ControlStatus {
+    /// Revision in effect, zero before the first.
+    pub revision: Revision,
+    /// Digest of its files.
+    pub digest: Option<String>,
+    /// Milliseconds since a reader confirmed that it is current.
+    pub confirmed_ms: Option<u64>,
+    /// Whether this daemon reads the service.
+    pub role: &'static str,
+    /// The last revision that was refused and why.
+    pub refused: Option<String>,
+    /// Mistakes in it.
+    pub mistakes: Vec<String>,
+    /// A revision of which two different contents were seen.
+    pub conflict: Option<Revision>,
+    /// Calls made to the platform by this daemon.
+    pub platform_calls: u64,
+    /// All known daemons.
+    pub members: Vec<MemberStatus>,
+}
+
+/// One daemon on the status page.
+#[derive(Debug, Clone, Serialize)]
+pub struct MemberStatus {
+    /// Its instance.
+    pub instance: InstanceId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// What is believed about it.
+    pub state: &'static str,
+    /// Configuration revision that it has in effect.
+    pub revision: Revision,
+}
+
+/// Sends events to the task.
+pub type Sender = mpsc::UnboundedSender<Event>;
+
+/// What the task needs from its surroundings.
+pub struct Context {
+    /// The process's clock.
+    pub clock: Clock,
+    /// Keys that authenticate datagrams.
+    pub keys: KeyRing,
+    /// The platform.
+    pub platform: Rc<dyn Platform>,
+    /// Sends events back to the task.
+    pub tx: Sender,
+    /// Receives what the task reports.
+    pub report: Rc<dyn Fn(Report)>,
+    /// Sends a frame to another daemon.
+    pub send: Rc<dyn Fn(InstanceId, Frame)>,
+    /// Counts what happens.
+    pub metrics: Rc<Metrics>,
+}
+
+/// Settings of the task.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Who this daemon is.
+    pub me: Me,
+    /// Settings of the membership.
+    pub membership: jasminepond_membership::Settings,
+    /// Settings of the spreading of the configuration.
+    pub sync: jasminepond_sync::Settings,
+}
+
+/// Longest time between two ticks of the state machines.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Shortest time between two ticks.
+const MIN_TICK: Duration = Duration::from_millis(5);
+
+/// The task's state.
+pub struct Control {
+    cx: Context,
+    socket: Rc<UdpSocket>,
+    membership: Membership,
+    sync: Sync,
+    acceptance: Acceptance,
+    generation: u64,
+    confirmed: bool,
+    outbox: Vec<(SocketAddr, Vec<u8>)>,
+    watch: platform::Watch,
+    listed: platform::Listed,
+    calls: u64,
+    pauses: PauseCount,
+}
+
+impl Control {
+    /// State of a daemon that knows only itself.
+    pub fn new(cx: Context, options: Options, socket: Rc<UdpSocket>) -> Self {
+        let Options {
+            me,
+            membership,
+            sync,
+        } = options;
+        Self {
+            pauses: PauseCount::new(&cx.clock),
+            cx,
+            socket,
+            membership: Membership::new(membership, me.clone(), rand::random()),
+            sync: Sync::new(sync, me, rand::random()),
+            acceptance: Acceptance::default(),
+            generation: u64::MAX,
+            confirmed: true,
+            outbox: Vec::new(),
+            watch: platform::Watch::default(),
+            listed: platform::Listed::default(),
+            calls: 0,
+        }
+    }
+
+    /// Handles events until the channel closes.
+    pub async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Event>) {
+        let mut next_tick = Timestamp::ZERO;
+        loop {
+            let now = self.cx.clock.now();
+            let event = select_biased! {
+                event = rx.next() => match event {
+                    Some(event) => Some(event),
+                    None => return,
+                },
+                _ = compio::time::sleep(next_tick.since(now)).fuse() => None,
+            };
+            let now = self.cx.clock.now();
+            if self.pauses.changed(&self.cx.clock) {
+                warn!("control: this process was paused");
+                self.cx.metrics.paused();
+                self.on_woke(now);
+            }
+            if let Some(event) = event {
+                self.handle(now, event);
+            }
+            // Also under a steady stream of events, which would starve the timer.
+            if now >= next_tick {
+                self.tick(now);
+                next_tick = self
+                    .membership
+                    .next_tick()
+                    .clamp(now + MIN_TICK, now + TICK);
+            }
+            self.flush().await;
+            self.publish();
+        }
+    }
+
+    fn handle(&mut self, now: Timestamp, event: Event) {
+        match event {
+            Event::Datagram(from, datagram) => self.on_datagram(now, from, &datagram),
+            Event::Sync { from, payload } => self.on_sync(now, from, &payload),
+            Event::Server(server, kind) => self.membership.report(now, server, kind),
+            Event::Watched(watch, result) => self.on_watched(now, watch, result),
+            Event::File(name, result) => self.on_file(now, &name, result),
+            Event::Instances(result) => self.on_instances(now, result),
+            Event::Leave => {
+                let outputs = self.membership.leave(now);
+                self.perform_membership(outputs);
+            }
+            Event::Status(tx) => {
+                let _ = tx.send(self.status(now));
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        let outputs = self.membership.tick(now);
+        self.perform_membership(outputs);
+        let actions = self.sync.tick(now, self.membership.view());
+        self.perform_sync(now, actions);
+        self.poll_instances(now);
+        if let Some(age) = self.sync.in_effect(now).confirmed {
+            self.cx.metrics.set_config_age(age.as_secs_f64());
+        }
+    }
+
+    fn on_woke(&mut self, now: Timestamp) {
+        let outputs = self.membership.woke(now);
+        self.perform_membership(outputs);
+        let actions = self.sync.woke(now);
+        self.perform_sync(now, actions);
+    }
+
+    fn status(&self, now: Timestamp) -> ControlStatus {
+        let InEffect {
+            revision,
+            digest,
+            confirmed,
+            role,
+            refused,
+            conflict,
+            ..
+        } = self.sync.in_effect(now);
+        let member = |member: &Arc<Member>| MemberStatus {
+            instance: member.instance.clone(),
+            incarnation: member.incarnation,
+            zone: member.zone.to_string(),
+            region: member.region.to_string(),
+            state: state_name(Some(member.state)),
+            revision: member.config.0,
+        };
+        let refused = refused.map(|refusal| format!("{}: {}", refusal.revision, refusal.reason));
+        ControlStatus {
+            revision,
+            digest: digest.map(|digest| digest.to_string()),
+            confirmed_ms: confirmed.map(|age| age.as_millis() as u64),
+            role: config::role_name(role),
+            refused,
+            mistakes: self.mistakes(),
+            conflict,
+            platform_calls: self.calls,
+            members: self
+                .membership
+                .view()
+                .members()
+                .iter()
+                .map(member)
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-daemon/src/control/platform.rs
@@ -0,0 +1,204 @@
+//! The control task's reads from the platform.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use compio::runtime::JoinHandle;
+use jasminepond_membership::ReportKind;
+use jasminepond_platform::{Instance, ListedState, PlatformError, Role as Listing, Tree};
+use jasminepond_sync::{Digest, FileRef, Role, ServiceFailure};
+use jasminepond_types::{Revision, ServerId, Timestamp};
+use spdlog::{debug, info};
+
+use super::{Control, Event, Report};
+
+/// Longest time for which the service is asked to hold a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Interval at which a reader reads the instance list. With two readers in each
+/// of 17 zones this is 17 reads a second.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// First and longest interval at which a daemon that has not joined reads the
+/// instance list. 3,900 daemons that start alone make 130 reads a second.
+const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+const JOIN_INTERVAL_LIMIT: Duration = Duration::from_secs(30);
+
+/// Interval at which a leaving server is reported again while it stays listed as
+/// leaving; reports expire at the other daemons.
+const REPEAT_REPORT: Duration = Duration::from_secs(15);
+
+/// The pending watch. Dropping its task ends the call.
+#[derive(Default)]
+pub struct Watch {
+    number: u64,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Watch {
+    /// Ends the pending watch.
+    pub fn stop(&mut self) {
+        self.number += 1;
+        self.task = None;
+    }
+}
+
+/// What was read from the instance list.
+#[derive(Default)]
+pub struct Listed {
+    next_read: Timestamp,
+    interval: Duration,
+    pending: bool,
+    leaving: BTreeMap<ServerId, Timestamp>,
+}
+
+fn failure(err: &PlatformError) -> ServiceFailure {
+    match err {
+        PlatformError::Limited => ServiceFailure::Refused,
+        PlatformError::Gone => ServiceFailure::FileChanged,
+        PlatformError::Unreachable(_) | PlatformError::Malformed(_) => ServiceFailure::Unavailable,
+    }
+}
+
+impl Control {
+    pub(super) fn start_watch(&mut self, after: Revision) {
+        self.watch.stop();
+        self.calls += 1;
+        let number = self.watch.number;
+        let (platform, tx) = (self.cx.platform.clone(), self.cx.tx.clone());
+        self.watch.task = Some(compio::runtime::spawn(async move {
+            let result = platform.watch(after, WATCH_WAIT).await;
+            let _ = tx.unbounded_send(Event::Watched(number, result));
+        }));
+    }
+
+    pub(super) fn on_watched(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        result: Result<Option<Tree>, PlatformError>,
+    ) {
+        if number != self.watch.number {
+            return;
+        }
+        let actions = match result {
+            Ok(None) => self.sync.service_unchanged(now),
+            Ok(Some(tree)) => match file_refs(&tree) {
+                Some(files) => self.sync.service_tree(now, tree.revision, files),
+                None => self.sync.service_failed(now, ServiceFailure::Unavailable),
+            },
+            Err(err) => {
+                debug!("config: watching the service failed: {err}");
+                self.sync.service_failed(now, failure(&err))
+            }
+        };
+        self.perform_sync(now, actions);
+    }
+
+    pub(super) fn fetch(&mut self, name: Arc<str>, digest: Digest) {
+        self.calls += 1;
+        let (platform, tx) = (self.cx.platform.clone(), self.cx.tx.clone());
+        compio::runtime::spawn(async move {
+            let result = platform.file(name.to_string(), digest.to_string()).await;
+            let _ = tx.unbounded_send(Event::File(name, result));
+        })
+        .detach();
+    }
+
+    pub(super) fn on_file(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        result: Result<Vec<u8>, PlatformError>,
+    ) {
+        let actions = match result {
+            Ok(bytes) => self.sync.service_file(now, name, bytes.into()),
+            Err(err) => {
+                debug!("config: reading {name} failed: {err}");
+                self.sync.service_failed(now, failure(&err))
+            }
+        };
+        self.perform_sync(now, actions);
+    }
+
+    /// Readers watch the list for leaving servers; a daemon that has not joined
+    /// looks for others to contact.
+    pub(super) fn poll_instances(&mut self, now: Timestamp) {
+        let joined = self.membership.is_joined();
+        if joined && self.sync.role() == Role::Follower {
+            return;
+        }
+        if self.listed.pending || now < self.listed.next_read {
+            return;
+        }
+        self.listed.interval = if joined {
+            LIST_INTERVAL
+        } else {
+            (self.listed.interval * 2).clamp(JOIN_INTERVAL, JOIN_INTERVAL_LIMIT)
+        };
+        self.listed.next_read = now + self.listed.interval;
+        self.listed.pending = true;
+        self.calls += 1;
+        let (platform, tx) = (self.cx.platform.clone(), self.cx.tx.clone());
+        compio::runtime::spawn(async move {
+            let result = platform.instances().await;
+            let _ = tx.unbounded_send(Event::Instances(result));
+        })
+        .detach();
+    }
+
+    pub(super) fn on_instances(
+        &mut self,
+        now: Timestamp,
+        result: Result<Vec<Instance>, PlatformError>,
+    ) {
+        self.listed.pending = false;
+        let instances = match result {
+            Ok(instances) => instances,
+            Err(err) => return debug!("membership: reading the instance list failed: {err}"),
+        };
+        let live = |i: &&Instance| i.role == Listing::Daemon && i.state == ListedState::Live;
+        self.membership
+            .seed(instances.iter().filter(live).map(|i| i.address));
+        let leaving: HashSet<ServerId> = instances
+            .iter()
+            .filter(|i| i.role == Listing::Backend && i.state == ListedState::Leaving)
+            .filter_map(|i| i.id.parse().ok())
+            .collect();
+        self.listed
+            .leaving
+            .retain(|server, _| leaving.contains(server));
+        for server in leaving {
+            self.on_listed_leaving(now, server);
+        }
+    }
+
+    fn on_listed_leaving(&mut self, now: Timestamp, server: ServerId) {
+        let reported = self.listed.leaving.get(&server);
+        if reported.is_some_and(|at| now.since(*at) < REPEAT_REPORT) {
+            return;
+        }
+        if reported.is_none() {
+            info!("membership: the instance list says that server {server} is leaving");
+        }
+        self.listed.leaving.insert(server.clone(), now);
+        self.membership
+            .report(now, server.clone(), ReportKind::Draining);
+        (self.cx.report)(Report::Server(server, ReportKind::Draining));
+    }
+}
+
+fn file_refs(tree: &Tree) -> Option<Vec<FileRef>> {
+    let file = |entry: &jasminepond_platform::FileEntry| {
+        let digest = entry.digest.parse().ok()?;
+        Some(FileRef {
+            name: entry.name.as_str().into(),
+            digest,
+            size: entry.size,
+        })
+    };
+    tree.files.iter().map(file).collect()
+}
--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -23,7 +23,11 @@
 use jasminepond_wire::{CallerRequest, Frame};
 use serde::Serialize;
 
-use crate::{clock::Clock, metrics::Metrics, net::link::LinkId};
+use crate::{
+    clock::{Clock, PauseCount},
+    metrics::Metrics,
+    net::link::LinkId,
+};
 
 use execute::Executes;
 use search::Searches;
@@ -146,8 +150,6 @@
     Server(ServerId, ReportKind),
     /// Whether the membership view can be acted on.
     Confirmed(bool),
-    /// The process has resumed from a pause.
-    Woke,
     /// Refuse new requests; the sender fires when all have been answered.
     Drain(oneshot::Sender<()>),
     /// Ask for the state.
@@ -240,6 +242,7 @@
     confirmed: bool,
     drained: Option<oneshot::Sender<()>>,
     draining: bool,
+    pauses: PauseCount,
 }
 
 impl Entry {
@@ -255,6 +258,7 @@
             rand::random(),
         );
         let mut entry = Self {
+            pauses: PauseCount::new(&cx.clock),
             cx,
             config: None,
             plans: HashMap::new(),
@@ -297,6 +301,10 @@
                 },
                 _ = std::pin::pin!(timer.fuse()) => None,
             };
+            self.cx.clock.now();
+            if self.pauses.changed(&self.cx.clock) {
+                self.on_woke();
+            }
             if let Some(event) = event {
                 self.handle(event);
                 for _ in 1..BATCH {
@@ -330,7 +338,6 @@
             Event::View(members) => self.on_view(&members),
             Event::Server(server, kind) => self.on_server(&server, kind),
             Event::Confirmed(confirmed) => self.confirmed = confirmed,
-            Event::Woke => self.on_woke(),
             Event::Drain(reply) => {
                 self.draining = true;
                 self.drained = Some(reply);
@@ -358,7 +365,7 @@
     fn on_not_sent(&mut self, to: InstanceId, frame: Frame) {
         self.mark_unreachable(&to);
         match frame {
-            Frame::Search(search) => self.on_search_not_sent(&search),
+            Frame::Search(search) => self.on_search_not_sent(search),
             Frame::Execute(execute) => self.on_execute_not_sent(execute.id),
             Frame::ForwardExecute(forward) => self.on_forward_lost(forward.id),
             _ => {}
@@ -524,10 +531,11 @@
     }
 
     fn note_drained(&mut self) {
-        if self.draining && self.searches.is_empty() && self.executes.is_empty() {
-            if let Some(reply) = self.drained.take() {
-                let _ = reply.send(());
-            }
+        if self.searches.is_empty()
+            && self.executes.is_empty()
+            && let Some(reply) = self.drained.take()
+        {
+            let _ = reply.send(());
         }
     }
 
--- a/crates/jasminepond-daemon/src/entry/search.rs
+++ b/crates/jasminepond-daemon/src/entry/search.rs
@@ -43,8 +43,12 @@
     version: Version,
     at: Timestamp,
     open: bool,
+    reroutes: u8,
 }
 
+/// Owners to which one sub-request is sent in turn when links are down.
+const MAX_REROUTES: u8 = 3;
+
 struct Running {
     search: Search,
     checked: super::Checked,
@@ -105,6 +109,41 @@
         std::mem::take(&mut self.frames)
     }
 
+    /// Adds a sub-request to the frame for its owner.
+    fn add(
+        &mut self,
+        now: Timestamp,
+        id: QueryId,
+        owner: InstanceId,
+        version: Version,
+        part: Part,
+    ) {
+        let same = self
+            .frames
+            .iter_mut()
+            .rev()
+            .find_map(|(to, frame)| match frame {
+                Frame::Search(search)
+                    if *to == owner
+                        && search.id == id.get()
+                        && search.version == version
+                        && search.parts.len() < MAX_PARTS =>
+                {
+                    Some(search)
+                }
+                _ => None,
+            });
+        if let Some(search) = same {
+            return search.parts.push(part);
+        }
+        let Some(running) = self.running.get(&id) else {
+            return;
+        };
+        let mut frame = running.frame(now, id, version);
+        frame.parts.push(part);
+        self.frames.push((owner, Frame::Search(frame)));
+    }
+
     /// Whether no search is in progress.
     pub fn is_empty(&self) -> bool {
         self.running.is_empty()
@@ -330,27 +369,9 @@
             version,
             at: now,
             open: true,
+            reroutes: 0,
         });
-        let frames = &mut self.searches.frames;
-        let same = frames.iter_mut().rev().find_map(|(to, frame)| match frame {
-            Frame::Search(search)
-                if *to == owner
-                    && search.id == id.get()
-                    && search.version == version
-                    && search.parts.len() < MAX_PARTS =>
-            {
-                Some(search)
-            }
-            _ => None,
-        });
-        match same {
-            Some(search) => search.parts.push(part),
-            None => {
-                let mut frame = running.frame(now, id, version);
-                frame.parts.push(part);
-                frames.push((owner, Frame::Search(frame)));
-            }
-        }
+        self.searches.add(now, id, owner, version, part);
     }
 
     /// Marks a sub-request as ended and returns its owner, unless it had ended.
@@ -447,17 +468,37 @@
         }
     }
 
-    pub(super) fn on_search_not_sent(&mut self, frame: &SearchFrame) {
+    /// Sub-requests certainly did not leave: they go to the next owner of their
+    /// server. This is no retry, since no backend server has seen them.
+    pub(super) fn on_search_not_sent(&mut self, frame: SearchFrame) {
+        let now = self.cx.clock.now();
         let id = QueryId(frame.id);
-        let lost: Vec<_> = frame
-            .parts
-            .iter()
-            .map(|p| AttemptId {
-                search: id,
-                part: p.part,
-            })
-            .collect();
-        self.attempts_lost(id, lost);
+        let mut lost = Vec::new();
+        for part in frame.parts {
+            let owner = self.owner(&part.server);
+            let Some(running) = self.searches.running.get_mut(&id) else {
+                return;
+            };
+            let Some(sent) = running.sent.get_mut(part.part as usize) else {
+                continue;
+            };
+            if !sent.open {
+                continue;
+            }
+            if sent.owner == owner || sent.reroutes >= MAX_REROUTES {
+                lost.push(AttemptId {
+                    search: id,
+                    part: part.part,
+                });
+                continue;
+            }
+            sent.reroutes += 1;
+            sent.owner = owner.clone();
+            self.searches.add(now, id, owner, frame.version, part);
+        }
+        if !lost.is_empty() {
+            self.attempts_lost(id, lost);
+        }
     }
 
     pub(super) fn search_owner_lost(&mut self, owner: &InstanceId) {
--- a/crates/jasminepond-daemon/src/owner/mod.rs
+++ b/crates/jasminepond-daemon/src/owner/mod.rs
@@ -22,7 +22,10 @@
 use slotmap::{SlotMap, new_key_type};
 use spdlog::info;
 
-use crate::{clock::Clock, net::link::LinkId};
+use crate::{
+    clock::{Clock, PauseCount},
+    net::link::LinkId,
+};
 
 use server::Server;
 use work::{Request, Task, WorkTable};
@@ -66,8 +69,8 @@
     LinkDown(LinkId),
     /// Another daemon or the instance list says that a server is leaving.
     Leaving(ServerId),
-    /// The process has resumed from a pause.
-    Woke,
+    /// The sender fires once no work is left.
+    Drain(oneshot::Sender<()>),
     /// Ask for the state of all servers.
     Status(oneshot::Sender<Vec<ServerStatus>>),
 }
@@ -146,12 +149,16 @@
     timers: BTreeSet<(Timestamp, ServerKey)>,
     replies: Vec<(ReplyTo, u64, PartItem)>,
     next_sweep: Timestamp,
+    pauses: PauseCount,
+    drained: Option<oneshot::Sender<()>>,
 }
 
 impl Owner {
     /// State without servers.
     pub fn new(cx: Context) -> Self {
         Self {
+            pauses: PauseCount::new(&cx.clock),
+            drained: None,
             cx,
             config: None,
             servers: SlotMap::with_key(),
@@ -178,6 +185,10 @@
                 },
                 _ = compio::time::sleep(until.since(now)).fuse() => None,
             };
+            self.cx.clock.now();
+            if self.pauses.changed(&self.cx.clock) {
+                self.on_woke();
+            }
             if let Some(event) = event {
                 self.handle(event);
                 for _ in 1..BATCH {
@@ -189,6 +200,7 @@
             }
             self.run_timers();
             self.flush();
+            self.note_drained();
         }
     }
 
@@ -217,13 +229,21 @@
             Event::Config(config) => self.on_config(config),
             Event::LinkDown(link) => self.on_link_down(link),
             Event::Leaving(server) => self.on_leaving(&server),
-            Event::Woke => self.on_woke(),
+            Event::Drain(tx) => self.drained = Some(tx),
             Event::Status(tx) => {
                 let _ = tx.send(self.servers.values().map(Server::status).collect());
             }
         }
     }
 
+    fn note_drained(&mut self) {
+        if self.work.is_empty()
+            && let Some(tx) = self.drained.take()
+        {
+            let _ = tx.send(());
+        }
+    }
+
     /// The state of a configured server, created on first use.
     fn server(&mut self, now: Timestamp, id: &ServerId) -> Option<ServerKey> {
         if let Some(&key) = self.by_id.get(id) {
--- a/crates/jasminepond-daemon/src/owner/work.rs
+++ b/crates/jasminepond-daemon/src/owner/work.rs
@@ -264,6 +264,11 @@
         key
     }
 
+    /// Whether no request is left.
+    pub fn is_empty(&self) -> bool {
+        self.work.is_empty()
+    }
+
     /// A request that has not ended.
     pub fn get(&self, key: WorkKey) -> Option<&Request> {
         self.work.get(key).map(|(_, request)| request)
--- a/crates/jasminepond-daemon/src/peers.rs
+++ b/crates/jasminepond-daemon/src/peers.rs
@@ -9,13 +9,16 @@
 };
 
 use compio::net::{TcpListener, TcpStream};
-use futures_channel::mpsc;
+use futures_channel::{mpsc, oneshot};
 use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_types::{Incarnation, InstanceId};
 use jasminepond_wire::{Frame, Peer};
 use spdlog::{debug, info, warn};
 
-use crate::net::link::{self, Command, LinkId};
+use crate::{
+    clock::{Clock, PauseCount},
+    net::link::{self, Command, LinkId},
+};
 
 /// Where a daemon is reached.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,17 +53,16 @@
     },
     /// The view of the other daemons has changed.
     Directory(Arc<Directory>),
-    /// The process has resumed from a pause: what waits in the sockets is of
-    /// unknown age.
-    Woke,
-    /// Tell all peers that this daemon stops, and close when all is written.
-    Finish,
+    /// Tell all peers that this daemon takes no new work.
+    Goodbye,
+    /// Close all links when all is written; the sender fires when they are.
+    Finish(oneshot::Sender<()>),
     /// Something happened on a link.
     Link(LinkId, link::Event),
     /// A peer has connected.
     Accepted(TcpStream),
     /// Ask for the links that are up.
-    Status(futures_channel::oneshot::Sender<Vec<InstanceId>>),
+    Status(oneshot::Sender<Vec<InstanceId>>),
 }
 
 /// What the task reports to others.
@@ -104,7 +106,10 @@
     instance: Option<InstanceId>,
     peer: Option<Rc<Peer>>,
     accepted: bool,
+    /// The peer takes no new work.
     finishing: bool,
+    /// The process was paused while the link was open.
+    stale: bool,
 }
 
 /// The task's state.
@@ -116,12 +121,25 @@
     links: HashMap<LinkId, Link>,
     by_instance: HashMap<InstanceId, LinkId>,
     next_link: u64,
+    leaving: bool,
+    finished: Option<oneshot::Sender<()>>,
+    clock: Clock,
+    pauses: PauseCount,
 }
 
 impl Peers {
     /// State without links.
-    pub fn new(options: link::Options, tx: Sender, report: Rc<dyn Fn(Report)>) -> Self {
+    pub fn new(
+        options: link::Options,
+        clock: Clock,
+        tx: Sender,
+        report: Rc<dyn Fn(Report)>,
+    ) -> Self {
         Self {
+            pauses: PauseCount::new(&clock),
+            clock,
+            leaving: false,
+            finished: None,
             options,
             tx,
             report,
@@ -135,7 +153,12 @@
     /// Handles events until the channel closes.
     pub async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Event>) {
         while let Some(event) = rx.next().await {
+            self.clock.now();
+            if self.pauses.changed(&self.clock) {
+                self.on_woke();
+            }
             self.handle(event);
+            self.note_finished();
         }
     }
 
@@ -148,8 +171,14 @@
                 }
             }
             Event::Directory(directory) => self.set_directory(directory),
-            Event::Woke => self.tell_all(|| Command::Close),
-            Event::Finish => self.finish(),
+            Event::Goodbye => {
+                self.leaving = true;
+                self.tell_all(|| Command::Send(Frame::Goodbye));
+            }
+            Event::Finish(tx) => {
+                self.tell_all(|| Command::Finish);
+                self.finished = Some(tx);
+            }
             Event::Link(id, event) => self.on_link(id, event),
             Event::Accepted(stream) => self.accept(stream),
             Event::Status(tx) => {
@@ -189,6 +218,7 @@
             peer: None,
             accepted,
             finishing: false,
+            stale: false,
         };
         self.links.insert(id, link);
         (id, rx)
@@ -223,7 +253,9 @@
     }
 
     fn on_link(&mut self, id: LinkId, event: link::Event) {
+        let stale = self.links.get(&id).is_none_or(|link| link.stale);
         match event {
+            link::Event::Frame(..) if stale => {}
             link::Event::Up(peer) => self.on_up(id, peer),
             link::Event::Frame(_, Frame::Goodbye) => self.on_goodbye(id),
             link::Event::Frame(peer, frame) => {
@@ -249,6 +281,9 @@
         debug!("peers: link to {} is up", peer.instance);
         link.instance = Some(peer.instance.clone());
         link.peer = Some(peer.clone());
+        if self.leaving {
+            let _ = link.tx.unbounded_send(Command::Send(Frame::Goodbye));
+        }
         // A link accepted from an instance also serves requests to it.
         self.by_instance.entry(peer.instance.clone()).or_insert(id);
     }
@@ -315,9 +350,20 @@
         self.directory = directory;
     }
 
-    fn finish(&mut self) {
-        for link in self.links.values() {
-            let _ = link.tx.unbounded_send(Command::Send(Frame::Goodbye));
+    /// The process was paused: frames that wait in the sockets are of unknown
+    /// age, so all links are closed and what they still bring is dropped.
+    fn on_woke(&mut self) {
+        for link in self.links.values_mut() {
+            link.stale = true;
+            let _ = link.tx.unbounded_send(Command::Close);
+        }
+    }
+
+    fn note_finished(&mut self) {
+        if self.links.is_empty()
+            && let Some(tx) = self.finished.take()
+        {
+            let _ = tx.send(());
         }
     }
 
--- /dev/null
+++ b/crates/jasminepond/src/args.rs
@@ -0,0 +1,402 @@
+//! The command line.
+
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf};
+
+use jasminepond_config::{Format, LogFormat, LogLevel};
+use lexopt::{Arg, Parser, ValueExt};
+
+/// What to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Run a daemon.
+    Serve(Serve),
+    /// Check a configuration folder.
+    Check(jasminepond_config::Options),
+    /// Send a search.
+    Search(Search),
+    /// Send a non-idempotent request.
+    Execute(Execute),
+    /// Show the state of a daemon.
+    Status(Status),
+}
+
+/// A command line that was understood.
+#[derive(Debug)]
+pub enum Parsed {
+    /// Do something.
+    Run(Command),
+    /// Only print a text, such as the help.
+    Print(String),
+}
+
+/// Options of `serve`.
+#[derive(Debug, Default)]
+pub struct Serve {
+    /// Settings file of the process.
+    pub settings: PathBuf,
+    /// Log level in place of the settings' one.
+    pub log_level: Option<LogLevel>,
+    /// Log format in place of the settings' one.
+    pub log_format: Option<LogFormat>,
+}
+
+/// What both kinds of request state.
+#[derive(Debug, Default)]
+pub struct Request {
+    /// Callers' address of a daemon.
+    pub to: Option<SocketAddr>,
+    /// Tenant.
+    pub tenant: String,
+    /// Class.
+    pub class: String,
+    /// Group.
+    pub group: String,
+    /// Deadline in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Whether to print the answer as JSON.
+    pub json: bool,
+}
+
+/// Options of `search`.
+#[derive(Debug, Default)]
+pub struct Search {
+    /// What every request states.
+    pub request: Request,
+    /// Hits wanted.
+    pub limit: Option<u32>,
+    /// Query text.
+    pub query: String,
+}
+
+/// Options of `execute`.
+#[derive(Debug, Default)]
+pub struct Execute {
+    /// What every request states.
+    pub request: Request,
+    /// The key of an earlier attempt; a new one is fetched if not given.
+    pub key: Option<String>,
+    /// The operation as JSON.
+    pub operation: String,
+}
+
+/// Options of `status`.
+#[derive(Debug, Default)]
+pub struct Status {
+    /// Operators' address of a daemon.
+    pub to: Option<SocketAddr>,
+    /// Whether to print the whole state as JSON.
+    pub json: bool,
+}
+
+/// A command line that was not understood.
+#[derive(Debug, thiserror::Error)]
+pub enum UsageError {
+    /// A flag or value is wrong.
+    #[error(transparent)]
+    Argument(#[from] lexopt::Error),
+    /// There is no such command.
+    #[error("unknown command {0:?}; commands are serve, check, search, execute and status")]
+    UnknownCommand(String),
+    /// A needed argument is missing.
+    #[error("{command}: {what} is missing")]
+    Missing {
+        /// The command.
+        command: &'static str,
+        /// What is missing.
+        what: &'static str,
+    },
+}
+
+const HELP: &str = "\
+jasminepond: a query tier in front of many shards
+
+Usage: jasminepond COMMAND [OPTIONS]
+
+Commands:
+  serve    run a daemon
+  check    check a configuration folder and print the merged result
+  search   send a search to a daemon
+  execute  send a non-idempotent request to a daemon
+  status   show the state of a daemon and of all daemons that it knows
+
+Options:
+  -h, --help     print help; 'jasminepond COMMAND --help' for one command
+  -V, --version  print the version
+
+Exit codes:
+  0  done
+  1  failed; for 'check': the folder has mistakes
+  2  the command line is wrong
+  3  a search was answered without all shards, or a request was not done";
+
+const SERVE_HELP: &str = "\
+Run a daemon until SIGTERM or SIGINT.
+
+Usage: jasminepond serve --settings FILE [OPTIONS]
+
+Options:
+  --settings FILE    settings of the process (docs/CONFIGURATION.md)
+  --log-level LEVEL  critical, error, warn, info, debug or trace
+  --log-format FORMAT  text or json
+
+Prints the bound addresses as one line of JSON on standard output; the log goes
+to standard error. Exits with 0 once all requests are answered after a signal,
+with 1 if the drain limit passed first or the daemon could not start.";
+
+const CHECK_HELP: &str = "\
+Check a configuration folder.
+
+Usage: jasminepond check [--format FORMAT] FOLDER
+
+Options:
+  --format FORMAT  text or json
+
+Prints the merged configuration, or each mistake with file, path and reason.
+Exits with 0 if the folder is accepted, otherwise with 1.";
+
+const SEARCH_HELP: &str = "\
+Send a search and print the answer with its coverage.
+
+Usage: jasminepond search --to ADDRESS --tenant T --class C --group G [OPTIONS] QUERY
+
+Options:
+  --to ADDRESS      callers' address of a daemon, for example 127.0.0.1:7000
+  --tenant T        tenant
+  --class C         class
+  --group G         group of services to search
+  --limit N         most hits to return
+  --deadline-ms N   deadline in milliseconds
+  --json            print the whole answer as JSON
+
+Exits with 0 if all shards answered, with 3 if some are missing or the search
+was refused, with 1 if no daemon answered.";
+
+const EXECUTE_HELP: &str = "\
+Send a non-idempotent request, with a new key unless one is given.
+
+Usage: jasminepond execute --to ADDRESS --tenant T --class C --group G [OPTIONS] OPERATION
+
+Options:
+  --to ADDRESS      callers' address of a daemon
+  --tenant T        tenant
+  --class C         class
+  --group G         group of servers of which one runs the operation
+  --key KEY         key of an earlier attempt, to learn its outcome
+  --deadline-ms N   deadline in milliseconds
+  --json            print the whole answer as JSON
+
+OPERATION is JSON and passed on unread. Exits with 0 if it was done, with 3 if
+it was not run or the outcome is unknown, with 1 if no daemon answered.";
+
+const STATUS_HELP: &str = "\
+Show the state of a daemon, and the configuration revision of every daemon.
+
+Usage: jasminepond status --to ADDRESS [--json]
+
+Options:
+  --to ADDRESS  operators' address of a daemon
+  --json        print the whole state as JSON
+
+Exits with 0 if all running daemons have the same revision, otherwise with 3.";
+
+/// Reads the command line.
+///
+/// # Errors
+///
+/// Names the wrong flag, value or command.
+pub fn parse(mut parser: Parser) -> Result<Parsed, UsageError> {
+    match parser.next()? {
+        None => Ok(Parsed::Print(HELP.to_owned())),
+        Some(Arg::Short('h') | Arg::Long("help")) => Ok(Parsed::Print(HELP.to_owned())),
+        Some(Arg::Short('V') | Arg::Long("version")) => Ok(version()),
+        Some(Arg::Value(command)) => match command.string()?.as_str() {
+            "serve" => serve(parser),
+            "check" => check(parser),
+            "search" => search(parser),
+            "execute" => execute(parser),
+            "status" => status(parser),
+            "help" => Ok(Parsed::Print(HELP.to_owned())),
+            other => Err(UsageError::UnknownCommand(other.to_owned())),
+        },
+        Some(arg) => Err(arg.unexpected().into()),
+    }
+}
+
+fn version() -> Parsed {
+    Parsed::Print(format!("jasminepond {}", env!("CARGO_PKG_VERSION")))
+}
+
+/// The text for `--help` or `--version` of a command.
+fn common(arg: &Arg<'_>, help: &str) -> Option<Parsed> {
+    match arg {
+        Arg::Short('h') | Arg::Long("help") => Some(Parsed::Print(help.to_owned())),
+        Arg::Short('V') | Arg::Long("version") => Some(version()),
+        _ => None,
+    }
+}
+
+fn serve(mut parser: Parser) -> Result<Parsed, UsageError> {
+    let mut serve = Serve::default();
+    let mut settings = None;
+    while let Some(arg) = parser.next()? {
+        if let Some(printed) = common(&arg, SERVE_HELP) {
+            return Ok(printed);
+        }
+        match arg {
+            Arg::Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Arg::Long("log-level") => serve.log_level = Some(parser.value()?.parse()?),
+            Arg::Long("log-format") => serve.log_format = Some(parser.value()?.parse()?),
+            arg => return Err(arg.unexpected().into()),
+        }
+    }
+    serve.settings = settings.ok_or(UsageError::Missing {
+        command: "serve",
+        what: "--settings",
+    })?;
+    Ok(Parsed::Run(Command::Serve(serve)))
+}
+
+fn check(mut parser: Parser) -> Result<Parsed, UsageError> {
+    let mut folder = None;
+    let mut format = Format::default();
+    while let Some(arg) = parser.next()? {
+        if let Some(printed) = common(&arg, CHECK_HELP) {
+            return Ok(printed);
+        }
+        match arg {
+            Arg::Long("format") => format = parser.value()?.parse()?,
+            Arg::Value(path) if folder.is_none() => folder = Some(PathBuf::from(path)),
+            arg => return Err(arg.unexpected().into()),
+        }
+    }
+    let folder = folder.ok_or(UsageError::Missing {
+        command: "check",
+        what: "FOLDER",
+    })?;
+    Ok(Parsed::Run(Command::Check(jasminepond_config::Options {
+        folder,
+        format,
+    })))
+}
+
+impl Request {
+    /// Takes a flag that every request has. Returns whether it was one.
+    fn take(&mut self, name: &str, parser: &mut Parser) -> Result<bool, UsageError> {
+        match name {
+            "to" => self.to = Some(parser.value()?.parse()?),
+            "tenant" => self.tenant = parser.value()?.string()?,
+            "class" => self.class = parser.value()?.string()?,
+            "group" => self.group = parser.value()?.string()?,
+            "deadline-ms" => self.deadline_ms = Some(parser.value()?.parse()?),
+            "json" => self.json = true,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    fn complete(&self, command: &'static str) -> Result<(), UsageError> {
+        let missing = [
+            (self.to.is_none(), "--to"),
+            (self.tenant.is_empty(), "--tenant"),
+            (self.class.is_empty(), "--class"),
+            (self.group.is_empty(), "--group"),
+        ];
+        match missing.into_iter().find(|(missing, _)| *missing) {
+            Some((_, what)) => Err(UsageError::Missing { command, what }),
+            None => Ok(()),
+        }
+    }
+}
+
+/// An argument that no longer borrows the parser.
+enum Token {
+    Long(String),
+    Short(char),
+    Value(OsString),
+}
+
+impl From<Arg<'_>> for Token {
+    fn from(arg: Arg<'_>) -> Self {
+        match arg {
+            Arg::Long(name) => Self::Long(name.to_owned()),
+            Arg::Short(name) => Self::Short(name),
+            Arg::Value(value) => Self::Value(value),
+        }
+    }
+}
+
+impl Token {
+    fn unexpected(self) -> UsageError {
+        match self {
+            Self::Long(name) => Arg::Long(&name).unexpected().into(),
+            Self::Short(name) => Arg::Short(name).unexpected().into(),
+            Self::Value(value) => Arg::Value(value).unexpected().into(),
+        }
+    }
+}
+
+fn search(mut parser: Parser) -> Result<Parsed, UsageError> {
+    let mut search = Search::default();
+    let mut query = None;
+    while let Some(arg) = parser.next()? {
+        if let Some(printed) = common(&arg, SEARCH_HELP) {
+            return Ok(printed);
+        }
+        match Token::from(arg) {
+            Token::Long(name) if name == "limit" => search.limit = Some(parser.value()?.parse()?),
+            Token::Long(name) if search.request.take(&name, &mut parser)? => {}
+            Token::Value(text) if query.is_none() => query = Some(text.string()?),
+            token => return Err(token.unexpected()),
+        }
+    }
+    search.request.complete("search")?;
+    search.query = query.ok_or(UsageError::Missing {
+        command: "search",
+        what: "QUERY",
+    })?;
+    Ok(Parsed::Run(Command::Search(search)))
+}
+
+fn execute(mut parser: Parser) -> Result<Parsed, UsageError> {
+    let mut execute = Execute::default();
+    let mut operation = None;
+    while let Some(arg) = parser.next()? {
+        if let Some(printed) = common(&arg, EXECUTE_HELP) {
+            return Ok(printed);
+        }
+        match Token::from(arg) {
+            Token::Long(name) if name == "key" => execute.key = Some(parser.value()?.string()?),
+            Token::Long(name) if execute.request.take(&name, &mut parser)? => {}
+            Token::Value(text) if operation.is_none() => operation = Some(text.string()?),
+            token => return Err(token.unexpected()),
+        }
+    }
+    execute.request.complete("execute")?;
+    let missing = UsageError::Missing {
+        command: "execute",
+        what: "OPERATION",
+    };
+    execute.operation = operation.ok_or(missing)?;
+    Ok(Parsed::Run(Command::Execute(execute)))
+}
+
+fn status(mut parser: Parser) -> Result<Parsed, UsageError> {
+    let mut status = Status::default();
+    while let Some(arg) = parser.next()? {
+        if let Some(printed) = common(&arg, STATUS_HELP) {
+            return Ok(printed);
+        }
+        match arg {
+            Arg::Long("to") => status.to = Some(parser.value()?.parse()?),
+            Arg::Long("json") => status.json = true,
+            arg => return Err(arg.unexpected().into()),
+        }
+    }
+    if status.to.is_none() {
+        return Err(UsageError::Missing {
+            command: "status",
+            what: "--to",
+        });
+    }
+    Ok(Parsed::Run(Command::Status(status)))
+}
--- /dev/null
+++ b/crates/jasminepond/src/client.rs
@@ -0,0 +1,187 @@
+//! The commands that send a request to a daemon.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use serde_json::{Value, json};
+
+use crate::{
+    EXIT_INCOMPLETE, EXIT_OK,
+    args::{Execute, Search},
+};
+
+/// Longest time for an answer; daemons answer by their own deadlines.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A daemon gave no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// The runtime could not be set up.
+    #[error("{0}")]
+    Runtime(io::Error),
+    /// The address is missing, which the command line rules out.
+    #[error("no address")]
+    NoAddress,
+    /// The request failed.
+    #[error("{address}: {source}")]
+    Http {
+        /// The daemon.
+        address: SocketAddr,
+        /// Why.
+        source: cyper::Error,
+    },
+    /// No answer in time.
+    #[error("{0}: no answer in time")]
+    Timeout(SocketAddr),
+    /// The operation is not JSON.
+    #[error("the operation is not JSON: {0}")]
+    Operation(serde_json::Error),
+    /// The answer lacks what it should have.
+    #[error("{0}: unexpected answer {1}")]
+    Answer(SocketAddr, Value),
+}
+
+/// Sends a request with an optional JSON body and returns the JSON answer.
+pub async fn call(
+    address: SocketAddr,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<Value, ClientError> {
+    let failed = |source| ClientError::Http { address, source };
+    let exchange = async {
+        let client = cyper::Client::builder().no_proxy().build()?;
+        let url = format!("http://{address}{path}");
+        let req = match body {
+            Some(body) => client
+                .post(url)?
+                .header("content-type", "application/json")?
+                .body(body.to_string()),
+            None => client.get(url)?,
+        };
+        req.send().await?.json::<Value>().await
+    };
+    match compio::time::timeout(TIMEOUT, exchange).await {
+        Ok(answer) => answer.map_err(failed),
+        Err(_) => Err(ClientError::Timeout(address)),
+    }
+}
+
+/// Prints a refusal or failure.
+fn print_error(error: &Value) {
+    let text = |name: &str| error[name].as_str().unwrap_or_default();
+    println!("{}: {}", text("kind"), text("message"));
+    let not_run = error["not_run"].as_bool().unwrap_or(false);
+    println!(
+        "not run: {}",
+        if not_run {
+            "certain"
+        } else {
+            "unknown, it may have run"
+        }
+    );
+    if let Some(after) = error["retry_after_ms"].as_u64() {
+        println!("come back in: {after} ms");
+    }
+}
+
+/// Sends a search and prints the answer.
+pub async fn search(search: Search) -> Result<u8, ClientError> {
+    let request = search.request;
+    let to = request.to.ok_or(ClientError::NoAddress)?;
+    let mut body = json!({
+        "tenant": request.tenant,
+        "class": request.class,
+        "group": request.group,
+        "query": search.query,
+    });
+    if let Some(limit) = search.limit {
+        body["limit"] = limit.into();
+    }
+    if let Some(deadline) = request.deadline_ms {
+        body["deadline_ms"] = deadline.into();
+    }
+    let answer = call(to, "/v1/search", Some(&body)).await?;
+    let complete = answer["coverage"]["missing"]
+        .as_array()
+        .is_some_and(Vec::is_empty);
+    if request.json {
+        println!("{answer:#}");
+    } else if let Some(error) = answer.get("error") {
+        print_error(error);
+    } else {
+        print_answer(&answer);
+    }
+    Ok(if complete { EXIT_OK } else { EXIT_INCOMPLETE })
+}
+
+fn print_answer(answer: &Value) {
+    let coverage = &answer["coverage"];
+    println!("snapshot: {}", answer["snapshot"]);
+    println!(
+        "coverage: {} of {} shards",
+        coverage["answered"], coverage["shards"]
+    );
+    for missing in coverage["missing"].as_array().into_iter().flatten() {
+        println!("  missing {}: {}", missing["shard"], missing["reason"]);
+    }
+    println!("matches: {}", answer["count"]);
+    for hit in answer["hits"].as_array().into_iter().flatten() {
+        let id = hit["id"].as_str().unwrap_or_default();
+        println!(
+            "  {:>10.4}  {id}",
+            hit["score"].as_f64().unwrap_or_default()
+        );
+    }
+    println!(
+        "time: {:.1} ms",
+        answer["elapsed_ms"].as_f64().unwrap_or_default()
+    );
+}
+
+/// Sends a non-idempotent request and prints the outcome.
+pub async fn execute(execute: Execute) -> Result<u8, ClientError> {
+    let request = execute.request;
+    let to = request.to.ok_or(ClientError::NoAddress)?;
+    let operation: Value =
+        serde_json::from_str(&execute.operation).map_err(ClientError::Operation)?;
+    let key = match execute.key {
+        Some(key) => key,
+        None => new_key(to, &request.tenant).await?,
+    };
+    // Printed before the request is sent, so that its outcome can be asked for
+    // even if this process ends first.
+    if !request.json {
+        println!("key: {key}");
+    }
+    let mut body = json!({
+        "tenant": request.tenant,
+        "class": request.class,
+        "group": request.group,
+        "key": key,
+        "operation": operation,
+    });
+    if let Some(deadline) = request.deadline_ms {
+        body["deadline_ms"] = deadline.into();
+    }
+    let answer = call(to, "/v1/execute", Some(&body)).await?;
+    if request.json {
+        println!("{answer:#}");
+    } else if let Some(error) = answer.get("error") {
+        print_error(error);
+    } else {
+        println!("outcome: done");
+        println!("result: {}", answer["result"]);
+    }
+    Ok(if answer["outcome"] == "done" {
+        EXIT_OK
+    } else {
+        EXIT_INCOMPLETE
+    })
+}
+
+async fn new_key(to: SocketAddr, tenant: &str) -> Result<String, ClientError> {
+    let answer = call(to, "/v1/keys", Some(&json!({"tenant": tenant}))).await?;
+    match answer["keys"][0].as_str() {
+        Some(key) => Ok(key.to_owned()),
+        None => Err(ClientError::Answer(to, answer)),
+    }
+}
--- a/crates/jasminepond/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder replaced by the module's real content.
--- /dev/null
+++ b/crates/jasminepond/src/main.rs
@@ -0,0 +1,115 @@
+//! `jasminepond`: runs a daemon, checks a configuration folder, and talks to
+//! running daemons.
+
+mod args;
+mod client;
+mod logging;
+mod status;
+
+use std::process::ExitCode;
+
+use args::{Command, Parsed, Serve};
+use jasminepond_config::Settings;
+use jasminepond_daemon::Outcome;
+
+/// The command did what it was asked to.
+const EXIT_OK: u8 = 0;
+/// The command failed, or the configuration has mistakes.
+const EXIT_FAILED: u8 = 1;
+/// The command line is wrong.
+const EXIT_USAGE: u8 = 2;
+/// A request was answered, but not completely or not with "done".
+const EXIT_INCOMPLETE: u8 = 3;
+
+fn main() -> ExitCode {
+    let code = match args::parse(lexopt::Parser::from_env()) {
+        Ok(Parsed::Print(text)) => {
+            println!("{text}");
+            EXIT_OK
+        }
+        Ok(Parsed::Run(command)) => run(command),
+        Err(err) => {
+            eprintln!("jasminepond: {err}");
+            eprintln!("Try 'jasminepond --help'.");
+            EXIT_USAGE
+        }
+    };
+    ExitCode::from(code)
+}
+
+fn run(command: Command) -> u8 {
+    match command {
+        Command::Serve(serve) => self::serve(serve),
+        Command::Check(options) => check(options),
+        Command::Search(search) => block_on(client::search(search)),
+        Command::Execute(execute) => block_on(client::execute(execute)),
+        Command::Status(status) => block_on(status::show(status)),
+    }
+}
+
+fn block_on(command: impl Future<Output = Result<u8, client::ClientError>>) -> u8 {
+    let result = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(command),
+        Err(err) => Err(client::ClientError::Runtime(err)),
+    };
+    result.unwrap_or_else(|err| {
+        eprintln!("jasminepond: {err}");
+        EXIT_FAILED
+    })
+}
+
+fn serve(serve: Serve) -> u8 {
+    let settings = match Settings::load(&serve.settings) {
+        Ok(settings) => settings,
+        Err(mistakes) => {
+            for mistake in mistakes {
+                eprintln!("jasminepond: {mistake}");
+            }
+            return EXIT_FAILED;
+        }
+    };
+    let level = serve.log_level.unwrap_or(settings.log.level);
+    let format = serve.log_format.unwrap_or(settings.log.format);
+    if let Err(err) = logging::set_up(level, format) {
+        eprintln!("jasminepond: logging cannot be set up: {err}");
+        return EXIT_FAILED;
+    }
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("jasminepond: {err}");
+            return EXIT_FAILED;
+        }
+    };
+    let options = jasminepond_daemon::Options { settings };
+    let started = |bound: jasminepond_daemon::Bound| {
+        let addresses = serde_json::json!({
+            "callers": bound.callers,
+            "peers": bound.peers,
+            "membership": bound.membership,
+            "operators": bound.operators,
+        });
+        println!("{addresses}");
+    };
+    match runtime.block_on(jasminepond_daemon::run(options, started)) {
+        Ok(Outcome::Drained) => EXIT_OK,
+        Ok(outcome) => {
+            eprintln!("jasminepond: {outcome}");
+            EXIT_FAILED
+        }
+        Err(err) => {
+            eprintln!("jasminepond: {err}");
+            EXIT_FAILED
+        }
+    }
+}
+
+fn check(options: jasminepond_config::Options) -> u8 {
+    let outcome = jasminepond_config::check(&options);
+    print!("{}", outcome.text);
+    if outcome.is_valid() {
+        EXIT_OK
+    } else {
+        EXIT_FAILED
+    }
+}
