--- a/crates/jasminepond-config/src/config.rs
+++ b/crates/jasminepond-config/src/config.rs
@@ -10,7 +10,11 @@
     Version, Weight, ZoneId,
 };
 
-use crate::{ByteSize, Files, GroupKind, Merged, Mistake, Mode, Objective, Percent, merge, read};
+use crate::{
+    ByteSize, Files, GroupKind, Merged, Mistake, Mode, Objective, Percent,
+    merge::{self, Sources},
+    read,
+};
 
 /// A validated configuration. Shared as `Arc<Config>` and never changed.
 ///
@@ -61,10 +65,11 @@
     ///
     /// Every mistake, ordered by file and path.
     pub fn from_merged(merged: &Merged) -> Result<Self, Vec<Mistake>> {
-        let (config, mut mistakes) = read::config(merged);
+        let (config, mistakes) = read::config(merged.value());
         if mistakes.is_empty() {
             return Ok(config);
         }
+        let mut mistakes = merged.located(mistakes);
         mistakes.sort();
         Err(mistakes)
     }
@@ -77,16 +82,17 @@
     /// JSON, only the mistakes of [`merge`](crate::merge) are reported: what the
     /// file holds would otherwise be reported as missing.
     pub fn from_files(files: &Files) -> Result<Self, Vec<Mistake>> {
-        let attempt = merge::attempt(files);
-        let mut mistakes = attempt.mistakes;
+        let attempt = merge::attempt(files, Sources::Drop);
         if attempt.incomplete {
-            return Err(mistakes);
+            return Err(attempt.mistakes);
         }
-        let (config, more) = read::config(&attempt.merged);
-        mistakes.extend(more);
-        if mistakes.is_empty() {
+        let (config, found) = read::config(attempt.merged.value());
+        if attempt.mistakes.is_empty() && found.is_empty() {
             return Ok(config);
         }
+        let attempt = merge::attempt(files, Sources::Keep);
+        let mut mistakes = attempt.mistakes;
+        mistakes.extend(attempt.merged.located(found));
         mistakes.sort();
         Err(mistakes)
     }
--- a/crates/jasminepond-config/src/document.rs
+++ b/crates/jasminepond-config/src/document.rs
@@ -5,7 +5,7 @@
 use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Value};
 
-use crate::{Mistake, Position};
+use crate::{Mistake, Position, path::Path};
 
 /// A parsed file. `serde_json` alone keeps the last of two equal keys silently.
 #[derive(Debug)]
@@ -19,7 +19,7 @@
 pub(crate) fn parse(file: &str, bytes: &[u8]) -> Result<Document, Mistake> {
     let mut duplicates = Vec::new();
     let seed = Node {
-        path: "",
+        path: Path::Root,
         duplicates: &mut duplicates,
     };
     let mut deserializer = serde_json::Deserializer::from_slice(bytes);
@@ -61,14 +61,8 @@
     }
 }
 
-/// Appends one key to a JSON pointer, escaped by RFC 6901.
-pub(crate) fn join(path: &str, key: &str) -> String {
-    let key = key.replace('~', "~0").replace('/', "~1");
-    format!("{path}/{key}")
-}
-
 struct Node<'a> {
-    path: &'a str,
+    path: Path<'a>,
     duplicates: &'a mut Vec<String>,
 }
 
@@ -114,9 +108,9 @@
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Value, A::Error> {
         let mut items = Vec::new();
         loop {
-            let path = join(self.path, &items.len().to_string());
+            let path = self.path.index(items.len());
             let seed = Node {
-                path: &path,
+                path,
                 duplicates: self.duplicates,
             };
             match seq.next_element_seed(seed)? {
@@ -129,14 +123,15 @@
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Value, A::Error> {
         let mut object = Map::new();
         while let Some(key) = map.next_key::<String>()? {
-            let path = join(self.path, &key);
+            let path = self.path.key(&key);
             let value = map.next_value_seed(Node {
-                path: &path,
+                path,
                 duplicates: self.duplicates,
             })?;
-            if object.insert(key, value).is_some() {
-                self.duplicates.push(path);
+            if object.contains_key(&key) {
+                self.duplicates.push(path.to_string());
             }
+            object.insert(key, value);
         }
         Ok(Value::Object(object))
     }
--- a/crates/jasminepond-config/src/folder.rs
+++ b/crates/jasminepond-config/src/folder.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 
-use crate::{Config, Digest, Files, Format, Merged, Mistake, digest, document::join, merge};
+use crate::{Config, Digest, Files, Format, Merged, Mistake, digest, merge, path::Path as Pointer};
 
 /// Reads the files of a folder. Names that begin with a dot are left out.
 ///
@@ -148,7 +148,12 @@
 
 fn valid_text(checked: &Checked) -> String {
     let mut text = String::new();
-    leaves(&checked.merged, checked.merged.value(), "", &mut text);
+    leaves(
+        &checked.merged,
+        checked.merged.value(),
+        &Pointer::Root,
+        &mut text,
+    );
     let config = &checked.config;
     let _ = writeln!(
         text,
@@ -164,14 +169,14 @@
 }
 
 /// Writes each scalar and each list on a line of its own.
-fn leaves(merged: &Merged, value: &Value, path: &str, text: &mut String) {
+fn leaves(merged: &Merged, value: &Value, path: &Pointer<'_>, text: &mut String) {
     if let Value::Object(map) = value {
         for (key, value) in map {
-            leaves(merged, value, &join(path, key), text);
+            leaves(merged, value, &path.key(key), text);
         }
         return;
     }
-    let file = merged.file_of(path).unwrap_or_default();
+    let file = merged.file_of(&path.to_string()).unwrap_or_default();
     let _ = writeln!(text, "{path} = {value}  ({file})");
 }
 
--- a/crates/jasminepond-config/src/merge.rs
+++ b/crates/jasminepond-config/src/merge.rs
@@ -61,9 +61,12 @@
         }
     }
 
-    /// A mistake at `path`, in the file that set it.
-    pub(crate) fn mistake(&self, path: &str, reason: impl Into<String>) -> Mistake {
-        Mistake::at(self.file_of(path).unwrap_or(NO_FILE), path, reason)
+    /// Names the file of each mistake, given as path and reason.
+    pub(crate) fn located(&self, mistakes: Vec<(String, String)>) -> Vec<Mistake> {
+        let locate = |(path, reason): (String, String)| {
+            Mistake::at(self.file_of(&path).unwrap_or(NO_FILE), &path, reason)
+        };
+        mistakes.into_iter().map(locate).collect()
     }
 }
 
@@ -94,7 +97,7 @@
 /// assert_eq!(text, "10.json:2:10: not JSON: expected value");
 /// ```
 pub fn merge(files: &Files) -> Result<Merged, Vec<Mistake>> {
-    let attempt = attempt(files);
+    let attempt = attempt(files, Sources::Keep);
     if attempt.mistakes.is_empty() {
         Ok(attempt.merged)
     } else {
@@ -102,9 +105,17 @@
     }
 }
 
-pub(crate) fn attempt(files: &Files) -> Attempt {
+/// Whether the content of each file is kept, to look up the file of a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sources {
+    Keep,
+    /// The files of 25,000 servers take tens of megabytes once parsed.
+    Drop,
+}
+
+pub(crate) fn attempt(files: &Files, keep: Sources) -> Attempt {
     let mut value = Value::Object(Map::new());
-    let mut sources = Vec::with_capacity(files.len());
+    let mut sources = Vec::new();
     let mut mistakes = Vec::new();
     let mut incomplete = false;
     if files.is_empty() {
@@ -130,7 +141,9 @@
         }
         let source = Value::Object(document.root);
         json_patch::merge(&mut value, &source);
-        sources.push((name.clone(), source));
+        if keep == Sources::Keep {
+            sources.push((name.clone(), source));
+        }
     }
     Attempt {
         merged: Merged { value, sources },
--- a/crates/jasminepond-config/src/read_groups.rs
+++ b/crates/jasminepond-config/src/read_groups.rs
@@ -1,16 +1,16 @@
 //! Reads groups and their snapshots.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{collections::BTreeMap, fmt, str::FromStr};
 
-use jasminepond_types::{ClassId, GroupId, ServerId, ServiceId, TenantId, Version};
+use jasminepond_types::{GroupId, ServerId, ServiceId, Version};
 use serde_json::Value;
 
 use crate::{
     Group, GroupKind, Snapshot,
-    document::join,
-    read::{Names, entries, items, refer},
+    known::Known,
+    read::{Names, entries, items},
     schema,
-    section::{self, Report, Section},
+    section::{Report, Section},
 };
 
 pub(crate) fn groups(
@@ -23,90 +23,46 @@
 }
 
 fn group(report: &mut Report, s: &Section<'_>, names: &Names<'_>) -> Option<Group> {
-    let tenants = allowed::<TenantId>(report, s, "tenants", "tenant", &names.tenants);
-    let classes = allowed::<ClassId>(report, s, "classes", "class", &names.classes);
-    let kind = s.parsed(report, "kind")?;
+    let kind = s.parsed(report, "kind");
+    if let Some(kind) = kind {
+        parts_of(report, s, kind);
+    }
+    let tenants = list(report, s, "tenants", &names.tenants);
+    let classes = list(report, s, "classes", &names.classes);
+    let servers = list(report, s, "servers", &names.servers);
+    Some(Group {
+        snapshots: snapshots(report, s, names),
+        servers: servers.unwrap_or_default(),
+        tenants: tenants.map(|list| list.into_iter().collect()),
+        classes: classes.map(|list| list.into_iter().collect()),
+        kind: kind?,
+    })
+}
+
+/// Reports what a group of `kind` lacks or must not have.
+fn parts_of(report: &mut Report, s: &Section<'_>, kind: GroupKind) {
     let (needed, forbidden) = match kind {
         GroupKind::Search => ("snapshots", "servers"),
         GroupKind::Execute => ("servers", "snapshots"),
     };
     if s.raw(needed).is_none() {
-        report.add(
-            s.path_of(needed),
-            format!("the key is missing, a group of kind {kind} needs it"),
-        );
+        let reason = format!("the key is missing, a group of kind {kind} needs it");
+        report.add(s.path_of(needed), reason);
     }
     if s.raw(forbidden).is_some() {
-        report.add(
-            s.path_of(forbidden),
-            format!("a group of kind {kind} has no {forbidden}"),
-        );
+        let reason = format!("a group of kind {kind} has no {forbidden}");
+        report.add(s.path_of(forbidden), reason);
     }
-    Some(Group {
-        kind,
-        snapshots: snapshots(report, s, names),
-        servers: servers(report, s, names),
-        tenants,
-        classes,
-    })
 }
 
-/// A list of ids that restricts who uses a group.
-fn allowed<T>(
+/// A list of ids that are defined elsewhere, `None` if absent.
+fn list<T: FromStr<Err: fmt::Display> + Clone>(
     report: &mut Report,
     s: &Section<'_>,
     name: &str,
-    what: &str,
-    known: &BTreeSet<&str>,
-) -> Option<BTreeSet<T>>
-where
-    T: std::str::FromStr<Err: std::fmt::Display> + Ord + Clone + std::borrow::Borrow<str>,
-{
-    let list = s
-        .raw(name)
-        .and_then(|value| referring(report, value, &s.path_of(name), what, known))?;
-    Some(list.into_iter().collect())
-}
-
-fn servers(report: &mut Report, s: &Section<'_>, names: &Names<'_>) -> Vec<ServerId> {
-    let list = s.raw("servers").and_then(|value| {
-        referring(
-            report,
-            value,
-            &s.path_of("servers"),
-            "server",
-            &names.servers,
-        )
-    });
-    list.unwrap_or_default()
-}
-
-/// A list of ids that are defined elsewhere, with at least one entry.
-fn referring<T>(
-    report: &mut Report,
-    value: &Value,
-    path: &str,
-    what: &str,
-    known: &BTreeSet<&str>,
-) -> Option<Vec<T>>
-where
-    T: std::str::FromStr<Err: std::fmt::Display> + Ord + Clone + std::borrow::Borrow<str>,
-{
-    let list: Vec<T> = section::list(report, value, path)?;
-    let items = value.as_array().map(Vec::as_slice).unwrap_or_default();
-    if items.is_empty() {
-        report.add(
-            path,
-            format!("the list is empty, at least one {what} is needed"),
-        );
-    }
-    for (index, item) in items.iter().enumerate() {
-        // What is not an id has been reported by `list`.
-        if let Some(id) = item.as_str().filter(|text| text.parse::<T>().is_ok()) {
-            refer(report, what, known, id, &join(path, &index.to_string()));
-        }
-    }
-    Some(list)
+    known: &Known<'_, T>,
+) -> Option<Vec<T>> {
+    known.resolve_list(report, s.raw(name)?, &s.path_of(name))
 }
 
 /// The snapshots of a group, newest first.
@@ -116,12 +72,13 @@
     };
     let mut snapshots = BTreeMap::new();
     let path = s.path_of("snapshots");
-    for (version, value, own_path) in items::<Version>(report, value, &path) {
-        if own_path != join(&path, &version.to_string()) {
-            report.add(own_path, unusual(version, s));
+    for (version, key, value) in items(report, value, &path, Version::from_str) {
+        let path = path.key(key);
+        if key != version.to_string() {
+            report.add(path, unusual(version, s));
             continue;
         }
-        let Some(section) = Section::open(report, schema::SNAPSHOT, value, own_path) else {
+        let Some(section) = Section::open(report, schema::SNAPSHOT, value, &path) else {
             continue;
         };
         let services = services(report, &section, names);
@@ -150,8 +107,9 @@
     let Some(value) = s.value(report, "services") else {
         return services;
     };
-    for (service, value, path) in items(report, value, &s.path_of("services")) {
-        let replicas = referring(report, value, &path, "server", &names.servers);
+    let path = s.path_of("services");
+    for (service, key, value) in items(report, value, &path, ServiceId::from_str) {
+        let replicas = names.servers.resolve_list(report, value, &path.key(key));
         services.insert(service, replicas.unwrap_or_default());
     }
     services
--- a/crates/jasminepond-config/src/read_servers.rs
+++ b/crates/jasminepond-config/src/read_servers.rs
@@ -5,11 +5,15 @@
     net::SocketAddr,
 };
 
-use jasminepond_types::{ConnectionLimit, Millis, ServerId, Slots, ZoneId};
+use jasminepond_types::{ConnectionLimit, Millis, ServerId, Slots};
+use serde_json::Value;
 
 use crate::{
     Server,
-    read::{Names, entries, refer},
+    document::describe,
+    known::undefined,
+    path::Path,
+    read::{Names, entries, entries_by},
     schema,
     section::{Report, Section, narrow},
 };
@@ -32,26 +36,54 @@
     };
 }
 
+struct Shapes<'a> {
+    /// The section, if a file has it.
+    raw: Option<&'a Value>,
+    by_name: BTreeMap<String, Shape>,
+}
+
+impl<'a> Shapes<'a> {
+    fn read(report: &mut Report, root: &Section<'a>) -> Self {
+        let read = |report: &mut Report, s: &Section<'_>| Some(shape(report, s));
+        Self {
+            raw: root.raw("shapes"),
+            by_name: entries(report, root, "shapes", schema::SHAPE, read),
+        }
+    }
+
+    /// The shape `name`; reports a name that is not defined.
+    fn resolve(&self, report: &mut Report, name: &str, path: &Path<'_>) -> Shape {
+        if let Some(shape) = self.by_name.get(name) {
+            return *shape;
+        }
+        // A shape or section that is not an object has been reported.
+        let reported = self
+            .raw
+            .is_some_and(|raw| !raw.is_object() || raw.get(name).is_some());
+        if !reported {
+            let names = self.by_name.keys().map(String::as_str);
+            undefined(report, "shape", names, name, path);
+        }
+        Shape::UNDEFINED
+    }
+}
+
 pub(crate) fn servers(
     report: &mut Report,
     root: &Section<'_>,
     names: &Names<'_>,
 ) -> BTreeMap<ServerId, Server> {
-    let mut shapes = BTreeMap::new();
-    if root.raw("shapes").is_some() {
-        shapes = entries(report, root, "shapes", schema::SHAPE, |r, s| {
-            Some(shape(r, s))
-        });
-    }
+    let shapes = Shapes::read(report, root);
     let mut used = Addresses::new();
-    entries(report, root, "servers", schema::SERVER, |report, s| {
+    let id = |key: &str| names.servers.id(key);
+    entries_by(report, root, "servers", schema::SERVER, id, |report, s| {
         let address = address(report, s, &mut used);
         server(report, s, names, &shapes, address)
     })
 }
 
-/// The path of the server's address, by address. Two servers with one address
-/// would each be given the whole of its slots.
+/// The server of each address. Two servers with one address would each be given
+/// the whole of its slots.
 type Addresses = HashMap<SocketAddr, String>;
 
 fn shape(report: &mut Report, s: &Section<'_>) -> Shape {
@@ -67,10 +99,10 @@
     report: &mut Report,
     s: &Section<'_>,
     names: &Names<'_>,
-    shapes: &BTreeMap<String, Shape>,
+    shapes: &Shapes<'_>,
     address: Option<SocketAddr>,
 ) -> Option<Server> {
-    let shape = shape_of(report, s, names, shapes);
+    let shape = shape_of(report, s, shapes);
     let own = self::shape(report, s);
     let connect_cost_ms = own.connect_cost_ms.or(shape.connect_cost_ms);
     let slots = own.slots.or(shape.slots);
@@ -83,16 +115,8 @@
             );
         }
     }
-    let zone: Option<ZoneId> = s.parsed(report, "zone");
-    if let Some(zone) = &zone {
-        refer(
-            report,
-            "zone",
-            &names.zones,
-            zone.as_str(),
-            &s.path_of("zone"),
-        );
-    }
+    let zone = s.value(report, "zone");
+    let zone = zone.and_then(|zone| names.zones.resolve(report, zone, &s.path_of("zone")));
     Some(Server {
         address: address?,
         zone: zone?,
@@ -104,20 +128,16 @@
     })
 }
 
-fn shape_of(
-    report: &mut Report,
-    s: &Section<'_>,
-    names: &Names<'_>,
-    shapes: &BTreeMap<String, Shape>,
-) -> Shape {
-    if s.raw("shape").is_none() {
+fn shape_of(report: &mut Report, s: &Section<'_>, shapes: &Shapes<'_>) -> Shape {
+    let Some(value) = s.raw("shape") else {
         return Shape::default();
-    }
-    let Some(name) = s.parsed::<String>(report, "shape") else {
+    };
+    let path = s.path_of("shape");
+    let Some(name) = value.as_str() else {
+        report.add(path, format!("expected a text, found {}", describe(value)));
         return Shape::UNDEFINED;
     };
-    refer(report, "shape", &names.shapes, &name, &s.path_of("shape"));
-    shapes.get(&name).copied().unwrap_or(Shape::UNDEFINED)
+    shapes.resolve(report, name, &path)
 }
 
 fn address(report: &mut Report, s: &Section<'_>, used: &mut Addresses) -> Option<SocketAddr> {
@@ -127,8 +147,11 @@
         report.add(path, format!("{address} cannot be connected to"));
         return None;
     }
-    if let Some(other) = used.insert(address, path.clone()) {
-        report.add(path, format!("{other} is the same address {address}"));
+    if let Some(other) = used.insert(address, s.name().to_owned()) {
+        report.add(
+            path,
+            format!("server \"{other}\" has the same address {address}"),
+        );
     }
     Some(address)
 }
--- a/crates/jasminepond-config/src/section.rs
+++ b/crates/jasminepond-config/src/section.rs
@@ -1,12 +1,13 @@
 //! Reads one object of a file against its table of keys and collects every
 //! mistake instead of stopping at the first.
 
-use std::{collections::BTreeSet, str::FromStr};
+use std::{collections::BTreeSet, fmt, str::FromStr};
 
 use serde_json::{Map, Value};
 
 use crate::{
-    document::{describe, join},
+    document::describe,
+    path::Path,
     schema::{Key, Kind, SectionSpec},
 };
 
@@ -21,12 +22,12 @@
 }
 
 impl Report {
-    pub(crate) fn add(&mut self, path: impl Into<String>, reason: impl Into<String>) {
-        self.mistakes.push((path.into(), reason.into()));
+    pub(crate) fn add(&mut self, path: impl fmt::Display, reason: impl Into<String>) {
+        self.mistakes.push((path.to_string(), reason.into()));
     }
 
     /// Adds a mistake for a key that must be present.
-    pub(crate) fn missing(&mut self, path: String) {
+    pub(crate) fn missing(&mut self, path: Path<'_>) {
         self.add(path, "the key is missing and has no default");
     }
 }
@@ -35,7 +36,7 @@
 pub(crate) struct Section<'a> {
     spec: SectionSpec,
     map: &'a Map<String, Value>,
-    path: String,
+    path: &'a Path<'a>,
 }
 
 impl<'a> Section<'a> {
@@ -44,20 +45,28 @@
         report: &mut Report,
         spec: SectionSpec,
         value: &'a Value,
-        path: String,
+        path: &'a Path<'a>,
     ) -> Option<Self> {
-        let map = object(report, value, &path)?;
+        let map = object(report, value, path)?;
         for key in map.keys() {
             if !spec.keys.iter().any(|known| known.name == key) {
-                report.add(join(&path, key), unknown(key, spec.keys));
+                report.add(path.key(key), unknown(key, spec.keys));
             }
         }
         Some(Self { spec, map, path })
     }
 
+    /// The key of this section in the object that holds it.
+    pub(crate) fn name(&self) -> &'a str {
+        match self.path {
+            Path::Key(_, key) => key,
+            _ => "",
+        }
+    }
+
     /// The path of a key of this section.
-    pub(crate) fn path_of(&self, name: &str) -> String {
-        join(&self.path, name)
+    pub(crate) fn path_of<'s>(&'s self, name: &'s str) -> Path<'s> {
+        self.path.key(name)
     }
 
     /// The raw value of a key, if present.
@@ -111,7 +120,7 @@
     /// A choice, or its default if absent.
     pub(crate) fn choice<T: FromStr + Default>(&self, report: &mut Report, name: &str) -> T
     where
-        T::Err: std::fmt::Display,
+        T::Err: fmt::Display,
     {
         let Kind::Choice { default, .. } = self.spec.key(name).kind else {
             unreachable!("{name} is not a choice in the table of keys");
@@ -124,7 +133,7 @@
     /// A text that is parsed into `T`, `None` if absent or wrong.
     pub(crate) fn parsed<T: FromStr>(&self, report: &mut Report, name: &str) -> Option<T>
     where
-        T::Err: std::fmt::Display,
+        T::Err: fmt::Display,
     {
         let value = self.value(report, name)?;
         parse(report, value, &self.path_of(name))
@@ -138,7 +147,7 @@
         name: &str,
     ) -> Option<Vec<T>>
     where
-        T::Err: std::fmt::Display,
+        T::Err: fmt::Display,
     {
         let value = self.value(report, name)?;
         list(report, value, &self.path_of(name))
@@ -149,7 +158,7 @@
 pub(crate) fn object<'a>(
     report: &mut Report,
     value: &'a Value,
-    path: &str,
+    path: &Path<'_>,
 ) -> Option<&'a Map<String, Value>> {
     let map = value.as_object();
     if map.is_none() {
@@ -161,10 +170,23 @@
     map
 }
 
+/// The entries of the list `value`, or a mistake.
+pub(crate) fn items<'a>(
+    report: &mut Report,
+    value: &'a Value,
+    path: &Path<'_>,
+) -> Option<&'a [Value]> {
+    let items = value.as_array().map(Vec::as_slice);
+    if items.is_none() {
+        report.add(path, format!("expected a list, found {}", describe(value)));
+    }
+    items
+}
+
 /// The text `value` parsed into `T`, or a mistake.
-pub(crate) fn parse<T: FromStr>(report: &mut Report, value: &Value, path: &str) -> Option<T>
+pub(crate) fn parse<T: FromStr>(report: &mut Report, value: &Value, path: &Path<'_>) -> Option<T>
 where
-    T::Err: std::fmt::Display,
+    T::Err: fmt::Display,
 {
     let Some(text) = value.as_str() else {
         report.add(path, format!("expected a text, found {}", describe(value)));
@@ -183,26 +205,23 @@
 pub(crate) fn list<T: FromStr + Ord + Clone>(
     report: &mut Report,
     value: &Value,
-    path: &str,
+    path: &Path<'_>,
 ) -> Option<Vec<T>>
 where
-    T::Err: std::fmt::Display,
+    T::Err: fmt::Display,
 {
-    let Some(items) = value.as_array() else {
-        report.add(path, format!("expected a list, found {}", describe(value)));
-        return None;
-    };
+    let items = items(report, value, path)?;
     let mut seen = BTreeSet::new();
     let mut list = Vec::with_capacity(items.len());
     for (index, item) in items.iter().enumerate() {
-        let path = join(path, &index.to_string());
+        let path = path.index(index);
         let Some(parsed) = parse::<T>(report, item, &path) else {
             continue;
         };
         if seen.insert(parsed.clone()) {
             list.push(parsed);
         } else {
-            report.add(path, format!("{} is listed twice", describe(item)));
+            report.add(path, format!("{item} is listed twice"));
         }
     }
     Some(list)
@@ -224,12 +243,13 @@
     }
 }
 
-/// The name most similar to `key`, if any is similar enough.
+/// The name most similar to `key`, if any is similar enough; of equally similar
+/// ones the first by name.
 pub(crate) fn closest<'a>(key: &str, names: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     names
         .into_iter()
         .map(|name| (strsim::normalized_damerau_levenshtein(key, name), name))
         .filter(|(similarity, _)| *similarity >= SUGGESTION_SIMILARITY)
-        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(a.1)))
         .map(|(_, name)| name)
 }
--- a/crates/jasminepond-config/src/settings_read.rs
+++ b/crates/jasminepond-config/src/settings_read.rs
@@ -5,8 +5,8 @@
 use serde_json::Value;
 
 use crate::{
-    Advertise, Log, Mistake, PeerKey, Settings, SyncSettings,
-    document::{self, join},
+    Advertise, Log, Mistake, PeerKey, Settings, SyncSettings, document,
+    path::Path,
     read::absent,
     schema::{self, SectionSpec},
     section::{Report, Section},
@@ -31,7 +31,7 @@
 }
 
 fn root(report: &mut Report, value: &Value) -> Option<Settings> {
-    let s = &Section::open(report, schema::SETTINGS, value, String::new())?;
+    let s = &Section::open(report, schema::SETTINGS, value, &Path::Root)?;
     // Everything is read before the first `?`, so that every mistake is found.
     let ids = (
         s.parsed(report, "instance"),
@@ -74,7 +74,8 @@
     read: impl Fn(&mut Report, &Section<'_>) -> T,
 ) -> T {
     let value = root.value(report, name);
-    let section = value.and_then(|value| Section::open(report, spec, value, root.path_of(name)));
+    let path = root.path_of(name);
+    let section = value.and_then(|value| Section::open(report, spec, value, &path));
     match section {
         Some(section) => read(report, &section),
         None => absent(spec, read),
@@ -115,11 +116,11 @@
 fn platform(report: &mut Report, s: &Section<'_>) -> Vec<SocketAddr> {
     let addresses = s.list(report, "platform").unwrap_or_default();
     not_empty(report, s, "platform");
+    let path = s.path_of("platform");
     for (index, item) in items(s, "platform").iter().enumerate() {
         // What is not an address has been reported by `list`.
         if let Some(address) = item.as_str().and_then(|text| text.parse().ok()) {
-            let path = join(&s.path_of("platform"), &index.to_string());
-            connectable(report, address, path);
+            connectable(report, address, path.index(index));
         }
     }
     addresses
@@ -135,8 +136,9 @@
         report.add(s.path_of("peer_keys"), "expected a list");
     }
     not_empty(report, s, "peer_keys");
+    let path = s.path_of("peer_keys");
     for (index, item) in items(s, "peer_keys").iter().enumerate() {
-        let path = join(&s.path_of("peer_keys"), &index.to_string());
+        let path = path.index(index);
         match item.as_str().map(str::parse::<PeerKey>) {
             None => report.add(path, "expected a text"),
             Some(Err(e)) => report.add(path, format!("not a key: {e}")),
@@ -166,7 +168,7 @@
     }
 }
 
-fn connectable(report: &mut Report, address: SocketAddr, path: String) -> Option<SocketAddr> {
+fn connectable(report: &mut Report, address: SocketAddr, path: Path<'_>) -> Option<SocketAddr> {
     if address.port() == 0 || address.ip().is_unspecified() {
         report.add(path, format!("{address} cannot be connected to"));
         return None;
--- a/crates/jasminepond-config/tests/config/main.rs
+++ b/crates/jasminepond-config/tests/config/main.rs
@@ -9,4 +9,5 @@
 mod manual;
 mod merging;
 mod mistakes;
+mod robustness;
 mod settings;
