feat(cluster): build the programs that a cluster starts

Cause: cargo builds only the programs of the package that it tests. Change: one call builds all programs in the running profile.

--- a/tools/cluster/src/lib.rs
+++ b/tools/cluster/src/lib.rs
@@ -104,11 +104,49 @@
     let program = std::env::current_exe().unwrap_or_default();
     let folder = program.parent().map(Path::to_owned).unwrap_or_default();
     match folder.file_name() {
-        Some(name) if name == "deps" => folder.parent().map(Path::to_owned).unwrap_or_default(),
+        Some(name) if name == "deps" || name == "examples" => {
+            folder.parent().map(Path::to_owned).unwrap_or_default()
+        }
         _ => folder,
     }
 }
 
+/// Packages whose programs a cluster starts.
+const PROGRAMS: [&str; 5] = [
+    "jasminepond",
+    "standin-backend",
+    "standin-platform",
+    "standin-relay",
+    "jasminepond-load",
+];
+
+/// Builds the programs in the profile of the running one and returns their
+/// folder. Cargo builds only the programs of the package that it runs or tests.
+///
+/// # Errors
+///
+/// Cargo cannot be run or the build fails.
+pub fn build_programs() -> Result<PathBuf, ClusterError> {
+    let folder = programs_folder();
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = std::process::Command::new(cargo);
+    command.args(["build", "--quiet", "--locked", "--bins"]);
+    command.current_dir(env!("CARGO_MANIFEST_DIR"));
+    command.args(PROGRAMS.iter().flat_map(|package| ["-p", *package]));
+    if let Some(target) = folder.parent() {
+        command.arg("--target-dir").arg(target);
+    }
+    if folder.file_name().is_some_and(|name| name == "release") {
+        command.arg("--release");
+    }
+    let status = command.status().map_err(io("cargo build"))?;
+    if status.success() {
+        return Ok(folder);
+    }
+    let failed = std::io::Error::other(status.to_string());
+    Err(io("cargo build")(failed))
+}
+
 /// Addresses of a daemon.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
