feat(demo): run a deployment and check its promises

Cause: nothing showed the whole system at work to a newcomer. Change: one command builds and starts a deployment, sends searches and non-idempotent requests, changes the configuration and stops a daemon while they run, and exits non-zero if a promise was broken.

--- a/tools/demo/src/lib.rs
+++ b/tools/demo/src/lib.rs
@@ -1,1 +1,207 @@
-//! Placeholder replaced by the module's real content.
+//! The demo: starts a deployment as separate processes, sends searches and
+//! non-idempotent requests through its daemons, changes the configuration and
+//! stops one daemon while they run, and checks what the tier promises.
+
+mod checks;
+mod clients;
+mod report;
+
+use std::{
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use jasminepond_cluster::{Cluster, ClusterError, build_programs, call, wait_for};
+use serde_json::json;
+
+pub use report::Outcome;
+
+use clients::{Balancer, Clients, Workload};
+use report::{Reconfigured, Stopped};
+
+/// How to run the demo.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of the example: `foundry` or `registry`.
+    pub deployment: Deployment,
+    /// Daemons to start.
+    pub daemons: usize,
+    /// How long requests are sent.
+    pub duration: Duration,
+    /// Clients that search at the same time.
+    pub searchers: usize,
+    /// Clients that send non-idempotent requests at the same time.
+    pub executors: usize,
+    /// Scratch folder; logs of all processes are kept there.
+    pub scratch: PathBuf,
+}
+
+/// An example deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deployment {
+    /// Turnatoria Vulcan Grate.
+    Foundry,
+    /// Dinas Usaha Kedai Limun Jawa Tengah.
+    Registry,
+}
+
+impl Deployment {
+    /// Its name on the command line and under `examples/`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Foundry => "foundry",
+            Self::Registry => "registry",
+        }
+    }
+
+    fn folder(self) -> PathBuf {
+        PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples")).join(self.name())
+    }
+
+    fn workload(self) -> Workload {
+        match self {
+            Self::Foundry => Workload {
+                searches: &[
+                    ("moulding", "pattern-lookup", "pattern-shop"),
+                    ("sales", "archive-search", "sales-office"),
+                ],
+                execute: ("sales", "order-entry", "dispatch"),
+            },
+            Self::Registry => Workload {
+                searches: &[
+                    ("inspectors", "recall-check", "kit-registry"),
+                    ("loan-desk", "loan-review", "loan-portal"),
+                ],
+                execute: ("permit-office", "permit-print", "permits"),
+            },
+        }
+    }
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            deployment: Deployment::Foundry,
+            daemons: 6,
+            duration: Duration::from_secs(8),
+            searchers: 6,
+            executors: 3,
+            scratch: std::env::temp_dir().join(format!("jasminepond-demo-{}", std::process::id())),
+        }
+    }
+}
+
+/// The daemon that is stopped while requests run.
+const STOPPED: usize = 1;
+
+/// Runs the demo. Progress is printed as it goes.
+///
+/// # Errors
+///
+/// A process cannot be started or does not answer. A broken promise is no error
+/// but part of the outcome.
+pub fn run(options: &Options) -> Result<Outcome, ClusterError> {
+    println!("building the programs");
+    let programs = build_programs()?;
+    let workload = options.deployment.workload();
+    let mut cluster_options =
+        jasminepond_cluster::Options::new(options.deployment.folder(), &options.scratch);
+    cluster_options.daemons = options.daemons;
+    cluster_options.programs = programs;
+    println!(
+        "starting {} daemons, the backend servers and the platform of the {} (logs in {})",
+        options.daemons,
+        options.deployment.name(),
+        options.scratch.display()
+    );
+    let mut cluster = Cluster::start(cluster_options)?;
+    for node in &cluster.nodes {
+        println!(
+            "  {} in {}: callers on {}",
+            node.instance, node.zone, node.addresses.callers
+        );
+    }
+
+    let balancer = Arc::new(Balancer::new(cluster.callers()));
+    let done = Arc::new(AtomicBool::new(false));
+    println!("sending requests for {:?}", options.duration);
+    let started = Instant::now();
+    let clients = Clients::start(
+        &workload,
+        options.searchers,
+        options.executors,
+        &balancer,
+        &done,
+    );
+
+    sleep_until(started + options.duration / 4);
+    let reconfigured = reconfigure(&cluster)?;
+    sleep_until(started + options.duration / 2);
+    let stopped = stop_one(&mut cluster, &balancer)?;
+    sleep_until(started + options.duration);
+    done.store(true, Ordering::Relaxed);
+    let results = clients.join();
+
+    let revisions = cluster.revisions();
+    let executions = cluster.executions()?;
+    let backend = cluster.backend_counters()?;
+    Ok(Outcome {
+        results,
+        reconfigured,
+        stopped,
+        revisions,
+        executions,
+        backend,
+    })
+}
+
+fn sleep_until(at: Instant) {
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// Changes a limit and waits until every daemon has the new revision.
+fn reconfigure(cluster: &Cluster) -> Result<Reconfigured, ClusterError> {
+    let change = json!({"98-demo.json": {"routing": {"queue_limit": 200}}});
+    let started = Instant::now();
+    let revision = cluster.publish(&change)?;
+    println!("published configuration revision {revision}");
+    wait_for("the new revision on all daemons", || {
+        let revisions = cluster.revisions();
+        let all = revisions.len() == cluster.nodes.len();
+        (all && revisions.values().all(|r| *r == revision)).then_some(())
+    })?;
+    let took = started.elapsed();
+    println!(
+        "  in effect on all daemons after {:.0} ms",
+        took.as_secs_f64() * 1_000.0
+    );
+    Ok(Reconfigured { revision, took })
+}
+
+/// Stops a daemon as an operator would: SIGTERM, and the load balancer takes it
+/// out once it is not ready any more.
+fn stop_one(cluster: &mut Cluster, balancer: &Balancer) -> Result<Stopped, ClusterError> {
+    let operators = cluster.nodes[STOPPED].addresses.operators;
+    let instance = cluster.nodes[STOPPED].instance.clone();
+    println!("stopping {instance} with SIGTERM");
+    cluster.nodes[STOPPED]
+        .process
+        .signal(jasminepond_cluster::Signal::TERM)?;
+    wait_for("the stopped daemon to be not ready", || {
+        let ready = call(operators, "/readyz", None);
+        ready.map_or(Some(()), |answer| {
+            (answer["status"] != "ready").then_some(())
+        })
+    })?;
+    balancer.remove(STOPPED);
+    let status = cluster.nodes[STOPPED].process.wait()?;
+    println!("  {instance} ended with {status}");
+    Ok(Stopped {
+        instance,
+        clean: status.success(),
+    })
+}
