fix(control): tick when the next read of the service is due

Cause: a reader asks for one file per tick and ticks came every 100 ms, so a folder of 17 files took 1.3 s. Ruled out: the stand-in (0.3 ms per read) and connection setup. Change: the control task ticks when the next read may start, also after an event.

--- a/crates/jasminepond-daemon/src/control/mod.rs
+++ b/crates/jasminepond-daemon/src/control/mod.rs
@@ -207,14 +207,13 @@
             }
             if let Some(event) = event {
                 self.handle(now, event);
+                // An event may have set an earlier timer.
+                next_tick = next_tick.min(self.next_tick(now));
             }
             // Also under a steady stream of events, which would starve the timer.
             if now >= next_tick {
                 self.tick(now);
-                next_tick = self
-                    .membership
-                    .next_tick()
-                    .clamp(now + MIN_TICK, now + TICK);
+                next_tick = self.next_tick(now);
             }
             self.flush().await;
             self.publish();
@@ -250,6 +249,12 @@
         }
     }
 
+    fn next_tick(&self, now: Timestamp) -> Timestamp {
+        let next = self.membership.next_tick();
+        let next = self.sync.next_read().map_or(next, |read| next.min(read));
+        next.clamp(now + MIN_TICK, now + TICK)
+    }
+
     fn on_woke(&mut self, now: Timestamp) {
         let outputs = self.membership.woke(now);
         self.perform_membership(outputs);
--- a/crates/jasminepond-sync/src/lib.rs
+++ b/crates/jasminepond-sync/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod store;
 mod sync;
+mod timers;
 
 pub use digest::{Digest, ParseDigestError};
 pub use manifest::{FileRef, MAX_FILE_BYTES, MAX_FILES};
