test(dispatch): cover quota, abandoned slots, ring order and late outcomes

Four deliberate faults passed the tests: one connection above the quota, slots of cancelled requests not counted, a tenant losing its turn, and a progress timeout on work that must not run twice. The invariants now use a quota close to the slots, and each of the four has a test that fails on it.

--- a/crates/jasminepond-dispatch/tests/faults.rs
+++ b/crates/jasminepond-dispatch/tests/faults.rs
@@ -113,9 +113,14 @@
 }
 
 /// Guards against waiting for the deadline on a connection that is dead: the
-/// time left must suffice for another replica.
-#[test]
-fn the_progress_timeout_follows_the_service_times() {
+/// time left must suffice for another replica. Work that must not run twice has
+/// no other replica, so giving it up early would only lose its outcome.
+#[test_case(true, ms(3_000)..ms(3_101) ; "idempotent")]
+#[test_case(false, ms(1_000_050)..ms(1_000_051) ; "other work")]
+fn the_progress_timeout_follows_the_service_times(
+    idempotent: bool,
+    expected: std::ops::Range<Timestamp>,
+) {
     let mut queue = warm(settings(1));
     let mut now = ms(1_000);
     for id in 0..200 {
@@ -123,25 +128,42 @@
         now = now + Duration::from_millis(10);
         queue.answered(now, conn, Outcome::Done);
     }
-    start(&mut queue, now, 1_000..1_001);
-    let Next::Idle { until: Some(until) } = queue.next(now) else {
-        panic!("not idle");
-    };
-    assert!(until.since(now) <= Duration::from_millis(100), "{until}");
-    assert!(matches!(queue.next(until), Next::Close { .. }));
+    queue.enqueue(
+        now,
+        Work {
+            idempotent,
+            ..work(1_000)
+        },
+    );
+    let (_, conn) = run(&mut queue, now)[0];
+    loop {
+        match queue.next(now) {
+            Next::Idle { until } => now = until.unwrap(),
+            Next::Check { conn } => queue.checked(now, conn, ServerState::Ready),
+            Next::Close { conn: closed } if closed == conn => break,
+            Next::Close { conn: other } => assert_eq!(queue.closed(now, other), Lost::Nothing),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(expected.contains(&now), "{now}");
 }
 
 /// Guards against a late response being taken for the answer to another
 /// request, and against abandoned requests exceeding the quota.
 #[test]
 fn an_abandoned_connection_drains_before_reuse() {
-    let mut queue = warm(settings(1));
+    let mut queue = warm(Settings {
+        connection_quota: 4,
+        ..settings(1)
+    });
     let conn = start(&mut queue, ms(500), 0..1)[0];
     let Cancelled::SendCancel { conn: on, via } = queue.cancel(ms(501), WorkId(0)) else {
         panic!("not running");
     };
     assert_eq!(on, conn);
-    assert_ne!(via, Some(conn));
+    let via = via.expect("an idle connection");
+    assert_ne!(via, conn);
+    queue.checked(ms(502), via, ServerState::Ready);
     assert_eq!(
         start(&mut queue, ms(502), 1..2),
         [],
@@ -274,7 +296,10 @@
     let mut queue = warm(settings(2));
     assert!(queue.connections() > 0);
     let (mut now, mut checks) = (ms(1_000), 0);
-    while queue.connections() > 0 {
+    for _ in 0..100 {
+        if queue.connections() == 0 {
+            break;
+        }
         match queue.next(now) {
             Next::Check { conn } => {
                 checks += 1;
@@ -285,6 +310,7 @@
             other => panic!("{other:?}"),
         }
     }
+    assert_eq!(queue.connections(), 0);
     assert!(checks >= 5, "{checks} checks");
     assert!((ms(55_000)..ms(75_000)).contains(&now), "{now}");
 }
--- a/crates/jasminepond-dispatch/tests/invariants.rs
+++ b/crates/jasminepond-dispatch/tests/invariants.rs
@@ -81,7 +81,7 @@
         1 => (500..5_000u64).prop_map(Event::Woke),
         1 => Just(Event::Drain),
         2 => Just(Event::Ready),
-        1 => (1..5u32, 1..6u32).prop_map(|(slots, quota)| Event::Limits { slots, quota }),
+        1 => (1..5u32, 1..5u32).prop_map(|(slots, quota)| Event::Limits { slots, quota }),
     ]
 }
 
@@ -107,16 +107,17 @@
 impl Caller {
     fn new() -> Self {
         let settings = Settings {
-            slots: Slots(4),
-            connection_quota: 5,
+            slots: Slots(2),
+            connection_quota: 3,
+            growth_run: 1,
             queue_limit: 16,
             ..Default::default()
         };
         Self {
             queue: ServerQueue::new(Timestamp::ZERO, settings, 3),
             now: Timestamp::ZERO,
-            slots: 4,
-            quota: 5,
+            slots: 2,
+            quota: 3,
             ids: 0,
             conns: Vec::new(),
             opening: 0,
@@ -302,11 +303,12 @@
 
     fn limits(&mut self, slots: u32, quota: u32) {
         // Requests and connections from before the change may exceed it.
-        self.slots = slots.max(self.slots);
-        self.quota = (quota as usize).max(self.quota);
+        self.slots = slots.max((self.running.len() + self.abandoned.len()) as u32);
+        self.quota = (quota as usize).max(self.conns.len() + self.opening);
         let settings = Settings {
             slots: Slots(slots),
             connection_quota: quota,
+            growth_run: 1,
             queue_limit: 16,
             ..Default::default()
         };
--- a/crates/jasminepond-dispatch/tests/order.rs
+++ b/crates/jasminepond-dispatch/tests/order.rs
@@ -87,6 +87,17 @@
     assert_eq!(light, 4);
 }
 
+/// Guards against a tenant losing its turn when the one before it has no more
+/// work.
+#[test]
+fn a_tenant_that_leaves_does_not_cost_the_next_its_turn() {
+    let mut queue = one_slot();
+    for (tenant, id) in [("a", 1), ("b", 2), ("c", 3), ("b", 4), ("c", 5)] {
+        queue.enqueue(ms(500), of(tenant, 1, id));
+    }
+    assert_eq!(order(&mut queue, ms(500)), [1, 2, 3, 4, 5]);
+}
+
 /// Guards against a tenant's urgent work waiting behind its patient work.
 #[test]
 fn earliest_deadline_first_within_a_tenant() {
