fix(routing): failure penalties follow the failures in a row

Deliberate faults showed that three rules were not tested: growing penalties, back-off of exploration, and requests sent after a hint. Penalties doubled from their decayed value, so a server that kept failing was tried again as soon as one that had failed once; exploration could pick the replica that was chosen anyway. Both are corrected, the longest penalty is 2 s with a half-life of 1 s, and each of the faults now fails a test.

--- a/crates/jasminepond-routing/src/replicas.rs
+++ b/crates/jasminepond-routing/src/replicas.rs
@@ -22,9 +22,10 @@
     pub assumed_slots: u32,
     /// Time for which a hint describes the server.
     pub hint_life: Duration,
-    /// Penalty for the first failure; it doubles with each further one.
+    /// Penalty for the first failure; it doubles with each further one in a row.
     pub failure_penalty: Duration,
-    /// Largest penalty.
+    /// Largest penalty. With the half-life it bounds how long a server that has
+    /// recovered stays out of use: about 10 s.
     pub penalty_limit: Duration,
     /// Time in which a penalty halves.
     pub penalty_half_life: Duration,
@@ -53,8 +54,8 @@
             assumed_slots: 2,
             hint_life: Duration::from_secs(1),
             failure_penalty: Duration::from_millis(50),
-            penalty_limit: Duration::from_secs(10),
-            penalty_half_life: Duration::from_secs(2),
+            penalty_limit: Duration::from_secs(2),
+            penalty_half_life: Duration::from_secs(1),
             cold_after: 3,
             ramp_run: 8,
             explore_after: Duration::from_secs(1),
@@ -174,17 +175,21 @@
     pub fn choose(&mut self, now: Timestamp, ask: Ask<'_>) -> Choice {
         let mut best: Option<(Duration, &ServerId)> = None;
         let mut equals = 0;
-        let mut stale: Option<&ServerId> = None;
+        let mut stale: Option<(Duration, &ServerId)> = None;
         let mut reason = NoChoice::NoReplica;
         for id in ask.servers {
             if let Some(why) = self.ruled_out(now, id, &ask) {
                 reason = reason.max(why);
                 continue;
             }
-            if ask.can_hedge && self.is_stale(now, id) {
-                stale = Some(id);
-            }
             let estimate = self.estimate(now, id, ask.priority).completion;
+            // The stale replica that is least likely to be chosen otherwise.
+            if ask.can_hedge
+                && self.is_stale(now, id)
+                && stale.is_none_or(|(longest, _)| estimate > longest)
+            {
+                stale = Some((estimate, id));
+            }
             let order = best.map_or(Order::Better, |(best, _)| compare(estimate, best));
             match order {
                 Order::Better => {
@@ -206,7 +211,7 @@
             return Choice::None { reason };
         };
         let server = match stale {
-            Some(stale) if self.explores() => stale,
+            Some((_, stale)) if self.explores() => stale,
             _ => best,
         };
         Choice::Use {
--- a/crates/jasminepond-routing/src/server.rs
+++ b/crates/jasminepond-routing/src/server.rs
@@ -18,7 +18,7 @@
 /// allowance are worth sending only when the other replicas are far behind.
 const RAMP_FACTOR: u32 = 4;
 
-/// Largest exponent of the exploration interval: 64 times.
+/// Largest exponent of the penalty and of the exploration interval: 64 times.
 const MAX_DOUBLINGS: u8 = 6;
 
 /// Most slots that a ramp passes before the server counts as warm.
@@ -114,12 +114,13 @@
         self.set_penalty(now, rest.as_micros() as f32);
     }
 
-    /// Doubles the penalty. A failure is counted whatever its latency, so a
-    /// server that fails fast does not look like a fast one.
+    /// Penalises a failure, twice as much as the one before in a row. A failure
+    /// counts whatever its latency, so a server that fails fast does not look
+    /// like a fast one.
     fn punish(&mut self, now: Timestamp, settings: &ReplicaSettings) {
-        let first = settings.failure_penalty;
-        let doubled = self.penalty(now, settings) * 2;
-        let penalty = doubled.max(first).min(settings.penalty_limit);
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        let penalty = settings.failure_penalty * (1 << doublings);
+        let penalty = penalty.min(settings.penalty_limit);
         self.set_penalty(now, penalty.as_micros() as f32);
         self.failures = self.failures.saturating_add(1);
         if self.failures >= settings.cold_after {
--- a/crates/jasminepond-routing/tests/ownership.rs
+++ b/crates/jasminepond-routing/tests/ownership.rs
@@ -68,6 +68,18 @@
     assert_eq!(ownership.owner(&server, &zone), None);
 }
 
+/// Guards against a cached owner being returned after a server has moved to
+/// another zone.
+#[test]
+fn a_server_that_changes_its_zone_changes_its_owner() {
+    let mut ownership = Ownership::default();
+    ownership.rebuild(&["east-1", "east-2"].map(|zone| candidate(zone, zone, true)));
+    for zone in ["east-1", "east-2", "east-1"] {
+        let owner = ownership.owner(&"s1".parse().unwrap(), &zone.parse().unwrap());
+        assert_eq!(owner, Some(zone.parse().unwrap()));
+    }
+}
+
 /// Guards against one daemon owning far more servers than another.
 #[test]
 fn servers_spread_over_daemons() {
--- a/crates/jasminepond-routing/tests/replicas.rs
+++ b/crates/jasminepond-routing/tests/replicas.rs
@@ -112,25 +112,50 @@
 
 /// Guards against a recovered server never being found again, and against
 /// exploring when no hedged request could cover a slow response.
-#[test_case(true, true ; "hedging can cover")]
-#[test_case(false, false ; "hedging cannot cover")]
-fn a_stale_replica_is_explored(can_hedge: bool, explored: bool) {
+#[test_case(1, true, true ; "hedging can cover")]
+#[test_case(1, false, false ; "hedging cannot cover")]
+#[test_case(8, true, false ; "backs off after many failures")]
+fn a_stale_replica_is_explored(failures: u32, can_hedge: bool, explored: bool) {
     let mut replicas = warm(ReplicaSettings::default());
     let [a, b] = servers().try_into().unwrap();
-    for _ in 0..8 {
+    for _ in 0..failures {
         replicas.sent(NOW, &a);
         replicas.ended(NOW, &a, Duration::from_millis(1), Reply::Failed);
     }
-    let soon = NOW + Duration::from_secs(2);
-    replicas.hinted(soon, &b, hint(0, Health::Ready));
-    assert_eq!(counts(&mut replicas, soon, can_hedge)[0], 0, "backs off");
-    let later = NOW + Duration::from_secs(5);
-    let mut replicas = warm(ReplicaSettings::default());
-    replicas.sent(NOW, &a);
-    replicas.ended(NOW, &a, Duration::from_millis(1), Reply::Failed);
+    let later = NOW + Duration::from_secs(2);
     replicas.sent(later, &b);
     let [a, _] = counts(&mut replicas, later, can_hedge);
     assert_eq!((1..50).contains(&a), explored, "{a} in 1,000");
+    assert!(a < 50);
+}
+
+/// Guards against a server that keeps failing being used as soon as one that
+/// failed once.
+#[test_case(1, true ; "after one failure")]
+#[test_case(8, false ; "after eight failures")]
+fn penalties_grow_with_failures_and_decay(failures: u32, used: bool) {
+    let mut replicas = warm(ReplicaSettings {
+        cold_after: u8::MAX,
+        ..Default::default()
+    });
+    let a = &servers()[0];
+    for _ in 0..failures {
+        replicas.sent(NOW, a);
+        replicas.ended(NOW, a, Duration::from_millis(1), Reply::Failed);
+    }
+    let later = NOW + Duration::from_secs(8);
+    assert_eq!(counts(&mut replicas, later, false)[0] > 0, used);
+}
+
+/// Guards against all requests between two hints going to the same server.
+#[test]
+fn requests_sent_after_a_hint_count() {
+    let mut replicas = warm(ReplicaSettings::default());
+    let a = &servers()[0];
+    replicas.hinted(NOW, a, hint(4, Health::Ready));
+    let before = replicas.estimate(NOW, a, 1).wait;
+    replicas.sent(NOW, a);
+    assert!(replicas.estimate(NOW, a, 1).wait > before);
 }
 
 /// Guards against a hint from before the drain report bringing back a leaving
