--- /dev/null
+++ b/crates/jasminepond-query/tests/search_properties.rs
@@ -0,0 +1,346 @@
+//! Random interleavings of everything that can happen to several searches.
+
+use std::{collections::HashMap, time::Duration};
+
+use jasminepond_query::*;
+use jasminepond_types::{QueryId, ServerId, ServiceId, Timestamp, Version};
+use jasminepond_wire::PartFailure;
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+
+const fn ms(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// Decides at random.
+struct Dice(StdRng);
+
+impl Chooser for Dice {
+    fn choose(&mut self, now: Timestamp, _: &ServiceId, _: Version, c: Candidates<'_>) -> Choice {
+        let candidates: Vec<_> = c.iter().collect();
+        match self.0.random_range(0..20) {
+            0 => Choice::None(MissingReason::NoReplica),
+            1 => Choice::None(MissingReason::VersionUnavailable),
+            2 => Choice::Use(self.0.random_range(0..70)),
+            3 | 4 => Choice::Wait {
+                until: now + Duration::from_millis(self.0.random_range(0..20)),
+            },
+            _ => Choice::Use(candidates.choose(&mut self.0).unwrap().0),
+        }
+    }
+
+    fn hedge_after(&mut self, _: Timestamp, _: &ServerId) -> Option<Duration> {
+        let millis = self.0.random_range(0..80);
+        self.0
+            .random_bool(0.7)
+            .then(|| Duration::from_millis(millis))
+    }
+
+    fn may_hedge(&mut self, _: Timestamp, _: &ServerId) -> bool {
+        self.0.random()
+    }
+
+    fn may_retry(&mut self, _: Timestamp, _: &ServerId) -> bool {
+        self.0.random()
+    }
+
+    fn service_time(&mut self, _: Timestamp) -> Duration {
+        Duration::from_millis(self.0.random_range(0..60))
+    }
+}
+
+/// What a correct search knows, kept in the simplest way.
+struct Model {
+    plan: Plan,
+    version: Version,
+    /// Every attempt ever sent, with its shard; `true` while a result is wanted.
+    attempts: HashMap<AttemptId, (ServiceId, bool)>,
+    /// Accepted answers of the present version.
+    answers: HashMap<ServiceId, ShardAnswer>,
+    finished: Option<Answer>,
+    until: Timestamp,
+}
+
+impl Model {
+    fn services(&self) -> &[(ServiceId, Vec<ServerId>)] {
+        let mut versions = self.plan.versions.iter();
+        let version = versions.find(|v| v.version == self.version);
+        &version.unwrap().services
+    }
+
+    /// Checks the steps that followed from an event at `now`.
+    fn check(&mut self, search: &Search, steps: Vec<Step>, now: Timestamp) {
+        assert!(
+            self.finished.is_none() || steps.is_empty(),
+            "steps after Finish"
+        );
+        if search.version() != self.version {
+            self.version = search.version();
+            self.answers.clear();
+        }
+        for step in steps {
+            assert!(self.finished.is_none(), "Finish is not the last step");
+            self.step(step);
+        }
+        if self.finished.is_none() {
+            assert!(now < ms(245), "not finished in time");
+            assert!(self.until <= ms(245), "no call before the deadline");
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Send {
+                attempt,
+                service,
+                server,
+                version,
+            } => {
+                let wanted = |(s, wanted): &&(ServiceId, bool)| *s == service && *wanted;
+                let in_flight = self.attempts.values().filter(wanted).count();
+                assert!(in_flight < 2, "three attempts for one shard");
+                assert!(!self.answers.contains_key(&service), "shard is answered");
+                // A version whose sub-requests were abandoned within one event.
+                if version == self.version {
+                    let shard = self.services().iter().find(|(s, _)| *s == service);
+                    assert!(shard.unwrap().1.contains(&server));
+                }
+                let old = self.attempts.insert(attempt, (service, true));
+                assert!(old.is_none(), "attempt id used twice");
+            }
+            Step::Cancel { attempt } => {
+                let (_, wanted) = self.attempts.get_mut(&attempt).unwrap();
+                assert!(
+                    std::mem::take(wanted),
+                    "cancelled twice or after its result"
+                );
+            }
+            Step::Wait { until } => self.until = until,
+            Step::Finish(answer) => self.finish(answer),
+        }
+    }
+
+    fn finish(&mut self, answer: Answer) {
+        assert!(
+            self.attempts.values().all(|(_, wanted)| !wanted),
+            "left running"
+        );
+        assert_eq!(answer.version, self.version);
+        let services = self.services();
+        let missing = |(s, _): &&(ServiceId, _)| !self.answers.contains_key(s);
+        let missing: Vec<_> = services.iter().filter(missing).map(|(s, _)| s).collect();
+        let listed: Vec<_> = answer.coverage.missing.iter().map(|(s, _)| s).collect();
+        assert_eq!(listed, missing);
+        assert_eq!(answer.coverage.shards, services.len());
+        assert_eq!(answer.coverage.answered + listed.len(), services.len());
+        assert_eq!(
+            answer.count,
+            self.answers.values().map(|a| a.count).sum::<u64>()
+        );
+        let mut all: Vec<_> = self
+            .answers
+            .iter()
+            .flat_map(|(shard, a)| a.hits.iter().map(move |hit| (hit.clone(), shard.clone())))
+            .collect();
+        all.sort_by(|a, b| b.0.score.cmp(&a.0.score).then_with(|| a.0.id.cmp(&b.0.id)));
+        all.truncate(self.plan.limit as usize);
+        let hits = answer.hits.iter().map(|h| {
+            (
+                Hit {
+                    id: h.id.clone(),
+                    score: h.score,
+                },
+                h.shard.clone(),
+            )
+        });
+        assert_eq!(hits.collect::<Vec<_>>(), all);
+        self.finished = Some(answer);
+    }
+
+    /// Notes the result of an attempt. Returns whether the search wants it.
+    fn result(&mut self, attempt: AttemptId, answer: Option<&ShardAnswer>) {
+        if attempt.search != self.plan.id || self.finished.is_some() {
+            return;
+        }
+        let Some((service, wanted)) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        if std::mem::take(wanted)
+            && let Some(answer) = answer.filter(|a| a.version == self.version)
+        {
+            let old = self.answers.insert(service.clone(), answer.clone());
+            assert!(old.is_none(), "shard answered twice");
+        }
+    }
+}
+
+fn random_plan(rng: &mut StdRng, id: u64) -> Plan {
+    let versions = rng.random_range(1..4);
+    let version = |v: u64| {
+        let shards = rng.random_range(0..6);
+        let service = |s: u32| {
+            let server = |r| format!("s{s}-{r}").parse().unwrap();
+            let servers = (0..rng.random_range(0..4)).map(server).collect();
+            (format!("s{s}").parse().unwrap(), servers)
+        };
+        VersionPlan {
+            version: Version(42 - v),
+            services: (0..shards).map(service).collect(),
+        }
+    };
+    Plan {
+        id: QueryId(id),
+        group: "kits".parse().unwrap(),
+        versions: (0..versions).map(version).collect(),
+        limit: 7,
+    }
+}
+
+fn random_answer(rng: &mut StdRng, version: Version, unique: &mut u32) -> ShardAnswer {
+    let version = if rng.random_bool(0.8) {
+        version
+    } else {
+        Version(rng.random_range(39..44))
+    };
+    let hits = (0..rng.random_range(0..5)).map(|_| {
+        *unique += 1;
+        Hit {
+            id: format!("{unique}").into(),
+            score: Score::new(f64::from(rng.random_range(0..4))).unwrap(),
+        }
+    });
+    ShardAnswer {
+        version,
+        hits: hits.collect(),
+        count: rng.random_range(0..100),
+    }
+}
+
+fn random_failure(rng: &mut StdRng) -> Failure {
+    // A version that is not held is what leads to restarts.
+    let reasons = PartFailure::ALL
+        .iter()
+        .chain([&PartFailure::VersionUnavailable; 8]);
+    (*reasons.collect::<Vec<_>>().choose(rng).unwrap())
+        .to_owned()
+        .into()
+}
+
+/// Runs several searches at once, each with the results of all. Returns their
+/// answers and how many of them restarted.
+fn run(seed: u64) -> (Vec<Answer>, usize) {
+    let rng = &mut StdRng::seed_from_u64(seed);
+    let dice = &mut Dice(StdRng::seed_from_u64(!seed));
+    let objective = if rng.random() {
+        Objective::Coverage {
+            rounds: rng.random_range(1..4),
+        }
+    } else {
+        Objective::Latency {
+            max_attempts: rng.random_range(1..4),
+        }
+    };
+    let settings = Settings {
+        objective,
+        ..Settings::default()
+    };
+    let mut searches: Vec<_> = (0..3)
+        .map(|id| {
+            let plan = random_plan(rng, id);
+            let search = Search::new(plan.clone(), ms(0), ms(250), settings.clone()).unwrap();
+            let model = Model {
+                version: search.version(),
+                plan,
+                attempts: HashMap::new(),
+                answers: HashMap::new(),
+                finished: None,
+                until: ms(0),
+            };
+            (search, model)
+        })
+        .collect();
+    let (mut now, mut unique) = (ms(0), 0);
+    for (search, model) in &mut searches {
+        let steps = search.start(now, dice);
+        model.check(search, steps, now);
+    }
+    while now < ms(260) {
+        now = now + Duration::from_micros(rng.random_range(0..4_000));
+        let known: Vec<_> = searches
+            .iter()
+            .flat_map(|(_, m)| m.attempts.keys().copied())
+            .collect();
+        let mut known: Vec<_> = known.into_iter().collect();
+        known.sort();
+        let (search, model) = &mut searches[rng.random_range(0..3)];
+        let attempt = known.choose(rng).copied().unwrap_or(AttemptId {
+            search: QueryId(0),
+            part: 0,
+        });
+        let steps = match rng.random_range(0..10) {
+            0..5 => {
+                let answer = random_answer(rng, model.version, &mut unique);
+                model.result(attempt, Some(&answer));
+                search.on_answer(now, dice, attempt, answer)
+            }
+            5..8 => {
+                model.result(attempt, None);
+                let held = [Version(rng.random_range(39..43))];
+                let held = &held[..rng.random_range(0..2)];
+                search.on_failure(now, dice, attempt, random_failure(rng), held)
+            }
+            8 => {
+                let lost: Vec<_> = known.into_iter().filter(|_| rng.random_bool(0.2)).collect();
+                lost.iter().for_each(|&attempt| model.result(attempt, None));
+                search.on_owner_lost(now, dice, lost)
+            }
+            _ => search.on_tick(now, dice),
+        };
+        model.check(search, steps, now);
+        for (search, model) in &mut searches {
+            if model.until <= now {
+                let steps = search.on_tick(now, dice);
+                model.check(search, steps, now);
+            }
+        }
+    }
+    let restarted = |(_, m): &&(Search, Model)| m.version != m.plan.versions[0].version;
+    let restarts = searches.iter().filter(restarted).count();
+    let answers = searches
+        .into_iter()
+        .map(|(_, m)| m.finished.expect("no Finish"));
+    (answers.collect(), restarts)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// Guards against mixed versions, shards counted twice, coverage that does
+    /// not add up, results taken from another search, a second Finish or none,
+    /// and attempts left running.
+    #[test]
+    fn every_interleaving_gives_one_accurate_answer(seed: u64) {
+        run(seed);
+    }
+}
+
+/// Guards against a property test that never reaches the cases it is for.
+#[test]
+fn the_interleavings_reach_restarts_and_partial_answers() {
+    let (mut restarts, mut partial, mut whole) = (0, 0, 0);
+    for seed in 0..300 {
+        let (answers, restarted) = run(seed);
+        restarts += restarted;
+        for answer in answers.iter().filter(|a| a.coverage.answered > 0) {
+            *(if answer.coverage.missing.is_empty() {
+                &mut whole
+            } else {
+                &mut partial
+            }) += 1;
+        }
+    }
+    assert!(
+        restarts > 20 && partial > 20 && whole > 20,
+        "{restarts} {partial} {whole}"
+    );
+}
