--- /dev/null
+++ b/crates/jasminepond-query/tests/keys.rs
@@ -0,0 +1,231 @@
+//! Request keys and the table of their outcomes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use jasminepond_query::*;
+use jasminepond_types::{ErrorKind, Incarnation, Millis, TenantId, Timestamp};
+use test_case::test_case;
+
+const OLD: &str = "the-old-shared-key";
+const NEW: &str = "the-new-shared-key";
+
+const fn ms(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn table(instance: &str, incarnation: u64, keys: &[&str], settings: KeySettings) -> KeyTable {
+    let ring = KeyRing::new(keys.iter().map(|key| key.parse().unwrap())).unwrap();
+    let seed = [instance.len() as u8; 32];
+    let instance = instance.parse().unwrap();
+    KeyTable::new(settings, instance, Incarnation(incarnation), ring, seed)
+}
+
+fn small() -> KeyTable {
+    let settings = KeySettings {
+        lifetime: Duration::from_millis(100),
+        max_issued: 4,
+        max_keys_per_tenant: 4,
+        max_keys: 6,
+        max_outcome_bytes: 10,
+    };
+    table("a", 7, &[OLD], settings)
+}
+
+fn tenant(name: &str) -> TenantId {
+    name.parse().unwrap()
+}
+
+fn digest(operation: &str) -> RequestDigest {
+    let class = "orders".parse().unwrap();
+    let group = "dispatch".parse().unwrap();
+    RequestDigest::new(&tenant("t"), &class, &group, operation.as_bytes())
+}
+
+fn issue(table: &mut KeyTable) -> RequestKey {
+    table.issue(ms(0), &tenant("t"), 1).unwrap().remove(0)
+}
+
+fn begin(table: &mut KeyTable, at: u64, key: &RequestKey) -> Begin {
+    table.begin(ms(at), key, &tenant("t"), digest("{}"))
+}
+
+fn run(table: &mut KeyTable, at: u64, key: &RequestKey) -> ExecutionId {
+    match begin(table, at, key) {
+        Begin::Run { execution } => execution,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn refused(begin: Begin) -> ErrorKind {
+    match begin {
+        Begin::Refused(refusal) => refusal.kind,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn done(result: &'static str) -> ExecuteOutcome {
+    let result = Bytes::from_static(result.as_bytes());
+    ExecuteOutcome::Done { result }
+}
+
+fn unknown() -> ExecuteOutcome {
+    ExecuteOutcome::Unknown {
+        kind: ErrorKind::OutcomeUnknown,
+        detail: "link".into(),
+    }
+}
+
+fn not_run() -> ExecuteOutcome {
+    ExecuteOutcome::NotRun {
+        kind: ErrorKind::Overloaded,
+        retry_after: None,
+    }
+}
+
+/// Guards against a key that another daemon misreads, and against one that a
+/// daemon or a later incarnation runs without having issued it.
+#[test]
+fn a_key_names_its_issuer() {
+    let mut issuer = table("a", 7, &[OLD], KeySettings::default());
+    let key: RequestKey = issue(&mut issuer).to_string().parse().unwrap();
+    assert_eq!(issuer.classify(&key), KeyClass::Mine);
+    let mut restarted = table("a", 8, &[OLD], KeySettings::default());
+    let earlier = KeyClass::MineEarlierIncarnation;
+    assert_eq!(restarted.classify(&key), earlier);
+    let mut other = table("b", 7, &[NEW, OLD], KeySettings::default());
+    let instance = "a".parse().unwrap();
+    let incarnation = Incarnation(7);
+    let foreign = KeyClass::Foreign {
+        instance,
+        incarnation,
+    };
+    assert_eq!(other.classify(&key), foreign);
+    let mut stranger = table("a", 7, &[NEW], KeySettings::default());
+    assert_eq!(stranger.classify(&key), KeyClass::Invalid);
+    let kinds = [&mut restarted, &mut other, &mut stranger].map(|t| refused(begin(t, 0, &key)));
+    use ErrorKind::*;
+    assert_eq!(kinds, [OutcomeUnknown, OutcomeUnknown, InvalidKey]);
+}
+
+/// Guards against forged keys: no field can be changed.
+#[test]
+fn a_changed_key_is_invalid() {
+    let mut table = small();
+    let text = issue(&mut table).to_string();
+    for (at, old) in text.char_indices() {
+        let new = if old == '1' { '2' } else { '1' };
+        let mut changed = text.clone();
+        changed.replace_range(at..=at, &new.to_string());
+        if let Ok(key) = changed.parse::<RequestKey>() {
+            assert_eq!(table.classify(&key), KeyClass::Invalid, "{changed}");
+        }
+    }
+}
+
+/// Guards against texts that are accepted by accident.
+#[test_case("")]
+#[test_case("jk2~a~7~1~00000000000000000000000000000001~00000000000000000000000000000001")]
+#[test_case("jk1~a~7~1~01~00000000000000000000000000000001"; "short id")]
+#[test_case("jk1~a~7~1~00000000000000000000000000000001"; "no mac")]
+#[test_case("jk1~A~7~1~00000000000000000000000000000001~00000000000000000000000000000001"; "instance")]
+#[test_case("jk1~a~x~1~00000000000000000000000000000001~00000000000000000000000000000001"; "incarnation")]
+#[test_case(&"~".repeat(300); "long")]
+fn other_texts_are_not_keys(text: &str) {
+    assert!(text.parse::<RequestKey>().is_err());
+}
+
+/// Guards against a second run of a key in any state but a certain "not run"
+/// (P5), and against a lost outcome.
+#[test]
+fn a_key_runs_again_only_after_a_certain_not_run() {
+    let mut table = small();
+    let key = issue(&mut table);
+    let first = run(&mut table, 0, &key);
+    assert_eq!(begin(&mut table, 1, &key), Begin::Join { execution: first });
+    assert!(table.finish(ms(2), first, not_run()));
+    let second = run(&mut table, 3, &key);
+    assert_ne!(first, second);
+    assert!(
+        !table.finish(ms(4), first, done("late")),
+        "an old run counts"
+    );
+    assert!(table.finish(ms(5), second, done("ok")));
+    assert!(
+        !table.finish(ms(6), second, not_run()),
+        "second outcome counts"
+    );
+    assert_eq!(begin(&mut table, 99, &key), Begin::Done(done("ok")));
+    let other = issue(&mut table);
+    let execution = run(&mut table, 0, &other);
+    table.finish(ms(1), execution, unknown());
+    assert_eq!(begin(&mut table, 2, &other), Begin::Done(unknown()));
+}
+
+/// Guards against a caller that gets the outcome of another request (P3).
+#[test]
+fn a_key_serves_one_request_of_one_tenant() {
+    let mut table = small();
+    let key = issue(&mut table);
+    let foreign = |t: &mut KeyTable| refused(t.begin(ms(1), &key, &tenant("u"), digest("{}")));
+    let changed = |t: &mut KeyTable| refused(t.begin(ms(1), &key, &tenant("t"), digest("[]")));
+    assert_eq!(foreign(&mut table), ErrorKind::InvalidKey);
+    let execution = run(&mut table, 0, &key);
+    assert_eq!(foreign(&mut table), ErrorKind::InvalidKey);
+    assert_eq!(changed(&mut table), ErrorKind::KeyReused);
+    table.finish(ms(1), execution, done("ok"));
+    assert_eq!(foreign(&mut table), ErrorKind::InvalidKey);
+    assert_eq!(changed(&mut table), ErrorKind::KeyReused);
+}
+
+/// Guards against an expired key that runs, that is said not to have run, or that
+/// is forgotten while it runs and then runs again.
+#[test]
+fn expired_keys_are_unknown() {
+    let mut table = small();
+    let (unused, finished, running) = (issue(&mut table), issue(&mut table), issue(&mut table));
+    let execution = run(&mut table, 0, &finished);
+    table.finish(ms(1), execution, done("ok"));
+    let execution = run(&mut table, 99, &running);
+    let unknown = ErrorKind::OutcomeUnknown;
+    assert_eq!(refused(begin(&mut table, 100, &unused)), unknown);
+    assert_eq!(refused(begin(&mut table, 100, &finished)), unknown);
+    assert_eq!(begin(&mut table, 500, &running), Begin::Join { execution });
+    assert!(table.finish(ms(501), execution, not_run()));
+    assert_eq!(refused(begin(&mut table, 502, &running)), unknown);
+    let left = (table.len(), table.running(), table.outcome_bytes());
+    assert_eq!(left, (0, 0, 0));
+}
+
+/// Guards against a tenant that takes all keys and against unbounded memory, and
+/// against bounds that stay reached after keys expired.
+#[test]
+fn keys_are_bounded_per_tenant_and_in_all() {
+    let mut table = small();
+    let mut take = |at, name, n| match table.issue(ms(at), &tenant(name), n) {
+        Ok(keys) => Ok(keys.len()),
+        Err(refusal) => Err((refusal.kind, refusal.retry_after)),
+    };
+    assert_eq!(take(0, "t", 0), Err((ErrorKind::BadRequest, None)));
+    assert_eq!(take(0, "t", 5), Err((ErrorKind::BadRequest, None)));
+    assert_eq!(take(0, "t", 3), Ok(3));
+    let wait = Some(Millis(90));
+    assert_eq!(take(10, "t", 2), Err((ErrorKind::TenantLimit, wait)));
+    assert_eq!(take(10, "u", 3), Ok(3));
+    assert_eq!(take(10, "v", 1), Err((ErrorKind::Overloaded, wait)));
+    assert_eq!(take(100, "t", 3), Ok(3));
+}
+
+/// Guards against outcomes that fill the memory: further keys are refused as not
+/// run, and no recorded outcome is dropped.
+#[test]
+fn outcomes_are_bounded_in_bytes() {
+    let mut table = small();
+    let (first, second) = (issue(&mut table), issue(&mut table));
+    let execution = run(&mut table, 0, &first);
+    table.finish(ms(1), execution, done("more than ten bytes"));
+    let kind = refused(begin(&mut table, 2, &second));
+    assert_eq!(kind, ErrorKind::Overloaded);
+    let kept = Begin::Done(done("more than ten bytes"));
+    assert_eq!(begin(&mut table, 2, &first), kept);
+}
