feat(query): grow retry pauses and say which keys certainly did not run

Cause: a search for coverage asked an exhausted retry budget every 5 ms for each waiting shard; a daemon that refuses a keyed request while draining cannot tell whether an earlier copy ran; a search for latency reported a withdrawn version as missing shards when its budget did not allow a retry.

Ruled out: restarting when any replica failed for another reason, since load would then multiply load.

Change: pauses double up to 16 times; KeyTable::has_not_run; a shard that is given up because of the version may restart the search under either objective.

Conclusion: the interface gained one function.

--- a/crates/jasminepond-query/src/key_table.rs
+++ b/crates/jasminepond-query/src/key_table.rs
@@ -223,6 +223,14 @@
         key.classify(&self.keys, &self.instance, self.incarnation)
     }
 
+    /// Whether `key` certainly did not run. Only then may a request that carries
+    /// it be refused as "not run" without [`KeyTable::begin`], for example while
+    /// draining; in any other case an earlier copy of the request may have run.
+    pub fn has_not_run(&self, key: &RequestKey) -> bool {
+        let issued = |e: &Entry| matches!(e.state, State::Issued);
+        self.classify(key) == KeyClass::Mine && self.entries.get(&key.id()).is_some_and(issued)
+    }
+
     /// Decides about a request of `tenant` that carries `key`.
     ///
     /// A key of another daemon, of an earlier incarnation or past its expiry is
--- a/crates/jasminepond-query/src/search/drive.rs
+++ b/crates/jasminepond-query/src/search/drive.rs
@@ -15,6 +15,9 @@
 /// a past time cannot cause a busy loop.
 const MIN_PAUSE: Duration = Duration::from_micros(500);
 
+/// The pause between refusals grows to 16 times its first length.
+const MAX_PAUSE_DOUBLINGS: u32 = 4;
+
 /// What to do for a shard that has no attempt in flight.
 enum Move {
     Send(usize),
@@ -45,7 +48,7 @@
             return self.next_round(cx.now, shard);
         }
         if state.attempts >= self.settings.objective.max_attempts() {
-            return state.give_up(false);
+            return state.give_up();
         }
         let candidates = Candidates::masked(replicas, state.tried);
         match cx.chooser.choose(cx.now, service, plan.version, candidates) {
@@ -56,7 +59,7 @@
                 }
                 Move::Send(replica)
             }
-            Choice::Use(_) => state.give_up(false),
+            Choice::Use(_) => state.give_up(),
             Choice::Wait { until } => Move::Wait(until),
             Choice::None(reason) if state.attempts == 0 => Move::GiveUp {
                 reason,
@@ -72,20 +75,29 @@
         let state = &mut self.shards[shard];
         match self.settings.objective {
             Objective::Coverage { rounds } if state.next_round(replicas, rounds) => {
-                Move::Wait(now + self.settings.retry_pause)
+                Move::Wait(self.after_pause(now, shard))
             }
-            _ => state.give_up(true),
+            _ => state.give_up(),
         }
     }
 
     /// The budget refused a retry.
-    fn refused(&self, now: Timestamp, shard: usize) -> Move {
+    fn refused(&mut self, now: Timestamp, shard: usize) -> Move {
         match self.settings.objective {
-            Objective::Coverage { .. } => Move::Wait(now + self.settings.retry_pause),
-            Objective::Latency { .. } => self.shards[shard].give_up(false),
+            Objective::Coverage { .. } => Move::Wait(self.after_pause(now, shard)),
+            Objective::Latency { .. } => self.shards[shard].give_up(),
         }
     }
 
+    /// End of a pause that doubles each time, so that many searches with many
+    /// shards do not ask an exhausted budget every few milliseconds.
+    fn after_pause(&mut self, now: Timestamp, shard: usize) -> Timestamp {
+        let state = &mut self.shards[shard];
+        let factor = 1 << state.pauses.min(MAX_PAUSE_DOUBLINGS);
+        state.pauses += 1;
+        now + self.settings.retry_pause * factor
+    }
+
     fn replicas(&self, shard: usize) -> usize {
         self.plan.versions[self.current].services[shard].1.len()
     }
@@ -131,7 +143,8 @@
                 if cx.chooser.may_hedge(cx.now, &replicas[replica]) {
                     self.send(cx, shard, replica, true);
                 } else {
-                    self.set_timer(cx, shard, cx.now + self.settings.retry_pause);
+                    let until = self.after_pause(cx.now, shard);
+                    self.set_timer(cx, shard, until);
                 }
             }
             Choice::Wait { until } => self.set_timer(cx, shard, until),
@@ -179,13 +192,11 @@
 }
 
 impl Shard {
-    /// Gives up for the last reason. `exhausted` says that no replica is left,
-    /// so that a lacking version is what prevents an answer.
-    fn give_up(&self, exhausted: bool) -> Move {
-        let version = exhausted && self.lacks_version();
+    /// Gives up for the last reason.
+    fn give_up(&self) -> Move {
         Move::GiveUp {
             reason: self.last,
-            version,
+            version: self.lacks_version(),
         }
     }
 }
--- a/crates/jasminepond-query/src/search/plan.rs
+++ b/crates/jasminepond-query/src/search/plan.rs
@@ -56,8 +56,9 @@
     pub objective: Objective,
     /// Time kept before the deadline for the response to reach the caller.
     pub finish_allowance: Duration,
-    /// Pause before a refused retry or hedged request is asked for again, and
-    /// before replicas are tried a second time.
+    /// First pause before a refused retry or hedged request is asked for again
+    /// and before replicas are tried another time. It doubles with each pause of
+    /// a shard, up to 16 times.
     pub retry_pause: Duration,
 }
 
--- a/crates/jasminepond-query/src/search/shard.rs
+++ b/crates/jasminepond-query/src/search/shard.rs
@@ -31,6 +31,8 @@
     /// Attempts made, hedged requests not counted.
     pub(super) attempts: u32,
     pub(super) round: u32,
+    /// Pauses made so far.
+    pub(super) pauses: u32,
     pub(super) last: MissingReason,
     /// Time at which the shard wants to be looked at again.
     pub(super) due: Option<Timestamp>,
@@ -47,6 +49,7 @@
         in_flight: [None, None],
         attempts: 0,
         round: 1,
+        pauses: 0,
         last: MissingReason::NoReplica,
         due: None,
     };
@@ -88,7 +91,8 @@
     }
 
     /// Whether the version is what keeps the shard from being answered: some
-    /// replica lacks it and no other may answer another time.
+    /// replica lacks it and none failed for a reason that may pass. Load alone
+    /// never causes a restart, which would multiply the load.
     pub(super) fn lacks_version(&self) -> bool {
         self.no_version != 0 && self.transient == 0
     }
--- a/crates/jasminepond-query/tests/keys.rs
+++ b/crates/jasminepond-query/tests/keys.rs
@@ -141,9 +141,12 @@
 fn a_key_runs_again_only_after_a_certain_not_run() {
     let mut table = small();
     let key = issue(&mut table);
+    assert!(table.has_not_run(&key));
     let first = run(&mut table, 0, &key);
+    assert!(!table.has_not_run(&key), "running");
     assert_eq!(begin(&mut table, 1, &key), Begin::Join { execution: first });
     assert!(table.finish(ms(2), first, not_run()));
+    assert!(table.has_not_run(&key));
     let second = run(&mut table, 3, &key);
     assert_ne!(first, second);
     assert!(
@@ -156,6 +159,7 @@
         "second outcome counts"
     );
     assert_eq!(begin(&mut table, 99, &key), Begin::Done(done("ok")));
+    assert!(!table.has_not_run(&key), "ran");
     let other = issue(&mut table);
     let execution = run(&mut table, 0, &other);
     table.finish(ms(1), execution, unknown());
--- a/crates/jasminepond-wire/src/credits.rs
+++ b/crates/jasminepond-wire/src/credits.rs
@@ -17,7 +17,9 @@
 /// Flow control in both directions of one link.
 ///
 /// An [`Execute`](crate::Execute) or [`ForwardExecute`](crate::ForwardExecute)
-/// counts as one sub-request, a [`Search`](crate::Search) as one per part.
+/// counts as one sub-request, a [`Search`](crate::Search) as one per part. A
+/// search with more parts than [`Credits::available`] is split: waiting for
+/// credit for all of them may last for ever, as small grants are held back.
 ///
 /// ```
 /// use jasminepond_wire::Credits;
--- a/crates/jasminepond-wire/src/keys.rs
+++ b/crates/jasminepond-wire/src/keys.rs
@@ -84,7 +84,9 @@
 /// The shared keys of a deployment: the first signs, all verify.
 ///
 /// To rotate, append the new key everywhere, move it to the front everywhere,
-/// then remove the old one.
+/// then remove the old one, not before the request keys made with it expired (10
+/// minutes): a request key of a removed shared key is reported as invalid, hence
+/// not run, although it may have run.
 ///
 /// ```
 /// use jasminepond_wire::{KeyRing, Purpose};
