--- a/crates/jasminepond-query/src/search/step.rs
+++ b/crates/jasminepond-query/src/search/step.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// What the caller of a [`Search`] does next, in the order given.
+/// What the caller of a [`Search`](crate::Search) does next, in the order given.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
     /// Send a sub-request.
--- a/crates/jasminepond-query/tests/at_most_once.rs
+++ b/crates/jasminepond-query/tests/execute/at_most_once.rs
@@ -7,11 +7,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bytes::Bytes;
-use jasminepond_query::*;
-use jasminepond_types::{ErrorKind, Incarnation, ServerId, TenantId, Timestamp};
+use jasminepond_types::ServerId;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use super::*;
+
 const TRIALS: u64 = 20_000;
 
 const KEYS: usize = 3;
@@ -92,18 +92,13 @@
     seen: &'a mut Seen,
 }
 
-fn table(name: &str, incarnation: u64, seed: u8) -> KeyTable {
-    let ring = KeyRing::new(["some-shared-key-1".parse().unwrap()]).unwrap();
+/// A daemon's table whose keys may expire within a trial.
+fn short_lived(name: &str, incarnation: u64) -> KeyTable {
     let settings = KeySettings {
         lifetime: Duration::from_millis(400),
         ..KeySettings::default()
     };
-    let name = name.parse().unwrap();
-    KeyTable::new(settings, name, Incarnation(incarnation), ring, [seed; 32])
-}
-
-fn tenant() -> TenantId {
-    "foundry".parse().unwrap()
+    table(name, incarnation, &[OLD], settings)
 }
 
 impl World<'_> {
@@ -155,10 +150,10 @@
     }
 
     fn request(&mut self, key: usize) {
-        let request = digest();
+        let request = digest("{}");
         let begin = self
             .issuer
-            .begin(self.now, &self.keys[key], &tenant(), request);
+            .begin(self.now, &self.keys[key], &tenant("t"), request);
         match begin {
             Begin::Run { execution } => {
                 let servers = (0..3).map(|i| format!("s{i}").parse().unwrap()).collect();
@@ -190,7 +185,7 @@
     fn forward(&mut self, key: usize) {
         let begin = self
             .other
-            .begin(self.now, &self.keys[key], &tenant(), digest());
+            .begin(self.now, &self.keys[key], &tenant("t"), digest("{}"));
         assert_eq!(begin, Begin::Refused(ErrorKind::OutcomeUnknown.into()));
         for _ in 0..self.rng.random_range(0..3) {
             let delay = self.millis(30);
@@ -252,12 +247,7 @@
                 self.counter[key] += 1;
                 assert_eq!(self.counter[key], 1, "key {key} ran twice");
                 self.ran.push((sent.1, sent.0.execution));
-                let result = Bytes::from_static(b"{}");
-                if choice == 5 {
-                    unknown()
-                } else {
-                    ExecuteOutcome::Done { result }
-                }
+                if choice == 5 { unknown() } else { done("{}") }
             }
         };
         for _ in 0..self.rng.random_range(0..3) {
@@ -295,40 +285,22 @@
 
     fn restart(&mut self) {
         self.incarnation += 1;
-        self.issuer = table("a", self.incarnation, self.incarnation as u8);
+        self.issuer = short_lived("a", self.incarnation);
         self.runs.clear();
     }
 }
 
-fn digest() -> RequestDigest {
-    let class = "orders".parse().unwrap();
-    let group = "dispatch".parse().unwrap();
-    RequestDigest::new(&tenant(), &class, &group, b"{}")
-}
-
-fn not_run(kind: ErrorKind) -> ExecuteOutcome {
-    let retry_after = None;
-    ExecuteOutcome::NotRun { kind, retry_after }
-}
-
-fn unknown() -> ExecuteOutcome {
-    ExecuteOutcome::Unknown {
-        kind: ErrorKind::OutcomeUnknown,
-        detail: "server connection broke".into(),
-    }
-}
-
 fn trial(seed: u64, seen: &mut Seen) {
-    let mut issuer = table("a", 1, 1);
+    let mut issuer = short_lived("a", 1);
     let now = Timestamp::ZERO;
-    let keys = issuer.issue(now, &tenant(), KEYS as u32).unwrap();
+    let keys = issuer.issue(now, &tenant("t"), KEYS as u32).unwrap();
     let mut world = World {
         rng: StdRng::seed_from_u64(seed),
         now,
         paused_until: now,
         incarnation: 1,
         issuer,
-        other: table("b", 1, 99),
+        other: short_lived("b", 1),
         keys,
         runs: BTreeMap::new(),
         events: BTreeMap::new(),
--- a/crates/jasminepond-query/tests/execution.rs
+++ b/crates/jasminepond-query/tests/execute/execution.rs
@@ -1,12 +1,9 @@
 //! Single rules of an execution.
 
-use jasminepond_query::*;
-use jasminepond_types::{ErrorKind, Millis, ServerId, Timestamp};
+use jasminepond_types::ServerId;
 use test_case::test_case;
 
-const fn ms(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
+use super::*;
 
 /// Takes the first candidate.
 struct First {
@@ -50,11 +47,6 @@
     ExecutionAttempt { execution, number }
 }
 
-fn not_run(kind: ErrorKind) -> ExecuteOutcome {
-    let retry_after = Some(Millis(7));
-    ExecuteOutcome::NotRun { kind, retry_after }
-}
-
 /// Steps in short: `>1 s0 90` sends with 90 ms left, `w100` waits.
 fn text(steps: &[ExecuteStep]) -> String {
     let step = |step: &ExecuteStep| match step {
--- a/crates/jasminepond-query/tests/keys.rs
+++ b/crates/jasminepond-query/tests/execute/keys.rs
@@ -2,24 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use jasminepond_query::*;
-use jasminepond_types::{ErrorKind, Incarnation, Millis, TenantId, Timestamp};
 use test_case::test_case;
 
-const OLD: &str = "the-old-shared-key";
-const NEW: &str = "the-new-shared-key";
-
-const fn ms(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
+use super::*;
 
-fn table(instance: &str, incarnation: u64, keys: &[&str], settings: KeySettings) -> KeyTable {
-    let ring = KeyRing::new(keys.iter().map(|key| key.parse().unwrap())).unwrap();
-    let seed = [instance.len() as u8; 32];
-    let instance = instance.parse().unwrap();
-    KeyTable::new(settings, instance, Incarnation(incarnation), ring, seed)
-}
+const NEW: &str = "the-new-shared-key";
 
 fn small() -> KeyTable {
     let settings = KeySettings {
@@ -32,16 +19,6 @@
     table("a", 7, &[OLD], settings)
 }
 
-fn tenant(name: &str) -> TenantId {
-    name.parse().unwrap()
-}
-
-fn digest(operation: &str) -> RequestDigest {
-    let class = "orders".parse().unwrap();
-    let group = "dispatch".parse().unwrap();
-    RequestDigest::new(&tenant("t"), &class, &group, operation.as_bytes())
-}
-
 fn issue(table: &mut KeyTable) -> RequestKey {
     table.issue(ms(0), &tenant("t"), 1).unwrap().remove(0)
 }
@@ -64,25 +41,6 @@
     }
 }
 
-fn done(result: &'static str) -> ExecuteOutcome {
-    let result = Bytes::from_static(result.as_bytes());
-    ExecuteOutcome::Done { result }
-}
-
-fn unknown() -> ExecuteOutcome {
-    ExecuteOutcome::Unknown {
-        kind: ErrorKind::OutcomeUnknown,
-        detail: "link".into(),
-    }
-}
-
-fn not_run() -> ExecuteOutcome {
-    ExecuteOutcome::NotRun {
-        kind: ErrorKind::Overloaded,
-        retry_after: None,
-    }
-}
-
 /// Guards against a key that another daemon misreads, and against one that a
 /// daemon or a later incarnation runs without having issued it.
 #[test]
@@ -145,7 +103,7 @@
     let first = run(&mut table, 0, &key);
     assert!(!table.has_not_run(&key), "running");
     assert_eq!(begin(&mut table, 1, &key), Begin::Join { execution: first });
-    assert!(table.finish(ms(2), first, not_run()));
+    assert!(table.finish(ms(2), first, not_run(ErrorKind::Overloaded)));
     assert!(table.has_not_run(&key));
     let second = run(&mut table, 3, &key);
     assert_ne!(first, second);
@@ -155,7 +113,7 @@
     );
     assert!(table.finish(ms(5), second, done("ok")));
     assert!(
-        !table.finish(ms(6), second, not_run()),
+        !table.finish(ms(6), second, not_run(ErrorKind::Overloaded)),
         "second outcome counts"
     );
     assert_eq!(begin(&mut table, 99, &key), Begin::Done(done("ok")));
@@ -195,7 +153,7 @@
     assert_eq!(refused(begin(&mut table, 100, &unused)), unknown);
     assert_eq!(refused(begin(&mut table, 100, &finished)), unknown);
     assert_eq!(begin(&mut table, 500, &running), Begin::Join { execution });
-    assert!(table.finish(ms(501), execution, not_run()));
+    assert!(table.finish(ms(501), execution, not_run(ErrorKind::Overloaded)));
     assert_eq!(refused(begin(&mut table, 502, &running)), unknown);
     let left = (table.len(), table.running(), table.outcome_bytes());
     assert_eq!(left, (0, 0, 0));
--- /dev/null
+++ b/crates/jasminepond-query/tests/search/main.rs
@@ -0,0 +1,41 @@
+//! Searches: single rules, and random interleavings.
+
+mod properties;
+mod rules;
+
+use std::time::Duration;
+
+use jasminepond_query::*;
+use jasminepond_types::{QueryId, ServerId, ServiceId, Timestamp, Version};
+use jasminepond_wire::PartFailure;
+
+const fn ms(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn hit(id: &str, score: f64) -> Hit {
+    let (id, score) = (id.into(), Score::new(score).unwrap());
+    Hit { id, score }
+}
+
+/// Shards `s0`, `s1`, ... with the given numbers of replicas `s0-0`, `s0-1`, ...
+fn version_plan(version: u64, replicas: impl IntoIterator<Item = usize>) -> VersionPlan {
+    let service = |(s, replicas): (usize, usize)| {
+        let server = |r: usize| format!("s{s}-{r}").parse().unwrap();
+        let servers = (0..replicas).map(server).collect();
+        (format!("s{s}").parse().unwrap(), servers)
+    };
+    VersionPlan {
+        version: Version(version),
+        services: replicas.into_iter().enumerate().map(service).collect(),
+    }
+}
+
+fn plan(id: u64, limit: u32, versions: impl IntoIterator<Item = VersionPlan>) -> Plan {
+    Plan {
+        id: QueryId(id),
+        group: "kits".parse().unwrap(),
+        versions: versions.into_iter().collect(),
+        limit,
+    }
+}
--- a/crates/jasminepond-query/tests/search_properties.rs
+++ b/crates/jasminepond-query/tests/search/properties.rs
@@ -1,16 +1,11 @@
 //! Random interleavings of everything that can happen to several searches.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
-use jasminepond_query::*;
-use jasminepond_types::{QueryId, ServerId, ServiceId, Timestamp, Version};
-use jasminepond_wire::PartFailure;
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
-const fn ms(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
+use super::*;
 
 /// Decides at random.
 struct Dice(StdRng);
@@ -144,20 +139,13 @@
             .collect();
         all.sort_by(|a, b| b.0.score.cmp(&a.0.score).then_with(|| a.0.id.cmp(&b.0.id)));
         all.truncate(self.plan.limit as usize);
-        let hits = answer.hits.iter().map(|h| {
-            (
-                Hit {
-                    id: h.id.clone(),
-                    score: h.score,
-                },
-                h.shard.clone(),
-            )
-        });
+        let hits = answer.hits.iter();
+        let hits = hits.map(|h| (hit(&h.id, h.score.get()), h.shard.clone()));
         assert_eq!(hits.collect::<Vec<_>>(), all);
         self.finished = Some(answer);
     }
 
-    /// Notes the result of an attempt. Returns whether the search wants it.
+    /// Notes the result of an attempt, if it is wanted.
     fn result(&mut self, attempt: AttemptId, answer: Option<&ShardAnswer>) {
         if attempt.search != self.plan.id || self.finished.is_some() {
             return;
@@ -175,25 +163,13 @@
 }
 
 fn random_plan(rng: &mut StdRng, id: u64) -> Plan {
-    let versions = rng.random_range(1..4);
-    let version = |v: u64| {
+    let versions = rng.random_range(1u64..4);
+    let version = |v| {
         let shards = rng.random_range(0..6);
-        let service = |s: u32| {
-            let server = |r| format!("s{s}-{r}").parse().unwrap();
-            let servers = (0..rng.random_range(0..4)).map(server).collect();
-            (format!("s{s}").parse().unwrap(), servers)
-        };
-        VersionPlan {
-            version: Version(42 - v),
-            services: (0..shards).map(service).collect(),
-        }
+        let replicas: Vec<_> = (0..shards).map(|_| rng.random_range(0..4)).collect();
+        version_plan(42 - v, replicas)
     };
-    Plan {
-        id: QueryId(id),
-        group: "kits".parse().unwrap(),
-        versions: (0..versions).map(version).collect(),
-        limit: 7,
-    }
+    plan(id, 7, (0..versions).map(version))
 }
 
 fn random_answer(rng: &mut StdRng, version: Version, unique: &mut u32) -> ShardAnswer {
@@ -204,10 +180,7 @@
     };
     let hits = (0..rng.random_range(0..5)).map(|_| {
         *unique += 1;
-        Hit {
-            id: format!("{unique}").into(),
-            score: Score::new(f64::from(rng.random_range(0..4))).unwrap(),
-        }
+        hit(&unique.to_string(), f64::from(rng.random_range(0..4)))
     });
     ShardAnswer {
         version,
@@ -218,12 +191,10 @@
 
 fn random_failure(rng: &mut StdRng) -> Failure {
     // A version that is not held is what leads to restarts.
-    let reasons = PartFailure::ALL
-        .iter()
-        .chain([&PartFailure::VersionUnavailable; 8]);
-    (*reasons.collect::<Vec<_>>().choose(rng).unwrap())
-        .to_owned()
-        .into()
+    if rng.random_bool(0.5) {
+        return PartFailure::VersionUnavailable.into();
+    }
+    (*PartFailure::ALL.choose(rng).unwrap()).into()
 }
 
 /// Runs several searches at once, each with the results of all. Returns their
@@ -266,11 +237,8 @@
     }
     while now < ms(260) {
         now = now + Duration::from_micros(rng.random_range(0..4_000));
-        let known: Vec<_> = searches
-            .iter()
-            .flat_map(|(_, m)| m.attempts.keys().copied())
-            .collect();
-        let mut known: Vec<_> = known.into_iter().collect();
+        let sent = searches.iter().flat_map(|(_, m)| m.attempts.keys());
+        let mut known: Vec<_> = sent.copied().collect();
         known.sort();
         let (search, model) = &mut searches[rng.random_range(0..3)];
         let attempt = known.choose(rng).copied().unwrap_or(AttemptId {
@@ -332,11 +300,9 @@
         let (answers, restarted) = run(seed);
         restarts += restarted;
         for answer in answers.iter().filter(|a| a.coverage.answered > 0) {
-            *(if answer.coverage.missing.is_empty() {
-                &mut whole
-            } else {
-                &mut partial
-            }) += 1;
+            let is_whole = answer.coverage.missing.is_empty();
+            whole += u32::from(is_whole);
+            partial += u32::from(!is_whole);
         }
     }
     assert!(
--- a/crates/jasminepond-query/tests/search.rs
+++ b/crates/jasminepond-query/tests/search/rules.rs
@@ -1,20 +1,13 @@
 //! Single rules of a search, as scripts of events and the steps that follow.
 
-use std::time::Duration;
-
-use jasminepond_query::*;
-use jasminepond_types::{QueryId, ServerId, ServiceId, Timestamp, Version};
-use jasminepond_wire::PartFailure;
 use test_case::test_case;
 
+use super::*;
+
 const LATENCY: Objective = Objective::Latency { max_attempts: 2 };
 const COVERAGE: Objective = Objective::Coverage { rounds: 1 };
 const ROUNDS: Objective = Objective::Coverage { rounds: 2 };
 
-const fn ms(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
-
 /// Takes the first live candidate; the rest is set by `set` lines of a script.
 #[derive(Default)]
 struct Script {
@@ -71,23 +64,10 @@
     }
 }
 
-/// Versions 42, 41, ... with shards `s0`, `s1`, ... of replicas `s0-0`, `s0-1`, ...
-fn plan(versions: u64, shards: usize, replicas: usize) -> Plan {
-    let service = |s: usize| {
-        let server = |r: usize| format!("s{s}-{r}").parse().unwrap();
-        let servers = (0..replicas).map(server).collect();
-        (format!("s{s}").parse().unwrap(), servers)
-    };
-    let version = |v: u64| VersionPlan {
-        version: Version(42 - v),
-        services: (0..shards).map(service).collect(),
-    };
-    Plan {
-        id: QueryId(7),
-        group: "kits".parse().unwrap(),
-        versions: (0..versions).map(version).collect(),
-        limit: 3,
-    }
+/// Search 7 over versions 42, 41, ... with equal shards.
+fn uniform(versions: u64, shards: usize, replicas: usize) -> Plan {
+    let version = |v| version_plan(42 - v, vec![replicas; shards]);
+    plan(7, 3, (0..versions).map(version))
 }
 
 fn failure(name: &str) -> Failure {
@@ -108,11 +88,7 @@
 fn answer(words: &[&str]) -> ShardAnswer {
     let hit = |word: &&str| {
         let (id, score) = word.split_once(':').unwrap();
-        let score = Score::new(score.parse().unwrap()).unwrap();
-        Hit {
-            id: id.into(),
-            score,
-        }
+        hit(id, score.parse().unwrap())
     };
     ShardAnswer {
         version: words[0].parse().unwrap(),
@@ -197,7 +173,7 @@
 #[test]
 fn each_shard_counts_once() {
     run(
-        plan(1, 2, 1),
+        uniform(1, 2, 1),
         COVERAGE,
         "
         0 start -> >0 s0-0@42, >1 s1-0@42, w245
@@ -217,7 +193,7 @@
 #[test]
 fn hits_are_the_best_of_all_shards_in_a_fixed_order() {
     run(
-        plan(1, 2, 1),
+        uniform(1, 2, 1),
         COVERAGE,
         "
         0 start -> >0 s0-0@42, >1 s1-0@42, w245
@@ -231,7 +207,7 @@
 #[test]
 fn an_answer_from_another_version_is_a_failure() {
     run(
-        plan(1, 1, 2),
+        uniform(1, 1, 2),
         COVERAGE,
         "
         0 start -> >0 s0-0@42, w245
@@ -245,7 +221,7 @@
 #[test]
 fn a_withdrawn_version_restarts_the_search() {
     run(
-        plan(3, 2, 2),
+        uniform(3, 2, 2),
         COVERAGE,
         "
         0 start -> >0 s0-0@42, >1 s1-0@42, w245
@@ -261,28 +237,28 @@
 /// Guards against a restart without time for it, without a version left, or
 /// because of load, which would multiply the load; and against an answer that
 /// misses a shard where a restart is possible.
-#[test_case(plan(2, 2, 1), COVERAGE, "
+#[test_case(uniform(2, 2, 1), COVERAGE, "
     0 start -> >0 s0-0@42, >1 s1-0@42, w245
     226 fail 0 VersionUnavailable 41 ->
     245 tick -> x1, =42 0/2 s0:version_unavailable s1:timeout"; "no time")]
-#[test_case(plan(2, 1, 1), COVERAGE, "
+#[test_case(uniform(2, 1, 1), COVERAGE, "
     0 start -> >0 s0-0@42, w245
     1 fail 0 VersionUnavailable 42 39 -> =42 0/1 s0:version_unavailable"; "no version")]
-#[test_case(plan(2, 1, 2), COVERAGE, "
+#[test_case(uniform(2, 1, 2), COVERAGE, "
     0 start -> >0 s0-0@42, w245
     1 fail 0 Overloaded -> >1 s0-1@42
     2 fail 1 VersionUnavailable 41 -> =42 0/1 s0:version_unavailable"; "load")]
-#[test_case(plan(2, 1, 2), COVERAGE, "
+#[test_case(uniform(2, 1, 2), COVERAGE, "
     0 start -> >0 s0-0@42, w245
     1 fail 0 Unreachable -> >1 s0-1@42
     2 fail 1 VersionUnavailable 41 -> >2 s0-0@41
     3 fail 2 VersionUnavailable -> >3 s0-1@41
     4 fail 3 VersionUnavailable -> =41 0/1 s0:version_unavailable"; "other replica is gone")]
-#[test_case(plan(2, 1, 3), LATENCY, "
+#[test_case(uniform(2, 1, 3), LATENCY, "
     0 start -> >0 s0-0@42, w245
     set no-retry on
     1 fail 0 VersionUnavailable -> >1 s0-0@41"; "no permission to retry")]
-#[test_case(plan(3, 1, 1), COVERAGE, "
+#[test_case(uniform(3, 1, 1), COVERAGE, "
     set dead s0-0
     set lacking on
     0 start -> =40 0/1 s0:version_unavailable"; "known to the chooser")]
@@ -309,7 +285,11 @@
     31 fail 0 Failed ->
     32 fail 1 Failed -> >2 s0-2@42"; "both fail")]
 fn hedged_requests(script: &str) {
-    run(plan(1, 1, 3), COVERAGE, &format!("set hedge on\n{script}"));
+    run(
+        uniform(1, 1, 3),
+        COVERAGE,
+        &format!("set hedge on\n{script}"),
+    );
 }
 
 /// Guards against giving a shard up for coverage while a replica is live, against
@@ -318,7 +298,7 @@
 #[test]
 fn coverage_delays_a_refused_retry_and_tries_every_replica() {
     run(
-        plan(1, 1, 3),
+        uniform(1, 1, 3),
         ROUNDS,
         "
         0 start -> >0 s0-0@42, w245
@@ -340,7 +320,7 @@
 #[test_case("set no-retry on\n 1 fail 0 Failed -> =42 0/1 s0:failed"; "budget")]
 fn latency_gives_up_early(script: &str) {
     let start = "0 start -> >0 s0-0@42, w245\n";
-    run(plan(1, 1, 3), LATENCY, &format!("{start}{script}"));
+    run(uniform(1, 1, 3), LATENCY, &format!("{start}{script}"));
 }
 
 /// Guards against a lost owner that loses the shard, and against an endless loop
@@ -348,7 +328,7 @@
 #[test]
 fn a_lost_owner_is_replaced_once() {
     run(
-        plan(1, 2, 1),
+        uniform(1, 2, 1),
         COVERAGE,
         "
         0 start -> >0 s0-0@42, >1 s1-0@42, w245
@@ -370,15 +350,15 @@
 fn failures_become_reasons(name: &str, reason: &str) {
     let start = "0 start -> >0 s0-0@42, w245\n";
     let fail = format!("1 fail 0 {name} -> =42 0/1 s0:{reason}");
-    run(plan(1, 1, 1), COVERAGE, &format!("{start}{fail}"));
+    run(uniform(1, 1, 1), COVERAGE, &format!("{start}{fail}"));
 }
 
 /// Guards against a search that hangs, panics or asks in a busy loop where there
 /// is nothing to search or the chooser's decision is of no use.
-#[test_case(plan(1, 0, 0), "0 start -> =42 0/0"; "no shard")]
-#[test_case(plan(1, 1, 0), "0 start -> =42 0/1 s0:no_replica"; "no replica")]
-#[test_case(plan(1, 1, 1), "250 start -> >0 s0-0@42, x0, =42 0/1 s0:timeout"; "deadline passed")]
-#[test_case(plan(1, 1, 1), "
+#[test_case(uniform(1, 0, 0), "0 start -> =42 0/0"; "no shard")]
+#[test_case(uniform(1, 1, 0), "0 start -> =42 0/1 s0:no_replica"; "no replica")]
+#[test_case(uniform(1, 1, 1), "250 start -> >0 s0-0@42, x0, =42 0/1 s0:timeout"; "deadline passed")]
+#[test_case(uniform(1, 1, 1), "
     set wait 0
     9 start -> w9
     9 tick -> w9
@@ -390,6 +370,6 @@
 /// Guards against a search over nothing that reports full coverage.
 #[test]
 fn a_plan_needs_a_version() {
-    let search = Search::new(plan(0, 0, 0), ms(0), ms(9), Settings::default());
+    let search = Search::new(uniform(0, 0, 0), ms(0), ms(9), Settings::default());
     assert_eq!(search.err(), Some(NoVersions));
 }
