test(membership): scenarios, properties and a cost measurement

Cause: the protocol had no tests. One scenario failed: a daemon that resumed while cut off suspected healthy members from its own missed probes and spread that once it was back.

Ruled out: raising the suspicion timeout, which only hides it.

Change: while unconfirmed nothing is concluded from missed answers until two suspicion timeouts have passed; records of a full view are not gossiped again; tests over a network in virtual time; the example `cost`.

--- /dev/null
+++ b/crates/jasminepond-membership/examples/cost.rs
@@ -0,0 +1,130 @@
+//! Cost of the membership protocol, measured on its state machines.
+//!
+//! Runs many daemons in one process and virtual time with 0.12 departures and
+//! arrivals per second, and prints per size: bytes and datagrams that one
+//! daemon sends per second without IP and UDP headers, the time until a
+//! departure is known to all, the time until a crash is, the time to join, the
+//! processor time per daemon and second, and the memory per member.
+//!
+//! ```text
+//! cargo run --release -p jasminepond-membership --example cost -- 7 25 50
+//! ```
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
+
+use common::Network;
+use jasminepond_membership::{Me, MemberState, Membership, Settings, View};
+use rand::Rng;
+
+/// Measured virtual time, in which about 14 events happen.
+const TIME: Duration = Duration::from_secs(120);
+
+/// One departure or arrival per this time: 10,000 a day.
+const EVENT_PERIOD: Duration = Duration::from_millis(8_333);
+
+/// Members per size in the measurement of memory.
+const MEASURED_MEMBERS: usize = 200_000;
+
+const PAGE_BYTES: usize = 4_096;
+
+fn main() {
+    let sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|a| a.parse().ok())
+        .collect();
+    println!(
+        "daemons  B/s sent  datagrams/s  leave to all  crash to all  join  us CPU/s  B/member"
+    );
+    // Before the simulations, so that no freed memory is used again.
+    let memory: Vec<_> = sizes.iter().map(|&n| machines(n)).collect();
+    for (n, (_, bytes)) in sizes.into_iter().zip(memory) {
+        measure(n, bytes);
+    }
+}
+
+fn measure(n: usize, member_bytes: usize) {
+    let mut net = Network::new(Settings::default(), 1);
+    net.start_joined(n);
+    net.run(Duration::from_secs(30));
+    (net.messages, net.bytes) = (0, 0);
+    let wall = Instant::now();
+    let (mut leave, mut join) = (Vec::new(), Vec::new());
+    let mut left = None;
+    for _ in 0..TIME.as_millis() / EVENT_PERIOD.as_millis() {
+        let end = net.now + EVENT_PERIOD;
+        match left.take() {
+            None => {
+                let i = net.rng.random_range(0..n);
+                net.leave(i);
+                let known = |net: &Network| net.all_believe(i, MemberState::Leaving);
+                leave.extend(net.run_until(EVENT_PERIOD, known));
+                net.kill(i);
+                left = Some(i);
+            }
+            Some(i) => {
+                net.restart(i);
+                let joined = |net: &Network| net.nodes[i].membership.is_joined();
+                join.extend(net.run_until(EVENT_PERIOD, joined));
+            }
+        }
+        net.run(end.since(net.now));
+    }
+    let cpu = wall.elapsed().as_secs_f64();
+    let per_daemon = |x: u64| x as f64 / n as f64 / TIME.as_secs_f64();
+    let (bytes, messages) = (per_daemon(net.bytes), per_daemon(net.messages));
+    let crash = crash(&mut net);
+    let worst = |times: &[Duration]| times.iter().max().copied().unwrap_or_default();
+    println!(
+        "{n:>7}  {bytes:>8.0}  {messages:>11.1}  {:>12.2?}  {crash:>12.2?}  {:>4.2?}  {:>8.0}  {:>8}",
+        worst(&leave),
+        worst(&join),
+        per_daemon((cpu * 1e6) as u64),
+        member_bytes,
+    );
+}
+
+/// Time from a crash until all running daemons believe it.
+fn crash(net: &mut Network) -> Duration {
+    let i = net.running().next().expect("daemons run");
+    net.kill(i);
+    let known = |net: &Network| net.all_believe(i, MemberState::Dead);
+    net.run_until(Duration::from_secs(120), known)
+        .unwrap_or_default()
+}
+
+/// Daemons that share nothing, and their resident memory per member.
+fn machines(n: usize) -> (Vec<Membership>, usize) {
+    let copies = MEASURED_MEMBERS / n;
+    let before = resident();
+    let machines = (0..copies).map(|i| machine(i, n)).collect();
+    (machines, resident().saturating_sub(before) / (copies * n))
+}
+
+fn machine(i: usize, n: usize) -> Membership {
+    let mut machine = Membership::new(Settings::default(), common::me(i % n, 1), i as u64);
+    // One copy of each zone and region, as in a view built from messages.
+    let named: Vec<_> = (0..17).map(|j| common::me(j, 1)).collect();
+    let member = |j: usize| {
+        let Me { zone, region, .. } = named[j % named.len()].clone();
+        let me = Me {
+            zone,
+            region,
+            ..common::me(j, 1)
+        };
+        Membership::new(Settings::default(), me, 0).me().clone()
+    };
+    machine.assume(&View::from_members((0..n).map(member)));
+    machine
+}
+
+fn resident() -> usize {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/jasminepond-membership/src/learn.rs
+++ b/crates/jasminepond-membership/src/learn.rs
@@ -5,18 +5,26 @@
 use jasminepond_types::{InstanceId, Timestamp};
 
 use crate::{
-    Change, ConfigNote, Member, MemberState, Membership, Output, ServerReport,
+    Change, ConfigNote, Member, MemberState, Membership, Output, Record, ServerReport,
     membership::Suspicion,
 };
 
+/// Whether a change that was learned is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Spread {
+    /// It may be news to others.
+    Yes,
+    /// It came with a full view, so that the others have it.
+    No,
+}
+
 impl Membership {
-    /// Merges a record. `age` is the time in seconds since the member died or
-    /// left.
+    /// Merges a record.
     pub(crate) fn learn(
         &mut self,
         now: Timestamp,
-        member: Member,
-        age: u32,
+        Record(member, age): Record,
+        spread: Spread,
         out: &mut Vec<Output>,
     ) {
         if member.instance == self.me.instance {
@@ -32,7 +40,7 @@
             None => member,
         };
         if old.as_deref() != Some(&merged) {
-            self.store(now, old, merged, age, out);
+            self.store(now, old, Record(merged, age), spread, out);
         } else if merged.is_gone() {
             self.note_gone(now, &merged.instance, age);
         }
@@ -42,8 +50,8 @@
         &mut self,
         now: Timestamp,
         old: Option<Arc<Member>>,
-        mut member: Member,
-        age: u32,
+        Record(mut member, age): Record,
+        spread: Spread,
         out: &mut Vec<Output>,
     ) {
         self.share_names(&mut member);
@@ -51,7 +59,9 @@
         let old_rank = old.as_ref().map(|m| m.rank());
         if old_rank == Some(member.rank()) {
             self.view.put(member);
-            self.config_changes.push(instance);
+            if spread == Spread::Yes {
+                self.config_changes.push(instance);
+            }
             return;
         }
         let change = Change {
@@ -62,7 +72,9 @@
         };
         self.set_timers(now, &member, age);
         self.view.put(member);
-        self.changes.push(instance);
+        if spread == Spread::Yes {
+            self.changes.push(instance);
+        }
         out.push(Output::Changed(change));
     }
 
@@ -199,11 +211,6 @@
         self.joined = true;
         if self.unconfirmed_since.take().is_some() {
             self.restart_suspicions(now);
-            // Spread what was found out meanwhile.
-            let suspects: Vec<_> = self.suspicions.keys().cloned().collect();
-            for instance in suspects {
-                self.changes.push(instance);
-            }
             out.push(Output::Confirmed);
         }
     }
--- a/crates/jasminepond-membership/src/membership.rs
+++ b/crates/jasminepond-membership/src/membership.rs
@@ -11,10 +11,11 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
-    Body, ConfigMark, Me, Member, MemberState, Message, Rank, ReportKind, ServerReport, Settings,
-    View,
+    Body, ConfigMark, Me, Member, MemberState, Message, Rank, Record, ReportKind, ServerReport,
+    Settings, View,
     exchange::Pull,
     gossip::{Order, Queue},
+    learn::Spread,
     probe::Probes,
     reports::{ReportKey, Reports},
     tombstone::Tombstones,
@@ -197,6 +198,17 @@
         self.seeds.dedup();
     }
 
+    /// Takes over the members of another daemon's view as if it had just been
+    /// received in full. Lets a simulation start with a large tier.
+    pub fn assume(&mut self, view: &View) {
+        let me = self.view.get(&self.me.instance).cloned();
+        self.view = view.clone();
+        if let Some(me) = me {
+            self.view.put(Member::clone(&me));
+        }
+        self.joined = true;
+    }
+
     /// Announces that this daemon leaves. It keeps answering until it stops.
     pub fn leave(&mut self, now: Timestamp) -> Vec<Output> {
         let mut out = Vec::new();
@@ -261,17 +273,19 @@
 
     /// When [`Self::tick`] has something to do at the earliest.
     pub fn next_tick(&self) -> Timestamp {
-        let probe_timeout = self.probes.current.as_ref().filter(|p| !p.indirect);
-        let probe_timeout = probe_timeout.map(|p| p.sent + self.settings.probe_timeout);
+        let searching = !self.joined || !self.is_confirmed();
+        let probe = self.probes.current.as_ref().filter(|p| !p.indirect);
         let pull = self.last_tick.filter(|_| self.pull.is_some());
-        let pull = pull.map(|at| at + self.settings.probe_timeout);
         let times = [
             Some(self.due.probe),
-            Some(self.due.heal),
             Some(self.due.gossip),
+            Some(self.due.exchange).filter(|_| self.joined),
+            Some(self.due.heal).filter(|_| self.joined),
+            Some(self.due.join).filter(|_| searching && self.pull.is_none()),
+            probe.map(|p| p.sent + self.settings.probe_timeout),
+            pull.map(|at| at + self.settings.probe_timeout),
         ];
-        let times = times.into_iter().chain([probe_timeout, pull]);
-        times.flatten().min().unwrap_or_default()
+        times.into_iter().flatten().min().unwrap_or_default()
     }
 
     /// Does what is due. To be called at [`Self::next_tick`], at the latest
@@ -323,9 +337,10 @@
         let unchanged = member.filter(|m| m.rank() == probe.rank);
         if let Some(member) = unchanged
             && member.state == MemberState::Alive
+            && self.can_conclude(now)
         {
             let state = MemberState::Suspect;
-            self.learn(now, Member { state, ..member }, 0, out);
+            self.learn(now, Record(Member { state, ..member }, 0), Spread::Yes, out);
         }
     }
 
@@ -365,7 +380,7 @@
     }
 
     fn tick_suspicions(&mut self, now: Timestamp, out: &mut Vec<Output>) {
-        if !self.is_confirmed() && !self.is_alone_since(now) {
+        if !self.can_conclude(now) {
             return;
         }
         let due = self.suspicions.iter().filter(|(_, s)| now >= s.until);
@@ -376,7 +391,7 @@
             let unchanged = |m: &Member| suspicion.as_ref().is_some_and(|s| s.rank == m.rank());
             if let Some(member) = member.filter(unchanged) {
                 let state = MemberState::Dead;
-                self.learn(now, Member { state, ..member }, 0, out);
+                self.learn(now, Record(Member { state, ..member }, 0), Spread::Yes, out);
             }
         }
     }
@@ -427,6 +442,12 @@
         since.is_some_and(|at| now.since(at) >= timeout * ALONE_AFTER)
     }
 
+    /// Whether a missed answer says something about the other daemon. After a
+    /// pause it more likely says that this one is cut off.
+    fn can_conclude(&self, now: Timestamp) -> bool {
+        self.is_confirmed() || self.is_alone_since(now)
+    }
+
     fn give_up_waiting(&mut self, now: Timestamp, out: &mut Vec<Output>) {
         let others = |m: &&std::sync::Arc<Member>| m.instance != self.me.instance;
         let mut others = self.view.members().iter().filter(others);
--- a/crates/jasminepond-membership/src/receive.rs
+++ b/crates/jasminepond-membership/src/receive.rs
@@ -7,8 +7,9 @@
 use rand::seq::SliceRandom;
 
 use crate::{
-    Body, Member, MemberState, Membership, Message, Output,
+    Body, Member, MemberState, Membership, Message, Output, Record,
     exchange::{self, Pull, PullStep},
+    learn::Spread,
     send::Room,
 };
 
@@ -18,13 +19,18 @@
         let mut out = Vec::new();
         let sender = message.from.clone();
         if sender.instance == self.me.instance {
-            self.learn(now, sender, 0, &mut out);
+            self.learn(now, Record(sender, 0), Spread::Yes, &mut out);
             return out;
         }
-        self.learn(now, sender.clone(), 0, &mut out);
+        self.learn(now, Record(sender.clone(), 0), Spread::Yes, &mut out);
         let last = message.records.last().map(|r| r.0.instance.clone());
+        let piece = matches!(message.body, Body::Piece { .. });
+        let spread = match piece && self.pull.as_ref().is_some_and(|p| p.full) {
+            true => Spread::No,
+            false => Spread::Yes,
+        };
         for record in message.records {
-            self.learn(now, record.0, record.1, &mut out);
+            self.learn(now, record, spread, &mut out);
         }
         for note in &message.configs {
             self.learn_config(note);
@@ -300,7 +306,7 @@
         let record = match (known, buried) {
             (Some(known), _) if known.0.rank() > sender.rank() => known,
             (None, Some(rank)) if rank >= sender.rank() && sender.state == MemberState::Alive => {
-                crate::Record(
+                Record(
                     Member {
                         incarnation: rank.incarnation(),
                         refutation: rank.refutation(),
--- /dev/null
+++ b/crates/jasminepond-membership/tests/common/mod.rs
@@ -0,0 +1,280 @@
+//! Many state machines in one process, exchanging encoded datagrams in
+//! virtual time over a network that loses, repeats, delays and cuts.
+
+#![allow(dead_code, reason = "each user needs a part")]
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use jasminepond_membership::{
+    MAX_DATAGRAM_BYTES, Me, Member, MemberState, Membership, Message, Output, Settings,
+};
+use jasminepond_types::{Incarnation, InstanceId, Timestamp};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// What happens at a point in time.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick(usize, Incarnation),
+    Datagram(usize, usize, Vec<u8>),
+}
+
+pub struct Node {
+    pub membership: Membership,
+    pub incarnation: Incarnation,
+    pub up: bool,
+    pub side: u8,
+    pub outputs: Vec<Output>,
+}
+
+pub struct Network {
+    pub nodes: Vec<Node>,
+    pub now: Timestamp,
+    pub rng: StdRng,
+    pub settings: Settings,
+    /// Share of datagrams lost and repeated.
+    pub loss: f64,
+    pub repeat: f64,
+    /// Longest delay of a datagram in milliseconds.
+    pub delay: u64,
+    pub messages: u64,
+    pub bytes: u64,
+    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    count: u64,
+    addresses: BTreeMap<SocketAddr, usize>,
+}
+
+pub fn instance(i: usize) -> InstanceId {
+    format!("entry-{i:04}").parse().unwrap()
+}
+
+fn address(i: usize) -> SocketAddr {
+    let [_, _, a, b] = (i as u32).to_be_bytes();
+    SocketAddr::from(([10, 1, a, b], 7_000))
+}
+
+pub fn me(i: usize, incarnation: u64) -> Me {
+    Me {
+        instance: instance(i),
+        incarnation: Incarnation(incarnation),
+        zone: format!("zone-{:02}", i % 17).parse().unwrap(),
+        region: format!("region-{}", i % 17 % 6).parse().unwrap(),
+        peer_address: address(i),
+        membership_address: address(i),
+    }
+}
+
+impl Network {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Self {
+            nodes: Vec::new(),
+            now: Timestamp::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            settings,
+            loss: 0.0,
+            repeat: 0.0,
+            delay: 3,
+            messages: 0,
+            bytes: 0,
+            events: BinaryHeap::new(),
+            count: 0,
+            addresses: BTreeMap::new(),
+        }
+    }
+
+    /// Starts daemons one after the other, each with all others as seeds.
+    pub fn start(&mut self, n: usize) {
+        for i in 0..n {
+            self.addresses.insert(address(i), i);
+            let node = self.node(i, 1, n);
+            self.nodes.push(node);
+            self.schedule_tick(i);
+        }
+    }
+
+    /// Starts daemons that already know each other.
+    pub fn start_joined(&mut self, n: usize) {
+        self.start(n);
+        let members = self.nodes.iter().map(|n| n.membership.me().clone());
+        let view = jasminepond_membership::View::from_members(members);
+        for node in &mut self.nodes {
+            node.membership.assume(&view);
+        }
+    }
+
+    fn node(&mut self, i: usize, incarnation: u64, n: usize) -> Node {
+        let seed = self.rng.random();
+        let me = me(i, incarnation);
+        let mut membership = Membership::new(self.settings.clone(), me, seed);
+        membership.seed((0..n).map(address));
+        Node {
+            membership,
+            incarnation: Incarnation(incarnation),
+            up: true,
+            side: 0,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Stops a daemon without a word.
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i].up = false;
+    }
+
+    /// Starts a new run of a daemon.
+    pub fn restart(&mut self, i: usize) {
+        let incarnation = self.nodes[i].incarnation.get() + 1;
+        let n = self.nodes.len();
+        self.nodes[i] = self.node(i, incarnation, n);
+        self.schedule_tick(i);
+    }
+
+    pub fn leave(&mut self, i: usize) {
+        let now = self.now;
+        let out = self.nodes[i].membership.leave(now);
+        self.perform(i, out);
+    }
+
+    /// The daemon neither ticks nor receives until [`Self::wake`].
+    pub fn pause(&mut self, i: usize) {
+        self.nodes[i].up = false;
+    }
+
+    pub fn wake(&mut self, i: usize) {
+        self.nodes[i].up = true;
+        let now = self.now;
+        let out = self.nodes[i].membership.woke(now);
+        self.perform(i, out);
+        self.schedule_tick(i);
+    }
+
+    fn push(&mut self, at: Timestamp, event: Event) {
+        self.count += 1;
+        self.events.push(Reverse((at, self.count, event)));
+    }
+
+    fn schedule_tick(&mut self, i: usize) {
+        let node = &self.nodes[i];
+        // Start-up times are spread, as they are in a running tier.
+        let jitter = self.rng.random_range(1..1_000);
+        let jitter = self.now + Duration::from_millis(jitter);
+        let at = match node.membership.next_tick() {
+            next if next > self.now => next,
+            _ => jitter,
+        };
+        let incarnation = node.incarnation;
+        self.push(at, Event::Tick(i, incarnation));
+    }
+
+    /// Runs for some virtual time.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.events.peek().is_some_and(|e| e.0.0 <= end) {
+            let Reverse((at, _, event)) = self.events.pop().unwrap();
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Tick(i, incarnation) => {
+                let node = &mut self.nodes[i];
+                if node.up && node.incarnation == incarnation {
+                    let out = node.membership.tick(now);
+                    self.perform(i, out);
+                    self.schedule_tick(i);
+                }
+            }
+            Event::Datagram(from, to, buf) => {
+                let cut = self.nodes[from].side != self.nodes[to].side;
+                if self.nodes[to].up && !cut {
+                    let message = Message::decode(&buf).unwrap();
+                    let out = self.nodes[to]
+                        .membership
+                        .receive(now, address(from), message);
+                    self.perform(to, out);
+                }
+            }
+        }
+    }
+
+    fn perform(&mut self, i: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Send { to, message } => self.send(i, to, &message),
+                other => self.nodes[i].outputs.push(other),
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: &Message) {
+        let buf = message.encode();
+        assert!(buf.len() <= MAX_DATAGRAM_BYTES, "{} bytes", buf.len());
+        self.messages += 1;
+        self.bytes += buf.len() as u64;
+        let to = self.addresses[&to];
+        let copies = match self.rng.random_bool(self.repeat) {
+            true => 2,
+            false => 1,
+        };
+        for _ in 0..copies {
+            if !self.rng.random_bool(self.loss) {
+                let delay = self.rng.random_range(1..=self.delay);
+                let at = self.now + Duration::from_millis(delay);
+                self.push(at, Event::Datagram(from, to, buf.clone()));
+            }
+        }
+    }
+
+    /// What daemon `i` believes about daemon `j`.
+    pub fn state(&self, i: usize, j: usize) -> Option<MemberState> {
+        let view = self.nodes[i].membership.view();
+        view.get(&instance(j)).map(|m| m.state)
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|&i| self.nodes[i].up)
+    }
+
+    /// Whether every running daemon believes `state` of daemon `j`.
+    pub fn all_believe(&self, j: usize, state: MemberState) -> bool {
+        let others = self.running().filter(|&i| i != j);
+        others.into_iter().all(|i| self.state(i, j) == Some(state))
+    }
+
+    /// The views of all running daemons without configuration revisions.
+    pub fn views(&self) -> Vec<Vec<Member>> {
+        let strip = |m: &std::sync::Arc<Member>| Member {
+            config: Default::default(),
+            ..Member::clone(m)
+        };
+        let view = |i: usize| self.nodes[i].membership.view().members().iter().map(strip);
+        self.running().map(|i| view(i).collect()).collect()
+    }
+
+    pub fn assert_one_view(&self) {
+        let views = self.views();
+        for view in &views {
+            assert_eq!(view, &views[0]);
+        }
+    }
+
+    /// Runs until `done` or until `limit` has passed, and returns the time.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while self.now.since(start) < limit {
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+            self.run(Duration::from_millis(50));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-membership/tests/properties.rs
@@ -0,0 +1,244 @@
+//! What holds for any records and any behaviour of the network.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Network, me};
+use jasminepond_membership::{
+    Body, ConfigMark, MAX_DATAGRAM_BYTES, Member, MemberState, Membership, Message, Record,
+    Settings,
+};
+use jasminepond_types::{Incarnation, Revision, Timestamp};
+use proptest::prelude::*;
+
+fn state() -> impl Strategy<Value = MemberState> {
+    use MemberState::{Alive, Dead, Leaving, Suspect};
+    prop::sample::select(vec![Alive, Suspect, Dead, Leaving])
+}
+
+fn record() -> impl Strategy<Value = Member> {
+    (0_u64..3, 0_u32..3, state(), 0_u64..3, 0_u32..2, 0_u16..2).prop_map(
+        |(incarnation, refutation, state, revision, digest, port)| {
+            let me = me(1, incarnation);
+            Member {
+                instance: me.instance,
+                incarnation: me.incarnation,
+                refutation,
+                state,
+                zone: me.zone,
+                region: me.region,
+                peer_address: ([10, 0, 0, 1], port).into(),
+                membership_address: me.membership_address,
+                config: ConfigMark(Revision(revision), digest),
+            }
+        },
+    )
+}
+
+fn tell(membership: &mut Membership, records: Vec<Member>) {
+    let from = Membership::new(Settings::default(), me(9, 1), 0)
+        .me()
+        .clone();
+    let message = Message {
+        from,
+        body: Body::Gossip,
+        records: records.into_iter().map(|r| Record(r, 0)).collect(),
+        configs: Vec::new(),
+        reports: Vec::new(),
+    };
+    let address = me(9, 1).membership_address;
+    membership.receive(Timestamp::ZERO, address, message);
+}
+
+proptest! {
+    /// Guards against a merge whose result depends on order or repetition.
+    #[test]
+    fn merge_is_commutative_associative_and_idempotent(
+        a in record(), b in record(), c in record(),
+    ) {
+        prop_assert_eq!(a.merge(&b), b.merge(&a));
+        prop_assert_eq!(a.merge(&b).merge(&c), a.merge(&b.merge(&c)));
+        prop_assert_eq!(a.merge(&a), a.clone());
+        prop_assert_eq!(a.merge(&b).merge(&b), a.merge(&b));
+    }
+
+    /// Guards against an older incarnation that overrides a newer one, and
+    /// against a departure that becomes a crash.
+    #[test]
+    fn merge_keeps_the_newer_incarnation_and_a_leave(a in record(), b in record()) {
+        let merged = a.merge(&b);
+        prop_assert_eq!(merged.incarnation, a.incarnation.max(b.incarnation));
+        let left = |m: &Member| {
+            m.state == MemberState::Leaving && m.incarnation == merged.incarnation
+        };
+        prop_assert_eq!(merged.state == MemberState::Leaving, left(&a) || left(&b));
+    }
+
+    /// Guards against a view that depends on the order of gossip.
+    #[test]
+    fn any_order_of_gossip_gives_one_view(
+        (records, shuffled) in prop::collection::vec(record(), 1..12)
+            .prop_flat_map(|r| (Just(r.clone()), Just(r).prop_shuffle())),
+    ) {
+        let mut views = Vec::new();
+        for list in [records, shuffled] {
+            let mut membership = Membership::new(Settings::default(), me(0, 1), 1);
+            for one in list {
+                tell(&mut membership, vec![one.clone()]);
+                tell(&mut membership, vec![one]);
+            }
+            views.push(membership.view().members().to_vec());
+        }
+        prop_assert_eq!(&views[0], &views[1]);
+    }
+
+    /// Guards against a refutation that does not rise above the suspicion, and
+    /// against an incarnation that changes to refute.
+    #[test]
+    fn a_daemon_refutes_what_is_said_about_its_run(said in record()) {
+        let mut membership = Membership::new(Settings::default(), me(1, 1), 1);
+        tell(&mut membership, vec![said.clone()]);
+        let own = membership.me();
+        prop_assert_eq!(own.incarnation, Incarnation(1));
+        prop_assert_eq!(own.state, MemberState::Alive);
+        if said.incarnation <= Incarnation(1) && said.state != MemberState::Leaving {
+            prop_assert!(own.rank() >= said.rank());
+        }
+    }
+
+    /// Guards against damaged datagrams that crash a daemon.
+    #[test]
+    fn damaged_datagrams_are_errors(
+        buf in prop::collection::vec(any::<u8>(), 0..MAX_DATAGRAM_BYTES),
+        at in any::<prop::sample::Index>(), byte in any::<u8>(),
+    ) {
+        _ = Message::decode(&buf);
+        let mut membership = Membership::new(Settings::default(), me(1, 1), 1);
+        membership.seed([me(2, 1).membership_address]);
+        for output in membership.tick(Timestamp::ZERO) {
+            if let jasminepond_membership::Output::Send { message, .. } = output {
+                let mut buf = message.encode();
+                prop_assert_eq!(Message::decode(&buf).unwrap(), *message);
+                let at = at.index(buf.len());
+                buf[at] = byte;
+                _ = Message::decode(&buf);
+            }
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Fault {
+    Kill(usize),
+    Restart(usize),
+    Leave(usize),
+    Pause(usize),
+    Cut(u16),
+    Heal,
+}
+
+const SIZE: usize = 9;
+
+fn fault() -> impl Strategy<Value = (Fault, u64)> {
+    let fault = prop_oneof![
+        (0..SIZE).prop_map(Fault::Kill),
+        (0..SIZE).prop_map(Fault::Restart),
+        (0..SIZE).prop_map(Fault::Leave),
+        (0..SIZE).prop_map(Fault::Pause),
+        (1_u16..1 << SIZE).prop_map(Fault::Cut),
+        Just(Fault::Heal),
+    ];
+    (fault, 0_u64..20_000)
+}
+
+/// What the views must say in the end.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum End {
+    Runs,
+    Left,
+    Crashed,
+    Paused,
+}
+
+fn apply(net: &mut Network, ends: &mut [End], fault: &Fault) {
+    match *fault {
+        Fault::Kill(i) if ends[i] == End::Runs => {
+            net.kill(i);
+            ends[i] = End::Crashed;
+        }
+        Fault::Leave(i) if ends[i] == End::Runs => {
+            net.leave(i);
+            // It stays until some have heard of it, as a daemon that drains.
+            net.run(Duration::from_millis(900));
+            net.kill(i);
+            ends[i] = End::Left;
+        }
+        Fault::Restart(i) if ends[i] != End::Paused => {
+            net.restart(i);
+            ends[i] = End::Runs;
+        }
+        Fault::Pause(i) if ends[i] == End::Runs => {
+            net.pause(i);
+            ends[i] = End::Paused;
+        }
+        Fault::Pause(i) if ends[i] == End::Paused => {
+            net.wake(i);
+            ends[i] = End::Runs;
+        }
+        Fault::Cut(sides) => {
+            for (i, node) in net.nodes.iter_mut().enumerate() {
+                node.side = (sides >> i & 1) as u8;
+            }
+        }
+        Fault::Heal => net.nodes.iter_mut().for_each(|n| n.side = 0),
+        _ => {}
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(60))]
+
+    /// Guards against any mix of crashes, restarts, departures, pauses,
+    /// partitions, loss, repetition and reordering that leaves the views
+    /// different, or wrong, once messages flow again.
+    #[test]
+    fn views_agree_once_messages_flow(
+        faults in prop::collection::vec(fault(), 0..10),
+        loss in 0.0..0.4, repeat in 0.0..0.3, delay in 1_u64..900, seed in any::<u64>(),
+    ) {
+        let mut net = Network::new(Settings::default(), seed);
+        net.start(SIZE);
+        net.run(Duration::from_secs(10));
+        (net.loss, net.repeat, net.delay) = (loss, repeat, delay);
+        let mut ends = [End::Runs; SIZE];
+        for (fault, millis) in &faults {
+            apply(&mut net, &mut ends, fault);
+            net.run(Duration::from_millis(*millis));
+        }
+        for i in 0..SIZE {
+            if ends[i] == End::Paused {
+                apply(&mut net, &mut ends, &Fault::Pause(i));
+            }
+        }
+        apply(&mut net, &mut ends, &Fault::Heal);
+        (net.loss, net.repeat, net.delay) = (0.0, 0.0, 3);
+        net.run(Duration::from_secs(120));
+        net.assert_one_view();
+        let reader = net.running().next();
+        for (i, end) in ends.iter().enumerate() {
+            let Some(reader) = reader else { break };
+            let state = net.state(reader, i);
+            match end {
+                End::Runs => prop_assert_eq!(state, Some(MemberState::Alive)),
+                // A departure nobody could hear of looks like a crash.
+                End::Left => prop_assert!(
+                    matches!(state, None | Some(MemberState::Leaving | MemberState::Dead))
+                ),
+                End::Crashed | End::Paused => prop_assert!(
+                    matches!(state, None | Some(MemberState::Dead))
+                ),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-membership/tests/scenarios.rs
@@ -0,0 +1,240 @@
+//! Daemons that start, stop, pause and lose each other.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Network, instance};
+use jasminepond_membership::{MemberState, Output, ReportKind, Settings};
+use jasminepond_types::{Incarnation, Revision};
+use test_case::test_case;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn started(n: usize) -> Network {
+    let mut net = Network::new(Settings::default(), n as u64);
+    net.start(n);
+    let joined = net.run_until(MINUTE, |net| {
+        net.views().iter().all(|v| v.len() == n)
+            && net.nodes.iter().all(|n| n.membership.is_joined())
+    });
+    assert!(joined.is_some(), "{n} daemons did not find each other");
+    net
+}
+
+/// Guards against a size at which daemons do not find each other, or suspect
+/// healthy ones.
+#[test_case(2)]
+#[test_case(7)]
+#[test_case(70)]
+fn healthy_daemons_stay_alive(n: usize) {
+    let mut net = started(n);
+    net.run(MINUTE);
+    for j in 0..n {
+        assert!(net.all_believe(j, MemberState::Alive), "{j}");
+    }
+    net.assert_one_view();
+}
+
+/// Guards against a dead daemon that stays in the view, against forgetting it
+/// at different times, and against its return under the old incarnation.
+#[test]
+fn a_crash_is_noticed_and_forgotten() {
+    let mut net = started(7);
+    net.kill(3);
+    let dead = net.run_until(MINUTE, |net| net.all_believe(3, MemberState::Dead));
+    assert!(
+        dead.is_some_and(|t| t < Duration::from_secs(12)),
+        "{dead:?}"
+    );
+    net.run(net.settings.forget_after + Duration::from_secs(5));
+    assert!(net.running().all(|i| net.state(i, 3).is_none()));
+    net.restart(3);
+    let back = net.run_until(MINUTE, |net| net.all_believe(3, MemberState::Alive));
+    assert!(back.is_some(), "the new incarnation was rejected");
+}
+
+/// Guards against a departure that is later reported as a crash.
+#[test]
+fn a_leave_stays_a_leave() {
+    let mut net = started(7);
+    net.leave(2);
+    net.run(Duration::from_millis(500));
+    net.kill(2);
+    net.run(MINUTE);
+    assert!(net.all_believe(2, MemberState::Leaving));
+    let crashed =
+        |output: &Output| matches!(output, Output::Changed(c) if c.to == Some(MemberState::Dead));
+    assert!(net.nodes.iter().all(|n| !n.outputs.iter().any(crashed)));
+}
+
+/// Guards against halves that never look for each other again.
+#[test_case(7, 3)]
+#[test_case(40, 20)]
+fn a_partition_heals(n: usize, cut: usize) {
+    let mut net = started(n);
+    for node in &mut net.nodes[..cut] {
+        node.side = 1;
+    }
+    net.run(MINUTE);
+    assert_eq!(net.state(0, n - 1), Some(MemberState::Dead));
+    assert_eq!(net.state(n - 1, 0), Some(MemberState::Dead));
+    for node in &mut net.nodes {
+        node.side = 0;
+    }
+    let healed = net.run_until(MINUTE * 2, |net| {
+        (0..n).all(|j| net.all_believe(j, MemberState::Alive))
+    });
+    assert!(healed.is_some(), "the halves did not find each other");
+    net.run(MINUTE);
+    net.assert_one_view();
+}
+
+/// Guards against a partition that outlasts the memory of the other side: the
+/// record of a forgotten member must not keep it out when it speaks itself.
+#[test]
+fn a_forgotten_half_returns_under_the_same_incarnation() {
+    let settings = Settings {
+        forget_after: Duration::from_secs(30),
+        ..Settings::default()
+    };
+    let mut net = Network::new(settings, 5);
+    net.start(6);
+    net.run(Duration::from_secs(10));
+    for node in &mut net.nodes[..3] {
+        node.side = 1;
+    }
+    net.run(MINUTE * 2);
+    assert_eq!(net.state(0, 5), None);
+    for node in &mut net.nodes {
+        node.side = 0;
+    }
+    net.run(MINUTE);
+    for j in 0..6 {
+        assert!(net.all_believe(j, MemberState::Alive), "{j}");
+    }
+}
+
+/// Guards against a resumed daemon that passes its old view on or concludes
+/// from it: here two members have left and been forgotten meanwhile.
+#[test]
+fn a_resumed_daemon_does_not_act_on_its_old_view() {
+    let settings = Settings {
+        forget_after: Duration::from_secs(20),
+        ..Settings::default()
+    };
+    let mut net = Network::new(settings, 9);
+    net.start(7);
+    net.run(Duration::from_secs(10));
+    net.pause(0);
+    net.kill(1);
+    net.leave(2);
+    net.run(Duration::from_secs(1));
+    net.kill(2);
+    net.run(MINUTE);
+    for node in &mut net.nodes {
+        node.outputs.clear();
+    }
+    net.nodes[0].side = 1;
+    net.wake(0);
+    net.run(Duration::from_secs(2));
+    assert!(!net.nodes[0].membership.is_confirmed());
+    let acted = |o: &Output| matches!(o, Output::Changed(c) if c.to == Some(MemberState::Dead));
+    assert!(!net.nodes[0].outputs.iter().any(acted));
+    net.nodes[0].side = 0;
+    net.run(Duration::from_secs(2));
+    assert!(net.nodes[0].membership.is_confirmed());
+    net.run(MINUTE);
+    for i in 3..7 {
+        assert_eq!(net.state(i, 0), Some(MemberState::Alive));
+        assert_eq!(net.state(i, 1), None);
+        let outputs = &net.nodes[i].outputs;
+        let revived = |o: &&Output| matches!(o, Output::Changed(c) if c.instance != instance(0));
+        assert_eq!(outputs.iter().find(revived), None);
+    }
+}
+
+/// Guards against waiting for ever when the whole tier paused together, and
+/// against a lone daemon that waits for an answer nobody can give.
+#[test_case(5)]
+#[test_case(1)]
+fn daemons_that_all_paused_confirm_each_other(n: usize) {
+    let mut net = started_alone_or_together(n);
+    (0..n).for_each(|i| net.pause(i));
+    net.run(MINUTE);
+    (0..n).for_each(|i| net.wake(i));
+    net.run(Duration::from_secs(10));
+    assert!(net.nodes.iter().all(|n| n.membership.is_confirmed()));
+}
+
+fn started_alone_or_together(n: usize) -> Network {
+    let mut net = Network::new(Settings::default(), 3);
+    net.start(n);
+    net.run(Duration::from_secs(10));
+    net
+}
+
+/// Guards against two daemons under one identity that refute each other for
+/// ever.
+#[test]
+fn an_older_run_is_told_that_it_is_superseded() {
+    let mut net = started(4);
+    net.pause(1);
+    let old = net.nodes[1].membership.me().clone();
+    net.restart(1);
+    net.run(MINUTE);
+    let message = jasminepond_membership::Message {
+        from: old.clone(),
+        body: jasminepond_membership::Body::Gossip,
+        records: Vec::new(),
+        configs: Vec::new(),
+        reports: Vec::new(),
+    };
+    let now = net.now;
+    let out = net.nodes[0]
+        .membership
+        .receive(now, old.membership_address, message);
+    let told = |o: &Output| {
+        matches!(o, Output::Send { message, .. }
+            if message.records.iter().any(|r| r.0.incarnation == Incarnation(2)))
+    };
+    assert!(out.iter().any(told));
+    assert!(net.all_believe(1, MemberState::Alive));
+}
+
+/// Guards against reports that are lost, never expire, or outlive a newer one.
+#[test]
+fn reports_reach_everyone_and_expire() {
+    let mut net = started(30);
+    let now = net.now;
+    let server: jasminepond_types::ServerId = "heat-4".parse().unwrap();
+    let reporter = &mut net.nodes[4].membership;
+    reporter.report(now, server.clone(), ReportKind::Lost);
+    reporter.report(now, server.clone(), ReportKind::Back);
+    net.run(Duration::from_secs(6));
+    for node in &net.nodes {
+        let kinds: Vec<_> = node.membership.reports(net.now).map(|r| r.kind).collect();
+        assert_eq!(kinds, [ReportKind::Back]);
+    }
+    net.run(net.settings.report_age);
+    for node in &net.nodes {
+        assert_eq!(node.membership.reports(net.now).count(), 0);
+    }
+}
+
+/// Guards against a status page that misses a daemon's revision.
+#[test]
+fn revisions_reach_everyone() {
+    let mut net = started(30);
+    for (i, node) in net.nodes.iter_mut().enumerate() {
+        node.membership
+            .set_config(Revision(40 + i as u64), &[7; 32]);
+        node.membership.set_config(Revision(39), &[7; 32]);
+    }
+    net.run(MINUTE);
+    for node in &net.nodes {
+        let view = node.membership.view();
+        let revisions: Vec<_> = view.members().iter().map(|m| m.config.0.get()).collect();
+        assert_eq!(revisions, (40..70).collect::<Vec<_>>());
+    }
+}
