test(membership): count revisions in the cost measurement

Cause: every daemon changes its revision with each configuration change, which the measurement left out.

Change: the example changes all revisions each 8.3 s and prints the share of revisions that are current; 16 instead of 8 notes per datagram.

--- a/crates/jasminepond-membership/examples/cost.rs
+++ b/crates/jasminepond-membership/examples/cost.rs
@@ -1,10 +1,13 @@
 //! Cost of the membership protocol, measured on its state machines.
 //!
 //! Runs many daemons in one process and virtual time with 0.12 departures and
-//! arrivals per second, and prints per size: bytes and datagrams that one
-//! daemon sends per second without IP and UDP headers, the time until a
-//! departure is known to all, the time until a crash is, the time to join, the
-//! processor time per daemon and second, and the memory per member.
+//! arrivals per second and a new configuration revision at every daemon each
+//! 8.3 s. Prints per size: bytes and datagrams that one daemon sends per second
+//! without IP and UDP headers, the time until a departure is known to all, the
+//! time until a crash is, the time to join, the share of members whose
+//! revision is current in a view 8.3 s after the change, the processor time
+//! per daemon and second with the simulation itself, and the memory per
+//! member.
 //!
 //! ```text
 //! cargo run --release -p jasminepond-membership --example cost -- 7 25 50
@@ -20,6 +23,7 @@
 
 use common::Network;
 use jasminepond_membership::{Me, MemberState, Membership, Settings, View};
+use jasminepond_types::Revision;
 use rand::Rng;
 
 /// Measured virtual time, in which about 14 events happen.
@@ -39,7 +43,7 @@
         .filter_map(|a| a.parse().ok())
         .collect();
     println!(
-        "daemons  B/s sent  datagrams/s  leave to all  crash to all  join  us CPU/s  B/member"
+        "daemons  B/s sent  datagrams/s  leave to all  crash to all  join  current  us CPU/s  B/member"
     );
     // Before the simulations, so that no freed memory is used again.
     let memory: Vec<_> = sizes.iter().map(|&n| machines(n)).collect();
@@ -56,7 +60,12 @@
     let wall = Instant::now();
     let (mut leave, mut join) = (Vec::new(), Vec::new());
     let mut left = None;
-    for _ in 0..TIME.as_millis() / EVENT_PERIOD.as_millis() {
+    let mut current = Vec::new();
+    for revision in 1..=TIME.as_millis() / EVENT_PERIOD.as_millis() {
+        let revision = Revision(revision as u64);
+        for node in &mut net.nodes {
+            node.membership.set_config(revision, &[0; 32]);
+        }
         let end = net.now + EVENT_PERIOD;
         match left.take() {
             None => {
@@ -74,6 +83,7 @@
             }
         }
         net.run(end.since(net.now));
+        current.push(share_current(&net, revision));
     }
     let cpu = wall.elapsed().as_secs_f64();
     let per_daemon = |x: u64| x as f64 / n as f64 / TIME.as_secs_f64();
@@ -81,14 +91,31 @@
     let crash = crash(&mut net);
     let worst = |times: &[Duration]| times.iter().max().copied().unwrap_or_default();
     println!(
-        "{n:>7}  {bytes:>8.0}  {messages:>11.1}  {:>12.2?}  {crash:>12.2?}  {:>4.2?}  {:>8.0}  {:>8}",
+        "{n:>7}  {bytes:>8.0}  {messages:>11.1}  {:>12.2?}  {crash:>12.2?}  {:>4.2?}  {:>6.0}%  {:>8.0}  {:>8}",
         worst(&leave),
         worst(&join),
+        100.0 * current.iter().sum::<f64>() / current.len() as f64,
         per_daemon((cpu * 1e6) as u64),
         member_bytes,
     );
 }
 
+/// Share of the reachable members with the given revision in the views of some
+/// daemons.
+fn share_current(net: &Network, revision: Revision) -> f64 {
+    let views = net
+        .running()
+        .take(50)
+        .map(|i| net.nodes[i].membership.view());
+    let members = views.flat_map(|v| v.members()).filter(|m| m.is_reachable());
+    let (mut all, mut current) = (0, 0);
+    for member in members {
+        all += 1;
+        current += usize::from(member.config.revision() == revision);
+    }
+    current as f64 / all as f64
+}
+
 /// Time from a crash until all running daemons believe it.
 fn crash(net: &mut Network) -> Duration {
     let i = net.running().next().expect("daemons run");
--- a/crates/jasminepond-membership/src/send.rs
+++ b/crates/jasminepond-membership/src/send.rs
@@ -19,7 +19,7 @@
 
 /// Revisions of other members per datagram. Every member changes its revision
 /// at once, so that this, and not the number of changes, bounds their cost.
-const MAX_CONFIG_NOTES: usize = 8;
+const MAX_CONFIG_NOTES: usize = 16;
 
 /// Views up to this size are searched for random members as a whole.
 const SMALL_VIEW: usize = 64;
