--- a/crates/jasminepond-membership/src/view.rs
+++ b/crates/jasminepond-membership/src/view.rs
@@ -75,8 +75,9 @@
         self.members.binary_search_by(|m| m.instance.cmp(instance))
     }
 
-    /// Stores a record in place of the one known.
-    pub(crate) fn put(&mut self, member: Member) {
+    /// Stores a record in place of the one known, whatever its rank. For tests
+    /// and simulations; [`Membership`](crate::Membership) merges records.
+    pub fn put(&mut self, member: Member) {
         match self.position(&member.instance) {
             Ok(at) => self.replace(at, member),
             Err(at) => {
--- a/crates/jasminepond-sync/src/pull.rs
+++ b/crates/jasminepond-sync/src/pull.rs
@@ -29,7 +29,10 @@
 #[derive(Debug)]
 struct Asked {
     source: InstanceId,
-    at: Timestamp,
+    /// When another source is asked.
+    until: Timestamp,
+    /// Whether the source answered that it has no bytes to spare.
+    busy: bool,
     buf: BytesMut,
 }
 
@@ -55,7 +58,6 @@
     pub(crate) last_source: Option<InstanceId>,
     sources: VecDeque<InstanceId>,
     asked: BTreeMap<Digest, Asked>,
-    not_before: Timestamp,
     failures: u32,
 }
 
@@ -70,7 +72,6 @@
             last_source: None,
             sources: VecDeque::from([source]),
             asked: BTreeMap::new(),
-            not_before: Timestamp::ZERO,
             failures: 0,
         }
     }
@@ -85,7 +86,6 @@
             last_source: None,
             sources: VecDeque::new(),
             asked: BTreeMap::new(),
-            not_before: Timestamp::ZERO,
             failures: 0,
         }
     }
@@ -127,11 +127,13 @@
         self.asked.clear();
     }
 
-    /// A source has no bytes to spare for now.
+    /// A source has no bytes to spare for now. What was received stays, and
+    /// another source is asked for the rest.
     pub(crate) fn wait(&mut self, now: Timestamp, digest: &Digest, wait: Duration) {
-        self.asked.remove(digest);
-        self.sources.rotate_left(1.min(self.sources.len()));
-        self.not_before = now + wait;
+        if let Some(asked) = self.asked.get_mut(digest) {
+            asked.until = now + wait;
+            asked.busy = true;
+        }
     }
 
     /// The questions to peers that are due.
@@ -141,10 +143,11 @@
         timeout: Duration,
         store: &Store,
     ) -> Vec<Question> {
-        if self.from_service || now < self.not_before {
+        if self.from_service {
             return Vec::new();
         }
-        let mut questions = self.repeat_late(now, timeout);
+        let until = now + timeout;
+        let mut questions = self.repeat_late(now, until);
         let wanted: Vec<Digest> = match self.manifest {
             None => vec![self.digest],
             Some(_) => self.missing(store).map(|f| f.digest).take(WINDOW).collect(),
@@ -153,35 +156,33 @@
             if self.asked.len() >= WINDOW || self.asked.contains_key(&digest) {
                 continue;
             }
-            questions.extend(self.ask(now, digest, BytesMut::new()));
+            questions.extend(self.ask(until, digest, BytesMut::new()));
         }
         questions
     }
 
     /// Asks the next source where one does not answer.
-    fn repeat_late(&mut self, now: Timestamp, timeout: Duration) -> Vec<Question> {
-        let late = self
-            .asked
-            .iter()
-            .filter(|(_, a)| now.since(a.at) >= timeout);
+    fn repeat_late(&mut self, now: Timestamp, until: Timestamp) -> Vec<Question> {
+        let late = self.asked.iter().filter(|(_, a)| now >= a.until);
         let late: Vec<Digest> = late.map(|(digest, _)| *digest).collect();
         let mut questions = Vec::new();
         for digest in late {
-            self.failures += 1;
             if let Some(asked) = self.asked.remove(&digest) {
-                questions.extend(self.ask(now, digest, asked.buf));
+                self.failures += u32::from(!asked.busy);
+                questions.extend(self.ask(until, digest, asked.buf));
             }
         }
         questions
     }
 
-    fn ask(&mut self, now: Timestamp, digest: Digest, buf: BytesMut) -> Option<Question> {
+    fn ask(&mut self, until: Timestamp, digest: Digest, buf: BytesMut) -> Option<Question> {
         let source = self.sources.front()?.clone();
         self.sources.rotate_left(1);
         let offset = buf.len() as u64;
         let asked = Asked {
             source: source.clone(),
-            at: now,
+            until,
+            busy: false,
             buf,
         };
         self.asked.insert(digest, asked);
@@ -196,7 +197,7 @@
     /// question for the next part.
     pub(crate) fn take_piece(
         &mut self,
-        now: Timestamp,
+        until: Timestamp,
         from: &InstanceId,
         digest: Digest,
         (offset, total): (u64, u64),
@@ -212,7 +213,8 @@
             return (None, None);
         }
         asked.buf.extend_from_slice(bytes);
-        asked.at = now;
+        asked.until = until;
+        asked.busy = false;
         self.failures = 0;
         self.last_source = Some(from.clone());
         if end < total {
--- a/crates/jasminepond-sync/src/receive.rs
+++ b/crates/jasminepond-sync/src/receive.rs
@@ -182,8 +182,10 @@
                 digest,
                 retry_after,
             } => {
+                let timeout = self.settings.request_timeout;
+                let wait = retry_after.duration().min(timeout);
                 if let Some(target) = &mut self.target {
-                    target.wait(now, &digest, retry_after.duration());
+                    target.wait(now, &digest, wait);
                 }
             }
         }
@@ -366,7 +368,8 @@
         let Some(target) = &mut self.target else {
             return;
         };
-        let (whole, next) = target.take_piece(now, from, digest, place, bytes);
+        let until = now + self.settings.request_timeout;
+        let (whole, next) = target.take_piece(until, from, digest, place, bytes);
         if let Some(question) = next {
             self.ask(question, out);
         }
--- a/crates/jasminepond-sync/src/service.rs
+++ b/crates/jasminepond-sync/src/service.rs
@@ -110,7 +110,8 @@
     /// again soon, but not in a loop if the service stays inconsistent.
     pub(crate) fn torn(&mut self, now: Timestamp, settings: &Settings) {
         self.last_failure = Some(ServiceFailure::FileChanged);
-        let wait = doubled(TORN_READ_WAIT, self.torn).min(settings.backoff_max);
+        // The service works, so that the wait stays short.
+        let wait = doubled(TORN_READ_WAIT, self.torn).min(settings.backoff_min);
         self.torn = self.torn.saturating_add(1);
         self.next_read = self.next_read.max(now + wait);
     }
--- a/crates/jasminepond-sync/src/settings.rs
+++ b/crates/jasminepond-sync/src/settings.rs
@@ -33,7 +33,8 @@
     pub exchange_period: Duration,
     /// Time between two questions while no configuration is in effect.
     pub search_period: Duration,
-    /// Time to wait for a peer's answer.
+    /// Time to wait for a peer's answer before another is asked. Longer than
+    /// a round trip between regions.
     pub request_timeout: Duration,
     /// Daemons of other zones that announcements go to. They are kept for a
     /// while, so that a daemon needs few links to other zones.
@@ -64,7 +65,7 @@
             repeat_after: Duration::from_millis(500),
             exchange_period: Duration::from_secs(5),
             search_period: Duration::from_millis(500),
-            request_timeout: Duration::from_millis(500),
+            request_timeout: Duration::from_millis(250),
             far_peers: 4,
             far_peer_period: Duration::from_secs(60),
             read_budget: 1_000.0,
--- /dev/null
+++ b/crates/jasminepond-sync/tests/common/mod.rs
@@ -0,0 +1,485 @@
+//! Many state machines and a configuration service in one process and virtual
+//! time, over a network that loses, delays and cuts.
+
+#![allow(dead_code, reason = "each user needs a part")]
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use jasminepond_membership::{Me, Member, MemberState, Membership, View};
+use jasminepond_sync::{
+    Action, Digest, FileRef, MAX_PIECE_BYTES, Role, ServiceFailure, Settings, Sync, SyncMessage,
+};
+use jasminepond_types::{Incarnation, InstanceId, Revision, Timestamp};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const TICK: Duration = Duration::from_millis(100);
+const SERVICE_DELAY: Duration = Duration::from_millis(3);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One way within a zone, between zones and between regions.
+const DELAYS_MICROS: [u64; 3] = [250, 1_500, 40_000];
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Answer {
+    Tree(Revision, Vec<FileRef>),
+    Unchanged,
+    File(Arc<str>, Bytes),
+    Failed(u8),
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick(usize, u64),
+    Message(usize, usize, Payload),
+    Call(usize, u64, Call),
+    Answer(usize, u64, Answer),
+}
+
+/// A message without an order of its own.
+#[derive(Debug)]
+struct Payload(SyncMessage);
+
+impl PartialEq for Payload {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+impl Eq for Payload {}
+impl PartialOrd for Payload {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Payload {
+    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
+        std::cmp::Ordering::Equal
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Call {
+    Watch(Revision),
+    File(Arc<str>, Digest),
+}
+
+/// The configuration service.
+#[derive(Default)]
+pub struct Service {
+    pub revision: Revision,
+    pub files: BTreeMap<Arc<str>, Bytes>,
+    pub down: bool,
+    /// Changes the file after its list was read, this many times.
+    pub tear: u32,
+    /// Refuses above this many reads per second.
+    pub limit: Option<u64>,
+    pub reads: u64,
+    pub refused: u64,
+    /// Most reads in one second.
+    pub peak: u64,
+    second: (u64, u64),
+    watches: Vec<(usize, u64, Revision, Timestamp)>,
+}
+
+impl Service {
+    fn tree(&self) -> Answer {
+        let file = |(name, bytes): (&Arc<str>, &Bytes)| FileRef {
+            name: name.clone(),
+            digest: Digest::of(bytes),
+            size: bytes.len() as u64,
+        };
+        Answer::Tree(self.revision, self.files.iter().map(file).collect())
+    }
+
+    /// Counts a read and returns whether it is within the limit.
+    fn read(&mut self, now: Timestamp) -> bool {
+        let second = now.as_micros() / 1_000_000;
+        if self.second.0 != second {
+            self.second = (second, 0);
+        }
+        self.second.1 += 1;
+        self.reads += 1;
+        self.peak = self.peak.max(self.second.1);
+        let allowed = self.limit.is_none_or(|limit| self.second.1 <= limit);
+        self.refused += u64::from(!allowed);
+        allowed
+    }
+}
+
+pub struct Node {
+    pub sync: Sync,
+    pub me: Me,
+    pub up: bool,
+    pub side: usize,
+    /// In effect, as the configuration aggregate has it.
+    pub revision: Revision,
+    pub conflicts: usize,
+    pub refused: Vec<Revision>,
+    run: u64,
+    call: u64,
+}
+
+pub struct Tier {
+    pub nodes: Vec<Node>,
+    /// The view on each side of a partition.
+    pub views: Vec<View>,
+    pub service: Service,
+    pub now: Timestamp,
+    pub rng: StdRng,
+    pub settings: Settings,
+    pub loss: f64,
+    pub messages: u64,
+    pub bytes: u64,
+    /// Heartbeats among the messages.
+    pub heartbeats: u64,
+    /// Revisions that the configuration aggregate refuses.
+    pub invalid: BTreeSet<Revision>,
+    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    count: u64,
+    index: BTreeMap<InstanceId, usize>,
+}
+
+fn me(i: usize, zones: usize, incarnation: u64) -> Me {
+    let [_, _, a, b] = (i as u32).to_be_bytes();
+    let address = ([10, 1, a, b], 7_000).into();
+    let zone = i % zones;
+    Me {
+        instance: format!("entry-{i:04}").parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        zone: format!("zone-{zone:02}").parse().unwrap(),
+        region: format!("region-{}", zone * 6 / zones.max(6))
+            .parse()
+            .unwrap(),
+        peer_address: address,
+        membership_address: address,
+    }
+}
+
+fn member(me: &Me, state: MemberState) -> Member {
+    let own = Membership::new(Default::default(), me.clone(), 0)
+        .me()
+        .clone();
+    Member { state, ..own }
+}
+
+impl Tier {
+    pub fn new(settings: Settings, n: usize, zones: usize, seed: u64) -> Self {
+        let mut tier = Self {
+            nodes: Vec::new(),
+            views: vec![View::default()],
+            service: Service::default(),
+            now: Timestamp::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            settings,
+            loss: 0.0,
+            messages: 0,
+            bytes: 0,
+            heartbeats: 0,
+            invalid: BTreeSet::new(),
+            events: BinaryHeap::new(),
+            count: 0,
+            index: BTreeMap::new(),
+        };
+        for i in 0..n {
+            let me = me(i, zones, 1);
+            tier.views[0].put(member(&me, MemberState::Alive));
+            tier.index.insert(me.instance.clone(), i);
+            let node = tier.node(me, 0, 0);
+            tier.nodes.push(node);
+            tier.schedule_tick(i);
+        }
+        tier
+    }
+
+    fn node(&mut self, me: Me, side: usize, run: u64) -> Node {
+        let seed = self.rng.random();
+        Node {
+            sync: Sync::new(self.settings.clone(), me.clone(), seed),
+            me,
+            up: true,
+            side,
+            revision: Revision(0),
+            conflicts: 0,
+            refused: Vec::new(),
+            run,
+            call: 0,
+        }
+    }
+
+    pub fn stop(&mut self, i: usize) {
+        self.nodes[i].up = false;
+        self.nodes[i].run += 1;
+        self.update_views();
+    }
+
+    /// Starts a new run without a configuration.
+    pub fn restart(&mut self, i: usize) {
+        let run = self.nodes[i].run + 1;
+        let mut me = self.nodes[i].me.clone();
+        me.incarnation.0 += 1;
+        let call = self.nodes[i].call;
+        self.nodes[i] = self.node(me, self.nodes[i].side, run);
+        self.nodes[i].call = call + 1;
+        self.update_views();
+        self.schedule_tick(i);
+    }
+
+    /// Cuts the tier so that daemon `i` is on side `side(i)`.
+    pub fn cut(&mut self, side: impl Fn(usize) -> usize) {
+        for (i, node) in self.nodes.iter_mut().enumerate() {
+            node.side = side(i);
+        }
+        let sides = self.nodes.iter().map(|n| n.side).max().unwrap_or(0) + 1;
+        let view = self.views[0].clone();
+        self.views.resize(sides, view);
+        self.update_views();
+    }
+
+    /// Cuts every daemon off for so long that it has forgotten the others.
+    pub fn isolate(&mut self) {
+        let alone = |n: &Node| View::from_members([member(&n.me, MemberState::Alive)]);
+        self.views = self.nodes.iter().map(alone).collect();
+        for (i, node) in self.nodes.iter_mut().enumerate() {
+            node.side = i;
+        }
+    }
+
+    /// The membership notices at once who can be reached.
+    pub fn update_views(&mut self) {
+        for (side, view) in self.views.iter_mut().enumerate() {
+            for node in &self.nodes {
+                let state = match node.up && node.side == side {
+                    true => MemberState::Alive,
+                    false => MemberState::Dead,
+                };
+                let known = view.get(&node.me.instance);
+                let same =
+                    known.is_some_and(|m| m.state == state && m.incarnation == node.me.incarnation);
+                if !same {
+                    view.put(member(&node.me, state));
+                }
+            }
+        }
+    }
+
+    fn push(&mut self, at: Timestamp, event: Event) {
+        self.count += 1;
+        self.events.push(Reverse((at, self.count, event)));
+    }
+
+    fn schedule_tick(&mut self, i: usize) {
+        let offset = self.rng.random_range(1..=TICK.as_micros() as u64);
+        let run = self.nodes[i].run;
+        self.push(
+            self.now + Duration::from_micros(offset),
+            Event::Tick(i, run),
+        );
+    }
+
+    /// Changes a file at the service.
+    pub fn change(&mut self, name: &str, bytes: impl Into<Bytes>) {
+        self.service.files.insert(name.into(), bytes.into());
+        self.service.revision.0 += 1;
+        self.answer_watches();
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.events.peek().is_some_and(|e| e.0.0 <= end) {
+            let Reverse((at, _, event)) = self.events.pop().unwrap();
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while self.now.since(start) < limit {
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+            self.run(Duration::from_millis(10));
+        }
+        None
+    }
+
+    pub fn all_have(&self, revision: Revision) -> bool {
+        let mut up = self.nodes.iter().filter(|n| n.up);
+        up.all(|n| n.revision == revision)
+    }
+
+    /// Waits until everyone has the service's revision.
+    pub fn settle(&mut self, limit: Duration) -> Option<Duration> {
+        self.run_until(limit, |tier| tier.all_have(tier.service.revision))
+    }
+
+    pub fn in_role(&self, role: Role) -> usize {
+        let up = self.nodes.iter().filter(|n| n.up);
+        up.filter(|n| n.sync.role() == role).count()
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Tick(i, run) => {
+                if self.nodes[i].run != run {
+                    return;
+                }
+                // A daemon that is not up is paused and goes on later.
+                self.push(now + TICK, Event::Tick(i, run));
+                if self.nodes[i].up {
+                    let node = &mut self.nodes[i];
+                    let actions = node.sync.tick(now, &self.views[node.side]);
+                    self.perform(i, actions);
+                    self.expire_watches();
+                }
+            }
+            Event::Message(from, to, Payload(message)) => {
+                let (from, node) = (&self.nodes[from], &self.nodes[to]);
+                if node.up && from.side == node.side {
+                    let from = from.me.instance.clone();
+                    let actions = self.nodes[to].sync.receive(now, from, message);
+                    self.perform(to, actions);
+                }
+            }
+            Event::Call(i, call, what) => self.serve(i, call, what),
+            Event::Answer(i, call, answer) => {
+                let node = &mut self.nodes[i];
+                if node.call == call && node.up {
+                    let sync = &mut node.sync;
+                    let actions = match answer {
+                        Answer::Tree(revision, files) => sync.service_tree(now, revision, files),
+                        Answer::Unchanged => sync.service_unchanged(now),
+                        Answer::File(name, bytes) => sync.service_file(now, &name, bytes),
+                        Answer::Failed(0) => sync.service_failed(now, ServiceFailure::Refused),
+                        Answer::Failed(1) => sync.service_failed(now, ServiceFailure::FileChanged),
+                        Answer::Failed(_) => sync.service_failed(now, ServiceFailure::Unavailable),
+                    };
+                    self.perform(i, actions);
+                }
+            }
+        }
+    }
+
+    fn serve(&mut self, i: usize, call: u64, what: Call) {
+        if self.service.down {
+            return self.answer(i, call, Answer::Failed(2));
+        }
+        if !self.service.read(self.now) {
+            return self.answer(i, call, Answer::Failed(0));
+        }
+        match what {
+            Call::Watch(after) if self.service.revision > after => {
+                let tree = self.service.tree();
+                self.answer(i, call, tree);
+                if self.service.tear > 0 {
+                    self.service.tear -= 1;
+                    let text = format!("torn {}", self.service.tear);
+                    self.change("torn.json", text);
+                }
+            }
+            Call::Watch(after) => {
+                let until = self.now + WATCH_TIMEOUT;
+                self.service.watches.push((i, call, after, until));
+            }
+            Call::File(name, digest) => {
+                let bytes = self.service.files.get(&name);
+                let answer = match bytes.filter(|b| Digest::of(b) == digest) {
+                    Some(bytes) => Answer::File(name, bytes.clone()),
+                    None => Answer::Failed(1),
+                };
+                self.answer(i, call, answer);
+            }
+        }
+    }
+
+    fn answer(&mut self, i: usize, call: u64, answer: Answer) {
+        self.push(self.now + SERVICE_DELAY, Event::Answer(i, call, answer));
+    }
+
+    fn answer_watches(&mut self) {
+        let tree = self.service.tree();
+        let revision = self.service.revision;
+        for watch in std::mem::take(&mut self.service.watches) {
+            match watch {
+                (i, call, after, _) if after < revision => self.answer(i, call, tree.clone()),
+                _ => self.service.watches.push(watch),
+            }
+        }
+    }
+
+    /// Watches are in order of their end.
+    fn expire_watches(&mut self) {
+        let now = self.now;
+        while self.service.watches.first().is_some_and(|w| w.3 <= now) {
+            let (i, call, ..) = self.service.watches.remove(0);
+            self.answer(i, call, Answer::Unchanged);
+        }
+    }
+
+    pub fn perform(&mut self, i: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(i, &to, message),
+                Action::Watch { after } => self.call(i, Call::Watch(after)),
+                Action::FetchFromService { name, digest } => self.call(i, Call::File(name, digest)),
+                Action::StopWatch => {
+                    self.nodes[i].call += 1;
+                    self.service.watches.retain(|w| w.0 != i);
+                }
+                Action::Offer { revision, files } => self.offer(i, revision, files),
+                Action::RefusedRevision { revision, .. } => self.nodes[i].refused.push(revision),
+                Action::Conflict { .. } => self.nodes[i].conflicts += 1,
+                Action::RoleChanged(_) => {}
+            }
+        }
+    }
+
+    fn call(&mut self, i: usize, what: Call) {
+        self.nodes[i].call += 1;
+        let call = self.nodes[i].call;
+        self.push(self.now + SERVICE_DELAY, Event::Call(i, call, what));
+    }
+
+    /// The configuration aggregate, with the checks that hold for any offer.
+    fn offer(&mut self, i: usize, revision: Revision, files: Vec<jasminepond_sync::File>) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        assert!(revision > node.revision, "the revision in effect fell");
+        assert!(files.is_sorted_by(|a, b| a.name < b.name));
+        let actions = match self.invalid.contains(&revision) {
+            true => node.sync.refused(now, revision, "invalid"),
+            false => {
+                node.revision = revision;
+                node.sync.accepted(now, revision)
+            }
+        };
+        self.perform(i, actions);
+    }
+
+    fn send(&mut self, from: usize, to: &InstanceId, message: SyncMessage) {
+        let mut buf = Vec::new();
+        ciborium::into_writer(&message, &mut buf).unwrap();
+        assert!(buf.len() <= MAX_PIECE_BYTES + 128, "{} bytes", buf.len());
+        let decoded: SyncMessage = ciborium::from_reader(&buf[..]).unwrap();
+        self.messages += 1;
+        self.bytes += buf.len() as u64;
+        self.heartbeats += u64::from(matches!(message, SyncMessage::Heartbeat { .. }));
+        let to = self.index[to];
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let (a, b) = (&self.nodes[from].me, &self.nodes[to].me);
+        let distance = usize::from(a.zone != b.zone) + usize::from(a.region != b.region);
+        let micros = DELAYS_MICROS[distance];
+        let micros = self.rng.random_range(micros..micros * 2);
+        let at = self.now + Duration::from_micros(micros);
+        self.push(at, Event::Message(from, to, Payload(decoded)));
+    }
+}
--- /dev/null
+++ b/crates/jasminepond-sync/tests/scenarios.rs
@@ -0,0 +1,236 @@
+//! Changes that reach every daemon whatever the service and the network do.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Tier;
+use jasminepond_sync::{Digest, FileRef, MAX_FILE_BYTES, Role, Settings, Source, SyncMessage};
+use jasminepond_types::Revision;
+use test_case::test_case;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn tier(n: usize, zones: usize) -> Tier {
+    let mut tier = Tier::new(Settings::default(), n, zones, n as u64);
+    tier.change("a.json", "{}");
+    tier.change("b.json", vec![b'x'; 100_000]);
+    assert!(tier.settle(MINUTE).is_some(), "first configuration");
+    tier
+}
+
+/// Guards against daemons that are missed, and against more readers than
+/// needed.
+#[test_case(1, 1)]
+#[test_case(7, 4)]
+#[test_case(60, 3)]
+fn a_change_reaches_everyone(n: usize, zones: usize) {
+    let mut tier = tier(n, zones);
+    tier.run(MINUTE);
+    assert_eq!(tier.in_role(Role::Substitute), 0);
+    assert_eq!(tier.in_role(Role::Reader), n.min(2 * zones));
+    for i in 0..5 {
+        tier.change("a.json", format!("{i}"));
+        let time = tier.settle(MINUTE);
+        assert!(time.is_some_and(|t| t < Duration::from_secs(3)), "{time:?}");
+    }
+    let page = tier.nodes[0].sync.in_effect(tier.now);
+    assert_eq!(page.revision, tier.service.revision);
+    assert!(page.confirmed.is_some_and(|age| age < MINUTE));
+}
+
+/// Guards against sending files that did not change.
+#[test]
+fn only_changed_files_are_sent() {
+    let mut tier = tier(20, 2);
+    tier.bytes = 0;
+    tier.change("a.json", "[]");
+    assert!(tier.settle(MINUTE).is_some());
+    assert!(tier.bytes < 20 * 5_000, "{} bytes", tier.bytes);
+}
+
+/// Guards against a daemon that stays without configuration while the service
+/// is down.
+#[test]
+fn a_daemon_that_starts_in_an_outage_asks_its_peers() {
+    let mut tier = tier(7, 3);
+    tier.service.down = true;
+    tier.run(MINUTE);
+    tier.restart(4);
+    let time = tier.settle(MINUTE);
+    assert!(time.is_some_and(|t| t < Duration::from_secs(5)), "{time:?}");
+    let source = tier.nodes[4].sync.in_effect(tier.now).source;
+    assert!(matches!(source, Some(Source::Peer(_))), "{source:?}");
+}
+
+/// Guards against a stale or restarted service that takes the tier back.
+#[test]
+fn a_stale_service_changes_nothing() {
+    let mut tier = tier(7, 3);
+    let revision = tier.service.revision;
+    tier.service.revision = Revision(1);
+    for i in 0..7 {
+        let files = vec![FileRef {
+            name: "old.json".into(),
+            digest: Digest::of(b"old"),
+            size: 3,
+        }];
+        let now = tier.now;
+        let actions = tier.nodes[i].sync.service_tree(now, Revision(1), files);
+        tier.perform(i, actions);
+    }
+    tier.run(MINUTE);
+    assert!(tier.all_have(revision));
+}
+
+/// Guards against a list and files of different revisions, and against a loop
+/// of reads while the service stays inconsistent.
+#[test_case(1)]
+#[test_case(40)]
+fn a_torn_read_is_repeated(times: u32) {
+    let mut tier = tier(3, 1);
+    tier.service.reads = 0;
+    tier.service.tear = times;
+    tier.change("torn.json", "first");
+    assert!(tier.settle(MINUTE * 5).is_some());
+    let reads = u64::from(times) * 12 + 60;
+    assert!(tier.service.reads < reads, "{}", tier.service.reads);
+}
+
+/// Guards against a file beyond the limit, and against a refused revision that
+/// blocks the next or is read in a loop.
+#[test]
+fn an_unusable_revision_is_skipped() {
+    let mut tier = tier(7, 3);
+    let good = tier.service.revision;
+    tier.service.reads = 0;
+    tier.change("big.json", vec![0; MAX_FILE_BYTES as usize + 1]);
+    tier.run(MINUTE);
+    assert!(tier.all_have(good));
+    assert!(tier.nodes.iter().any(|n| !n.refused.is_empty()));
+    tier.service.files.remove("big.json");
+    tier.change("a.json", "invalid");
+    tier.invalid.insert(tier.service.revision);
+    tier.run(MINUTE);
+    assert!(tier.all_have(good));
+    assert!(tier.service.reads < 100, "{}", tier.service.reads);
+    tier.change("a.json", "valid");
+    assert!(tier.settle(MINUTE).is_some());
+}
+
+/// Guards against content that replaces other content under one revision.
+#[test]
+fn a_conflict_is_reported_and_not_spread() {
+    let mut tier = tier(7, 3);
+    let revision = tier.service.revision;
+    let digest = tier.nodes[0].sync.in_effect(tier.now).digest;
+    let (now, from) = (tier.now, tier.nodes[1].me.instance.clone());
+    let theirs = Some(Digest::of(b"other"));
+    for _ in 0..2 {
+        let message = SyncMessage::State {
+            revision,
+            digest: theirs,
+        };
+        let actions = tier.nodes[0].sync.receive(now, from.clone(), message);
+        tier.perform(0, actions);
+    }
+    tier.run(MINUTE);
+    let conflicts: Vec<_> = tier.nodes.iter().map(|n| n.conflicts).collect();
+    assert_eq!(conflicts, [1, 0, 0, 0, 0, 0, 0]);
+    let page = tier.nodes[0].sync.in_effect(tier.now);
+    assert_eq!((page.digest, page.conflict), (digest, Some(revision)));
+}
+
+/// Guards against a zone without a reader while the view still lists readers
+/// that are silent, and against all its daemons reading at once.
+#[test]
+fn few_substitutes_read_for_silent_readers() {
+    let mut tier = tier(120, 2);
+    let readers: Vec<usize> = (0..120)
+        .filter(|&i| tier.nodes[i].sync.role() == Role::Reader)
+        .collect();
+    for &i in &readers {
+        tier.nodes[i].up = false;
+    }
+    let substitute = tier.run_until(MINUTE, |tier| {
+        (0..2).all(|zone| {
+            (zone..120)
+                .step_by(2)
+                .any(|i| tier.nodes[i].sync.role() == Role::Substitute)
+        })
+    });
+    assert!(substitute.is_some());
+    let mut most = 0;
+    for _ in 0..60 {
+        tier.run(Duration::from_secs(1));
+        most = most.max(tier.in_role(Role::Substitute));
+    }
+    assert!(most <= 12, "{most} substitutes");
+    tier.change("a.json", "[1]");
+    assert!(tier.settle(MINUTE).is_some());
+    for &i in &readers {
+        tier.nodes[i].up = true;
+    }
+    tier.run(MINUTE);
+    assert_eq!(tier.in_role(Role::Substitute), 0);
+}
+
+/// Guards against daemons that together read more than the service allows
+/// while each believes to be alone, and against their never being served.
+#[test]
+fn isolated_daemons_share_the_reads() {
+    let settings = Settings {
+        read_budget: 50.0,
+        ..Settings::default()
+    };
+    let mut tier = Tier::new(settings, 200, 5, 3);
+    tier.service.limit = Some(100);
+    tier.change("a.json", "{}");
+    assert!(tier.settle(MINUTE).is_some());
+    tier.cut(|i| i);
+    tier.run(MINUTE * 2);
+    tier.service.peak = 0;
+    tier.change("a.json", "[]");
+    assert!(tier.settle(MINUTE * 2).is_some());
+    assert!(tier.service.peak <= 100, "{}", tier.service.peak);
+}
+
+/// Guards against large files that use up the share of bytes of a daemon, and
+/// against a share that blocks the change for ever.
+#[test]
+fn large_files_respect_the_share_of_bytes() {
+    let settings = Settings {
+        send_rate: 20_000.0,
+        send_burst: 200_000.0,
+        ..Settings::default()
+    };
+    let mut tier = Tier::new(settings, 6, 1, 8);
+    tier.change("large.json", vec![7; MAX_FILE_BYTES as usize]);
+    let start = tier.now;
+    assert!(tier.settle(MINUTE * 10).is_some());
+    let time = tier.now.since(start).as_secs_f64();
+    let most = 6.0 * (200_000.0 + 20_000.0 * time + 2_000.0 * time);
+    assert!(
+        (tier.bytes as f64) < most,
+        "{} bytes in {time} s",
+        tier.bytes
+    );
+}
+
+/// Guards against a resumed daemon that waits for the next announcement.
+#[test]
+fn a_resumed_daemon_asks_its_peers() {
+    let mut tier = tier(7, 1);
+    tier.nodes[3].up = false;
+    tier.change("a.json", "[]");
+    assert!(tier.settle(MINUTE).is_some());
+    tier.nodes[3].up = true;
+    let now = tier.now;
+    let actions = tier.nodes[3].sync.woke(now);
+    tier.perform(3, actions);
+    let time = tier.settle(MINUTE);
+    assert!(
+        time.is_some_and(|t| t < Duration::from_millis(200)),
+        "{time:?}"
+    );
+}
