test: full views of long ids, unknown fields, disagreeing views

Ruled out: nothing else was considered.

Change: three tests; a late question goes to a second peer as well; offering moved to its own file.

--- a/crates/jasminepond-membership/tests/common/mod.rs
+++ b/crates/jasminepond-membership/tests/common/mod.rs
@@ -3,12 +3,7 @@
 
 #![allow(dead_code, reason = "each user needs a part")]
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use jasminepond_membership::{
     MAX_DATAGRAM_BYTES, Me, Member, MemberState, Membership, Message, Output, Settings,
@@ -17,7 +12,6 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// What happens at a point in time.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick(usize, Incarnation),
     Datagram(usize, usize, Vec<u8>),
@@ -43,7 +37,7 @@
     pub delay: u64,
     pub messages: u64,
     pub bytes: u64,
-    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    events: BTreeMap<(Timestamp, u64), Event>,
     count: u64,
     addresses: BTreeMap<SocketAddr, usize>,
 }
@@ -80,7 +74,7 @@
             delay: 3,
             messages: 0,
             bytes: 0,
-            events: BinaryHeap::new(),
+            events: BTreeMap::new(),
             count: 0,
             addresses: BTreeMap::new(),
         }
@@ -154,7 +148,7 @@
 
     fn push(&mut self, at: Timestamp, event: Event) {
         self.count += 1;
-        self.events.push(Reverse((at, self.count, event)));
+        self.events.insert((at, self.count), event);
     }
 
     fn schedule_tick(&mut self, i: usize) {
@@ -173,9 +167,9 @@
     /// Runs for some virtual time.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
-        while self.events.peek().is_some_and(|e| e.0.0 <= end) {
-            let Reverse((at, _, event)) = self.events.pop().unwrap();
-            self.now = at;
+        while let Some(next) = self.events.first_entry().filter(|e| e.key().0 <= end) {
+            self.now = next.key().0;
+            let event = next.remove();
             self.handle(event);
         }
         self.now = end;
--- a/crates/jasminepond-membership/tests/properties.rs
+++ b/crates/jasminepond-membership/tests/properties.rs
@@ -6,8 +6,8 @@
 
 use common::{Network, me};
 use jasminepond_membership::{
-    Body, ConfigMark, MAX_DATAGRAM_BYTES, Member, MemberState, Membership, Message, Record,
-    Settings,
+    Body, ConfigMark, MAX_DATAGRAM_BYTES, Me, Member, MemberState, Membership, Message, Output,
+    Record, Settings, View,
 };
 use jasminepond_types::{Incarnation, Revision, Timestamp};
 use proptest::prelude::*;
@@ -117,7 +117,7 @@
         let mut membership = Membership::new(Settings::default(), me(1, 1), 1);
         membership.seed([me(2, 1).membership_address]);
         for output in membership.tick(Timestamp::ZERO) {
-            if let jasminepond_membership::Output::Send { message, .. } = output {
+            if let Output::Send { message, .. } = output {
                 let mut buf = message.encode();
                 prop_assert_eq!(Message::decode(&buf).unwrap(), *message);
                 let at = at.index(buf.len());
@@ -128,6 +128,67 @@
     }
 }
 
+/// The longest ids and addresses that are possible.
+fn long(i: usize) -> Me {
+    let id = |text: &str| format!("{text}-{i:04}-{}", "x".repeat(50));
+    let address = ([0xfd00, 0, 0, 0, 0, 0, 0xffff, i as u16], 60_000).into();
+    Me {
+        instance: id("instance").parse().unwrap(),
+        incarnation: Incarnation(u64::MAX - i as u64),
+        zone: id("zonezone").parse().unwrap(),
+        region: id("region00").parse().unwrap(),
+        peer_address: address,
+        membership_address: address,
+    }
+}
+
+/// Guards against datagrams that are too large for long ids, and against a
+/// full view that does not fit its pieces.
+#[test]
+fn a_full_view_of_long_ids_fits_datagrams() {
+    let member = |i| {
+        Membership::new(Settings::default(), long(i), 0)
+            .me()
+            .clone()
+    };
+    let mut old = Membership::new(Settings::default(), long(0), 1);
+    old.assume(&View::from_members((0..700).map(member)));
+    let mut new = Membership::new(Settings::default(), long(700), 2);
+    new.seed([long(0).membership_address]);
+    let addresses = [long(0), long(700)].map(|me| me.membership_address);
+    let mut waiting = new.tick(Timestamp::ZERO);
+    while let Some(output) = waiting.pop() {
+        let Output::Send { to, message } = output else {
+            continue;
+        };
+        assert!(message.encode().len() <= MAX_DATAGRAM_BYTES);
+        let pair = [&mut old, &mut new].into_iter().zip(addresses);
+        for (membership, address) in pair.filter(|(_, address)| *address == to) {
+            let from = addresses[usize::from(address == addresses[0])];
+            waiting.extend(membership.receive(Timestamp::ZERO, from, (*message).clone()));
+        }
+    }
+    assert_eq!(new.view().len(), 701);
+    assert!(new.is_joined());
+}
+
+/// Guards against a later version's field that makes this one drop datagrams.
+#[test]
+fn unknown_fields_are_ignored() {
+    let mut membership = Membership::new(Settings::default(), me(1, 1), 1);
+    membership.seed([me(2, 1).membership_address]);
+    let out = membership.tick(Timestamp::ZERO);
+    let Some(Output::Send { message, .. }) = out.first() else {
+        panic!("{out:?}")
+    };
+    let mut value: ciborium::Value = ciborium::from_reader(&message.encode()[..]).unwrap();
+    let fields = value.as_map_mut().unwrap();
+    fields.push(("zz".into(), vec![ciborium::Value::from(7)].into()));
+    let mut buf = Vec::new();
+    ciborium::into_writer(&value, &mut buf).unwrap();
+    assert_eq!(Message::decode(&buf).unwrap(), **message);
+}
+
 #[derive(Debug, Clone)]
 enum Fault {
     Kill(usize),
--- a/crates/jasminepond-sync/src/lib.rs
+++ b/crates/jasminepond-sync/src/lib.rs
@@ -14,6 +14,7 @@
 mod digest;
 mod manifest;
 mod message;
+mod offer;
 mod peers;
 mod pull;
 mod receive;
--- a/crates/jasminepond-sync/src/pull.rs
+++ b/crates/jasminepond-sync/src/pull.rs
@@ -169,12 +169,25 @@
         for digest in late {
             if let Some(asked) = self.asked.remove(&digest) {
                 self.failures += u32::from(!asked.busy);
-                questions.extend(self.ask(until, digest, asked.buf));
+                let question = self.ask(until, digest, asked.buf);
+                let second = question.as_ref().and_then(|q| self.ask_also(q));
+                questions.extend(question);
+                questions.extend(second);
             }
         }
         questions
     }
 
+    /// Repeats a late question to one more source. Whichever answers first
+    /// counts.
+    fn ask_also(&self, question: &Question) -> Option<Question> {
+        let source = self.sources.front().filter(|s| **s != question.to)?;
+        Some(Question {
+            to: source.clone(),
+            ..*question
+        })
+    }
+
     fn ask(&mut self, until: Timestamp, digest: Digest, buf: BytesMut) -> Option<Question> {
         let source = self.sources.front()?.clone();
         self.sources.rotate_left(1);
--- a/crates/jasminepond-sync/tests/common/mod.rs
+++ b/crates/jasminepond-sync/tests/common/mod.rs
@@ -4,8 +4,7 @@
 #![allow(dead_code, reason = "each user needs a part")]
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -25,44 +24,21 @@
 /// One way within a zone, between zones and between regions.
 const DELAYS_MICROS: [u64; 3] = [250, 1_500, 40_000];
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone)]
 enum Answer {
     Tree(Revision, Vec<FileRef>),
     Unchanged,
     File(Arc<str>, Bytes),
-    Failed(u8),
+    Failed(ServiceFailure),
 }
 
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick(usize, u64),
-    Message(usize, usize, Payload),
+    Message(usize, usize, SyncMessage),
     Call(usize, u64, Call),
     Answer(usize, u64, Answer),
 }
 
-/// A message without an order of its own.
-#[derive(Debug)]
-struct Payload(SyncMessage);
-
-impl PartialEq for Payload {
-    fn eq(&self, _: &Self) -> bool {
-        true
-    }
-}
-impl Eq for Payload {}
-impl PartialOrd for Payload {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Payload {
-    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
-        std::cmp::Ordering::Equal
-    }
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Call {
     Watch(Revision),
     File(Arc<str>, Digest),
@@ -116,6 +92,8 @@
     pub me: Me,
     pub up: bool,
     pub side: usize,
+    /// Index of its view, its side unless set otherwise.
+    pub view: usize,
     /// In effect, as the configuration aggregate has it.
     pub revision: Revision,
     pub conflicts: usize,
@@ -139,7 +117,7 @@
     pub heartbeats: u64,
     /// Revisions that the configuration aggregate refuses.
     pub invalid: BTreeSet<Revision>,
-    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    events: BTreeMap<(Timestamp, u64), Event>,
     count: u64,
     index: BTreeMap<InstanceId, usize>,
 }
@@ -181,7 +159,7 @@
             bytes: 0,
             heartbeats: 0,
             invalid: BTreeSet::new(),
-            events: BinaryHeap::new(),
+            events: BTreeMap::new(),
             count: 0,
             index: BTreeMap::new(),
         };
@@ -203,6 +181,7 @@
             me,
             up: true,
             side,
+            view: side,
             revision: Revision(0),
             conflicts: 0,
             refused: Vec::new(),
@@ -233,6 +212,7 @@
     pub fn cut(&mut self, side: impl Fn(usize) -> usize) {
         for (i, node) in self.nodes.iter_mut().enumerate() {
             node.side = side(i);
+            node.view = node.side;
         }
         let sides = self.nodes.iter().map(|n| n.side).max().unwrap_or(0) + 1;
         let view = self.views[0].clone();
@@ -245,7 +225,7 @@
         let alone = |n: &Node| View::from_members([member(&n.me, MemberState::Alive)]);
         self.views = self.nodes.iter().map(alone).collect();
         for (i, node) in self.nodes.iter_mut().enumerate() {
-            node.side = i;
+            (node.side, node.view) = (i, i);
         }
     }
 
@@ -269,7 +249,7 @@
 
     fn push(&mut self, at: Timestamp, event: Event) {
         self.count += 1;
-        self.events.push(Reverse((at, self.count, event)));
+        self.events.insert((at, self.count), event);
     }
 
     fn schedule_tick(&mut self, i: usize) {
@@ -290,9 +270,9 @@
 
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
-        while self.events.peek().is_some_and(|e| e.0.0 <= end) {
-            let Reverse((at, _, event)) = self.events.pop().unwrap();
-            self.now = at;
+        while let Some(next) = self.events.first_entry().filter(|e| e.key().0 <= end) {
+            self.now = next.key().0;
+            let event = next.remove();
             self.handle(event);
         }
         self.now = end;
@@ -335,12 +315,12 @@
                 self.push(now + TICK, Event::Tick(i, run));
                 if self.nodes[i].up {
                     let node = &mut self.nodes[i];
-                    let actions = node.sync.tick(now, &self.views[node.side]);
+                    let actions = node.sync.tick(now, &self.views[node.view]);
                     self.perform(i, actions);
                     self.expire_watches();
                 }
             }
-            Event::Message(from, to, Payload(message)) => {
+            Event::Message(from, to, message) => {
                 let (from, node) = (&self.nodes[from], &self.nodes[to]);
                 if node.up && from.side == node.side {
                     let from = from.me.instance.clone();
@@ -357,9 +337,7 @@
                         Answer::Tree(revision, files) => sync.service_tree(now, revision, files),
                         Answer::Unchanged => sync.service_unchanged(now),
                         Answer::File(name, bytes) => sync.service_file(now, &name, bytes),
-                        Answer::Failed(0) => sync.service_failed(now, ServiceFailure::Refused),
-                        Answer::Failed(1) => sync.service_failed(now, ServiceFailure::FileChanged),
-                        Answer::Failed(_) => sync.service_failed(now, ServiceFailure::Unavailable),
+                        Answer::Failed(failure) => sync.service_failed(now, failure),
                     };
                     self.perform(i, actions);
                 }
@@ -369,10 +347,10 @@
 
     fn serve(&mut self, i: usize, call: u64, what: Call) {
         if self.service.down {
-            return self.answer(i, call, Answer::Failed(2));
+            return self.answer(i, call, Answer::Failed(ServiceFailure::Unavailable));
         }
         if !self.service.read(self.now) {
-            return self.answer(i, call, Answer::Failed(0));
+            return self.answer(i, call, Answer::Failed(ServiceFailure::Refused));
         }
         match what {
             Call::Watch(after) if self.service.revision > after => {
@@ -392,7 +370,7 @@
                 let bytes = self.service.files.get(&name);
                 let answer = match bytes.filter(|b| Digest::of(b) == digest) {
                     Some(bytes) => Answer::File(name, bytes.clone()),
-                    None => Answer::Failed(1),
+                    None => Answer::Failed(ServiceFailure::FileChanged),
                 };
                 self.answer(i, call, answer);
             }
@@ -480,6 +458,6 @@
         let micros = DELAYS_MICROS[distance];
         let micros = self.rng.random_range(micros..micros * 2);
         let at = self.now + Duration::from_micros(micros);
-        self.push(at, Event::Message(from, to, Payload(decoded)));
+        self.push(at, Event::Message(from, to, decoded));
     }
 }
--- a/crates/jasminepond-sync/tests/scenarios.rs
+++ b/crates/jasminepond-sync/tests/scenarios.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::Tier;
+use jasminepond_membership::{Member, MemberState};
 use jasminepond_sync::{Digest, FileRef, MAX_FILE_BYTES, Role, Settings, Source, SyncMessage};
 use jasminepond_types::Revision;
 use test_case::test_case;
@@ -175,6 +176,30 @@
     assert_eq!(tier.in_role(Role::Substitute), 0);
 }
 
+/// Guards against daemons that go on reading because their views miss the
+/// readers that all others know.
+#[test]
+fn too_many_readers_step_back() {
+    let mut tier = tier(40, 1);
+    let reads = |tier: &Tier, i: usize| tier.nodes[i].sync.role() == Role::Reader;
+    let readers: Vec<usize> = (0..40).filter(|&i| reads(&tier, i)).collect();
+    let mut stale = tier.views[0].clone();
+    for &i in &readers {
+        let known = stale.get(&tier.nodes[i].me.instance).unwrap();
+        let state = MemberState::Dead;
+        let dead = Member {
+            state,
+            ..Member::clone(known)
+        };
+        stale.put(dead);
+    }
+    tier.views.push(stale);
+    (0..40).for_each(|i| tier.nodes[i].view = usize::from(!readers.contains(&i)));
+    tier.run(MINUTE);
+    assert!(readers.iter().all(|&i| reads(&tier, i)));
+    assert_eq!(tier.in_role(Role::Reader), 2);
+}
+
 /// Guards against daemons that together read more than the service allows
 /// while each believes to be alone, and against their never being served.
 #[test]
