refactor(entry): admission per class and its estimate at admission

Cause: the routing crate limits each class by the estimated wait. Change: the entry task keeps the estimate of admission and reports whether shards were missing for lack of time or capacity.

--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -527,7 +527,7 @@
         let admission = &self.routing.admission;
         self.cx
             .metrics
-            .set_admission(admission.in_progress(), admission.limit());
+            .set_admission(admission.in_progress(), admission.limit(u32::from(u8::MAX)));
     }
 
     fn note_drained(&mut self) {
@@ -544,7 +544,7 @@
             searches: self.searches.len(),
             executes: self.executes.len(),
             keys: self.keys.len(),
-            admission_limit: self.routing.admission.limit(),
+            admission_limit: self.routing.admission.limit(u32::from(u8::MAX)),
             draining: self.draining,
             confirmed: self.confirmed,
         }
--- a/crates/jasminepond-daemon/src/entry/search.rs
+++ b/crates/jasminepond-daemon/src/entry/search.rs
@@ -5,7 +5,8 @@
 use futures_channel::oneshot;
 use jasminepond_config::{Group, GroupKind, Objective};
 use jasminepond_query::{
-    Answer, AttemptId, Failure, Plan, Search, Settings, ShardAnswer, Step, VersionPlan,
+    Answer, AttemptId, Failure, MissingReason, Plan, Search, Settings, ShardAnswer, Step,
+    VersionPlan,
 };
 use jasminepond_routing::{Admit, Deadline, Estimate, Query, Reply, Used};
 use jasminepond_types::{
@@ -58,6 +59,8 @@
     deadline: Timestamp,
     reply: ReplySender,
     sent: Vec<Sent>,
+    /// What admission expected at the slowest shard.
+    slowest: Estimate,
 }
 
 impl Running {
@@ -81,6 +84,13 @@
     }
 }
 
+/// A search that admission lets run.
+struct Admitted {
+    checked: super::Checked,
+    limit: u32,
+    slowest: Estimate,
+}
+
 /// What a sub-request for a shard is, given those sent before.
 fn sent_kind(before: &[Sent], service: &ServiceId) -> SentKind {
     let mut earlier = before
@@ -182,7 +192,7 @@
 impl Entry {
     pub(super) fn on_search(&mut self, req: SearchRequest, reply: ReplySender) {
         match self.admit_search(&req) {
-            Ok((checked, limit)) => self.start_search(req, checked, limit, reply),
+            Ok(admitted) => self.start_search(req, admitted, reply),
             Err(refusal) => {
                 self.cx.metrics.refused(refusal.kind);
                 let _ = reply.send(Err(refusal));
@@ -190,7 +200,7 @@
         }
     }
 
-    fn admit_search(&mut self, req: &SearchRequest) -> Result<(super::Checked, u32), Refusal> {
+    fn admit_search(&mut self, req: &SearchRequest) -> Result<Admitted, Refusal> {
         let now = self.cx.clock.now();
         let config = self.ready()?;
         let max_hits = config.limits.max_hits;
@@ -215,7 +225,11 @@
             slowest,
         };
         match self.routing.admission.admit(now, query) {
-            Admit::Go => Ok((checked, limit)),
+            Admit::Go => Ok(Admitted {
+                checked,
+                limit,
+                slowest,
+            }),
             Admit::Refuse { kind, retry_after } => {
                 let refusal = Refusal::new(kind, "no capacity before the deadline");
                 Err(refusal.retry_after(retry_after))
@@ -246,13 +260,12 @@
             .unwrap_or_default()
     }
 
-    fn start_search(
-        &mut self,
-        req: SearchRequest,
-        checked: super::Checked,
-        limit: u32,
-        reply: ReplySender,
-    ) {
+    fn start_search(&mut self, req: SearchRequest, admitted: Admitted, reply: ReplySender) {
+        let Admitted {
+            checked,
+            limit,
+            slowest,
+        } = admitted;
         let now = self.cx.clock.now();
         let id = QueryId(self.new_id());
         let deadline = now + checked.caller.left.duration();
@@ -284,6 +297,7 @@
             deadline,
             reply,
             sent,
+            slowest,
         };
         self.searches.running.insert(id, running);
         self.drive(id, |search, now, chooser| search.start(now, chooser));
@@ -567,7 +581,7 @@
             self.searches.frames.push((owner, cancel));
         }
         if let Some(running) = self.searches.running.remove(&id) {
-            self.release(now, &running, false);
+            self.release(now, &running, true);
         }
     }
 
@@ -575,7 +589,7 @@
         let Some(running) = self.searches.running.remove(&id) else {
             return;
         };
-        self.release(now, &running, now <= running.deadline);
+        self.release(now, &running, is_in_time(&answer));
         let elapsed = now.since(running.started);
         let caller = &running.checked.caller;
         let labels = (&caller.tenant, &caller.class, &caller.group);
@@ -588,7 +602,7 @@
     fn release(&mut self, now: Timestamp, running: &Running, in_time: bool) {
         let used = Used {
             latency: now.since(running.started),
-            budget: running.deadline.since(running.started),
+            slowest: running.slowest,
             in_time,
         };
         let tenant = &running.checked.caller.tenant;
@@ -597,6 +611,18 @@
     }
 }
 
+/// Whether no shard is missing for lack of time or capacity.
+fn is_in_time(answer: &Answer) -> bool {
+    let late = |reason: &MissingReason| {
+        matches!(reason, MissingReason::Timeout | MissingReason::Overloaded)
+    };
+    !answer
+        .coverage
+        .missing
+        .iter()
+        .any(|(_, reason)| late(reason))
+}
+
 fn failure_reply(reason: PartFailure) -> Reply {
     match reason {
         PartFailure::Failed | PartFailure::WrongVersion => Reply::Failed,
