--- a/tools/standin-backend/src/server.rs
+++ b/tools/standin-backend/src/server.rs
@@ -70,6 +70,32 @@
     }
 }
 
+impl Counters {
+    /// The part counted since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            received: self.received.saturating_sub(earlier.received),
+            executed: self.executed.saturating_sub(earlier.executed),
+            shed: self.shed.saturating_sub(earlier.shed),
+            cancelled: self.cancelled.saturating_sub(earlier.cancelled),
+            wasted: self.wasted.saturating_sub(earlier.wasted),
+            expired: self.expired.saturating_sub(earlier.expired),
+            not_ready: self.not_ready.saturating_sub(earlier.not_ready),
+            not_held: self.not_held.saturating_sub(earlier.not_held),
+            failed: self.failed.saturating_sub(earlier.failed),
+            dropped: self.dropped.saturating_sub(earlier.dropped),
+            connections: self.connections.saturating_sub(earlier.connections),
+            connections_refused: self
+                .connections_refused
+                .saturating_sub(earlier.connections_refused),
+            connections_peak: self
+                .connections_peak
+                .saturating_sub(earlier.connections_peak),
+            busy_us: self.busy_us.saturating_sub(earlier.busy_us),
+        }
+    }
+}
+
 /// One server.
 #[derive(Debug)]
 pub struct Server {
--- a/tools/standin-http/src/client.rs
+++ b/tools/standin-http/src/client.rs
@@ -53,9 +53,11 @@
         Ok(Self { sender })
     }
 
-    /// True while the connection can carry another request.
-    pub fn is_usable(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+    /// True until the peer is known to have closed the connection. A connection
+    /// whose response has just been read counts as open: [`send`](Self::send) waits
+    /// until it can carry another request.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
     }
 
     /// Sends a request and reads the whole response.
