fix(daemon): a new link waits for the peer's window

Cause: the first search over a new link was sent before the peer's credit had arrived, was refused for lack of credit and marked the owner as unreachable. For a second every daemon then took itself for the owner of every server. Ruled out: suspicion by the membership (the logs show no change of view). Change: both sides exchange their first credit before a link counts as up; a full window counts as an overloaded owner, not as an unreachable one.

--- a/crates/jasminepond-daemon/src/daemon.rs
+++ b/crates/jasminepond-daemon/src/daemon.rs
@@ -261,6 +261,9 @@
                     .entry
                     .unbounded_send(entry::Event::NotSent { to, frame });
             }
+            peers::Report::Busy { frame } => {
+                let _ = self.entry.unbounded_send(entry::Event::Busy(frame));
+            }
             peers::Report::LinkDown { link, peer } => {
                 let instance = peer.instance.clone();
                 let _ = self.entry.unbounded_send(entry::Event::LinkDown(instance));
--- a/crates/jasminepond-daemon/src/entry/execute.rs
+++ b/crates/jasminepond-daemon/src/entry/execute.rs
@@ -353,6 +353,14 @@
     }
 
     pub(super) fn on_execute_not_sent(&mut self, frame_id: u64) {
+        self.execute_not_sent(frame_id, ErrorKind::NoBackend);
+    }
+
+    pub(super) fn on_execute_busy(&mut self, frame_id: u64) {
+        self.execute_not_sent(frame_id, ErrorKind::Overloaded);
+    }
+
+    fn execute_not_sent(&mut self, frame_id: u64, kind: ErrorKind) {
         let now = self.cx.clock.now();
         let Some((id, attempt)) = self.take_attempt(frame_id) else {
             return;
@@ -361,7 +369,7 @@
             .replicas
             .ended(now, &attempt.server, Duration::ZERO, Reply::Cancelled);
         let outcome = ExecuteOutcome::NotRun {
-            kind: ErrorKind::NoBackend,
+            kind,
             retry_after: None,
         };
         self.drive_execution(id, |execution, now, chooser| {
--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -140,6 +140,9 @@
         /// The frame.
         frame: Frame,
     },
+    /// A frame was certainly not sent, because its receiver takes no more
+    /// requests of this daemon at present.
+    Busy(Frame),
     /// Responses to frames sent to this daemon before will not come.
     LinkDown(InstanceId),
     /// A configuration came into effect.
@@ -333,6 +336,7 @@
             Event::Execute(req, reply) => self.on_execute(req, reply),
             Event::Frame { from, link, frame } => self.on_frame(from, link, frame),
             Event::NotSent { to, frame } => self.on_not_sent(to, frame),
+            Event::Busy(frame) => self.on_busy(frame),
             Event::LinkDown(instance) => self.on_link_down(instance),
             Event::Config(config) => self.on_config(config),
             Event::View(members) => self.on_view(&members),
@@ -372,6 +376,15 @@
         }
     }
 
+    fn on_busy(&mut self, frame: Frame) {
+        match frame {
+            Frame::Search(search) => self.on_search_busy(search),
+            Frame::Execute(execute) => self.on_execute_busy(execute.id),
+            Frame::ForwardExecute(forward) => self.on_forward_lost(forward.id),
+            _ => {}
+        }
+    }
+
     fn on_link_down(&mut self, instance: InstanceId) {
         self.mark_unreachable(&instance);
         self.search_owner_lost(&instance);
--- a/crates/jasminepond-daemon/src/entry/search.rs
+++ b/crates/jasminepond-daemon/src/entry/search.rs
@@ -515,6 +515,31 @@
         }
     }
 
+    /// The owner takes no more sub-requests: as if it had refused them.
+    pub(super) fn on_search_busy(&mut self, frame: SearchFrame) {
+        let id = QueryId(frame.id);
+        for part in frame.parts {
+            let Some(running) = self.searches.running.get(&id) else {
+                return;
+            };
+            let Some(sent) = running.sent.get(part.part as usize) else {
+                continue;
+            };
+            let owner = sent.owner.clone();
+            let outcome = PartOutcome::Failed {
+                reason: PartFailure::Overloaded,
+                retry_after: None,
+                versions: Vec::new(),
+            };
+            let item = PartItem {
+                part: part.part,
+                outcome,
+                hint: None,
+            };
+            self.on_part(&owner, id, item);
+        }
+    }
+
     pub(super) fn search_owner_lost(&mut self, owner: &InstanceId) {
         let affected: Vec<QueryId> = self.searches.running.keys().copied().collect();
         for id in affected {
--- a/crates/jasminepond-daemon/src/net/link.rs
+++ b/crates/jasminepond-daemon/src/net/link.rs
@@ -144,6 +144,19 @@
         .map_err(|err| err.to_string())
 }
 
+async fn read(socket: &mut Socket) -> Result<Frame, String> {
+    loop {
+        match socket.next().await {
+            Some(Ok(Message::Binary(bytes))) => {
+                return decode(&bytes).map_err(|err| err.to_string());
+            }
+            Some(Ok(_)) => {}
+            Some(Err(err)) => return Err(err.to_string()),
+            None => return Err("closed during the handshake".to_owned()),
+        }
+    }
+}
+
 async fn authenticate(
     options: &Options,
     role: Role,
@@ -160,12 +173,7 @@
     let (mut handshake, hello) = Handshake::new(options.keys.clone(), local);
     write(&mut socket, &Frame::Hello(hello)).await?;
     loop {
-        let frame = match socket.next().await {
-            Some(Ok(Message::Binary(bytes))) => decode(&bytes).map_err(|err| err.to_string())?,
-            Some(Ok(_)) => continue,
-            Some(Err(err)) => return Err(err.to_string()),
-            None => return Err("closed during the handshake".to_owned()),
-        };
+        let frame = read(&mut socket).await?;
         match handshake.receive(frame) {
             Next::SendProof(proof) => write(&mut socket, &Frame::Proof(proof)).await?,
             Next::Established(peer) => return Ok((socket, peer)),
@@ -174,6 +182,24 @@
     }
 }
 
+/// Opens the window for the peer and waits for the peer's. Without this, the
+/// first requests on a new link would find no credit and be refused.
+async fn open_windows(options: &Options, socket: &mut Socket) -> Result<Credits, String> {
+    let mut credits = Credits::new(options.window);
+    let n = credits.open();
+    write(socket, &Frame::Credit { n }).await?;
+    loop {
+        match read(socket).await? {
+            Frame::Credit { n } => {
+                credits.granted(n);
+                return Ok(credits);
+            }
+            Frame::Unknown { .. } => {}
+            _ => return Err("unexpected frame before the first credit".to_owned()),
+        }
+    }
+}
+
 async fn run(
     options: &Options,
     id: LinkId,
@@ -181,19 +207,24 @@
     mut rx: Commands,
     events: Events,
 ) {
-    let established = match compio::time::timeout(options.handshake_timeout, connect).await {
+    let establish = async {
+        let (mut socket, peer) = connect.await?;
+        let credits = open_windows(options, &mut socket).await?;
+        Ok((socket, peer, credits))
+    };
+    let established = match compio::time::timeout(options.handshake_timeout, establish).await {
         Ok(established) => established,
         Err(_) => Err("no handshake in time".to_owned()),
     };
     let mut unsent = Vec::new();
     let cause = match established {
         Err(cause) => cause,
-        Ok((socket, peer)) => {
+        Ok((socket, peer, credits)) => {
             let link = Running {
                 id,
                 peer: Rc::new(peer),
                 events: events.clone(),
-                credits: RefCell::new(Credits::new(options.window)),
+                credits: RefCell::new(credits),
                 silence_limit: options.silence_limit,
             };
             link.run(socket, &mut rx, &mut unsent).await
@@ -239,8 +270,6 @@
         let (mut writer, mut reader) = socket.split();
         // Pings and pongs of the reader go out through the writer.
         let (own_tx, mut own_rx) = mpsc::unbounded();
-        let window = self.credits.borrow_mut().open();
-        let _ = own_tx.unbounded_send(Frame::Credit { n: window });
         (self.events)(self.id, Event::Up(self.peer.clone()));
         select_biased! {
             cause = pin!(self.write(&mut writer, rx, &mut own_rx, unsent).fuse()) => cause,
--- a/crates/jasminepond-daemon/src/peers.rs
+++ b/crates/jasminepond-daemon/src/peers.rs
@@ -77,13 +77,19 @@
         /// The frame.
         frame: Frame,
     },
-    /// A frame was certainly not sent.
+    /// A frame was certainly not sent, because its receiver cannot be reached.
     NotSent {
         /// Its receiver.
         to: InstanceId,
         /// The frame.
         frame: Frame,
     },
+    /// A frame was certainly not sent, because its receiver has as many requests
+    /// of this daemon as it takes.
+    Busy {
+        /// The frame.
+        frame: Frame,
+    },
     /// A link has ended. Responses to frames sent on it will not come, and
     /// responses to frames received on it cannot be sent.
     LinkDown {
@@ -265,11 +271,7 @@
                     frame,
                 });
             }
-            link::Event::Refused(frame) => {
-                if let Some(to) = self.links.get(&id).and_then(|link| link.instance.clone()) {
-                    (self.report)(Report::NotSent { to, frame });
-                }
-            }
+            link::Event::Refused(frame) => (self.report)(Report::Busy { frame }),
             link::Event::Down { cause, unsent } => self.on_down(id, &cause, unsent),
         }
     }
