fix(query): a key refused as not run is spent

Ruled out: a wrong answer of the owner (its counter was right). Change: every outcome is final for its key, also the refusal for full memory; the unused has_not_run is gone.

--- a/crates/jasminepond-query/src/key_table.rs
+++ b/crates/jasminepond-query/src/key_table.rs
@@ -19,8 +19,7 @@
 const OUTCOMES_FULL_RETRY: Millis = Millis(1_000);
 
 slotmap::new_key_type! {
-    /// One run of a request key. A key that certainly did not run may run again
-    /// under another id.
+    /// The run of a request key.
     pub struct ExecutionId;
 }
 
@@ -223,14 +222,6 @@
         key.classify(&self.keys, &self.instance, self.incarnation)
     }
 
-    /// Whether `key` certainly did not run. Only then may a request that carries
-    /// it be refused as "not run" without [`KeyTable::begin`], for example while
-    /// draining; in any other case an earlier copy of the request may have run.
-    pub fn has_not_run(&self, key: &RequestKey) -> bool {
-        let issued = |e: &Entry| matches!(e.state, State::Issued);
-        self.classify(key) == KeyClass::Mine && self.entries.get(&key.id()).is_some_and(issued)
-    }
-
     /// Decides about a request of `tenant` that carries `key`.
     ///
     /// A key of another daemon, of an earlier incarnation or past its expiry is
@@ -261,10 +252,15 @@
         }
         match &entry.state {
             State::Issued if self.outcome_bytes >= self.settings.max_outcome_bytes => {
-                Begin::Refused(Refusal {
+                let outcome = ExecuteOutcome::NotRun {
                     kind: ErrorKind::Overloaded,
                     retry_after: Some(OUTCOMES_FULL_RETRY),
-                })
+                };
+                entry.state = State::Finished {
+                    digest,
+                    outcome: outcome.clone(),
+                };
+                Begin::Done(outcome)
             }
             State::Issued => {
                 let execution = self.running.insert(id);
@@ -285,9 +281,11 @@
         }
     }
 
-    /// Records the outcome of a run. After "not run" the key may run again; any
-    /// other outcome is kept until the key expires. Returns whether the run was
-    /// known; a second outcome of the same run is ignored.
+    /// Records the outcome of a run until the key expires. A key that was refused
+    /// as "not run" is spent too: a load balancer may deliver a second copy of the
+    /// request, which would otherwise run after its caller was told that it did
+    /// not. Returns whether the run was known; a second outcome of the same run is
+    /// ignored.
     pub fn finish(
         &mut self,
         now: Timestamp,
@@ -312,10 +310,6 @@
         let State::Running { digest, .. } = entry.state else {
             return;
         };
-        if matches!(outcome, ExecuteOutcome::NotRun { .. }) {
-            entry.state = State::Issued;
-            return;
-        }
         self.outcome_bytes += outcome_bytes(&outcome);
         entry.state = State::Finished { digest, outcome };
     }
