feat(wire): hints carry the server's condition and its first waiting class

Cause: an entry daemon could not tell a server that is down or ramping from a ready one, nor what a request of a high class would wait for. Change: ServerHint has a condition and the first waiting class with its length instead of one draining flag; key lifetime and number follow the configuration. Conclusion: needed by replica choice and by admission per class.

--- a/crates/jasminepond-daemon/src/entry/chooser.rs
+++ b/crates/jasminepond-daemon/src/entry/chooser.rs
@@ -10,9 +10,9 @@
     RetryBudget, Share,
 };
 use jasminepond_types::{GroupId, ServerId, ServiceId, Timestamp, Version};
-use jasminepond_wire::ServerHint;
+use jasminepond_wire::{ServerCondition, ServerHint};
 
-use super::Routing;
+use super::{Routing, rank};
 
 /// Hedging and its budgets as configured.
 pub fn hedging(cfg: &jasminepond_config::Routing) -> (HedgingSettings, HedgeBudget, RetryBudget) {
@@ -41,19 +41,24 @@
 
 /// The owner's hint in the terms of the decision crates.
 pub fn hint(hint: &ServerHint) -> dispatch::Hint {
-    let health = if hint.draining {
-        dispatch::Health::Draining
-    } else {
-        dispatch::Health::Ready
-    };
     dispatch::Hint {
         queued: hint.queued,
-        top_priority: 0,
-        top_queued: hint.queued,
+        top_priority: rank(hint.top_priority),
+        top_queued: hint.top_queued,
         running: hint.running,
         slots: hint.slots.get(),
         service_time: hint.service_us,
-        healthy: health,
+        healthy: health(hint.condition),
+    }
+}
+
+fn health(condition: ServerCondition) -> dispatch::Health {
+    match condition {
+        ServerCondition::Ready => dispatch::Health::Ready,
+        ServerCondition::Ramping => dispatch::Health::Ramping,
+        ServerCondition::Failing => dispatch::Health::Failing,
+        ServerCondition::Down => dispatch::Health::Down,
+        ServerCondition::Draining => dispatch::Health::Draining,
     }
 }
 
--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -470,6 +470,11 @@
             let (settings, hedges, retries) = chooser::hedging(&config.routing);
             routing.hedging = Hedging::with_budgets(settings, hedges, retries);
         }
+        self.keys.set_settings(KeySettings {
+            lifetime: config.limits.key_lifetime_ms.duration(),
+            max_keys: config.limits.max_issued_keys as usize,
+            ..KeySettings::default()
+        });
         self.config = Some(config);
     }
 
--- a/crates/jasminepond-daemon/src/owner/server.rs
+++ b/crates/jasminepond-daemon/src/owner/server.rs
@@ -11,7 +11,7 @@
     Settings, Work,
 };
 use jasminepond_types::{ErrorKind, Millis, ServerId, Slots, Timestamp};
-use jasminepond_wire::ServerHint;
+use jasminepond_wire::{ServerCondition, ServerHint};
 use spdlog::debug;
 
 use super::{
@@ -163,7 +163,9 @@
             running: hint.running,
             slots: Slots(hint.slots),
             service_us: hint.service_time,
-            draining: hint.healthy == Health::Draining,
+            condition: condition(hint.healthy),
+            top_priority: wire_priority(hint.top_priority),
+            top_queued: hint.top_queued,
         }
     }
 
@@ -409,6 +411,25 @@
     }
 }
 
+fn condition(health: Health) -> ServerCondition {
+    match health {
+        Health::Ready => ServerCondition::Ready,
+        Health::Ramping => ServerCondition::Ramping,
+        Health::Failing => ServerCondition::Failing,
+        Health::Down => ServerCondition::Down,
+        Health::Draining => ServerCondition::Draining,
+    }
+}
+
+/// On the wire and in the configuration the lowest number goes first.
+fn rank(priority: u8) -> u32 {
+    u32::from(u8::MAX - priority)
+}
+
+fn wire_priority(rank: u32) -> u8 {
+    u8::MAX - u8::try_from(rank).unwrap_or(u8::MAX)
+}
+
 /// Id of health and cancel calls, which are never cancelled themselves.
 const CHECK_CALL: CallId = CallId(0);
 
@@ -417,8 +438,7 @@
         id: key.work_id(),
         tenant: request.tenant.clone(),
         weight: request.weight,
-        // On the wire and in the configuration the lowest number goes first.
-        priority: u32::from(u8::MAX - request.priority),
+        priority: rank(request.priority),
         deadline: request.deadline,
         idempotent: matches!(request.task, super::work::Task::Search { .. }),
     }
--- a/crates/jasminepond-query/src/key_table.rs
+++ b/crates/jasminepond-query/src/key_table.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Puts changed bounds into effect for keys issued from now on.
+    pub fn set_settings(&mut self, settings: KeySettings) {
+        self.settings = settings;
+    }
+
     /// Issues `n` keys to `tenant`.
     ///
     /// # Errors
--- a/crates/jasminepond-wire/examples/frame_cost.rs
+++ b/crates/jasminepond-wire/examples/frame_cost.rs
@@ -10,7 +10,8 @@
 
 use jasminepond_types::{Millis, Slots, Version, Weight};
 use jasminepond_wire::{
-    Frame, Hit, Part, PartItem, PartOutcome, Parts, Score, Search, ServerHint, decode, encode,
+    Frame, Hit, Part, PartItem, PartOutcome, Parts, Score, Search, ServerCondition, ServerHint,
+    decode, encode,
 };
 
 /// Sub-requests per frame: one server, a small and a large owner, a whole query.
@@ -64,7 +65,9 @@
             running: 2,
             slots: Slots(2),
             service_us: 10_900,
-            draining: false,
+            condition: ServerCondition::Ready,
+            top_priority: 2,
+            top_queued: 3,
         }),
     };
     Frame::Parts(Parts {
--- a/crates/jasminepond-wire/src/frame.rs
+++ b/crates/jasminepond-wire/src/frame.rs
@@ -213,6 +213,44 @@
     Cancelled = 8,
 }
 
+/// Condition of a server as its owner sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ServerCondition {
+    /// Works at its full number of slots.
+    Ready,
+    /// New or returned; the number of slots in use rises with successes.
+    Ramping,
+    /// Most of the last requests failed.
+    Failing,
+    /// Cannot be reached.
+    Down,
+    /// Is leaving; takes no new work.
+    Draining,
+}
+
+impl ServerCondition {
+    pub(crate) const fn code(self) -> u8 {
+        match self {
+            Self::Ready => 0,
+            Self::Ramping => 1,
+            Self::Failing => 2,
+            Self::Down => 3,
+            Self::Draining => 4,
+        }
+    }
+
+    /// A condition of a newer minor version says nothing here.
+    pub(crate) const fn from_code(code: u8) -> Self {
+        match code {
+            1 => Self::Ramping,
+            2 => Self::Failing,
+            3 => Self::Down,
+            4 => Self::Draining,
+            _ => Self::Ready,
+        }
+    }
+}
+
 /// An owner's view of one of its servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerHint {
@@ -226,8 +264,13 @@
     pub slots: Slots,
     /// Median service time in microseconds.
     pub service_us: u32,
-    /// The server is leaving.
-    pub draining: bool,
+    /// Condition of the server.
+    pub condition: ServerCondition,
+    /// Priority of the first class that has requests waiting. Requests of a class
+    /// that goes before it wait only for a slot.
+    pub top_priority: u8,
+    /// Requests waiting in that class.
+    pub top_queued: u32,
 }
 
 /// Sub-requests whose result is no longer needed.
--- a/crates/jasminepond-wire/src/hot.rs
+++ b/crates/jasminepond-wire/src/hot.rs
@@ -15,7 +15,8 @@
 };
 
 use crate::{
-    Hit, Part, PartFailure, PartItem, PartOutcome, Parts, Score, Search, ServerHint,
+    Hit, Part, PartFailure, PartItem, PartOutcome, Parts, Score, Search, ServerCondition,
+    ServerHint,
     codec::{MAX_HITS, MAX_PARTS, MAX_VERSIONS},
     field::{List, Text, id, optional, required, seeded, skip_rest},
 };
@@ -138,7 +139,9 @@
         running: required(seq, "running")?,
         slots: required(seq, "slots")?,
         service_us: required(seq, "service_us")?,
-        draining: optional(seq)?,
+        condition: ServerCondition::from_code(optional(seq)?),
+        top_priority: optional(seq)?,
+        top_queued: optional(seq)?,
     })
 }
 
@@ -290,7 +293,9 @@
             self.running,
             self.slots,
             self.service_us,
-            self.draining,
+            self.condition.code(),
+            self.top_priority,
+            self.top_queued,
         )
             .serialize(s)
     }
--- a/crates/jasminepond-wire/src/lib.rs
+++ b/crates/jasminepond-wire/src/lib.rs
@@ -23,7 +23,7 @@
 pub use datagram::{DatagramError, MAX_DATAGRAM_BYTES, MAX_DATAGRAM_PAYLOAD, open, seal};
 pub use frame::{
     CallerRequest, Cancel, Execute, Executed, ForwardExecute, ForwardExecuted, Frame, Hello, Part,
-    PartFailure, PartItem, PartOutcome, Parts, Proof, Search, ServerHint,
+    PartFailure, PartItem, PartOutcome, Parts, Proof, Search, ServerCondition, ServerHint,
 };
 pub use handshake::{
     Handshake, HandshakeError, Local, MAJOR, MINOR, NONCE_BYTES, Next, Peer, Role,
--- a/crates/jasminepond-wire/tests/codec.rs
+++ b/crates/jasminepond-wire/tests/codec.rs
@@ -41,7 +41,9 @@
         running: 2,
         slots: Slots(2),
         service_us: 10_900,
-        draining: true,
+        condition: ServerCondition::Draining,
+        top_priority: 2,
+        top_queued: 3,
     }
 }
 
