--- a/crates/jasminepond-routing/src/replicas.rs
+++ b/crates/jasminepond-routing/src/replicas.rs
@@ -178,14 +178,15 @@
         let mut stale: Option<(Duration, &ServerId)> = None;
         let mut reason = NoChoice::NoReplica;
         for id in ask.servers {
-            if let Some(why) = self.ruled_out(now, id, &ask) {
+            let known = self.servers.get(id);
+            if let Some(why) = self.ruled_out(now, id, known, &ask) {
                 reason = reason.max(why);
                 continue;
             }
-            let estimate = self.estimate(now, id, ask.priority).completion;
+            let estimate = self.estimate_of(now, known, ask.priority).completion;
             // The stale replica that is least likely to be chosen otherwise.
             if ask.can_hedge
-                && self.is_stale(now, id)
+                && known.is_none_or(|server| server.is_stale(now, &self.settings))
                 && stale.is_none_or(|(longest, _)| estimate > longest)
             {
                 stale = Some((estimate, id));
@@ -224,17 +225,18 @@
         self.rng.random_bool(share)
     }
 
-    fn is_stale(&self, now: Timestamp, id: &ServerId) -> bool {
-        let known = self.servers.get(id);
-        known.is_none_or(|server| server.is_stale(now, &self.settings))
-    }
-
-    fn ruled_out(&self, now: Timestamp, id: &ServerId, ask: &Ask<'_>) -> Option<NoChoice> {
+    fn ruled_out(
+        &self,
+        now: Timestamp,
+        id: &ServerId,
+        known: Option<&Server>,
+        ask: &Ask<'_>,
+    ) -> Option<NoChoice> {
         if ask.exclude.contains(id) {
             return Some(NoChoice::Tried);
         }
-        let server = self.servers.get(id)?;
-        if server.is_draining(now) {
+        let server = known?;
+        if server.is_draining(now, &self.settings) {
             Some(NoChoice::Draining)
         } else if server.is_down(now, &self.settings) {
             Some(NoChoice::Down)
@@ -247,7 +249,11 @@
 
     /// What a sub-request of the given priority would meet at a server.
     pub fn estimate(&self, now: Timestamp, id: &ServerId, priority: u32) -> Estimate {
-        match self.servers.get(id) {
+        self.estimate_of(now, self.servers.get(id), priority)
+    }
+
+    fn estimate_of(&self, now: Timestamp, known: Option<&Server>, priority: u32) -> Estimate {
+        match known {
             Some(server) => server.estimate(now, priority, &self.settings),
             None => Server::new(now, &self.settings).estimate(now, priority, &self.settings),
         }
@@ -255,7 +261,7 @@
 
     /// A sub-request was sent to the server.
     pub fn sent(&mut self, now: Timestamp, id: &ServerId) {
-        self.entry(now, id).sent(now);
+        self.update(now, id, |server, _| server.sent(now));
     }
 
     /// A sub-request sent to the server has ended after `latency`.
@@ -267,29 +273,26 @@
 
     /// The owner of the server reported its state.
     pub fn hinted(&mut self, now: Timestamp, id: &ServerId, hint: Hint) {
-        self.entry(now, id);
-        if let Some(server) = self.servers.get_mut(id) {
-            server.hinted(now, hint, &self.settings);
-        }
+        self.update(now, id, |server, settings| {
+            server.hinted(now, hint, settings);
+        });
     }
 
     /// The server reported that it does not hold the version.
     pub fn lacks_version(&mut self, now: Timestamp, id: &ServerId, version: Version) {
-        let until = now + self.settings.version_memory;
-        self.entry(now, id).lacks_version(version, until);
+        self.update(now, id, |server, settings| {
+            server.lacks_version(version, now + settings.version_memory);
+        });
     }
 
     /// The server is leaving, by any report.
     pub fn leaving(&mut self, now: Timestamp, id: &ServerId) {
-        self.entry(now, id);
-        if let Some(server) = self.servers.get_mut(id) {
-            server.leaving(now, &self.settings);
-        }
+        self.update(now, id, |server, _| server.leaving(now));
     }
 
     /// The server takes work again; it ramps up.
     pub fn returned(&mut self, now: Timestamp, id: &ServerId) {
-        self.entry(now, id).returned(now);
+        self.update(now, id, |server, _| server.returned());
     }
 
     /// Forgets servers that are no longer configured.
@@ -297,11 +300,20 @@
         self.servers.retain(|id, _| keep(id));
     }
 
-    fn entry(&mut self, now: Timestamp, id: &ServerId) -> &mut Server {
-        let settings = &self.settings;
-        self.servers
-            .entry(id.clone())
-            .or_insert_with(|| Server::new(now, settings))
+    fn update(
+        &mut self,
+        now: Timestamp,
+        id: &ServerId,
+        change: impl FnOnce(&mut Server, &ReplicaSettings),
+    ) {
+        // Known servers, which are nearly all, cost one lookup and no clone.
+        if let Some(server) = self.servers.get_mut(id) {
+            change(server, &self.settings);
+            return;
+        }
+        let mut server = Server::new(now, &self.settings);
+        change(&mut server, &self.settings);
+        self.servers.insert(id.clone(), server);
     }
 }
 
--- a/crates/jasminepond-routing/src/server.rs
+++ b/crates/jasminepond-routing/src/server.rs
@@ -24,6 +24,10 @@
 /// Most slots that a ramp passes before the server counts as warm.
 const RAMP_SLOTS: u32 = 4;
 
+/// Memory for one server in bytes. A daemon knows 25,000 of them.
+const MAX_BYTES: usize = 104;
+const _: () = assert!(size_of::<Server>() <= MAX_BYTES);
+
 #[derive(Debug, Clone)]
 pub(crate) struct Server {
     mean: Ewma,
@@ -40,10 +44,10 @@
     lacks: Version,
     lacks_until: Timestamp,
     draining_since: Timestamp,
-    draining_until: Timestamp,
     /// Successes since the server was new or returned, up to the warm count.
     successes: u16,
     failures: u8,
+    draining: bool,
 }
 
 impl Server {
@@ -61,9 +65,9 @@
             lacks: Version(0),
             lacks_until: Timestamp::ZERO,
             draining_since: Timestamp::ZERO,
-            draining_until: Timestamp::ZERO,
             successes: 0,
             failures: 0,
+            draining: false,
         }
     }
 
@@ -148,24 +152,24 @@
         self.hint_at = now;
         self.sent_since_hint = 0;
         if hint.healthy == Health::Draining {
-            self.leaving(now, settings);
-        } else if self.is_draining(now) && now.since(self.draining_since) > settings.drain_settle {
-            self.returned(now);
+            self.leaving(now);
+        } else if self.draining && now.since(self.draining_since) > settings.drain_settle {
+            self.returned();
         }
     }
 
-    pub(crate) fn leaving(&mut self, now: Timestamp, settings: &ReplicaSettings) {
+    pub(crate) fn leaving(&mut self, now: Timestamp) {
+        self.draining = true;
         self.draining_since = now;
-        self.draining_until = now + settings.drain_memory;
     }
 
-    pub(crate) fn returned(&mut self, now: Timestamp) {
-        self.draining_until = now;
+    pub(crate) fn returned(&mut self) {
+        self.draining = false;
         self.successes = 0;
     }
 
-    pub(crate) fn is_draining(&self, now: Timestamp) -> bool {
-        self.draining_until > now
+    pub(crate) fn is_draining(&self, now: Timestamp, settings: &ReplicaSettings) -> bool {
+        self.draining && self.draining_since + settings.drain_memory > now
     }
 
     pub(crate) fn lacks_version(&mut self, version: Version, until: Timestamp) {
