fix(dispatch): a reached connection limit does not take a server down

Three refused connection attempts in a row counted the server as down and closed its working connections, which happens whenever other daemons use up the connection limit. A failed attempt now counts only if no connection is open; otherwise the open ones are checked. A request that has to wait for its deadline no longer holds up the probe of a server that counts as down. Sums over reported queue lengths saturate, since a peer sends them.

Six more deliberate faults passed the tests: attempts in parallel after a failure, draining connections kept over a pause, idle connections kept above a lowered quota, growth while slots are unused, no ramp-up after draining, and the one above. Each now fails a test.

--- a/crates/jasminepond-dispatch/src/circuit.rs
+++ b/crates/jasminepond-dispatch/src/circuit.rs
@@ -58,14 +58,13 @@
         std::mem::replace(&mut self.open, false)
     }
 
-    pub(crate) fn connect_failed(&mut self, now: Timestamp, settings: &Settings) -> bool {
+    pub(crate) fn connect_failed(&mut self, now: Timestamp, settings: &Settings) {
         self.connect_failures += 1;
         self.back_off(now, self.connect_failures, settings);
-        self.lost(now, settings)
     }
 
-    /// A connection was lost with a request on it. Returns whether the server
-    /// counts as down from now on.
+    /// A connection was lost without a response, or none could be opened. Returns
+    /// whether the server counts as down from now on.
     pub(crate) fn lost(&mut self, now: Timestamp, settings: &Settings) -> bool {
         self.losses += 1;
         if self.losses < settings.circuit_failures.max(1) {
--- a/crates/jasminepond-dispatch/src/connections.rs
+++ b/crates/jasminepond-dispatch/src/connections.rs
@@ -74,6 +74,11 @@
         self.list.len() + self.opening as usize
     }
 
+    /// Whether no connection is established.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
     pub(crate) fn opening(&self) -> u32 {
         self.opening
     }
--- a/crates/jasminepond-dispatch/src/schedule.rs
+++ b/crates/jasminepond-dispatch/src/schedule.rs
@@ -167,7 +167,8 @@
             return false;
         }
         if self.circuit.is_open() {
-            return self.conns.total() == 0 && self.circuit.retry_at() <= now;
+            // Lost connections that are still to be closed do not hold up a probe.
+            return self.conns.coming() == 0 && self.circuit.retry_at() <= now;
         }
         if self.circuit.one_at_a_time()
             && (self.conns.opening() > 0 || self.circuit.retry_at() > now)
--- a/crates/jasminepond-dispatch/src/server.rs
+++ b/crates/jasminepond-dispatch/src/server.rs
@@ -156,8 +156,13 @@
     /// A connection asked for by [`Next::Open`] could not be established.
     pub fn connect_failed(&mut self, now: Timestamp) {
         self.conns.open_ended();
-        if self.circuit.connect_failed(now, &self.settings) {
-            self.went_down();
+        self.circuit.connect_failed(now, &self.settings);
+        if self.conns.is_empty() {
+            self.lost(now);
+        } else {
+            // The server may only have reached its connection limit; the open
+            // connections tell whether it works.
+            self.conns.suspect_idle();
         }
     }
 
--- a/crates/jasminepond-dispatch/tests/faults.rs
+++ b/crates/jasminepond-dispatch/tests/faults.rs
@@ -53,11 +53,10 @@
 }
 
 /// Guards against a cold server getting full load at once.
-#[test_case(|queue| queue.set_draining(ms(500)) ; "returned from draining")]
-#[test_case(|_| {} ; "new")]
-fn a_server_ramps_up_from_one_slot(leave: fn(&mut ServerQueue)) {
-    let mut queue = ServerQueue::new(ms(0), settings(3), 1);
-    leave(&mut queue);
+#[test_case(warm(settings(3)) ; "returned from draining")]
+#[test_case(ServerQueue::new(ms(0), settings(3), 1) ; "new")]
+fn a_server_ramps_up_from_one_slot(mut queue: ServerQueue) {
+    queue.set_draining(ms(500));
     run(&mut queue, ms(500));
     queue.set_ready(ms(500));
     let mut used = Vec::new();
@@ -183,6 +182,17 @@
     queue.enqueue(ms(1), work(0));
     let mut now = ms(1);
     let mut delays = Vec::new();
+    assert_eq!(queue.next(now), Next::Open);
+    assert_eq!(queue.next(now), Next::Open, "one per warm connection");
+    queue.connect_failed(now);
+    queue.connect_failed(now);
+    now = now + Settings::default().backoff * 2;
+    assert_eq!(queue.next(now), Next::Open);
+    assert!(
+        matches!(queue.next(now), Next::Idle { .. }),
+        "one at a time"
+    );
+    queue.connect_failed(now);
     while delays.len() < 8 {
         match queue.next(now) {
             Next::Open => queue.connect_failed(now),
@@ -220,6 +230,67 @@
     assert_eq!(start(&mut queue, now, 2..5), [conn]);
 }
 
+/// Guards against taking a server for down that has only reached its connection
+/// limit: its open connections still work.
+#[test]
+fn refused_connections_do_not_take_down_a_server_that_responds() {
+    let mut queue = ServerQueue::new(ms(0), settings(2), 1);
+    queue.enqueue(ms(1), work(0));
+    assert_eq!(queue.next(ms(1)), Next::Open);
+    let conn = new_conn();
+    queue.connected(ms(1), conn);
+    let mut now = ms(1);
+    let mut refused = 0;
+    for step in 0.. {
+        assert!(step < 100, "refused only {refused} times");
+        match queue.next(now) {
+            Next::Start { .. } => {
+                queue.answered(now, conn, Outcome::Done);
+            }
+            Next::Open if refused == 4 => break,
+            Next::Open => {
+                refused += 1;
+                queue.connect_failed(now);
+            }
+            // Answered only after all the refusals.
+            Next::Check { .. } => {}
+            Next::Idle { until } => now = until.unwrap(),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_ne!(queue.hint().healthy, Health::Down);
+    queue.checked(now, conn, ServerState::Ready);
+    assert_eq!(start(&mut queue, now, 1..2), [conn]);
+}
+
+/// Guards against a request that must wait for its deadline keeping a server
+/// that has recovered out of use.
+#[test]
+fn a_waiting_request_does_not_hold_up_the_probe() {
+    let mut queue = warm(settings(3));
+    queue.enqueue(
+        ms(500),
+        Work {
+            idempotent: false,
+            ..work(0)
+        },
+    );
+    let (_, waiting) = run(&mut queue, ms(500))[0];
+    for id in 1..4 {
+        let now = ms(500 + id * 50);
+        let conn = start(&mut queue, now, id..id + 1)[0];
+        queue.closed(now, conn);
+    }
+    assert_eq!(queue.hint().healthy, Health::Down);
+    run(&mut queue, ms(650));
+    let Next::Idle { until: Some(until) } = queue.next(ms(650)) else {
+        panic!("not idle");
+    };
+    run(&mut queue, until);
+    assert_eq!(queue.hint().healthy, Health::Ramping);
+    assert!(queue.answered(ms(900), waiting, Outcome::Done).is_some());
+}
+
 /// Guards against new work for a leaving server and aborted requests on it.
 #[test_case(|queue, _| queue.set_draining(ms(510)) ; "told by the caller")]
 #[test_case(|queue, conn| {
@@ -289,6 +360,49 @@
     }
 }
 
+/// Guards against a response of unknown age on a connection that drains.
+#[test]
+fn a_pause_closes_connections_that_drain() {
+    let mut queue = warm(settings(1));
+    let conn = start(&mut queue, ms(500), 0..1)[0];
+    queue.cancel(ms(501), WorkId(0));
+    queue.woke(ms(1_200));
+    assert_eq!(queue.next(ms(1_200)), Next::Close { conn });
+}
+
+/// Guards against exceeding a lowered connection limit for longer than needed.
+#[test]
+fn a_lower_quota_closes_idle_connections() {
+    let mut queue = warm(settings(3));
+    assert!(queue.connections() > 1);
+    queue.set_limits(
+        ms(500),
+        Settings {
+            connection_quota: 1,
+            ..settings(3)
+        },
+    );
+    run(&mut queue, ms(500));
+    assert_eq!(queue.connections(), 1);
+}
+
+/// Guards against a limit that rises while there is nothing to show that the
+/// server can take more.
+#[test]
+fn slots_grow_only_when_they_are_used() {
+    let mut queue = warm(settings(4));
+    let conns = start(&mut queue, ms(500), 0..4);
+    for conn in conns {
+        queue.answered(ms(501), conn, not_run(NotRun::Shed));
+    }
+    for id in 10..60 {
+        let now = ms(1_000 + id * 10);
+        let conn = start(&mut queue, now, id..id + 1)[0];
+        queue.answered(now + Duration::from_millis(5), conn, Outcome::Done);
+    }
+    assert_eq!(queue.hint().slots, 2);
+}
+
 /// Guards against a request meeting a connection that the server has closed
 /// while it was idle, and against idle connections kept forever.
 #[test]
--- a/crates/jasminepond-routing/src/server.rs
+++ b/crates/jasminepond-routing/src/server.rs
@@ -217,7 +217,9 @@
         let service = hint.map_or(base, |h| Duration::from_micros(u64::from(h.service_time)));
         let slots = hint.map_or(settings.assumed_slots, |h| h.slots).max(1);
         let in_front = match hint {
-            Some(hint) => queued_before(hint, priority) + hint.running + self.sent_since_hint,
+            Some(hint) => queued_before(hint, priority)
+                .saturating_add(hint.running)
+                .saturating_add(self.sent_since_hint),
             None => self.outstanding,
         };
         let in_front = in_front.max(self.outstanding);
@@ -249,6 +251,6 @@
 }
 
 fn queue_time(in_front: u32, slots: u32, service: Duration) -> Duration {
-    let turns = (in_front + 1).saturating_sub(slots);
+    let turns = in_front.saturating_add(1).saturating_sub(slots);
     service * turns / slots
 }
