fix(membership): queue changes in logarithmic time; test what mutations left

Cause: a configuration change queues every member, and each note searched the queue; at 3,900 daemons the cost measurement did not end within 10 minutes.

Ruled out: fewer notes per datagram, which makes the status page staler.

Change: an ordered queue with an index; tests for revisions that are served or offered, wrong content, the exchange between peers, substitutes that start at once, what is sent before the view is confirmed, and older reports.

--- a/crates/jasminepond-membership/src/gossip.rs
+++ b/crates/jasminepond-membership/src/gossip.rs
@@ -1,13 +1,6 @@
 //! Which changes still have to be sent, and how often each was.
 
-use std::collections::VecDeque;
-
-/// Changes waiting to be sent on the next datagrams, the least sent first.
-#[derive(Debug)]
-pub(crate) struct Queue<K> {
-    pending: VecDeque<(K, u32)>,
-    order: Order,
-}
+use std::collections::BTreeMap;
 
 /// Which change comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,72 +11,89 @@
     Turns,
 }
 
-impl<K: Clone + PartialEq> Queue<K> {
+/// Position in the queue: the number of times sent, if it counts, and then
+/// the order of arrival.
+type Place = (u32, u64);
+
+/// Changes waiting to be sent on the next datagrams. All operations take
+/// logarithmic time, since a configuration change queues every member.
+#[derive(Debug)]
+pub(crate) struct Queue<K> {
+    order: Order,
+    waiting: BTreeMap<Place, K>,
+    places: BTreeMap<K, (Place, u32)>,
+    arrivals: u64,
+}
+
+/// What became of a change offered to a datagram.
+pub(crate) enum Fit {
+    /// It was added.
+    Put,
+    /// It no longer exists.
+    Gone,
+    /// It does not fit any more.
+    Full,
+}
+
+impl<K: Clone + Ord> Queue<K> {
     pub(crate) fn new(order: Order) -> Self {
         Self {
-            pending: VecDeque::new(),
             order,
+            waiting: BTreeMap::new(),
+            places: BTreeMap::new(),
+            arrivals: 0,
         }
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.pending.is_empty()
+        self.waiting.is_empty()
     }
 
     /// Adds a change. A newer change of the same thing replaces the older.
     pub(crate) fn push(&mut self, key: K) {
-        let waiting = self.pending.iter().position(|(other, _)| *other == key);
-        match (waiting, self.order) {
-            (Some(at), Order::Turns) => self.pending[at].1 = 0,
-            (None, Order::Turns) => self.pending.push_back((key, 0)),
-            (Some(at), Order::LeastSent) => {
-                self.pending.remove(at);
-                self.pending.push_front((key, 0));
+        match (self.places.get_mut(&key), self.order) {
+            (Some((_, sent)), Order::Turns) => *sent = 0,
+            (Some((place, _)), Order::LeastSent) => {
+                self.waiting.remove(place);
+                self.insert(key, 0);
             }
-            (None, Order::LeastSent) => self.pending.push_front((key, 0)),
+            (None, _) => self.insert(key, 0),
         }
     }
 
+    fn insert(&mut self, key: K, sent: u32) {
+        self.arrivals += 1;
+        let place = match self.order {
+            Order::LeastSent => (sent, self.arrivals),
+            Order::Turns => (0, self.arrivals),
+        };
+        self.waiting.insert(place, key.clone());
+        self.places.insert(key, (place, sent));
+    }
+
     pub(crate) fn clear(&mut self) {
-        self.pending.clear();
+        self.waiting.clear();
+        self.places.clear();
     }
 
     /// Offers changes to `put` until it reports that the next does not fit.
     /// A change that was sent `limit` times is dropped.
     pub(crate) fn fill(&mut self, limit: u32, mut put: impl FnMut(&K) -> Fit) {
-        let mut sent = Vec::new();
-        while let Some((key, times)) = self.pending.pop_front() {
-            match put(&key) {
-                Fit::Put => sent.push((key, times + 1)),
-                Fit::Gone => {}
-                Fit::Full => {
-                    self.pending.push_front((key, times));
-                    break;
-                }
+        let mut again = Vec::new();
+        while let Some((place, key)) = self.waiting.pop_first() {
+            let fit = put(&key);
+            if matches!(fit, Fit::Full) {
+                self.waiting.insert(place, key);
+                break;
             }
-        }
-        for (key, times) in sent {
-            if times < limit {
-                self.put_back(key, times);
+            let sent = self.places.remove(&key).map_or(0, |(_, sent)| sent + 1);
+            if matches!(fit, Fit::Put) && sent < limit {
+                again.push((key, sent));
             }
         }
+        // Only now, so that no change is offered twice.
+        for (key, sent) in again {
+            self.insert(key, sent);
+        }
     }
-
-    fn put_back(&mut self, key: K, times: u32) {
-        let at = match self.order {
-            Order::LeastSent => self.pending.partition_point(|&(_, t)| t <= times),
-            Order::Turns => self.pending.len(),
-        };
-        self.pending.insert(at, (key, times));
-    }
-}
-
-/// What became of a change offered to a datagram.
-pub(crate) enum Fit {
-    /// It was added.
-    Put,
-    /// It no longer exists.
-    Gone,
-    /// It does not fit any more.
-    Full,
 }
--- a/crates/jasminepond-membership/tests/common/mod.rs
+++ b/crates/jasminepond-membership/tests/common/mod.rs
@@ -138,12 +138,14 @@
         self.nodes[i].up = false;
     }
 
-    pub fn wake(&mut self, i: usize) {
+    /// Returns what the daemon does at once.
+    pub fn wake(&mut self, i: usize) -> Vec<Output> {
         self.nodes[i].up = true;
         let now = self.now;
         let out = self.nodes[i].membership.woke(now);
-        self.perform(i, out);
+        self.perform(i, out.clone());
         self.schedule_tick(i);
+        out
     }
 
     fn push(&mut self, at: Timestamp, event: Event) {
--- a/crates/jasminepond-membership/tests/properties.rs
+++ b/crates/jasminepond-membership/tests/properties.rs
@@ -244,7 +244,7 @@
             ends[i] = End::Paused;
         }
         Fault::Pause(i) if ends[i] == End::Paused => {
-            net.wake(i);
+            _ = net.wake(i);
             ends[i] = End::Runs;
         }
         Fault::Cut(sides) => {
--- a/crates/jasminepond-membership/tests/scenarios.rs
+++ b/crates/jasminepond-membership/tests/scenarios.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use common::{Network, instance};
-use jasminepond_membership::{MemberState, Output, ReportKind, Settings};
-use jasminepond_types::{Incarnation, Revision};
+use jasminepond_membership::{
+    Body, MemberState, Message, Output, ReportKind, ServerReport, Settings,
+};
+use jasminepond_types::{Incarnation, Millis, Revision};
 use test_case::test_case;
 
 const MINUTE: Duration = Duration::from_secs(60);
@@ -47,7 +49,10 @@
         dead.is_some_and(|t| t < Duration::from_secs(12)),
         "{dead:?}"
     );
-    net.run(net.settings.forget_after + Duration::from_secs(5));
+    // One that learns of it later forgets it with the others.
+    net.run(net.settings.forget_after / 2);
+    net.restart(5);
+    net.run(net.settings.forget_after / 2 + Duration::from_secs(5));
     assert!(net.running().all(|i| net.state(i, 3).is_none()));
     net.restart(3);
     let back = net.run_until(MINUTE, |net| net.all_believe(3, MemberState::Alive));
@@ -136,7 +141,12 @@
         node.outputs.clear();
     }
     net.nodes[0].side = 1;
-    net.wake(0);
+    for output in net.wake(0) {
+        let Output::Send { message, .. } = output else {
+            continue;
+        };
+        assert_eq!((message.records, message.configs), (vec![], vec![]));
+    }
     net.run(Duration::from_secs(2));
     assert!(!net.nodes[0].membership.is_confirmed());
     let acted = |o: &Output| matches!(o, Output::Changed(c) if c.to == Some(MemberState::Dead));
@@ -162,7 +172,7 @@
     let mut net = started_alone_or_together(n);
     (0..n).for_each(|i| net.pause(i));
     net.run(MINUTE);
-    (0..n).for_each(|i| net.wake(i));
+    (0..n).for_each(|i| _ = net.wake(i));
     net.run(Duration::from_secs(10));
     assert!(net.nodes.iter().all(|n| n.membership.is_confirmed()));
 }
@@ -183,9 +193,9 @@
     let old = net.nodes[1].membership.me().clone();
     net.restart(1);
     net.run(MINUTE);
-    let message = jasminepond_membership::Message {
+    let message = Message {
         from: old.clone(),
-        body: jasminepond_membership::Body::Gossip,
+        body: Body::Gossip,
         records: Vec::new(),
         configs: Vec::new(),
         reports: Vec::new(),
@@ -202,7 +212,36 @@
     assert!(net.all_believe(1, MemberState::Alive));
 }
 
-/// Guards against reports that are lost, never expire, or outlive a newer one.
+/// Guards against an older report that replaces a newer one.
+#[test]
+fn the_newest_report_of_a_reporter_counts() {
+    let mut net = started(2);
+    let now = net.now;
+    let server: jasminepond_types::ServerId = "heat-4".parse().unwrap();
+    let from = net.nodes[1].membership.me().clone();
+    let report = |sequence, kind| ServerReport {
+        server: server.clone(),
+        kind,
+        reporter: from.instance.clone(),
+        incarnation: from.incarnation,
+        sequence,
+        age: Millis(5),
+    };
+    let message = Message {
+        from: from.clone(),
+        body: Body::Gossip,
+        records: Vec::new(),
+        configs: Vec::new(),
+        reports: vec![report(2, ReportKind::Back), report(1, ReportKind::Lost)],
+    };
+    let receiver = &mut net.nodes[0].membership;
+    let out = receiver.receive(now, from.membership_address, message);
+    assert!(out.contains(&Output::Report(report(2, ReportKind::Back))));
+    let known: Vec<_> = receiver.reports(now).collect();
+    assert_eq!(known, [report(2, ReportKind::Back)]);
+}
+
+/// Guards against reports that are lost or never expire.
 #[test]
 fn reports_reach_everyone_and_expire() {
     let mut net = started(30);
--- a/crates/jasminepond-sync/tests/scenarios.rs
+++ b/crates/jasminepond-sync/tests/scenarios.rs
@@ -6,7 +6,9 @@
 
 use common::Tier;
 use jasminepond_membership::{Member, MemberState};
-use jasminepond_sync::{Digest, FileRef, MAX_FILE_BYTES, Role, Settings, Source, SyncMessage};
+use jasminepond_sync::{
+    Action, Digest, FileRef, MAX_FILE_BYTES, Role, ServiceFailure, Settings, Source, SyncMessage,
+};
 use jasminepond_types::Revision;
 use test_case::test_case;
 
@@ -78,8 +80,10 @@
         }];
         let now = tier.now;
         let actions = tier.nodes[i].sync.service_tree(now, Revision(1), files);
-        tier.perform(i, actions);
+        assert_eq!(actions, []);
     }
+    let page = tier.nodes[0].sync.in_effect(tier.now);
+    assert_eq!(page.service_failure, Some(ServiceFailure::Stale));
     tier.run(MINUTE);
     assert!(tier.all_have(revision));
 }
@@ -153,20 +157,12 @@
     for &i in &readers {
         tier.nodes[i].up = false;
     }
-    let substitute = tier.run_until(MINUTE, |tier| {
-        (0..2).all(|zone| {
-            (zone..120)
-                .step_by(2)
-                .any(|i| tier.nodes[i].sync.role() == Role::Substitute)
-        })
-    });
-    assert!(substitute.is_some());
     let mut most = 0;
-    for _ in 0..60 {
-        tier.run(Duration::from_secs(1));
+    for _ in 0..6_000 {
+        tier.run(Duration::from_millis(10));
         most = most.max(tier.in_role(Role::Substitute));
     }
-    assert!(most <= 12, "{most} substitutes");
+    assert!((2..=6).contains(&most), "{most} substitutes");
     tier.change("a.json", "[1]");
     assert!(tier.settle(MINUTE).is_some());
     for &i in &readers {
@@ -259,3 +255,82 @@
         "{time:?}"
     );
 }
+
+/// Guards against a revision that was announced while its only holder was cut
+/// off, and that no announcement or heartbeat repeats.
+#[test]
+fn peers_ask_each_other_for_what_they_missed() {
+    let mut tier = tier(3, 3);
+    tier.cut(|i| usize::from(i > 0));
+    tier.nodes[1..].iter_mut().for_each(|n| n.up = false);
+    tier.change("a.json", "[]");
+    assert!(tier.settle(MINUTE).is_some());
+    tier.run(MINUTE);
+    tier.service.down = true;
+    tier.nodes[1..].iter_mut().for_each(|n| n.up = true);
+    tier.cut(|_| 0);
+    assert!(tier.settle(MINUTE).is_some());
+}
+
+/// Guards against files of one revision that are sent to complete another.
+#[test_case(1)]
+#[test_case(3)]
+fn only_the_revision_in_effect_is_served(wanted: u64) {
+    let mut tier = tier(2, 1);
+    let revision = Revision(wanted);
+    let digest = Digest::of(b"{}");
+    let get = SyncMessage::Get {
+        revision,
+        digest,
+        offset: 0,
+    };
+    let (now, from) = (tier.now, tier.nodes[1].me.instance.clone());
+    let actions = tier.nodes[0].sync.receive(now, from, get);
+    let served = |a: &Action| {
+        matches!(
+            a,
+            Action::Send {
+                message: SyncMessage::Piece { .. },
+                ..
+            }
+        )
+    };
+    assert!(!actions.iter().any(served), "{actions:?}");
+}
+
+/// Guards against content that does not have the announced digest, from a
+/// peer or from the service.
+#[test_case(true)]
+#[test_case(false)]
+fn wrong_content_is_not_used(from_service: bool) {
+    let mut tier = tier(2, 1);
+    let (now, from) = (tier.now, tier.nodes[1].me.instance.clone());
+    let sync = &mut tier.nodes[0].sync;
+    let digest = Digest::of(b"new");
+    let (revision, wrong) = (Revision(9), "old");
+    let actions = if from_service {
+        let file = FileRef {
+            name: "a.json".into(),
+            digest,
+            size: 3,
+        };
+        sync.service_tree(now, revision, vec![file]);
+        let later = now + Duration::from_secs(1);
+        let actions = sync.tick(later, &tier.views[0]);
+        let name = "a.json".into();
+        assert!(actions.contains(&Action::FetchFromService { name, digest }));
+        sync.service_file(later, "a.json", wrong.into())
+    } else {
+        let digest = Some(digest);
+        let asked = sync.receive(now, from.clone(), SyncMessage::State { revision, digest });
+        assert_eq!(asked.len(), 1);
+        let piece = SyncMessage::Piece {
+            digest: Digest::of(b"new"),
+            offset: 0,
+            total: 3,
+            bytes: wrong.into(),
+        };
+        sync.receive(now, from, piece)
+    };
+    assert_eq!(actions, []);
+}
