test(sync): the exchange alone, and substitutes without any message

Cause: breaking the exchange between peers, or the random delay of substitutes, went unnoticed: a pending repetition and the first heartbeat hid it.

Ruled out: changes of the code; it behaved as intended.

Change: the scenario waits until no repetition is pending; a scenario in which no message arrives.

The two left are second guards behind others: older revisions are not collected in the first place, and a resumed daemon has nothing queued to send.

--- a/crates/jasminepond-sync/tests/scenarios.rs
+++ b/crates/jasminepond-sync/tests/scenarios.rs
@@ -172,6 +172,19 @@
     assert_eq!(tier.in_role(Role::Substitute), 0);
 }
 
+/// Guards against a whole zone that starts to read at once when no heartbeat
+/// gets through.
+#[test]
+fn substitutes_start_one_after_the_other() {
+    let mut tier = tier(120, 2);
+    tier.loss = 1.0;
+    tier.run(Duration::from_secs(7));
+    let first = tier.in_role(Role::Substitute);
+    assert!((1..40).contains(&first), "{first} substitutes");
+    tier.run(MINUTE);
+    assert_eq!(tier.in_role(Role::Substitute), 116);
+}
+
 /// Guards against daemons that go on reading because their views miss the
 /// readers that all others know.
 #[test]
@@ -261,6 +274,7 @@
 #[test]
 fn peers_ask_each_other_for_what_they_missed() {
     let mut tier = tier(3, 3);
+    tier.run(MINUTE);
     tier.cut(|i| usize::from(i > 0));
     tier.nodes[1..].iter_mut().for_each(|n| n.up = false);
     tier.change("a.json", "[]");
