--- a/tools/scenario/src/lib.rs
+++ b/tools/scenario/src/lib.rs
@@ -1,1 +1,38 @@
-//! Placeholder replaced by the module's real content.
+//! A test language for the decision crates, and its runner.
+//!
+//! A scenario is one file. It names a machine, the events that the machine is
+//! given and their exact virtual times, and what must come out. The machines
+//! are the decision crates themselves behind thin drivers; nothing opens a
+//! socket, reads a clock or starts a task. `docs/SCENARIOS.md` has the grammar.
+//!
+//! ```
+//! let text = r#"
+//! scenario "one shard answers"
+//! guards P2
+//! machine search deadline=250ms
+//! version 42 shards a=[a1]
+//! at 0ms start
+//! expect send a a1 v42
+//! at 3ms answer a1 v42 count=2
+//! expect finish v42 answered=1 of=1 count=2
+//! "#;
+//! let scenario = jasminepond_scenario::Scenario::parse("one.scn", text)?;
+//! let report = jasminepond_scenario::run(&scenario)?;
+//! assert_eq!(report.cases, 1);
+//! # Ok::<(), jasminepond_scenario::Problem>(())
+//! ```
+
+mod args;
+mod machine;
+mod machines;
+mod net;
+mod problem;
+mod program;
+mod run;
+mod scenario;
+mod syntax;
+
+pub use problem::{Error, Failure, Problem};
+pub use program::{Options, Outcome, main_with};
+pub use run::{Report, run};
+pub use scenario::Scenario;
--- /dev/null
+++ b/tools/scenario/src/machines/config.rs
@@ -0,0 +1,505 @@
+//! Configuration: one [`Sync`] and one [`Acceptance`] per daemon, a service
+//! that answers after 2 ms, and peer messages that take 1 ms.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use jasminepond_config::{Acceptance, Files, Offer};
+use jasminepond_membership::{ConfigMark, Member, MemberState, View};
+use jasminepond_sync::{
+    Action, Digest, File, FileRef, ServiceFailure, Settings, Source, Sync, SyncMessage,
+};
+use jasminepond_types::{Revision, Timestamp};
+
+use super::membership::me;
+use crate::{
+    Error,
+    args::Args,
+    machine::{Machine, Out, Spec},
+    net::{Change, DELAY, Net, agreed},
+};
+
+pub(crate) const SPEC: Spec = Spec {
+    name: "config",
+    setup: &["daemon", "late"],
+    events: &[
+        "run", "publish", "service", "offer", "dead", "kill", "restart", "pause", "wake", "cut",
+        "heal",
+    ],
+    outputs: &["offer", "inforce", "invalid"],
+    mechanisms: &[
+        "revision-check",
+        "validation",
+        "conflict-check",
+        "peers",
+        "torn-read-check",
+    ],
+    new,
+};
+
+/// Time between two ticks of one daemon.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time that a call to the service takes.
+const SERVICE_DELAY: Duration = Duration::from_millis(2);
+
+/// The smallest folder that is valid.
+const BASE: &str = r#"{
+    "zones": {"za": {"region": "ra"}},
+    "tenants": {"ta": {}},
+    "classes": {"ca": {"priority": 0, "default_deadline_ms": 250, "max_deadline_ms": 2000}},
+    "shapes": {"small": {"slots": 2, "connection_limit": 25, "connect_cost_ms": 6}},
+    "servers": {"s1": {"shape": "small", "zone": "za", "address": "127.0.0.1:9001"}},
+    "groups": {"run": {"kind": "execute", "servers": ["s1"]}}
+}"#;
+
+enum Event {
+    Tick {
+        at: usize,
+        run: u64,
+    },
+    Message {
+        from: usize,
+        to: usize,
+        message: SyncMessage,
+    },
+    Watched {
+        at: usize,
+        call: u64,
+        after: Revision,
+    },
+    Fetched {
+        at: usize,
+        call: u64,
+        name: String,
+        digest: Digest,
+    },
+}
+
+struct Daemon {
+    sync: Sync,
+    acceptance: Acceptance,
+    /// Number of the call to the service whose answer is awaited.
+    call: u64,
+    /// A watch that waits for a revision above this.
+    watching: Option<Revision>,
+    /// Revision in effect, as its callers see it.
+    inforce: Revision,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    Up,
+    Down,
+    Refusing,
+    /// Answers every watch at once with the revision that it has.
+    Stale,
+    /// The list and the files are of different revisions.
+    Torn,
+}
+
+struct Tier {
+    without: String,
+    net: Net<Event>,
+    daemons: Vec<Daemon>,
+    dead: BTreeSet<usize>,
+    mode: Mode,
+    revision: Revision,
+    files: Files,
+    outs: Vec<Out>,
+    started: bool,
+    broken: Option<String>,
+}
+
+fn new(_: &mut Args<'_>, without: Option<&str>) -> Result<Box<dyn Machine>, Error> {
+    Ok(Box::new(Tier {
+        without: without.unwrap_or_default().to_owned(),
+        net: Net::new(),
+        daemons: Vec::new(),
+        dead: BTreeSet::new(),
+        mode: Mode::Up,
+        revision: Revision(0),
+        files: Files::new(),
+        outs: Vec::new(),
+        started: false,
+        broken: None,
+    }))
+}
+
+/// A folder that differs by `content`: `broken` is not JSON, `invalid` has a
+/// mistake, every other word names a tenant.
+fn folder(content: &str) -> Files {
+    let patch = match content {
+        "broken" => r#"{"tenants": "#.to_owned(),
+        "invalid" => r#"{"classes": {"ca": {"priority": "high"}}}"#.to_owned(),
+        name => format!(r#"{{"tenants": {{"{name}": {{}}}}}}"#),
+    };
+    let file = |name: &str, text: &str| (name.to_owned(), text.as_bytes().to_vec());
+    Files::from([file("10-base.json", BASE), file("20-patch.json", &patch)])
+}
+
+fn daemon(index: usize, name: &str, run: u64) -> Daemon {
+    let seed = run * 100 + index as u64;
+    Daemon {
+        sync: Sync::new(Settings::default(), me(index, name, run), seed),
+        acceptance: Acceptance::default(),
+        call: 0,
+        watching: None,
+        inforce: Revision(0),
+    }
+}
+
+impl Machine for Tier {
+    fn setup(&mut self, word: &str, args: &mut Args<'_>) -> Result<(), Error> {
+        while let Some(name) = args.opt_word() {
+            let index = self.net.add(name);
+            self.net.processes[index].up = word == "daemon";
+            self.daemons.push(daemon(index, name, 1));
+        }
+        Ok(())
+    }
+
+    fn event(
+        &mut self,
+        now: Timestamp,
+        word: &str,
+        args: &mut Args<'_>,
+    ) -> Result<Vec<Out>, Error> {
+        if !std::mem::replace(&mut self.started, true) {
+            (0..self.daemons.len()).for_each(|i| self.tick_at(Timestamp::ZERO, i));
+        }
+        self.advance(now);
+        match word {
+            "run" => {}
+            "publish" => {
+                self.revision = Revision(args.parse("a revision")?);
+                self.files = folder(args.word("a content")?);
+                self.published(now);
+            }
+            "service" => {
+                self.mode = match args.one_of(&["up", "down", "refusing", "stale", "torn"])? {
+                    "up" => Mode::Up,
+                    "down" => Mode::Down,
+                    "refusing" => Mode::Refusing,
+                    "stale" => Mode::Stale,
+                    _ => Mode::Torn,
+                };
+                self.published(now);
+            }
+            "offer" => {
+                let at = self.net.index(args)?;
+                let revision = Revision(args.parse("a revision")?);
+                let files = folder(args.word("a content")?);
+                let offer = self.accept(at, revision, &files);
+                let name = self.net.names[at].clone();
+                self.outs
+                    .push(Out::new([&"offer", &name, &offer_name(&offer)]));
+            }
+            "dead" => {
+                let at = self.net.index(args)?;
+                self.dead.insert(at);
+            }
+            _ => {
+                let change = self.net.process(word, args)?;
+                self.change(now, &change);
+            }
+        }
+        Ok(std::mem::take(&mut self.outs))
+    }
+
+    fn state(
+        &mut self,
+        now: Timestamp,
+        args: &mut Args<'_>,
+        key: &str,
+    ) -> Result<Option<String>, Error> {
+        self.advance(now);
+        let named = self.net.named(args)?;
+        let values = named.into_iter().map(|i| self.value(now, i, key));
+        Ok(values.collect::<Option<Vec<String>>>().map(agreed))
+    }
+
+    fn broken(&self) -> Option<String> {
+        self.broken.clone()
+    }
+}
+
+impl Tier {
+    fn value(&self, now: Timestamp, i: usize, key: &str) -> Option<String> {
+        let daemon = &self.daemons[i];
+        let state = daemon.sync.in_effect(now);
+        let or_none = |r: Option<Revision>| r.map_or("none".into(), |r| r.to_string());
+        Some(match key {
+            "revision" => daemon.inforce.to_string(),
+            "spreads" => state.revision.to_string(),
+            "role" => format!("{:?}", state.role).to_lowercase(),
+            "refused" => or_none(state.refused.map(|r| r.revision)),
+            "conflict" => or_none(state.conflict),
+            "source" => match state.source {
+                None => "none".into(),
+                Some(Source::Service) => "service".into(),
+                Some(Source::Peer(_)) => "peer".into(),
+            },
+            _ => return None,
+        })
+    }
+
+    /// Ticks are spread, as start times are in a running tier.
+    fn tick_at(&mut self, now: Timestamp, at: usize) {
+        let run = self.net.processes[at].run;
+        let first = now + Duration::from_millis(7 * at as u64);
+        self.net.push(first, Event::Tick { at, run });
+    }
+
+    /// The daemons that are not known to be dead; who was killed or paused is
+    /// still in the view.
+    fn view(&self) -> View {
+        let member = |i: usize| {
+            let me = me(i, &self.net.names[i], self.net.processes[i].run);
+            Member {
+                instance: me.instance,
+                incarnation: me.incarnation,
+                refutation: 0,
+                state: match self.dead.contains(&i) {
+                    true => MemberState::Dead,
+                    false => MemberState::Alive,
+                },
+                zone: me.zone,
+                region: me.region,
+                peer_address: me.peer_address,
+                membership_address: me.membership_address,
+                config: ConfigMark::default(),
+            }
+        };
+        View::from_members((0..self.daemons.len()).map(member))
+    }
+
+    fn advance(&mut self, end: Timestamp) {
+        while let Some((now, event)) = self.net.pop(end) {
+            match event {
+                Event::Tick { at, run } => {
+                    if self.net.processes[at].run != run {
+                        continue;
+                    }
+                    if self.net.runs(at) {
+                        let view = self.view();
+                        let actions = self.daemons[at].sync.tick(now, &view);
+                        self.perform(now, at, actions);
+                    }
+                    self.net.push(now + TICK, Event::Tick { at, run });
+                }
+                Event::Message { from, to, message } => {
+                    if self.net.reaches(from, to) && self.without != "peers" {
+                        let from = me(from, &self.net.names[from], 1).instance;
+                        let actions = self.daemons[to].sync.receive(now, from, message);
+                        self.perform(now, to, actions);
+                    }
+                }
+                Event::Watched { at, call, after } => {
+                    if self.awaits(at, call) {
+                        self.watched(now, at, after);
+                    }
+                }
+                Event::Fetched {
+                    at,
+                    call,
+                    name,
+                    digest,
+                } => {
+                    if self.awaits(at, call) {
+                        self.fetched(now, at, &name, digest);
+                    }
+                }
+            }
+        }
+    }
+
+    fn awaits(&self, at: usize, call: u64) -> bool {
+        self.daemons[at].call == call && self.net.runs(at)
+    }
+
+    /// The failure with which the service answers every call, if it does.
+    fn failure(&self) -> Option<ServiceFailure> {
+        match self.mode {
+            Mode::Down => Some(ServiceFailure::Unavailable),
+            Mode::Refusing => Some(ServiceFailure::Refused),
+            _ => None,
+        }
+    }
+
+    fn watched(&mut self, now: Timestamp, at: usize, after: Revision) {
+        let failure = self.failure();
+        let daemon = &mut self.daemons[at];
+        if self.mode == Mode::Stale && self.without == "revision-check" {
+            // A driver without the rule puts whatever the service has in effect.
+            daemon.acceptance = Acceptance::default();
+            let files = self.files.clone();
+            self.accept(at, self.revision, &files);
+            return;
+        }
+        let actions = if let Some(failure) = failure {
+            daemon.sync.service_failed(now, failure)
+        } else if self.revision > after || self.mode == Mode::Stale {
+            let file = |(name, content): (&String, &Vec<u8>)| FileRef {
+                name: name.as_str().into(),
+                digest: Digest::of(content),
+                size: content.len() as u64,
+            };
+            let list = self.files.iter().map(file).collect();
+            daemon.sync.service_tree(now, self.revision, list)
+        } else {
+            daemon.watching = Some(after);
+            return;
+        };
+        self.perform(now, at, actions);
+    }
+
+    fn fetched(&mut self, now: Timestamp, at: usize, name: &str, digest: Digest) {
+        let content = self.files.get(name).cloned().unwrap_or_default();
+        let same = Digest::of(&content) == digest;
+        let failure = self.failure();
+        let daemon = &mut self.daemons[at];
+        let actions = match failure {
+            Some(failure) => daemon.sync.service_failed(now, failure),
+            None if self.mode == Mode::Torn => {
+                // A file of the next revision under the name that was asked for.
+                let other = folder("torn").remove(name).unwrap_or_default();
+                if self.without == "torn-read-check" && name == "20-patch.json" {
+                    let mut files = self.files.clone();
+                    files.insert(name.to_owned(), other);
+                    self.accept(at, self.revision, &files);
+                    return;
+                }
+                daemon.sync.service_file(now, name, other.into())
+            }
+            None if same => daemon.sync.service_file(now, name, content.into()),
+            None => daemon.sync.service_failed(now, ServiceFailure::FileChanged),
+        };
+        self.perform(now, at, actions);
+    }
+
+    /// Ends the watches that the present state of the service answers.
+    fn published(&mut self, now: Timestamp) {
+        for at in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[at];
+            let Some(after) = daemon.watching.take() else {
+                continue;
+            };
+            let call = daemon.call;
+            self.net
+                .push(now + SERVICE_DELAY, Event::Watched { at, call, after });
+        }
+    }
+
+    fn perform(&mut self, now: Timestamp, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Watch { after } => {
+                    let call = self.call(at);
+                    self.net
+                        .push(now + SERVICE_DELAY, Event::Watched { at, call, after });
+                }
+                Action::FetchFromService { name, digest } => {
+                    let call = self.call(at);
+                    let name = name.to_string();
+                    let event = Event::Fetched {
+                        at,
+                        call,
+                        name,
+                        digest,
+                    };
+                    self.net.push(now + SERVICE_DELAY, event);
+                }
+                Action::StopWatch => {
+                    self.call(at);
+                }
+                Action::Send { to, message } => {
+                    if let Some(to) = self.net.find(to.as_str()) {
+                        let from = at;
+                        self.net
+                            .push(now + DELAY, Event::Message { from, to, message });
+                    }
+                }
+                Action::Offer { revision, files } => self.offer(now, at, revision, files),
+                Action::RoleChanged(_)
+                | Action::Conflict { .. }
+                | Action::RefusedRevision { .. } => {}
+            }
+        }
+    }
+
+    fn call(&mut self, at: usize) -> u64 {
+        let daemon = &mut self.daemons[at];
+        daemon.watching = None;
+        daemon.call += 1;
+        daemon.call
+    }
+
+    fn offer(&mut self, now: Timestamp, at: usize, revision: Revision, files: Vec<File>) {
+        let pair = |f: File| (f.name.to_string(), f.bytes.to_vec());
+        let files: Files = files.into_iter().map(pair).collect();
+        let name = self.net.names[at].clone();
+        let offer = self.accept(at, revision, &files);
+        let sync = &mut self.daemons[at].sync;
+        let actions = match &offer {
+            Offer::Accepted(_) => {
+                self.outs
+                    .push(Out::new([&"inforce", &name, &revision]).optional());
+                sync.accepted(now, revision)
+            }
+            Offer::Invalid(_) if self.without == "validation" => {
+                self.daemons[at].inforce = revision;
+                self.daemons[at].sync.accepted(now, revision)
+            }
+            _ => {
+                self.outs
+                    .push(Out::new([&"invalid", &name, &revision]).optional());
+                sync.refused(now, revision, offer_name(&offer))
+            }
+        };
+        self.perform(now, at, actions);
+    }
+
+    /// Offers a revision to the aggregate and notes what is in effect then.
+    fn accept(&mut self, at: usize, revision: Revision, files: &Files) -> Offer {
+        let daemon = &mut self.daemons[at];
+        let same = daemon.inforce == revision;
+        if self.without == "revision-check" || (self.without == "conflict-check" && same) {
+            daemon.acceptance = Acceptance::default();
+        }
+        let offer = daemon.acceptance.offer(revision, files);
+        let current = daemon.acceptance.current().map(|a| a.revision);
+        let current = current.unwrap_or(daemon.inforce);
+        if current < daemon.inforce {
+            let (name, before) = (&self.net.names[at], daemon.inforce);
+            self.broken = Some(format!("{name} went back from {before} to {current}"));
+        }
+        daemon.inforce = current;
+        offer
+    }
+
+    fn change(&mut self, now: Timestamp, change: &Change) {
+        match *change {
+            Change::Restarted(i) => {
+                let run = self.net.processes[i].run;
+                self.daemons[i] = daemon(i, &self.net.names[i], run);
+                self.dead.remove(&i);
+                self.tick_at(now, i);
+            }
+            Change::Woken(i) => {
+                let actions = self.daemons[i].sync.woke(now);
+                self.perform(now, i, actions);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn offer_name(offer: &Offer) -> &'static str {
+    match offer {
+        Offer::Accepted(_) => "accepted",
+        Offer::Older => "older",
+        Offer::Same => "same",
+        Offer::Conflict => "conflict",
+        Offer::Invalid(_) => "invalid",
+    }
+}
--- /dev/null
+++ b/tools/scenario/src/machines/dispatch.rs
@@ -0,0 +1,490 @@
+//! Backend servers from their owners' point of view: one [`ServerQueue`] per
+//! owner and a driver that opens and closes connections.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jasminepond_dispatch::{
+    Cancelled, ConnId, Enqueue, Health, Lost, Next, NotRun, Outcome, ServerQueue, ServerState,
+    Settings, Work, WorkId,
+};
+use jasminepond_types::{Millis, Slots, Timestamp, Weight};
+
+use crate::{
+    Error,
+    args::Args,
+    machine::{Machine, Out, Spec, list},
+    run::show,
+};
+
+pub(crate) const SPEC: Spec = Spec {
+    name: "dispatch",
+    setup: &["owners", "warm"],
+    events: &[
+        "enqueue",
+        "connected",
+        "connect-failed",
+        "answered",
+        "progressed",
+        "closed",
+        "checked",
+        "cancel",
+        "leaving",
+        "returned",
+        "woke",
+        "next",
+        "serve",
+    ],
+    outputs: &[
+        "queued",
+        "refused",
+        "open",
+        "start",
+        "close",
+        "check",
+        "expire",
+        "lost",
+        "cancelled",
+        "served",
+        "dropped",
+        "idle",
+    ],
+    mechanisms: &[
+        "priority",
+        "starvation-share",
+        "fair-shares",
+        "deadline-check",
+        "queue-limit",
+        "progress-timeout",
+        "idle-check",
+        "circuit",
+        "drain",
+        "ramp",
+        "pause-check",
+        "once",
+    ],
+    new,
+};
+
+/// Far enough to switch a time limit off, near enough to add to a time.
+const NEVER: Duration = Duration::from_secs(1_000_000);
+
+/// More steps than any scenario needs before a queue is idle.
+const MAX_STEPS: usize = 10_000;
+
+struct Owner {
+    queue: ServerQueue,
+    names: BTreeMap<WorkId, String>,
+    /// Work on each connection.
+    busy: BTreeMap<ConnId, WorkId>,
+    conns: u64,
+}
+
+struct Owners {
+    without: String,
+    settings: Settings,
+    manual: bool,
+    owners: BTreeMap<String, Owner>,
+}
+
+fn new(args: &mut Args<'_>, without: Option<&str>) -> Result<Box<dyn Machine>, Error> {
+    let d = Settings::default();
+    let mut settings = Settings {
+        slots: args.key_parse("slots")?.map_or(d.slots, Slots),
+        connection_quota: args.key_parse("quota")?.unwrap_or(d.connection_quota),
+        queue_limit: args.key_parse("queue")?.unwrap_or(d.queue_limit),
+        warm_connections: args.key_parse("warm")?.unwrap_or(0),
+        initial_service: args.key_time("service")?.unwrap_or(d.initial_service),
+        ..d
+    };
+    let without = without.unwrap_or_default();
+    match without {
+        "starvation-share" => settings.starvation_share = u32::MAX,
+        "queue-limit" => settings.queue_limit = u32::MAX,
+        "progress-timeout" => settings.progress_floor = NEVER,
+        "idle-check" => settings.idle_check = NEVER,
+        "circuit" => settings.circuit_failures = u32::MAX,
+        _ => {}
+    }
+    let mut owners = Owners {
+        without: without.to_owned(),
+        settings,
+        manual: args.key_word("connect")? == Some("manual"),
+        owners: BTreeMap::new(),
+    };
+    owners.add("owner");
+    Ok(Box::new(owners))
+}
+
+impl Machine for Owners {
+    fn setup(&mut self, word: &str, args: &mut Args<'_>) -> Result<(), Error> {
+        if word == "warm" {
+            for owner in self.owners.values_mut() {
+                owner.warm(&self.settings);
+            }
+            return Ok(());
+        }
+        self.owners.clear();
+        while let Some(name) = args.opt_word() {
+            self.add(name);
+        }
+        Ok(())
+    }
+
+    fn event(
+        &mut self,
+        now: Timestamp,
+        word: &str,
+        args: &mut Args<'_>,
+    ) -> Result<Vec<Out>, Error> {
+        let on = args.key_word("on")?;
+        let first = self.owners.keys().next().cloned().unwrap_or_default();
+        let name = on.map_or(first, str::to_owned);
+        let Some(mut owner) = self.owners.remove(&name) else {
+            return Err(args.error("`on` naming an owner"));
+        };
+        let mut outs = self.apply(now, word, args, &mut owner)?;
+        self.pump(now, &mut owner, &mut outs);
+        self.owners.insert(name.clone(), owner);
+        if on.is_some() {
+            outs = outs.into_iter().map(|o| o.with("on", &name)).collect();
+        }
+        Ok(outs)
+    }
+
+    fn state(
+        &mut self,
+        now: Timestamp,
+        args: &mut Args<'_>,
+        key: &str,
+    ) -> Result<Option<String>, Error> {
+        let first = self.owners.keys().next().cloned().unwrap_or_default();
+        let name = args.opt_word().map_or(first, str::to_owned);
+        let Some(owner) = self.owners.get(&name) else {
+            return Err(args.error("an owner"));
+        };
+        let hint = owner.queue.hint();
+        let health = match hint.healthy {
+            Health::Ready => "ready",
+            Health::Ramping => "ramping",
+            Health::Failing => "failing",
+            Health::Down => "down",
+            Health::Draining => "draining",
+        };
+        Ok(match key {
+            "health" => Some(health.into()),
+            "slots" => Some(hint.slots.to_string()),
+            "running" => Some(hint.running.to_string()),
+            "queued" => Some(hint.queued.to_string()),
+            "connections" => Some(owner.queue.connections().to_string()),
+            "drained" => Some(owner.queue.is_drained().to_string()),
+            "idle" => Some(format!("{}ms", owner.queue.is_idle_for(now).as_millis())),
+            _ => None,
+        })
+    }
+}
+
+impl Owners {
+    fn add(&mut self, name: &str) {
+        let queue = ServerQueue::new(Timestamp::ZERO, self.settings.clone(), 1);
+        let owner = Owner {
+            queue,
+            names: BTreeMap::new(),
+            busy: BTreeMap::new(),
+            conns: 0,
+        };
+        self.owners.insert(name.into(), owner);
+    }
+
+    fn apply(
+        &mut self,
+        now: Timestamp,
+        word: &str,
+        args: &mut Args<'_>,
+        owner: &mut Owner,
+    ) -> Result<Vec<Out>, Error> {
+        let mut outs = Vec::new();
+        let queue = &mut owner.queue;
+        match word {
+            "enqueue" => outs = self.enqueue(now, args, owner)?,
+            "connected" => {
+                owner.conns += 1;
+                queue.connected(now, ConnId(owner.conns));
+            }
+            "connect-failed" => queue.connect_failed(now),
+            "answered" => outs.extend(self.answered(now, args, owner)?),
+            "progressed" => {
+                let conn = owner.conn(args)?;
+                owner.queue.progressed(now, conn);
+            }
+            "closed" => {
+                let conn = owner.conn(args)?;
+                outs.extend(owner.closed(now, conn));
+            }
+            "checked" => {
+                let conn = owner.conn(args)?;
+                let state = match args.one_of(&["ready", "starting", "draining"])? {
+                    "ready" => ServerState::Ready,
+                    "starting" => ServerState::Starting,
+                    _ => ServerState::Draining,
+                };
+                owner.queue.checked(now, conn, state);
+            }
+            "cancel" => {
+                let work = owner.work(args)?;
+                outs.push(match owner.queue.cancel(now, work) {
+                    Cancelled::Removed => Out::new([&"cancelled", &"removed"]),
+                    Cancelled::SendCancel { conn, via } => {
+                        let via = via.map_or("none".into(), |c| format!("c{c}"));
+                        let out = Out::new([&"cancelled", &"running", &format!("c{conn}")]);
+                        out.with("via", via)
+                    }
+                    Cancelled::Gone => Out::new([&"cancelled", &"gone"]),
+                });
+            }
+            "leaving" if self.without != "drain" => queue.set_draining(now),
+            "returned" => queue.set_ready(now),
+            "woke" if self.without != "pause-check" => queue.woke(now),
+            "serve" => outs = self.serve(now, args, owner)?,
+            _ => {}
+        }
+        Ok(outs)
+    }
+
+    fn enqueue(
+        &self,
+        now: Timestamp,
+        args: &mut Args<'_>,
+        owner: &mut Owner,
+    ) -> Result<Vec<Out>, Error> {
+        let range = args.word("work such as w1 or w1..w9")?;
+        let deadline = args
+            .key_time("deadline")?
+            .unwrap_or(Duration::from_secs(60));
+        let tenant = args.key_parse("tenant")?;
+        let class = args.key_parse("class")?.unwrap_or(0);
+        let weight = args.key_parse("weight")?.unwrap_or(1);
+        let once = args.opt_word() == Some("once");
+        let mut outs = Vec::new();
+        for name in expand(range).ok_or_else(|| args.error("work such as w1 or w1..w9"))? {
+            let id = owner.id(&name);
+            let same = "t".parse().expect("a valid id");
+            let deadline = match self.without.as_str() {
+                "deadline-check" => now + NEVER,
+                _ => now + deadline,
+            };
+            let work = Work {
+                id,
+                tenant: match (&tenant, self.without.as_str()) {
+                    (Some(tenant), other) if other != "fair-shares" => Clone::clone(tenant),
+                    _ => same,
+                },
+                weight: Weight(weight),
+                priority: if self.without == "priority" { 0 } else { class },
+                deadline,
+                idempotent: !once || self.without == "once",
+            };
+            outs.push(match owner.queue.enqueue(now, work) {
+                Enqueue::Queued => Out::new([&"queued", &name]).optional(),
+                Enqueue::Refused { kind, retry_after } => {
+                    Out::new([&"refused", &name, &kind]).with("retry", retry_after.0)
+                }
+            });
+        }
+        Ok(outs)
+    }
+
+    fn answered(
+        &self,
+        now: Timestamp,
+        args: &mut Args<'_>,
+        owner: &mut Owner,
+    ) -> Result<Option<Out>, Error> {
+        let conn = owner.conn(args)?;
+        let words = [
+            "done",
+            "failed",
+            "cancelled",
+            "shed",
+            "draining",
+            "starting",
+            "version",
+            "deadline",
+            "not-sent",
+        ];
+        let word = args.one_of(&words)?;
+        let retry_after = args.key_parse("retry")?.map(Millis);
+        let not_run = |reason| Outcome::NotRun {
+            reason,
+            retry_after,
+        };
+        let outcome = match word {
+            "done" => Outcome::Done,
+            "failed" => Outcome::Failed,
+            "cancelled" => Outcome::Cancelled,
+            "shed" => not_run(NotRun::Shed),
+            "draining" if self.without == "drain" => not_run(NotRun::Version),
+            "draining" => not_run(NotRun::Draining),
+            "starting" if self.without == "ramp" => not_run(NotRun::Version),
+            "starting" => not_run(NotRun::Starting),
+            "version" => not_run(NotRun::Version),
+            "deadline" => not_run(NotRun::Deadline),
+            _ => not_run(NotRun::NotSent),
+        };
+        let work = owner.queue.answered(now, conn, outcome);
+        let busy = owner.busy.remove(&conn);
+        let dropped = work.is_none() || work != busy;
+        let name = busy.and_then(|id| owner.names.get(&id));
+        let name = name.map_or("unknown", String::as_str);
+        Ok(dropped.then(|| Out::new([&"dropped", &name])))
+    }
+
+    /// Answers running work in turns until `n` pieces were started.
+    fn serve(
+        &self,
+        now: Timestamp,
+        args: &mut Args<'_>,
+        owner: &mut Owner,
+    ) -> Result<Vec<Out>, Error> {
+        let n: usize = args.parse("a number of pieces of work")?;
+        let each = args.key_time("each")?.unwrap_or(Duration::from_millis(10));
+        let mut served = Vec::new();
+        let mut outs = Vec::new();
+        let mut at = now;
+        for _ in 0..MAX_STEPS {
+            self.pump(at, owner, &mut outs);
+            for out in outs.drain(..).filter(|o| o.words[0] == "start") {
+                served.push(out.words[1].clone());
+            }
+            if served.len() >= n {
+                break;
+            }
+            at = at + each;
+            for conn in std::mem::take(&mut owner.busy).into_keys() {
+                owner.queue.answered(at, conn, Outcome::Done);
+            }
+        }
+        served.truncate(n);
+        Ok(vec![Out::new([&"served", &list(served)])])
+    }
+
+    /// Performs what the queue asks for until it is idle.
+    fn pump(&self, now: Timestamp, owner: &mut Owner, outs: &mut Vec<Out>) {
+        for _ in 0..MAX_STEPS {
+            match owner.queue.next(now) {
+                Next::Start { work, conn } => {
+                    owner.busy.insert(conn, work);
+                    outs.push(Out::new([
+                        &"start",
+                        &owner.names[&work],
+                        &format!("c{conn}"),
+                    ]));
+                }
+                Next::Open if self.manual => outs.push(Out::new([&"open"])),
+                Next::Open => {
+                    owner.conns += 1;
+                    outs.push(Out::new([&"open"]).optional());
+                    owner.queue.connected(now, ConnId(owner.conns));
+                }
+                Next::Close { conn } => {
+                    outs.push(Out::new([&"close", &format!("c{conn}")]));
+                    outs.extend(owner.closed(now, conn));
+                }
+                Next::Check { conn } => outs.push(Out::new([&"check", &format!("c{conn}")])),
+                Next::Expire { work, kind } => {
+                    outs.push(Out::new([&"expire", &owner.names[&work], &kind]));
+                }
+                Next::Idle { until } => {
+                    if let Some(until) = until {
+                        outs.push(Out::new([&"idle", &show(until)]).optional());
+                    }
+                    return;
+                }
+            }
+        }
+        outs.push(Out::new([&"idle", &"never"]));
+    }
+}
+
+impl Owner {
+    fn id(&mut self, name: &str) -> WorkId {
+        let known = self.names.iter().find(|(_, n)| *n == name);
+        if let Some((id, _)) = known {
+            return *id;
+        }
+        let id = WorkId(self.names.len() as u64 + 1);
+        self.names.insert(id, name.to_owned());
+        id
+    }
+
+    fn work(&self, args: &mut Args<'_>) -> Result<WorkId, Error> {
+        let missing = args.error("work that was enqueued");
+        let name = args.word("work")?;
+        let known = self.names.iter().find(|(_, n)| *n == name);
+        known.map(|(id, _)| *id).ok_or(missing)
+    }
+
+    /// A connection, named by itself (`c1`) or by the work on it.
+    fn conn(&self, args: &mut Args<'_>) -> Result<ConnId, Error> {
+        let missing = args.error("a connection such as c1, or work that runs");
+        let word = args.word("a connection or work")?;
+        let number = word.strip_prefix('c').and_then(|n| n.parse().ok());
+        let busy = |id: &WorkId| self.names.get(id).is_some_and(|name| name == word);
+        let on = self
+            .busy
+            .iter()
+            .find(|(_, id)| busy(id))
+            .map(|(conn, _)| *conn);
+        on.or(number).ok_or(missing)
+    }
+
+    fn closed(&mut self, now: Timestamp, conn: ConnId) -> Option<Out> {
+        let lost = self.queue.closed(now, conn);
+        self.busy.remove(&conn);
+        match lost {
+            Lost::Nothing => None,
+            Lost::Retry { work } => Some(Out::new([&"lost", &self.names[&work], &"retry"])),
+            Lost::Unknown { work } => Some(Out::new([&"lost", &self.names[&work], &"unknown"])),
+        }
+    }
+
+    /// Uses the server until all its slots are in use, at time zero.
+    fn warm(&mut self, settings: &Settings) {
+        let now = Timestamp::ZERO;
+        let mut next = 1_000_000;
+        while self.queue.hint().slots < settings.slots.get() {
+            next += 1;
+            let work = Work {
+                id: WorkId(next),
+                tenant: "t".parse().expect("a valid id"),
+                weight: Weight(1),
+                priority: 0,
+                deadline: now + NEVER,
+                idempotent: true,
+            };
+            self.queue.enqueue(now, work);
+            for _ in 0..MAX_STEPS {
+                match self.queue.next(now) {
+                    Next::Start { conn, .. } => {
+                        self.queue.answered(now, conn, Outcome::Done);
+                    }
+                    Next::Open => {
+                        self.conns += 1;
+                        self.queue.connected(now, ConnId(self.conns));
+                    }
+                    _ => break,
+                }
+            }
+        }
+    }
+}
+
+/// `w1..w3` stands for `w1`, `w2` and `w3`.
+fn expand(range: &str) -> Option<Vec<String>> {
+    let Some((first, last)) = range.split_once("..") else {
+        return Some(vec![range.to_owned()]);
+    };
+    let prefix = first.trim_end_matches(|c: char| c.is_ascii_digit());
+    let from: u32 = first[prefix.len()..].parse().ok()?;
+    let to: u32 = last.strip_prefix(prefix)?.parse().ok()?;
+    Some((from..=to).map(|n| format!("{prefix}{n}")).collect())
+}
--- /dev/null
+++ b/tools/scenario/src/machines/execute.rs
@@ -0,0 +1,590 @@
+//! Non-idempotent requests: several daemons, each with its [`KeyTable`] and
+//! [`Execution`]s, the links between them, and servers that count runs.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use jasminepond_query::{
+    Begin, Candidates, Choice, ExecuteChooser, ExecuteOutcome, ExecuteSettings, ExecuteStep,
+    Execution, ExecutionAttempt, KeyClass, KeyRing, KeySettings, KeyTable, RequestDigest,
+    RequestKey,
+};
+use jasminepond_types::{ErrorKind, Incarnation, Millis, ServerId, TenantId, Timestamp};
+
+use crate::{
+    Error,
+    args::Args,
+    machine::{Machine, Out, Spec},
+    run::show,
+};
+
+pub(crate) const SPEC: Spec = Spec {
+    name: "execute",
+    setup: &["daemon", "servers"],
+    events: &[
+        "issue", "request", "runs", "reply", "lose", "down", "up", "tick", "kill", "restart",
+        "pause", "wake", "cut", "heal",
+    ],
+    outputs: &["issued", "send", "join", "respond", "broken", "wait"],
+    mechanisms: &[
+        "key-table",
+        "forwarding",
+        "incarnation-check",
+        "expiry-check",
+        "unknown-after-send",
+        "pause-check",
+        "suspended-clock",
+    ],
+    new,
+};
+
+/// Time after which an execution without a usable server asks again.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
+
+struct Script<'a>(&'a BTreeSet<ServerId>);
+
+impl ExecuteChooser for Script<'_> {
+    fn choose(&mut self, now: Timestamp, candidates: Candidates<'_>) -> Choice {
+        let mut usable = candidates.iter().filter(|(_, id)| !self.0.contains(*id));
+        let until = now + ASK_AGAIN;
+        let wait = Choice::Wait { until };
+        usable.next().map_or(wait, |(index, _)| Choice::Use(index))
+    }
+
+    fn may_retry(&mut self, _: Timestamp, _: &ServerId) -> bool {
+        true
+    }
+}
+
+struct Run {
+    key: String,
+    execution: Execution,
+    /// Daemons through which callers wait for the outcome.
+    waiting: Vec<String>,
+    wait: Option<Timestamp>,
+}
+
+struct Daemon {
+    incarnation: u64,
+    table: KeyTable,
+    up: bool,
+    paused: bool,
+    /// When it was paused last.
+    paused_at: Timestamp,
+    /// How far a clock that stands still during a pause is behind.
+    behind: Duration,
+    runs: Vec<Run>,
+}
+
+struct Sent {
+    key: String,
+    server: ServerId,
+    daemon: String,
+    incarnation: u64,
+    attempt: ExecutionAttempt,
+}
+
+struct Tier {
+    without: String,
+    lifetime: Duration,
+    ring: KeyRing,
+    servers: Vec<ServerId>,
+    down: BTreeSet<ServerId>,
+    daemons: BTreeMap<String, Daemon>,
+    keys: HashMap<String, RequestKey>,
+    /// Issues execution ids to drivers that start what no table allows.
+    rogue: KeyTable,
+    cut: BTreeSet<(String, String)>,
+    sent: Vec<Sent>,
+    /// Runs per key at the servers.
+    ran: BTreeMap<String, u32>,
+    /// Sub-requests sent before a caller was told "not run", by index in `sent`.
+    not_run: BTreeMap<String, usize>,
+    broken: Option<String>,
+}
+
+fn new(args: &mut Args<'_>, without: Option<&str>) -> Result<Box<dyn Machine>, Error> {
+    let shared = "scenario-shared-key".parse().expect("a valid key");
+    let ring = KeyRing::new([shared]).expect("one key");
+    let lifetime = args.key_time("lifetime")?;
+    Ok(Box::new(Tier {
+        without: without.unwrap_or_default().to_owned(),
+        lifetime: lifetime.unwrap_or(Duration::from_secs(600)),
+        rogue: table("rogue", 0, Duration::from_secs(600), &ring),
+        ring,
+        servers: Vec::new(),
+        down: BTreeSet::new(),
+        daemons: BTreeMap::new(),
+        keys: HashMap::new(),
+        cut: BTreeSet::new(),
+        sent: Vec::new(),
+        ran: BTreeMap::new(),
+        not_run: BTreeMap::new(),
+        broken: None,
+    }))
+}
+
+fn table(name: &str, incarnation: u64, lifetime: Duration, ring: &KeyRing) -> KeyTable {
+    let settings = KeySettings {
+        lifetime,
+        ..KeySettings::default()
+    };
+    let name = name.parse().expect("a valid id");
+    let seed = [incarnation as u8; 32];
+    KeyTable::new(settings, name, Incarnation(incarnation), ring.clone(), seed)
+}
+
+fn tenant() -> TenantId {
+    "tenant".parse().expect("a valid id")
+}
+
+fn digest(operation: &str) -> RequestDigest {
+    let class = "class".parse().expect("a valid id");
+    let group = "group".parse().expect("a valid id");
+    RequestDigest::new(&tenant(), &class, &group, operation.as_bytes())
+}
+
+impl Machine for Tier {
+    fn setup(&mut self, word: &str, args: &mut Args<'_>) -> Result<(), Error> {
+        while args.done().is_err() {
+            if word == "servers" {
+                self.servers.push(args.parse("a server")?);
+                continue;
+            }
+            let name = args.word("a daemon")?;
+            let table = table(name, 1, self.lifetime, &self.ring);
+            let daemon = Daemon {
+                incarnation: 1,
+                table,
+                up: true,
+                paused: false,
+                paused_at: Timestamp::ZERO,
+                behind: Duration::ZERO,
+                runs: Vec::new(),
+            };
+            self.daemons.insert(name.into(), daemon);
+        }
+        Ok(())
+    }
+
+    fn event(
+        &mut self,
+        now: Timestamp,
+        word: &str,
+        args: &mut Args<'_>,
+    ) -> Result<Vec<Out>, Error> {
+        match word {
+            "issue" => self.issue(now, args),
+            "request" => self.request(now, args),
+            "runs" => {
+                let at = self.find_sent(args)?;
+                self.runs(at);
+                Ok(Vec::new())
+            }
+            "reply" => self.reply(now, args),
+            "lose" => self.lose(now, args),
+            "down" | "up" => {
+                while args.done().is_err() {
+                    let server = args.parse("a server")?;
+                    match word {
+                        "down" => self.down.insert(server),
+                        _ => self.down.remove(&server),
+                    };
+                }
+                Ok(Vec::new())
+            }
+            "cut" | "heal" => self.link(word, args),
+            "tick" => Ok(self.tick(now)),
+            _ => self.process(now, word, args),
+        }
+    }
+
+    fn state(
+        &mut self,
+        _: Timestamp,
+        args: &mut Args<'_>,
+        key: &str,
+    ) -> Result<Option<String>, Error> {
+        let name = args.word("a key")?;
+        let ran = self.ran.get(name).copied().unwrap_or(0);
+        let sent = self.sent.iter().filter(|s| s.key == name).count();
+        Ok(match key {
+            "ran" => Some(ran.to_string()),
+            "sent" => Some(sent.to_string()),
+            _ => None,
+        })
+    }
+
+    fn broken(&self) -> Option<String> {
+        self.broken.clone()
+    }
+
+    fn due(&self) -> Option<Timestamp> {
+        let running = self.daemons.values().filter(|d| d.up && !d.paused);
+        running.flat_map(|d| &d.runs).filter_map(|r| r.wait).min()
+    }
+}
+
+impl Tier {
+    fn issue(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
+        let daemon = args.word("a daemon")?;
+        let key = args.word("a name for the key")?;
+        let issued = self.daemons.get_mut(daemon);
+        let issued = issued.and_then(|d| d.table.issue(now, &tenant(), 1).ok());
+        let Some(issued) = issued.and_then(|mut keys| keys.pop()) else {
+            return Err(args.error("a daemon that can issue keys"));
+        };
+        self.keys.insert(key.into(), issued);
+        Ok(vec![Out::new([&"issued", &key]).optional()])
+    }
+
+    fn request(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
+        let via = args.word("a daemon")?;
+        let key = args.word("a key")?;
+        let operation = args.key_word("op")?.unwrap_or("op");
+        let limit = args.key_time("deadline")?;
+        let deadline = now + limit.unwrap_or(Duration::from_millis(250));
+        let unknown = args.error("a daemon and a key that exist");
+        let (Some(text), Some(daemon)) = (self.keys.get(key), self.daemons.get(via)) else {
+            return Err(unknown);
+        };
+        if !daemon.up {
+            return Ok(vec![Out::new([&"broken", &key]).with("via", via)]);
+        }
+        let issuer = match daemon.table.classify(text) {
+            KeyClass::Foreign {
+                instance,
+                incarnation,
+            } if self.without != "forwarding" => {
+                let name = instance.as_str();
+                let peer = self.daemons.get(name);
+                let reachable = peer
+                    .is_some_and(|p| p.up && !p.paused && p.incarnation == incarnation.get())
+                    && !self.is_cut(via, name);
+                if !reachable {
+                    return Ok(vec![self.respond(key, via, &unknown_outcome())]);
+                }
+                name.to_owned()
+            }
+            _ => via.to_owned(),
+        };
+        Ok(self.begin(now, &issuer, via, key, operation, deadline))
+    }
+
+    /// Decides about a request at the daemon that runs it.
+    fn begin(
+        &mut self,
+        now: Timestamp,
+        at: &str,
+        via: &str,
+        key: &str,
+        operation: &str,
+        deadline: Timestamp,
+    ) -> Vec<Out> {
+        let text = self.keys[key].clone();
+        let daemon = self.daemons.get_mut(at).expect("a known daemon");
+        let class = daemon.table.classify(&text);
+        let begin = daemon.table.begin(now, &text, &tenant(), digest(operation));
+        let begin = match (self.without.as_str(), &begin, &class) {
+            ("key-table", Begin::Join { .. } | Begin::Done(_), _)
+            | ("forwarding", Begin::Refused(_), KeyClass::Foreign { .. })
+            | ("incarnation-check", Begin::Refused(_), KeyClass::MineEarlierIncarnation)
+            | ("expiry-check", Begin::Refused(_), KeyClass::Mine) => {
+                let keys = self.rogue.issue(now, &tenant(), 1).expect("a key");
+                self.rogue
+                    .begin(now, &keys[0], &tenant(), digest(operation))
+            }
+            _ => begin,
+        };
+        match begin {
+            Begin::Run { execution } => {
+                let servers: Arc<[ServerId]> = self.servers.clone().into();
+                let settings = ExecuteSettings::default();
+                let mut run = Run {
+                    key: key.to_owned(),
+                    execution: Execution::new(execution, servers, deadline, settings),
+                    waiting: vec![via.to_owned()],
+                    wait: None,
+                };
+                let steps = run.execution.start(now, &mut Script(&self.down));
+                self.daemon(at).runs.push(run);
+                let last = self.daemon(at).runs.len() - 1;
+                self.steps(now, at, last, steps)
+            }
+            Begin::Join { execution } => {
+                let mut runs = self.daemon(at).runs.iter_mut();
+                if let Some(run) = runs.find(|r| r.execution.id() == execution) {
+                    run.waiting.push(via.to_owned());
+                }
+                vec![Out::new([&"join", &key]).with("via", via)]
+            }
+            Begin::Done(outcome) => vec![self.respond(key, via, &outcome)],
+            Begin::Refused(refusal) => {
+                vec![Out::new([&"respond", &key, &refusal.kind]).with("via", via)]
+            }
+        }
+    }
+
+    fn daemon(&mut self, name: &str) -> &mut Daemon {
+        self.daemons.get_mut(name).expect("a known daemon")
+    }
+
+    fn steps(
+        &mut self,
+        now: Timestamp,
+        at: &str,
+        index: usize,
+        steps: Vec<ExecuteStep>,
+    ) -> Vec<Out> {
+        let mut outs = Vec::new();
+        let mut finished = None;
+        let daemon = self.daemons.get_mut(at).expect("a known daemon");
+        let run = &mut daemon.runs[index];
+        for step in steps {
+            match step {
+                ExecuteStep::Send {
+                    attempt,
+                    server,
+                    left,
+                } => {
+                    let out = Out::new([&"send", &run.key, &server]);
+                    outs.push(out.with("from", at).with("left", left.0));
+                    self.sent.push(Sent {
+                        key: run.key.clone(),
+                        server,
+                        daemon: at.to_owned(),
+                        incarnation: daemon.incarnation,
+                        attempt,
+                    });
+                }
+                ExecuteStep::Wait { until } => {
+                    run.wait = Some(until);
+                    outs.push(Out::new([&"wait", &show(until)]).optional());
+                }
+                ExecuteStep::Finish(outcome) => finished = Some(outcome),
+            }
+        }
+        if let Some(outcome) = finished {
+            let run = daemon.runs.remove(index);
+            daemon
+                .table
+                .finish(now, run.execution.id(), outcome.clone());
+            for via in &run.waiting {
+                outs.push(self.respond(&run.key, via, &outcome));
+            }
+        }
+        outs
+    }
+
+    fn respond(&mut self, key: &str, via: &str, outcome: &ExecuteOutcome) -> Out {
+        let out =
+            |what: &dyn std::fmt::Display| Out::new([&"respond", &key, what]).with("via", via);
+        match outcome {
+            ExecuteOutcome::Done { result } => {
+                out(&"done").with("result", String::from_utf8_lossy(result))
+            }
+            ExecuteOutcome::NotRun { kind, retry_after } => {
+                self.not_run.insert(key.to_owned(), self.sent.len());
+                if self.ran.contains_key(key) {
+                    self.broken = Some(format!("{key} ran and was reported as not run"));
+                }
+                let retry = retry_after.map_or(0, |m| m.0);
+                out(&"not_run").with("kind", kind).with("retry", retry)
+            }
+            ExecuteOutcome::Unknown { .. } => out(&"unknown"),
+        }
+    }
+
+    /// A server runs a request that was sent to it.
+    fn runs(&mut self, at: usize) {
+        let key = self.sent[at].key.clone();
+        let ran = self.ran.entry(key.clone()).or_default();
+        *ran += 1;
+        if *ran > 1 {
+            self.broken = Some(format!("{key} ran {ran} times"));
+        } else if self.not_run.get(&key).is_some_and(|&sent| at < sent) {
+            self.broken = Some(format!("{key} ran after it was reported as not run"));
+        }
+    }
+
+    /// The last request sent to the server with the key.
+    fn find_sent(&self, args: &mut Args<'_>) -> Result<usize, Error> {
+        let missing = args.error("a server and a key that was sent to it");
+        let server = args.word("a server")?;
+        let key = args.word("a key")?;
+        let is = |s: &Sent| s.server.as_str() == server && s.key == key;
+        self.sent.iter().rposition(is).ok_or(missing)
+    }
+
+    fn reply(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
+        let at = self.find_sent(args)?;
+        let kinds: Vec<&str> = ErrorKind::ALL.iter().map(|k| k.as_str()).collect();
+        let words: Vec<&str> = ["done"].iter().chain(&kinds).copied().collect();
+        let word = args.one_of(&words)?;
+        let retry_after = args.key_parse::<u64>("retry")?.map(Millis);
+        let result = args.key_word("result")?.unwrap_or("ok").to_owned();
+        let outcome = match word.parse::<ErrorKind>() {
+            Err(_) => ExecuteOutcome::Done {
+                result: result.into(),
+            },
+            Ok(kind) => ExecuteOutcome::NotRun { kind, retry_after },
+        };
+        Ok(self.outcome(now, at, |e, attempt, chooser| {
+            e.on_outcome(now, chooser, attempt, outcome)
+        }))
+    }
+
+    /// Gives an outcome to the execution that sent the request, if it is still
+    /// there and its daemon runs.
+    fn outcome(
+        &mut self,
+        now: Timestamp,
+        at: usize,
+        event: impl FnOnce(&mut Execution, ExecutionAttempt, &mut Script<'_>) -> Vec<ExecuteStep>,
+    ) -> Vec<Out> {
+        let sent = &self.sent[at];
+        let (attempt, name) = (sent.attempt, sent.daemon.clone());
+        let daemon = self.daemons.get_mut(&name).expect("a known daemon");
+        let current = daemon.up && !daemon.paused && daemon.incarnation == sent.incarnation;
+        let is = |r: &Run| r.execution.id() == attempt.execution;
+        let Some(index) = daemon.runs.iter().position(is).filter(|_| current) else {
+            return Vec::new();
+        };
+        let script = &mut Script(&self.down);
+        let steps = event(&mut daemon.runs[index].execution, attempt, script);
+        self.steps(now, &name, index, steps)
+    }
+
+    /// The link to a server's owner breaks before or after the request left.
+    fn lose(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
+        let at = self.find_sent(args)?;
+        let unsent = args.one_of(&["sent", "unsent"])? == "unsent";
+        if unsent || self.without == "unknown-after-send" {
+            let outcome = ExecuteOutcome::NotRun {
+                kind: ErrorKind::NoBackend,
+                retry_after: None,
+            };
+            return Ok(self.outcome(now, at, |e, attempt, chooser| {
+                e.on_outcome(now, chooser, attempt, outcome)
+            }));
+        }
+        Ok(self.outcome(now, at, |e, attempt, _| e.on_link_lost(attempt)))
+    }
+
+    fn is_cut(&self, a: &str, b: &str) -> bool {
+        let cut = |a: &str, b: &str| self.cut.contains(&(a.to_owned(), b.to_owned()));
+        cut(a, b) || cut(b, a)
+    }
+
+    fn link(&mut self, word: &str, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
+        let (a, b) = (args.word("a daemon")?, args.word("a daemon")?);
+        if word == "heal" {
+            self.cut.remove(&(a.to_owned(), b.to_owned()));
+            return Ok(Vec::new());
+        }
+        self.cut.insert((a.to_owned(), b.to_owned()));
+        Ok([(a, b), (b, a)]
+            .into_iter()
+            .flat_map(|(at, via)| self.lose_waiting(at, |w| w == via))
+            .collect())
+    }
+
+    /// Callers that wait for `at` through other daemons get "unknown".
+    fn lose_waiting(&mut self, at: &str, lost: impl Fn(&str) -> bool) -> Vec<Out> {
+        let mut gone = Vec::new();
+        for run in &mut self.daemon(at).runs {
+            let lost = run.waiting.extract_if(.., |via| lost(via));
+            gone.extend(lost.map(|via| (run.key.clone(), via)));
+        }
+        let respond = |(key, via): (String, String)| self.respond(&key, &via, &unknown_outcome());
+        gone.into_iter().map(respond).collect()
+    }
+
+    fn tick(&mut self, now: Timestamp) -> Vec<Out> {
+        let mut outs = Vec::new();
+        for name in self.daemons.keys().cloned().collect::<Vec<_>>() {
+            let daemon = self.daemon(&name);
+            if !daemon.up || daemon.paused {
+                continue;
+            }
+            for index in (0..daemon.runs.len()).rev() {
+                outs.extend(self.tick_run(now, &name, index));
+            }
+        }
+        outs
+    }
+
+    fn tick_run(&mut self, now: Timestamp, name: &str, index: usize) -> Vec<Out> {
+        let daemon = self.daemons.get_mut(name).expect("a known daemon");
+        let run = &mut daemon.runs[index];
+        if run.wait.is_none_or(|at| at > now) {
+            return Vec::new();
+        }
+        run.wait = None;
+        let clock = now - daemon.behind;
+        let steps = run.execution.on_tick(clock, &mut Script(&self.down));
+        self.steps(now, name, index, steps)
+    }
+
+    fn process(
+        &mut self,
+        now: Timestamp,
+        word: &str,
+        args: &mut Args<'_>,
+    ) -> Result<Vec<Out>, Error> {
+        let name = args.word("a daemon")?;
+        if !self.daemons.contains_key(name) {
+            return Err(args.error("a daemon that exists"));
+        }
+        let mut outs = Vec::new();
+        match word {
+            "kill" => {
+                outs = self.lose_waiting(name, |via| via != name);
+                self.daemon(name).up = false;
+                self.daemon(name).runs.clear();
+            }
+            "restart" => {
+                let (lifetime, ring) = (self.lifetime, self.ring.clone());
+                let daemon = self.daemon(name);
+                daemon.incarnation += 1;
+                daemon.table = table(name, daemon.incarnation, lifetime, &ring);
+                (daemon.up, daemon.paused) = (true, false);
+            }
+            "pause" => {
+                let daemon = self.daemon(name);
+                (daemon.paused, daemon.paused_at) = (true, now);
+            }
+            _ => outs = self.wake(now, name),
+        }
+        Ok(outs)
+    }
+
+    /// After a pause, links are closed and nothing that waits is sent.
+    fn wake(&mut self, now: Timestamp, name: &str) -> Vec<Out> {
+        let mut outs = self.lose_waiting(name, |via| via != name);
+        let suspended = self.without == "suspended-clock";
+        let daemon = self.daemon(name);
+        daemon.paused = false;
+        if suspended {
+            daemon.behind = now.since(daemon.paused_at);
+        }
+        for index in (0..self.daemon(name).runs.len()).rev() {
+            if suspended || self.without == "pause-check" {
+                continue;
+            }
+            let steps = self.daemon(name).runs[index].execution.on_resumed();
+            outs.extend(self.steps(now, name, index, steps));
+        }
+        outs
+    }
+}
+
+fn unknown_outcome() -> ExecuteOutcome {
+    ExecuteOutcome::Unknown {
+        kind: ErrorKind::OutcomeUnknown,
+        detail: "the issuer cannot be reached".into(),
+    }
+}
--- /dev/null
+++ b/tools/scenario/src/machines/membership.rs
@@ -0,0 +1,321 @@
+//! Membership: one [`Membership`] per daemon, whose datagrams take 1 ms.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use jasminepond_membership::{
+    Me, Member, MemberState, Membership, Message, Output, ReportKind, Settings, View,
+};
+use jasminepond_types::{Incarnation, InstanceId, Timestamp};
+
+use crate::{
+    Error,
+    args::Args,
+    machine::{Machine, Out, Spec},
+    net::{Change, DELAY, Net, agreed},
+};
+
+pub(crate) const SPEC: Spec = Spec {
+    name: "membership",
+    setup: &["daemon"],
+    events: &[
+        "run", "leave", "report", "replay", "kill", "restart", "pause", "wake", "cut", "heal",
+    ],
+    outputs: &["superseded", "confirmed"],
+    mechanisms: &[
+        "incarnation-check",
+        "refutation",
+        "pause-check",
+        "reports",
+        "suspicion",
+    ],
+    new,
+};
+
+/// Time between two ticks of one daemon.
+const TICK: Duration = Duration::from_millis(50);
+
+enum Event {
+    Tick {
+        at: usize,
+        run: u64,
+    },
+    Message {
+        from: usize,
+        to: usize,
+        message: Box<Message>,
+    },
+}
+
+struct Daemons {
+    without: String,
+    settings: Settings,
+    net: Net<Event>,
+    members: Vec<Membership>,
+    /// The last datagram of each daemon, for `replay`.
+    last: BTreeMap<usize, Message>,
+    /// The last datagram of the run before.
+    old: BTreeMap<usize, Message>,
+    outs: Vec<Out>,
+    started: bool,
+    broken: Option<String>,
+}
+
+fn new(args: &mut Args<'_>, without: Option<&str>) -> Result<Box<dyn Machine>, Error> {
+    let without = without.unwrap_or_default().to_owned();
+    let mut settings = Settings::default();
+    if without == "suspicion" {
+        settings.suspicion_multiplier = 0;
+    }
+    if let Some(age) = args.key_time("forget")? {
+        settings.forget_after = age;
+    }
+    Ok(Box::new(Daemons {
+        without,
+        settings,
+        net: Net::new(),
+        members: Vec::new(),
+        last: BTreeMap::new(),
+        old: BTreeMap::new(),
+        outs: Vec::new(),
+        started: false,
+        broken: None,
+    }))
+}
+
+pub(crate) fn me(index: usize, name: &str, run: u64) -> Me {
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_000 + index as u16));
+    Me {
+        instance: name.parse().expect("a valid id"),
+        incarnation: Incarnation(run),
+        zone: format!("z{}", index % 2).parse().expect("a valid id"),
+        region: "r".parse().expect("a valid id"),
+        peer_address: address,
+        membership_address: address,
+    }
+}
+
+impl Machine for Daemons {
+    fn setup(&mut self, _: &str, args: &mut Args<'_>) -> Result<(), Error> {
+        while let Some(name) = args.opt_word() {
+            let index = self.net.add(name);
+            let me = me(index, name, 1);
+            let member = Membership::new(self.settings.clone(), me, index as u64);
+            self.members.push(member);
+        }
+        Ok(())
+    }
+
+    fn event(
+        &mut self,
+        now: Timestamp,
+        word: &str,
+        args: &mut Args<'_>,
+    ) -> Result<Vec<Out>, Error> {
+        self.start();
+        self.advance(now);
+        match word {
+            "run" => {}
+            "leave" => {
+                let i = self.net.index(args)?;
+                let out = self.members[i].leave(now);
+                self.perform(now, i, out);
+            }
+            "report" => {
+                let i = self.net.index(args)?;
+                let server = args.parse("a server")?;
+                let kind = match args.one_of(&["draining", "lost", "back"])? {
+                    "draining" => ReportKind::Draining,
+                    "lost" => ReportKind::Lost,
+                    _ => ReportKind::Back,
+                };
+                if self.without != "reports" {
+                    self.members[i].report(now, server, kind);
+                }
+            }
+            "replay" => {
+                let (from, to) = (self.net.index(args)?, self.net.index(args)?);
+                let missing = args.error("a daemon with an earlier run");
+                let mut message = self.old.get(&from).cloned().ok_or(missing)?;
+                if self.without == "incarnation-check" {
+                    message.from.incarnation = Incarnation(self.net.processes[from].run);
+                }
+                self.receive(now, from, to, message);
+            }
+            _ => {
+                let change = self.net.process(word, args)?;
+                self.change(now, &change);
+            }
+        }
+        Ok(std::mem::take(&mut self.outs))
+    }
+
+    fn state(
+        &mut self,
+        now: Timestamp,
+        args: &mut Args<'_>,
+        key: &str,
+    ) -> Result<Option<String>, Error> {
+        self.advance(now);
+        let named = self.net.named(args)?;
+        let about = key.rsplit_once(':').map_or(key, |(_, name)| name);
+        let others = named.into_iter().filter(|&i| self.net.names[i] != about);
+        let others: Vec<usize> = others.collect();
+        let values: Option<Vec<String>> = others
+            .into_iter()
+            .map(|i| self.value(now, i, key))
+            .collect();
+        Ok(values.map(agreed))
+    }
+
+    fn broken(&self) -> Option<String> {
+        self.broken.clone()
+    }
+}
+
+impl Daemons {
+    /// All daemons know each other at the start.
+    fn start(&mut self) {
+        if std::mem::replace(&mut self.started, true) {
+            return;
+        }
+        let view = View::from_members(self.members.iter().map(|m| m.me().clone()));
+        for i in 0..self.members.len() {
+            self.members[i].assume(&view);
+            self.seed(i);
+            self.tick_at(Timestamp::ZERO, i);
+        }
+    }
+
+    fn seed(&mut self, i: usize) {
+        let all = self.members.iter().map(|m| m.me().membership_address);
+        let all: Vec<SocketAddr> = all.collect();
+        self.members[i].seed(all);
+    }
+
+    /// Ticks are spread, as start times are in a running tier.
+    fn tick_at(&mut self, now: Timestamp, at: usize) {
+        let run = self.net.processes[at].run;
+        let first = now + Duration::from_millis(7 * at as u64);
+        self.net.push(first, Event::Tick { at, run });
+    }
+
+    fn advance(&mut self, end: Timestamp) {
+        while let Some((now, event)) = self.net.pop(end) {
+            match event {
+                Event::Tick { at, run } => {
+                    if self.net.processes[at].run != run || !self.net.processes[at].up {
+                        continue;
+                    }
+                    if self.net.runs(at) {
+                        let out = self.members[at].tick(now);
+                        self.perform(now, at, out);
+                    }
+                    self.net.push(now + TICK, Event::Tick { at, run });
+                }
+                Event::Message { from, to, message } => {
+                    if self.net.reaches(from, to) {
+                        self.receive(now, from, to, *message);
+                    }
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, now: Timestamp, from: usize, to: usize, mut message: Message) {
+        if self.without == "refutation" {
+            message.from.refutation = 0;
+            for record in &mut message.records {
+                record.0.refutation = 0;
+            }
+        }
+        let address = self.members[from].me().membership_address;
+        let before = self.incarnations(to);
+        let out = self.members[to].receive(now, address, message);
+        for (instance, run) in before {
+            let after = self.members[to].view().get(&instance);
+            if after.is_some_and(|m| m.incarnation < run) {
+                self.broken = Some(format!("{instance} fell below incarnation {run}"));
+            }
+        }
+        self.perform(now, to, out);
+    }
+
+    fn incarnations(&self, i: usize) -> Vec<(InstanceId, Incarnation)> {
+        let members = self.members[i].view().members();
+        let pair = |m: &std::sync::Arc<Member>| (m.instance.clone(), m.incarnation);
+        members.iter().map(pair).collect()
+    }
+
+    fn perform(&mut self, now: Timestamp, from: usize, outputs: Vec<Output>) {
+        let name = self.net.names[from].clone();
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => {
+                    let by_address = |m: &Membership| m.me().membership_address == to;
+                    let Some(to) = self.members.iter().position(by_address) else {
+                        continue;
+                    };
+                    self.last.insert(from, (*message).clone());
+                    let event = Event::Message { from, to, message };
+                    self.net.push(now + DELAY, event);
+                }
+                Output::Confirmed => {
+                    self.outs.push(Out::new([&"confirmed", &name]).optional());
+                }
+                Output::Superseded(_) => self.outs.push(Out::new([&"superseded", &name])),
+                Output::Changed(_) | Output::Report(_) => {}
+            }
+        }
+    }
+
+    fn change(&mut self, now: Timestamp, change: &Change) {
+        match *change {
+            Change::Restarted(i) => {
+                if let Some(last) = self.last.remove(&i) {
+                    self.old.insert(i, last);
+                }
+                let run = self.net.processes[i].run;
+                let me = me(i, &self.net.names[i], run);
+                self.members[i] = Membership::new(self.settings.clone(), me, run * 100 + i as u64);
+                self.seed(i);
+                self.tick_at(now, i);
+            }
+            Change::Woken(i) if self.without != "pause-check" => {
+                let out = self.members[i].woke(now);
+                self.perform(now, i, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// `NAME`, `incarnation:NAME`, `report:SERVER`, `confirmed`, `members`.
+    fn value(&self, now: Timestamp, i: usize, key: &str) -> Option<String> {
+        let member = &self.members[i];
+        let find = |name: &str| {
+            self.net.find(name)?;
+            let found = member.view().get(&name.parse::<InstanceId>().ok()?);
+            Some(found.cloned())
+        };
+        match key.split_once(':') {
+            Some(("incarnation", name)) => {
+                let found = find(name)?;
+                Some(found.map_or("none".into(), |m| m.incarnation.to_string()))
+            }
+            Some(("report", server)) => {
+                let mut reports = member.reports(now);
+                let found = reports.find(|r| r.server.as_str() == server);
+                Some(found.map_or("none".into(), |r| format!("{:?}", r.kind).to_lowercase()))
+            }
+            None if key == "confirmed" => Some(member.is_confirmed().to_string()),
+            None if key == "members" => {
+                let alive = member.view().in_state(MemberState::Alive);
+                Some(alive.count().to_string())
+            }
+            None => {
+                let found = find(key)?;
+                Some(found.map_or("none".into(), |m| format!("{:?}", m.state).to_lowercase()))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/tools/scenario/src/machines/mod.rs
@@ -0,0 +1,8 @@
+//! The machines: drivers around the decision crates.
+
+pub(crate) mod config;
+pub(crate) mod dispatch;
+pub(crate) mod execute;
+pub(crate) mod membership;
+pub(crate) mod routing;
+pub(crate) mod search;
--- /dev/null
+++ b/tools/scenario/src/main.rs
@@ -0,0 +1,35 @@
+//! Runs scenario files. Exit codes: 0 all passed, 1 an expectation failed,
+//! 2 a file or an argument cannot be read.
+
+use std::process::ExitCode;
+
+use jasminepond_scenario::{Options, main_with};
+use lexopt::prelude::*;
+
+const USAGE: &str = "usage: jasminepond-scenario [--list] FILE..";
+
+fn options() -> Result<Options, lexopt::Error> {
+    let mut options = Options::default();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("list") => options.list = true,
+            Value(file) => options.files.push(file.into()),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    if options.files.is_empty() {
+        return Err("no scenario file is given".into());
+    }
+    Ok(options)
+}
+
+fn main() -> ExitCode {
+    match options() {
+        Ok(options) => main_with(&options, |line| println!("{line}")).code().into(),
+        Err(error) => {
+            eprintln!("{error}\n{USAGE}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/tools/scenario/src/program.rs
@@ -0,0 +1,85 @@
+//! The program: arguments, files, exit codes.
+
+use std::{fs, path::PathBuf};
+
+use crate::{Problem, Scenario, run};
+
+/// What the program is asked to do.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// Scenario files.
+    pub files: Vec<PathBuf>,
+    /// Print a table row per scenario instead of running them.
+    pub list: bool,
+}
+
+/// How the program ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Every scenario passed: exit code 0.
+    Passed,
+    /// An expectation did not hold: exit code 1.
+    Failed,
+    /// A file could not be read or has a mistake: exit code 2.
+    Unreadable,
+}
+
+impl Outcome {
+    /// The exit code of the process.
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Passed => 0,
+            Self::Failed => 1,
+            Self::Unreadable => 2,
+        }
+    }
+}
+
+/// Runs or lists the files and hands each line of the result to `print`. The
+/// outcome is the worst of all files.
+pub fn main_with(options: &Options, mut print: impl FnMut(&str)) -> Outcome {
+    let mut worst = Outcome::Passed;
+    for file in &options.files {
+        let name = file.display().to_string();
+        let (text, outcome) = match fs::read_to_string(file) {
+            Ok(text) => one(&name, &text, options.list),
+            Err(e) => (format!("{name}: {e}"), Outcome::Unreadable),
+        };
+        print(&text);
+        if outcome.code() > worst.code() {
+            worst = outcome;
+        }
+    }
+    worst
+}
+
+fn one(name: &str, text: &str, list: bool) -> (String, Outcome) {
+    let scenario = match Scenario::parse(name, text) {
+        Ok(scenario) => scenario,
+        Err(error) => return (error.to_string(), Outcome::Unreadable),
+    };
+    if list {
+        return (row(name, &scenario), Outcome::Passed);
+    }
+    match run(&scenario) {
+        Ok(report) => {
+            let (cases, checks, without) = (report.cases, report.checks, report.without);
+            let text =
+                format!("ok {name}: {cases} cases, {checks} checks, fails without {without}");
+            (text, Outcome::Passed)
+        }
+        Err(Problem::Error(error)) => (error.to_string(), Outcome::Unreadable),
+        Err(Problem::Failure(failure)) => (format!("FAILED {failure}"), Outcome::Failed),
+    }
+}
+
+/// A row of the table in `docs/SCENARIOS.md`.
+fn row(name: &str, scenario: &Scenario) -> String {
+    let file = name.rsplit('/').next().unwrap_or(name);
+    let guarantees = scenario.guarantees.join(" ");
+    let faults = scenario.faults.join("; ");
+    let mechanisms: Vec<&str> = scenario.mechanisms().collect();
+    let mechanisms = mechanisms.join(", ");
+    let title = &scenario.title;
+    format!("| {guarantees} | `{file}` | {title} | {faults} | {mechanisms} |")
+}
--- /dev/null
+++ b/tools/scenario/src/run.rs
@@ -0,0 +1,228 @@
+//! Running a scenario.
+
+use std::{collections::VecDeque, time::Duration};
+
+use jasminepond_types::Timestamp;
+
+use crate::{
+    Error, Failure, Problem, Scenario,
+    args::Args,
+    machine::{Machine, Out},
+    scenario::{Case, Without},
+    syntax::Line,
+};
+
+/// What a passed scenario showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Report {
+    /// Rows of the table, or one.
+    pub cases: usize,
+    /// Expectations that held.
+    pub checks: usize,
+    /// Mechanisms without which the scenario failed, as it states.
+    pub without: usize,
+}
+
+/// Runs all rows of a scenario, then again without each mechanism that it
+/// names; there at least one row must fail with the stated message.
+///
+/// # Errors
+///
+/// The first expectation that does not hold, or an argument that cannot be read.
+pub fn run(scenario: &Scenario) -> Result<Report, Problem> {
+    let mut report = Report::default();
+    for case in &scenario.cases {
+        report.checks += Run::new(scenario, case, None)?.run()?;
+        report.cases += 1;
+    }
+    for without in &scenario.without {
+        run_without(scenario, without)?;
+        report.without += 1;
+    }
+    Ok(report)
+}
+
+fn run_without(scenario: &Scenario, without: &Without) -> Result<(), Problem> {
+    let mut came = Vec::new();
+    for case in &scenario.cases {
+        let run = Run::new(scenario, case, Some(&without.mechanism))?;
+        match run.run() {
+            Ok(_) => came.push("the scenario passed".to_owned()),
+            Err(Problem::Error(error)) => return Err(error.into()),
+            Err(Problem::Failure(failure)) => {
+                let text = format!("expected {}, came out: {}", failure.expected, failure.came);
+                if text.contains(&without.message) {
+                    return Ok(());
+                }
+                came.push(text);
+            }
+        }
+    }
+    let (mechanism, message) = (&without.mechanism, &without.message);
+    Err(Problem::Failure(Failure {
+        file: without.line.file.clone(),
+        line: without.line.number,
+        case: None,
+        expected: format!("a failure with {message:?} without {mechanism}"),
+        came: came.join("; "),
+        events: Vec::new(),
+    }))
+}
+
+struct Run<'a> {
+    case: &'a Case,
+    machine: Box<dyn Machine>,
+    now: Timestamp,
+    pending: VecDeque<Out>,
+    events: Vec<String>,
+    checks: usize,
+}
+
+impl<'a> Run<'a> {
+    fn new(scenario: &Scenario, case: &'a Case, without: Option<&str>) -> Result<Self, Error> {
+        let mut args = Args::new(&scenario.machine, 2);
+        let machine = (scenario.spec.new)(&mut args, without)?;
+        args.done()?;
+        Ok(Self {
+            case,
+            machine,
+            now: Timestamp::ZERO,
+            pending: VecDeque::new(),
+            events: Vec::new(),
+            checks: 0,
+        })
+    }
+
+    fn run(mut self) -> Result<usize, Problem> {
+        let lines = &self.case.lines;
+        for line in lines {
+            match line.tokens[0].to_string().as_str() {
+                "at" => self.event(line)?,
+                "expect" => self.expect(line)?,
+                "check" => self.check(line)?,
+                word => {
+                    let mut args = Args::new(line, 1);
+                    self.machine.setup(word, &mut args)?;
+                    args.done()?;
+                }
+            }
+        }
+        if let Some(line) = lines.last() {
+            self.nothing_left(line)?;
+        }
+        Ok(self.checks)
+    }
+
+    fn event(&mut self, line: &Line) -> Result<(), Problem> {
+        self.nothing_left(line)?;
+        let mut args = Args::new(line, 1);
+        let at = Timestamp::ZERO + args.time("a time")?;
+        if at < self.now {
+            let expected = format!("a time not before {}", show(self.now));
+            return Err(Args::new(line, 1).error(&expected).into());
+        }
+        if let Some(due) = self.machine.due()
+            && due < at
+        {
+            let expected = format!("`at {} tick` first, for the timer due then", show(due));
+            return Err(Args::new(line, 1).error(&expected).into());
+        }
+        self.now = at;
+        self.events.push(line.to_string());
+        let word = args.word("an event")?;
+        let outs = self.machine.event(at, word, &mut args)?;
+        args.done()?;
+        for out in &outs {
+            self.events.push(format!("  -> {out}"));
+        }
+        self.pending = outs.into();
+        match self.machine.broken() {
+            Some(broken) => Err(self.failure(line, "the guarantee to hold".into(), broken)),
+            None => Ok(()),
+        }
+    }
+
+    fn expect(&mut self, line: &Line) -> Result<(), Problem> {
+        let mut args = Args::new(line, 1);
+        let fields = args.keys();
+        let mut words = Vec::new();
+        while args.done().is_err() {
+            words.push(args.token("a word")?.value.to_string());
+        }
+        if words == ["nothing"] {
+            self.checks += 1;
+            return self.nothing_left(line);
+        }
+        while let Some(out) = self.pending.pop_front() {
+            if out.matches(&words, &fields) {
+                self.checks += 1;
+                return Ok(());
+            }
+            if !out.optional {
+                return Err(self.failure(line, after_first(line), out.to_string()));
+            }
+        }
+        Err(self.failure(line, after_first(line), "nothing".into()))
+    }
+
+    fn check(&mut self, line: &Line) -> Result<(), Problem> {
+        let fields = Args::new(line, 1).keys();
+        if fields.is_empty() {
+            return Err(Args::new(line, 1).error("name=value").into());
+        }
+        for (key, expected) in fields {
+            let mut args = Args::new(line, 1);
+            let Some(value) = self.machine.state(self.now, &mut args, key)? else {
+                let token = line.tokens.iter().find(|t| t.key.as_deref() == Some(key));
+                let column = token.map_or(1, |t| t.column);
+                let expected = "the name of a state, see docs/SCENARIOS.md".into();
+                return Err(line.error(column, expected, format!("`{key}`")).into());
+            };
+            args.keys();
+            args.done()?;
+            self.events.push(format!("{line}  -> {key}={value}"));
+            if value != expected {
+                return Err(self.failure(line, after_first(line), format!("{key}={value}")));
+            }
+            self.checks += 1;
+        }
+        Ok(())
+    }
+
+    fn nothing_left(&mut self, line: &Line) -> Result<(), Problem> {
+        let mut pending = std::mem::take(&mut self.pending).into_iter();
+        match pending.find(|out| !out.optional) {
+            Some(out) => Err(self.failure(line, "nothing more".into(), out.to_string())),
+            None => Ok(()),
+        }
+    }
+
+    fn failure(&self, line: &Line, expected: String, came: String) -> Problem {
+        Problem::Failure(Failure {
+            file: line.file.clone(),
+            line: line.number,
+            case: self.case.label.clone(),
+            expected,
+            came,
+            events: self.events.clone(),
+        })
+    }
+}
+
+fn after_first(line: &Line) -> String {
+    let words: Vec<String> = line.tokens[1..].iter().map(ToString::to_string).collect();
+    words.join(" ")
+}
+
+/// A time in the form of the language.
+pub(crate) fn show(at: Timestamp) -> String {
+    show_duration(at.since(Timestamp::ZERO))
+}
+
+pub(crate) fn show_duration(time: Duration) -> String {
+    let micros = time.as_micros();
+    match micros % 1_000 {
+        0 => format!("{}ms", micros / 1_000),
+        _ => format!("{micros}us"),
+    }
+}
--- /dev/null
+++ b/tools/scenario/tests/scenarios.rs
@@ -0,0 +1,126 @@
+//! Runs every scenario and guards the mistakes that the parser reports.
+
+use std::{fs, path::PathBuf};
+
+use jasminepond_scenario::{Options, Outcome, Problem, Scenario, main_with, run};
+use test_case::test_case;
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// Scenario files of a folder in order of name.
+fn files(folder: &str) -> Vec<PathBuf> {
+    let entries = fs::read_dir(root().join(folder)).unwrap();
+    let mut files: Vec<PathBuf> = entries.map(|e| e.unwrap().path()).collect();
+    files.retain(|f| f.extension().is_some_and(|e| e == "scn"));
+    files.sort();
+    files
+}
+
+fn outcome(files: Vec<PathBuf>) -> (Outcome, String) {
+    let mut text = String::new();
+    let options = Options { files, list: false };
+    let outcome = main_with(&options, |line| {
+        println!("{line}");
+        text.push_str(line);
+    });
+    (outcome, text)
+}
+
+/// Each file is one named check; a failure prints the name, the expectation
+/// and the events of every scenario that failed.
+#[test]
+fn every_scenario_passes() {
+    let files = files("scenarios");
+    assert!(!files.is_empty());
+    let (outcome, _) = outcome(files);
+    assert_eq!(outcome, Outcome::Passed);
+}
+
+/// A defect that was fixed must move its scenario out of `known-red`.
+#[test]
+fn known_red_scenarios_still_fail() {
+    for file in files("known-red") {
+        let name = file.display().to_string();
+        let (outcome, _) = outcome(vec![file]);
+        assert_eq!(outcome, Outcome::Failed, "{name}");
+    }
+}
+
+/// A scenario that no page lists is not found by whoever looks for a proof.
+#[test]
+fn the_page_lists_every_scenario() {
+    let page = fs::read_to_string(root().join("../../docs/SCENARIOS.md")).unwrap();
+    let all = [files("scenarios"), files("known-red")].concat();
+    let options = Options {
+        files: all,
+        list: true,
+    };
+    main_with(&options, |row| {
+        assert!(page.contains(row), "missing: {row}")
+    });
+}
+
+const HEAD: &str =
+    "scenario \"t\"\nguards P2\nmachine search deadline=250ms\nversion 42 shards a=[a1]\n";
+
+fn mistake(body: &str) -> String {
+    let text = format!("{HEAD}{body}");
+    let problem = match Scenario::parse("t.scn", &text) {
+        Err(error) => Problem::Error(error),
+        Ok(scenario) => run(&scenario).unwrap_err(),
+    };
+    problem.to_string()
+}
+
+#[test_case("at 0ms jump", "t.scn:5:8: expected one of start, answer, fail"; "unknown event")]
+#[test_case("at soon start", "t.scn:5:4: expected a time such as 250ms, found `soon`"; "no time")]
+#[test_case("at 0ms start now", "t.scn:5:14: expected the end of the line, found `now`"; "extra word")]
+#[test_case("at 0ms start\nexpect sent a a1", "t.scn:6:8: expected one of nothing, send"; "unknown output")]
+#[test_case("at 0ms start\nversion 41 shards a=[a1]", "t.scn:6:1: expected one of at, expect, check"; "late set-up")]
+#[test_case("at 0ms start\nexpect send a a1 v42\nat 1ms answer b1 v42", "t.scn:7:15: expected a server that was sent"; "unknown server")]
+#[test_case("at 0ms start\nexpect send a a1 v42\nat 1ms answer a1 41", "t.scn:7:18: expected a version such as v42, found `41`"; "no version")]
+#[test_case("version 41 shards a=[a1", "t.scn:5:24: expected a closing bracket, found the end of the line"; "open list")]
+#[test_case("fault \"lost", "t.scn:5:12: expected a closing quote, found the end of the line"; "open quote")]
+#[test_case("expect-without luck \"x\"", "t.scn:5:16: expected one of version-check"; "unknown mechanism")]
+#[test_case("table a\nrow 1\nat 0ms $b", "t.scn:7:8: expected a column of the table: `a`, found `$b`"; "unknown column")]
+#[test_case("table a b\nrow 1", "t.scn:6:6: expected a value for b, found the end of the line"; "short row")]
+#[test_case("at 0ms start\nexpect send a a1 v42\ncheck luck=1", "t.scn:7:7: expected the name of a state"; "unknown state")]
+#[test_case("at 5ms start\nexpect send a a1 v42\nat 4ms tick", "t.scn:7:4: expected a time not before 5ms, found `4ms`"; "time goes back")]
+#[test_case("at 0ms start\nexpect send a a1 v42\nat 300ms tick", "t.scn:7:4: expected `at 250ms tick` first"; "timer left out")]
+fn a_mistake_names_its_place(body: &str, message: &str) {
+    let came = mistake(body);
+    assert!(came.starts_with(message), "{came}");
+}
+
+/// A failed expectation must show enough to understand it without a debugger.
+#[test]
+fn a_failure_shows_expectation_output_and_events() {
+    let came = mistake("at 0ms start\nexpect send a a2 v42");
+    assert_eq!(
+        came,
+        "t.scn:6: expected send a a2 v42\n  came out: send a a1 v42 left=250\n  events so far:\n    \
+         at 0ms start\n      -> send a a1 v42 left=250\n      -> wait 250ms"
+    );
+}
+
+/// An output that no line expects is as wrong as a missing one.
+#[test]
+fn an_output_without_an_expectation_fails() {
+    let came = mistake("at 0ms start");
+    assert!(
+        came.contains("expected nothing more\n  came out: send a a1 v42"),
+        "{came}"
+    );
+}
+
+/// Otherwise `expect-without` would pass on a proof that cannot fail.
+#[test]
+fn a_proof_that_holds_without_its_mechanism_fails() {
+    let came = mistake(
+        "expect-without budget \"send\"\nat 0ms start\nexpect send a a1 v42\n\
+         at 1ms answer a1 v42\nexpect finish v42 answered=1",
+    );
+    assert!(came.contains("came out: the scenario passed"), "{came}");
+}
