--- a/tools/scenario/src/machines/dispatch.rs
+++ b/tools/scenario/src/machines/dispatch.rs
@@ -68,6 +68,9 @@
 /// Far enough to switch a time limit off, near enough to add to a time.
 const NEVER: Duration = Duration::from_secs(1_000_000);
 
+/// Time of the queue at time zero of the scenario, which leaves time for `warm`.
+const START: Duration = Duration::from_secs(10);
+
 /// More steps than any scenario needs before a queue is idle.
 const MAX_STEPS: usize = 10_000;
 
@@ -142,6 +145,7 @@
         let Some(mut owner) = self.owners.remove(&name) else {
             return Err(args.error("`on` naming an owner"));
         };
+        let now = now + START;
         let mut outs = self.apply(now, word, args, &mut owner)?;
         self.pump(now, &mut owner, &mut outs);
         self.owners.insert(name.clone(), owner);
@@ -177,7 +181,10 @@
             "queued" => Some(hint.queued.to_string()),
             "connections" => Some(owner.queue.connections().to_string()),
             "drained" => Some(owner.queue.is_drained().to_string()),
-            "idle" => Some(format!("{}ms", owner.queue.is_idle_for(now).as_millis())),
+            "idle" => Some(format!(
+                "{}ms",
+                owner.queue.is_idle_for(now + START).as_millis()
+            )),
             _ => None,
         })
     }
@@ -395,7 +402,7 @@
                 }
                 Next::Idle { until } => {
                     if let Some(until) = until {
-                        outs.push(Out::new([&"idle", &show(until)]).optional());
+                        outs.push(Out::new([&"idle", &show(until - START)]).optional());
                     }
                     return;
                 }
@@ -447,9 +454,9 @@
         }
     }
 
-    /// Uses the server until all its slots are in use, at time zero.
+    /// Uses the server until all its slots are in use.
     fn warm(&mut self, settings: &Settings) {
-        let now = Timestamp::ZERO;
+        let mut now = Timestamp::ZERO;
         let mut next = 1_000_000;
         while self.queue.hint().slots < settings.slots.get() {
             next += 1;
@@ -465,6 +472,7 @@
             for _ in 0..MAX_STEPS {
                 match self.queue.next(now) {
                     Next::Start { conn, .. } => {
+                        now = now + settings.initial_service;
                         self.queue.answered(now, conn, Outcome::Done);
                     }
                     Next::Open => {
--- a/tools/scenario/src/machines/execute.rs
+++ b/tools/scenario/src/machines/execute.rs
@@ -9,8 +9,8 @@
 
 use jasminepond_query::{
     Begin, Candidates, Choice, ExecuteChooser, ExecuteOutcome, ExecuteSettings, ExecuteStep,
-    Execution, ExecutionAttempt, KeyClass, KeyRing, KeySettings, KeyTable, RequestDigest,
-    RequestKey,
+    Execution, ExecutionAttempt, KeyClass, KeyRing, KeySettings, KeyTable, MissingReason,
+    RequestDigest, RequestKey,
 };
 use jasminepond_types::{ErrorKind, Incarnation, Millis, ServerId, TenantId, Timestamp};
 
@@ -50,8 +50,11 @@
     fn choose(&mut self, now: Timestamp, candidates: Candidates<'_>) -> Choice {
         let mut usable = candidates.iter().filter(|(_, id)| !self.0.contains(*id));
         let until = now + ASK_AGAIN;
-        let wait = Choice::Wait { until };
-        usable.next().map_or(wait, |(index, _)| Choice::Use(index))
+        match usable.next() {
+            Some((index, _)) => Choice::Use(index),
+            None if candidates.iter().next().is_some() => Choice::Wait { until },
+            None => Choice::None(MissingReason::NoReplica),
+        }
     }
 
     fn may_retry(&mut self, _: Timestamp, _: &ServerId) -> bool {
--- a/tools/scenario/src/machines/search.rs
+++ b/tools/scenario/src/machines/search.rs
@@ -294,7 +294,7 @@
 
     /// The attempt that a result names: the last one sent to the server, or the
     /// one with the given number, counted per server from 1.
-    fn attempt(&self, id: u64, args: &mut Args<'_>) -> Result<(AttemptId, u32), Error> {
+    fn attempt(&self, id: u64, args: &mut Args<'_>) -> Result<(AttemptId, ServerId, u32), Error> {
         let number: Option<usize> = args.key_parse("attempt")?;
         let missing = args.error("a server that was sent a sub-request");
         let server = args.word("a server")?;
@@ -304,11 +304,13 @@
             Some(number) => to.nth(number.saturating_sub(1)),
             None => to.next_back(),
         };
-        found.map(|s| (s.id, s.link)).ok_or(missing)
+        found
+            .map(|s| (s.id, s.server.clone(), s.link))
+            .ok_or(missing)
     }
 
     fn answer(&mut self, now: Timestamp, id: u64, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
-        let (mut attempt, link) = self.attempt(id, args)?;
+        let (mut attempt, server, link) = self.attempt(id, args)?;
         let mut version = Version(args.numbered('v', "a version such as v42")?);
         let to = args.key_parse("to")?.unwrap_or(id);
         let count = args.key_parse("count")?.unwrap_or(0);
@@ -316,16 +318,6 @@
         let Some(running) = self.running.get_mut(&to) else {
             return Err(args.error("`to` naming a started search"));
         };
-        let server = |s: &&mut Sent| s.id == attempt;
-        let Some(server) = running
-            .sent
-            .iter_mut()
-            .find(server)
-            .map(|s| s.server.clone())
-        else {
-            let part = attempt.part;
-            return Err(args.error(&format!("a search that has a sub-request {part}")));
-        };
         if to != id && self.without == "search-check" {
             attempt.search = QueryId(to);
         }
@@ -360,7 +352,7 @@
     }
 
     fn fail(&mut self, now: Timestamp, id: u64, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
-        let (attempt, _) = self.attempt(id, args)?;
+        let (attempt, ..) = self.attempt(id, args)?;
         let names: Vec<&str> = FAILURES.iter().map(|(name, _)| *name).collect();
         let name = args.one_of(&names)?;
         let failure = FAILURES.iter().find(|(n, _)| *n == name).map(|(_, f)| *f);
--- a/tools/scenario/src/run.rs
+++ b/tools/scenario/src/run.rs
@@ -42,23 +42,23 @@
     Ok(report)
 }
 
+/// Runs on after a failure, so that the message can be about its consequence,
+/// such as a second run, and not only about the first output that differs.
 fn run_without(scenario: &Scenario, without: &Without) -> Result<(), Problem> {
     let mut came = Vec::new();
     for case in &scenario.cases {
         let run = Run::new(scenario, case, Some(&without.mechanism))?;
-        match run.run() {
-            Ok(_) => came.push("the scenario passed".to_owned()),
-            Err(Problem::Error(error)) => return Err(error.into()),
-            Err(Problem::Failure(failure)) => {
-                let text = format!("expected {}, came out: {}", failure.expected, failure.came);
-                if text.contains(&without.message) {
-                    return Ok(());
-                }
-                came.push(text);
-            }
-        }
+        let failures = run.failures()?;
+        let text = |f: &Failure| format!("expected {}, came out: {}", f.expected, f.came);
+        came.extend(failures.iter().map(text));
     }
     let (mechanism, message) = (&without.mechanism, &without.message);
+    if came.iter().any(|text| text.contains(message)) {
+        return Ok(());
+    }
+    if came.is_empty() {
+        came.push("the scenario passed".into());
+    }
     Err(Problem::Failure(Failure {
         file: without.line.file.clone(),
         line: without.line.number,
@@ -72,6 +72,8 @@
 struct Run<'a> {
     case: &'a Case,
     machine: Box<dyn Machine>,
+    /// Whether a mechanism is switched off.
+    without: bool,
     now: Timestamp,
     pending: VecDeque<Out>,
     events: Vec<String>,
@@ -86,6 +88,7 @@
         Ok(Self {
             case,
             machine,
+            without: without.is_some(),
             now: Timestamp::ZERO,
             pending: VecDeque::new(),
             events: Vec::new(),
@@ -95,38 +98,75 @@
 
     fn run(mut self) -> Result<usize, Problem> {
         let lines = &self.case.lines;
-        for line in lines {
-            match line.tokens[0].to_string().as_str() {
-                "at" => self.event(line)?,
-                "expect" => self.expect(line)?,
-                "check" => self.check(line)?,
-                word => {
-                    let mut args = Args::new(line, 1);
-                    self.machine.setup(word, &mut args)?;
-                    args.done()?;
-                }
-            }
-        }
+        lines.iter().try_for_each(|line| self.line(line))?;
         if let Some(line) = lines.last() {
             self.nothing_left(line)?;
         }
         Ok(self.checks)
     }
 
+    /// Runs all lines and returns every failure. What cannot be read after a
+    /// failure, such as an answer to what was never sent, ends the run.
+    fn failures(mut self) -> Result<Vec<Failure>, Error> {
+        let mut failures = Vec::new();
+        for line in &self.case.lines {
+            match self.line(line) {
+                Ok(()) => {}
+                Err(Problem::Failure(failure)) => failures.push(failure),
+                Err(Problem::Error(_)) if !failures.is_empty() => return Ok(failures),
+                Err(Problem::Error(error)) => return Err(error),
+            }
+        }
+        if let Some(Err(Problem::Failure(failure))) =
+            self.case.lines.last().map(|line| self.nothing_left(line))
+        {
+            failures.push(failure);
+        }
+        Ok(failures)
+    }
+
+    fn line(&mut self, line: &Line) -> Result<(), Problem> {
+        match line.tokens[0].to_string().as_str() {
+            "at" => self.event(line),
+            "expect" => self.expect(line),
+            "check" => self.check(line),
+            word => {
+                let mut args = Args::new(line, 1);
+                self.machine.setup(word, &mut args)?;
+                Ok(args.done()?)
+            }
+        }
+    }
+
     fn event(&mut self, line: &Line) -> Result<(), Problem> {
-        self.nothing_left(line)?;
+        let left = self.nothing_left(line);
+        if !self.without {
+            left?;
+            self.named_timers(line)?;
+            return self.apply(line);
+        }
+        self.apply(line).and(left)
+    }
+
+    /// An event later than a timer that is due needs a `tick` first.
+    fn named_timers(&self, line: &Line) -> Result<(), Error> {
+        let at = Timestamp::ZERO + Args::new(line, 1).time("a time")?;
+        match self.machine.due() {
+            Some(due) if due < at => {
+                let expected = format!("`at {} tick` first, for the timer due then", show(due));
+                Err(Args::new(line, 1).error(&expected))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn apply(&mut self, line: &Line) -> Result<(), Problem> {
         let mut args = Args::new(line, 1);
         let at = Timestamp::ZERO + args.time("a time")?;
         if at < self.now {
             let expected = format!("a time not before {}", show(self.now));
             return Err(Args::new(line, 1).error(&expected).into());
         }
-        if let Some(due) = self.machine.due()
-            && due < at
-        {
-            let expected = format!("`at {} tick` first, for the timer due then", show(due));
-            return Err(Args::new(line, 1).error(&expected).into());
-        }
         self.now = at;
         self.events.push(line.to_string());
         let word = args.word("an event")?;
