--- a/tools/scenario/src/machines/config.rs
+++ b/tools/scenario/src/machines/config.rs
@@ -86,13 +86,13 @@
     inforce: Revision,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 enum Mode {
     Up,
     Down,
     Refusing,
-    /// Answers every watch at once with the revision that it has.
-    Stale,
+    /// Answers every watch at once with this revision.
+    Stale(Revision, Files),
     /// The list and the files are of different revisions.
     Torn,
 }
@@ -102,7 +102,8 @@
     net: Net<Event>,
     daemons: Vec<Daemon>,
     dead: BTreeSet<usize>,
-    mode: Mode,
+    /// How the service answers each daemon.
+    modes: Vec<Mode>,
     revision: Revision,
     files: Files,
     outs: Vec<Out>,
@@ -116,7 +117,7 @@
         net: Net::new(),
         daemons: Vec::new(),
         dead: BTreeSet::new(),
-        mode: Mode::Up,
+        modes: Vec::new(),
         revision: Revision(0),
         files: Files::new(),
         outs: Vec::new(),
@@ -154,6 +155,7 @@
             let index = self.net.add(name);
             self.net.processes[index].up = word == "daemon";
             self.daemons.push(daemon(index, name, 1));
+            self.modes.push(Mode::Up);
         }
         Ok(())
     }
@@ -176,13 +178,25 @@
                 self.published(now);
             }
             "service" => {
-                self.mode = match args.one_of(&["up", "down", "refusing", "stale", "torn"])? {
+                let mode = match args.one_of(&["up", "down", "refusing", "stale", "torn"])? {
                     "up" => Mode::Up,
                     "down" => Mode::Down,
                     "refusing" => Mode::Refusing,
-                    "stale" => Mode::Stale,
+                    "stale" => {
+                        let revision = Revision(args.parse("a revision")?);
+                        Mode::Stale(revision, folder(args.word("a content")?))
+                    }
                     _ => Mode::Torn,
                 };
+                let to = match args.done() {
+                    Ok(()) => &self.net.names.clone()[..],
+                    Err(_) => args.list("a list of daemons")?,
+                };
+                for name in to {
+                    let at = self.net.find(name);
+                    let at = at.ok_or_else(|| args.error("a list of daemons that exist"))?;
+                    self.modes[at] = mode.clone();
+                }
                 self.published(now);
             }
             "offer" => {
@@ -318,34 +332,41 @@
     }
 
     /// The failure with which the service answers every call, if it does.
-    fn failure(&self) -> Option<ServiceFailure> {
-        match self.mode {
+    fn failure(&self, at: usize) -> Option<ServiceFailure> {
+        match self.modes[at] {
             Mode::Down => Some(ServiceFailure::Unavailable),
             Mode::Refusing => Some(ServiceFailure::Refused),
             _ => None,
         }
     }
 
+    /// What the service has, as the daemon sees it.
+    fn service(&self, at: usize) -> (Revision, Files) {
+        match &self.modes[at] {
+            Mode::Stale(revision, files) => (*revision, files.clone()),
+            _ => (self.revision, self.files.clone()),
+        }
+    }
+
     fn watched(&mut self, now: Timestamp, at: usize, after: Revision) {
-        let failure = self.failure();
-        let daemon = &mut self.daemons[at];
-        if self.mode == Mode::Stale && self.without == "revision-check" {
+        let failure = self.failure(at);
+        let (revision, files) = self.service(at);
+        let stale = matches!(self.modes[at], Mode::Stale(..));
+        if stale && self.without == "revision-check" {
             // A driver without the rule puts whatever the service has in effect.
-            daemon.acceptance = Acceptance::default();
-            let files = self.files.clone();
-            self.accept(at, self.revision, &files);
-            return;
+            self.accept(at, revision, &files);
         }
+        let daemon = &mut self.daemons[at];
         let actions = if let Some(failure) = failure {
             daemon.sync.service_failed(now, failure)
-        } else if self.revision > after || self.mode == Mode::Stale {
+        } else if revision > after || stale {
             let file = |(name, content): (&String, &Vec<u8>)| FileRef {
                 name: name.as_str().into(),
                 digest: Digest::of(content),
                 size: content.len() as u64,
             };
-            let list = self.files.iter().map(file).collect();
-            daemon.sync.service_tree(now, self.revision, list)
+            let list = files.iter().map(file).collect();
+            daemon.sync.service_tree(now, revision, list)
         } else {
             daemon.watching = Some(after);
             return;
@@ -354,24 +375,24 @@
     }
 
     fn fetched(&mut self, now: Timestamp, at: usize, name: &str, digest: Digest) {
-        let content = self.files.get(name).cloned().unwrap_or_default();
-        let same = Digest::of(&content) == digest;
-        let failure = self.failure();
+        let failure = self.failure(at);
+        let (revision, mut files) = self.service(at);
+        if self.modes[at] == Mode::Torn && name == "20-patch.json" {
+            // A file of another revision under the name that was asked for.
+            files.extend(folder("torn"));
+            if self.without == "torn-read-check" {
+                self.accept(at, revision, &files);
+                return;
+            }
+        }
+        let content = files.remove(name).unwrap_or_default();
+        let torn = self.modes[at] == Mode::Torn;
         let daemon = &mut self.daemons[at];
         let actions = match failure {
             Some(failure) => daemon.sync.service_failed(now, failure),
-            None if self.mode == Mode::Torn => {
-                // A file of the next revision under the name that was asked for.
-                let other = folder("torn").remove(name).unwrap_or_default();
-                if self.without == "torn-read-check" && name == "20-patch.json" {
-                    let mut files = self.files.clone();
-                    files.insert(name.to_owned(), other);
-                    self.accept(at, self.revision, &files);
-                    return;
-                }
-                daemon.sync.service_file(now, name, other.into())
+            None if torn || Digest::of(&content) == digest => {
+                daemon.sync.service_file(now, name, content.into())
             }
-            None if same => daemon.sync.service_file(now, name, content.into()),
             None => daemon.sync.service_failed(now, ServiceFailure::FileChanged),
         };
         self.perform(now, at, actions);
--- a/tools/scenario/src/machines/dispatch.rs
+++ b/tools/scenario/src/machines/dispatch.rs
@@ -71,6 +71,9 @@
 /// Time of the queue at time zero of the scenario, which leaves time for `warm`.
 const START: Duration = Duration::from_secs(10);
 
+/// Requests of `warm`; enough for every estimate of the queue.
+const WARM_REQUESTS: u64 = 100;
+
 /// More steps than any scenario needs before a queue is idle.
 const MAX_STEPS: usize = 10_000;
 
@@ -454,11 +457,13 @@
         }
     }
 
-    /// Uses the server until all its slots are in use.
+    /// Uses the server until all its slots are in use and its service time is
+    /// known well enough for a progress timeout.
     fn warm(&mut self, settings: &Settings) {
         let mut now = Timestamp::ZERO;
-        let mut next = 1_000_000;
-        while self.queue.hint().slots < settings.slots.get() {
+        let first = 1_000_000;
+        let mut next = first;
+        while next < first + WARM_REQUESTS || self.queue.hint().slots < settings.slots.get() {
             next += 1;
             let work = Work {
                 id: WorkId(next),
