--- a/tools/scenario/src/machines/config.rs
+++ b/tools/scenario/src/machines/config/mod.rs
@@ -1,13 +1,13 @@
 //! Configuration: one [`Sync`] and one [`Acceptance`] per daemon, a service
 //! that answers after 2 ms, and peer messages that take 1 ms.
 
+mod service;
+
 use std::{collections::BTreeSet, time::Duration};
 
 use jasminepond_config::{Acceptance, Files, Offer};
 use jasminepond_membership::{ConfigMark, Member, MemberState, View};
-use jasminepond_sync::{
-    Action, Digest, File, FileRef, ServiceFailure, Settings, Source, Sync, SyncMessage,
-};
+use jasminepond_sync::{Action, Digest, File, Settings, Source, Sync, SyncMessage};
 use jasminepond_types::{Revision, Timestamp};
 
 use super::membership::me;
@@ -20,7 +20,7 @@
 
 pub(crate) const SPEC: Spec = Spec {
     name: "config",
-    setup: &["daemon", "late"],
+    setup: &["daemon", "late", "seed"],
     events: &[
         "run", "publish", "service", "offer", "dead", "kill", "restart", "pause", "wake", "cut",
         "heal",
@@ -99,6 +99,8 @@
 
 struct Tier {
     without: String,
+    /// Part of the seed of every daemon.
+    seed: u64,
     net: Net<Event>,
     daemons: Vec<Daemon>,
     dead: BTreeSet<usize>,
@@ -114,6 +116,7 @@
 fn new(_: &mut Args<'_>, without: Option<&str>) -> Result<Box<dyn Machine>, Error> {
     Ok(Box::new(Tier {
         without: without.unwrap_or_default().to_owned(),
+        seed: 0,
         net: Net::new(),
         daemons: Vec::new(),
         dead: BTreeSet::new(),
@@ -138,8 +141,8 @@
     Files::from([file("10-base.json", BASE), file("20-patch.json", &patch)])
 }
 
-fn daemon(index: usize, name: &str, run: u64) -> Daemon {
-    let seed = run * 100 + index as u64;
+fn daemon(index: usize, name: &str, run: u64, seed: u64) -> Daemon {
+    let seed = seed * 10_000 + run * 100 + index as u64;
     Daemon {
         sync: Sync::new(Settings::default(), me(index, name, run), seed),
         acceptance: Acceptance::default(),
@@ -151,10 +154,13 @@
 
 impl Machine for Tier {
     fn setup(&mut self, word: &str, args: &mut Args<'_>) -> Result<(), Error> {
+        if word == "seed" {
+            self.seed = args.parse("a number")?;
+        }
         while let Some(name) = args.opt_word() {
             let index = self.net.add(name);
             self.net.processes[index].up = word == "daemon";
-            self.daemons.push(daemon(index, name, 1));
+            self.daemons.push(daemon(index, name, 1, self.seed));
             self.modes.push(Mode::Up);
         }
         Ok(())
@@ -331,86 +337,6 @@
         self.daemons[at].call == call && self.net.runs(at)
     }
 
-    /// The failure with which the service answers every call, if it does.
-    fn failure(&self, at: usize) -> Option<ServiceFailure> {
-        match self.modes[at] {
-            Mode::Down => Some(ServiceFailure::Unavailable),
-            Mode::Refusing => Some(ServiceFailure::Refused),
-            _ => None,
-        }
-    }
-
-    /// What the service has, as the daemon sees it.
-    fn service(&self, at: usize) -> (Revision, Files) {
-        match &self.modes[at] {
-            Mode::Stale(revision, files) => (*revision, files.clone()),
-            _ => (self.revision, self.files.clone()),
-        }
-    }
-
-    fn watched(&mut self, now: Timestamp, at: usize, after: Revision) {
-        let failure = self.failure(at);
-        let (revision, files) = self.service(at);
-        let stale = matches!(self.modes[at], Mode::Stale(..));
-        if stale && self.without == "revision-check" {
-            // A driver without the rule puts whatever the service has in effect.
-            self.accept(at, revision, &files);
-        }
-        let daemon = &mut self.daemons[at];
-        let actions = if let Some(failure) = failure {
-            daemon.sync.service_failed(now, failure)
-        } else if revision > after || stale {
-            let file = |(name, content): (&String, &Vec<u8>)| FileRef {
-                name: name.as_str().into(),
-                digest: Digest::of(content),
-                size: content.len() as u64,
-            };
-            let list = files.iter().map(file).collect();
-            daemon.sync.service_tree(now, revision, list)
-        } else {
-            daemon.watching = Some(after);
-            return;
-        };
-        self.perform(now, at, actions);
-    }
-
-    fn fetched(&mut self, now: Timestamp, at: usize, name: &str, digest: Digest) {
-        let failure = self.failure(at);
-        let (revision, mut files) = self.service(at);
-        if self.modes[at] == Mode::Torn && name == "20-patch.json" {
-            // A file of another revision under the name that was asked for.
-            files.extend(folder("torn"));
-            if self.without == "torn-read-check" {
-                self.accept(at, revision, &files);
-                return;
-            }
-        }
-        let content = files.remove(name).unwrap_or_default();
-        let torn = self.modes[at] == Mode::Torn;
-        let daemon = &mut self.daemons[at];
-        let actions = match failure {
-            Some(failure) => daemon.sync.service_failed(now, failure),
-            None if torn || Digest::of(&content) == digest => {
-                daemon.sync.service_file(now, name, content.into())
-            }
-            None => daemon.sync.service_failed(now, ServiceFailure::FileChanged),
-        };
-        self.perform(now, at, actions);
-    }
-
-    /// Ends the watches that the present state of the service answers.
-    fn published(&mut self, now: Timestamp) {
-        for at in 0..self.daemons.len() {
-            let daemon = &mut self.daemons[at];
-            let Some(after) = daemon.watching.take() else {
-                continue;
-            };
-            let call = daemon.call;
-            self.net
-                .push(now + SERVICE_DELAY, Event::Watched { at, call, after });
-        }
-    }
-
     fn perform(&mut self, now: Timestamp, at: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -502,7 +428,7 @@
         match *change {
             Change::Restarted(i) => {
                 let run = self.net.processes[i].run;
-                self.daemons[i] = daemon(i, &self.net.names[i], run);
+                self.daemons[i] = daemon(i, &self.net.names[i], run, self.seed);
                 self.dead.remove(&i);
                 self.tick_at(now, i);
             }
--- /dev/null
+++ b/tools/scenario/src/machines/config/service.rs
@@ -0,0 +1,89 @@
+//! The configuration service as each daemon sees it.
+
+use jasminepond_config::Files;
+use jasminepond_sync::{Digest, FileRef, ServiceFailure};
+use jasminepond_types::{Revision, Timestamp};
+
+use super::{Event, Mode, SERVICE_DELAY, Tier, folder};
+
+impl Tier {
+    /// The failure with which the service answers every call, if it does.
+    pub(super) fn failure(&self, at: usize) -> Option<ServiceFailure> {
+        match self.modes[at] {
+            Mode::Down => Some(ServiceFailure::Unavailable),
+            Mode::Refusing => Some(ServiceFailure::Refused),
+            _ => None,
+        }
+    }
+
+    /// What the service has, as the daemon sees it.
+    pub(super) fn service(&self, at: usize) -> (Revision, Files) {
+        match &self.modes[at] {
+            Mode::Stale(revision, files) => (*revision, files.clone()),
+            _ => (self.revision, self.files.clone()),
+        }
+    }
+
+    pub(super) fn watched(&mut self, now: Timestamp, at: usize, after: Revision) {
+        let failure = self.failure(at);
+        let (revision, files) = self.service(at);
+        let stale = matches!(self.modes[at], Mode::Stale(..));
+        if stale && self.without == "revision-check" {
+            // A driver without the rule puts whatever the service has in effect.
+            self.accept(at, revision, &files);
+        }
+        let daemon = &mut self.daemons[at];
+        let actions = if let Some(failure) = failure {
+            daemon.sync.service_failed(now, failure)
+        } else if revision > after || stale {
+            let file = |(name, content): (&String, &Vec<u8>)| FileRef {
+                name: name.as_str().into(),
+                digest: Digest::of(content),
+                size: content.len() as u64,
+            };
+            let list = files.iter().map(file).collect();
+            daemon.sync.service_tree(now, revision, list)
+        } else {
+            daemon.watching = Some(after);
+            return;
+        };
+        self.perform(now, at, actions);
+    }
+
+    pub(super) fn fetched(&mut self, now: Timestamp, at: usize, name: &str, digest: Digest) {
+        let failure = self.failure(at);
+        let (revision, mut files) = self.service(at);
+        if self.modes[at] == Mode::Torn && name == "20-patch.json" {
+            // A file of another revision under the name that was asked for.
+            files.extend(folder("torn"));
+            if self.without == "torn-read-check" {
+                self.accept(at, revision, &files);
+                return;
+            }
+        }
+        let content = files.remove(name).unwrap_or_default();
+        let torn = self.modes[at] == Mode::Torn;
+        let daemon = &mut self.daemons[at];
+        let actions = match failure {
+            Some(failure) => daemon.sync.service_failed(now, failure),
+            None if torn || Digest::of(&content) == digest => {
+                daemon.sync.service_file(now, name, content.into())
+            }
+            None => daemon.sync.service_failed(now, ServiceFailure::FileChanged),
+        };
+        self.perform(now, at, actions);
+    }
+
+    /// Ends the watches that the present state of the service answers.
+    pub(super) fn published(&mut self, now: Timestamp) {
+        for at in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[at];
+            let Some(after) = daemon.watching.take() else {
+                continue;
+            };
+            let call = daemon.call;
+            self.net
+                .push(now + SERVICE_DELAY, Event::Watched { at, call, after });
+        }
+    }
+}
--- a/tools/scenario/src/machines/execute.rs
+++ b/tools/scenario/src/machines/execute/mod.rs
@@ -1,6 +1,8 @@
 //! Non-idempotent requests: several daemons, each with its [`KeyTable`] and
 //! [`Execution`]s, the links between them, and servers that count runs.
 
+mod faults;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -477,35 +479,6 @@
         Ok(self.outcome(now, at, |e, attempt, _| e.on_link_lost(attempt)))
     }
 
-    fn is_cut(&self, a: &str, b: &str) -> bool {
-        let cut = |a: &str, b: &str| self.cut.contains(&(a.to_owned(), b.to_owned()));
-        cut(a, b) || cut(b, a)
-    }
-
-    fn link(&mut self, word: &str, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
-        let (a, b) = (args.word("a daemon")?, args.word("a daemon")?);
-        if word == "heal" {
-            self.cut.remove(&(a.to_owned(), b.to_owned()));
-            return Ok(Vec::new());
-        }
-        self.cut.insert((a.to_owned(), b.to_owned()));
-        Ok([(a, b), (b, a)]
-            .into_iter()
-            .flat_map(|(at, via)| self.lose_waiting(at, |w| w == via))
-            .collect())
-    }
-
-    /// Callers that wait for `at` through other daemons get "unknown".
-    fn lose_waiting(&mut self, at: &str, lost: impl Fn(&str) -> bool) -> Vec<Out> {
-        let mut gone = Vec::new();
-        for run in &mut self.daemon(at).runs {
-            let lost = run.waiting.extract_if(.., |via| lost(via));
-            gone.extend(lost.map(|via| (run.key.clone(), via)));
-        }
-        let respond = |(key, via): (String, String)| self.respond(&key, &via, &unknown_outcome());
-        gone.into_iter().map(respond).collect()
-    }
-
     fn tick(&mut self, now: Timestamp) -> Vec<Out> {
         let mut outs = Vec::new();
         for name in self.daemons.keys().cloned().collect::<Vec<_>>() {
@@ -531,58 +504,6 @@
         let steps = run.execution.on_tick(clock, &mut Script(&self.down));
         self.steps(now, name, index, steps)
     }
-
-    fn process(
-        &mut self,
-        now: Timestamp,
-        word: &str,
-        args: &mut Args<'_>,
-    ) -> Result<Vec<Out>, Error> {
-        let name = args.word("a daemon")?;
-        if !self.daemons.contains_key(name) {
-            return Err(args.error("a daemon that exists"));
-        }
-        let mut outs = Vec::new();
-        match word {
-            "kill" => {
-                outs = self.lose_waiting(name, |via| via != name);
-                self.daemon(name).up = false;
-                self.daemon(name).runs.clear();
-            }
-            "restart" => {
-                let (lifetime, ring) = (self.lifetime, self.ring.clone());
-                let daemon = self.daemon(name);
-                daemon.incarnation += 1;
-                daemon.table = table(name, daemon.incarnation, lifetime, &ring);
-                (daemon.up, daemon.paused) = (true, false);
-            }
-            "pause" => {
-                let daemon = self.daemon(name);
-                (daemon.paused, daemon.paused_at) = (true, now);
-            }
-            _ => outs = self.wake(now, name),
-        }
-        Ok(outs)
-    }
-
-    /// After a pause, links are closed and nothing that waits is sent.
-    fn wake(&mut self, now: Timestamp, name: &str) -> Vec<Out> {
-        let mut outs = self.lose_waiting(name, |via| via != name);
-        let suspended = self.without == "suspended-clock";
-        let daemon = self.daemon(name);
-        daemon.paused = false;
-        if suspended {
-            daemon.behind = now.since(daemon.paused_at);
-        }
-        for index in (0..self.daemon(name).runs.len()).rev() {
-            if suspended || self.without == "pause-check" {
-                continue;
-            }
-            let steps = self.daemon(name).runs[index].execution.on_resumed();
-            outs.extend(self.steps(now, name, index, steps));
-        }
-        outs
-    }
 }
 
 fn unknown_outcome() -> ExecuteOutcome {
--- a/tools/scenario/src/machines/membership.rs
+++ b/tools/scenario/src/machines/membership.rs
@@ -16,7 +16,7 @@
 
 pub(crate) const SPEC: Spec = Spec {
     name: "membership",
-    setup: &["daemon"],
+    setup: &["daemon", "late", "seed"],
     events: &[
         "run", "leave", "report", "replay", "kill", "restart", "pause", "wake", "cut", "heal",
     ],
@@ -49,6 +49,8 @@
 struct Daemons {
     without: String,
     settings: Settings,
+    /// Part of the seed of every daemon.
+    seed: u64,
     net: Net<Event>,
     members: Vec<Membership>,
     /// The last datagram of each daemon, for `replay`.
@@ -72,6 +74,7 @@
     Ok(Box::new(Daemons {
         without,
         settings,
+        seed: 0,
         net: Net::new(),
         members: Vec::new(),
         last: BTreeMap::new(),
@@ -95,11 +98,15 @@
 }
 
 impl Machine for Daemons {
-    fn setup(&mut self, _: &str, args: &mut Args<'_>) -> Result<(), Error> {
+    fn setup(&mut self, word: &str, args: &mut Args<'_>) -> Result<(), Error> {
+        if word == "seed" {
+            self.seed = args.parse("a number")?;
+        }
         while let Some(name) = args.opt_word() {
             let index = self.net.add(name);
+            self.net.processes[index].up = word == "daemon";
             let me = me(index, name, 1);
-            let member = Membership::new(self.settings.clone(), me, index as u64);
+            let member = Membership::new(self.settings.clone(), me, self.seed_of(index, 1));
             self.members.push(member);
         }
         Ok(())
@@ -178,14 +185,20 @@
         if std::mem::replace(&mut self.started, true) {
             return;
         }
-        let view = View::from_members(self.members.iter().map(|m| m.me().clone()));
-        for i in 0..self.members.len() {
+        let first: Vec<usize> = self.net.running().collect();
+        let me = |i: &usize| self.members[*i].me().clone();
+        let view = View::from_members(first.iter().map(me));
+        for i in first {
             self.members[i].assume(&view);
             self.seed(i);
             self.tick_at(Timestamp::ZERO, i);
         }
     }
 
+    fn seed_of(&self, i: usize, run: u64) -> u64 {
+        self.seed * 10_000 + run * 100 + i as u64
+    }
+
     fn seed(&mut self, i: usize) {
         let all = self.members.iter().map(|m| m.me().membership_address);
         let all: Vec<SocketAddr> = all.collect();
@@ -276,7 +289,7 @@
                 }
                 let run = self.net.processes[i].run;
                 let me = me(i, &self.net.names[i], run);
-                self.members[i] = Membership::new(self.settings.clone(), me, run * 100 + i as u64);
+                self.members[i] = Membership::new(self.settings.clone(), me, self.seed_of(i, run));
                 self.seed(i);
                 self.tick_at(now, i);
             }
