--- a/tools/scenario/src/machines/dispatch.rs
+++ b/tools/scenario/src/machines/dispatch/mod.rs
@@ -1,14 +1,21 @@
 //! Backend servers from their owners' point of view: one [`ServerQueue`] per
 //! owner and a driver that opens and closes connections.
 
-use std::{collections::BTreeMap, time::Duration};
+mod owner;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use jasminepond_dispatch::{
-    Cancelled, ConnId, Enqueue, Health, Lost, Next, NotRun, Outcome, ServerQueue, ServerState,
-    Settings, Work, WorkId,
+    Cancelled, ConnId, Enqueue, Health, Next, NotRun, Outcome, ServerQueue, ServerState, Settings,
+    Work,
 };
 use jasminepond_types::{Millis, Slots, Timestamp, Weight};
 
+use owner::{MAX_STEPS, NEVER, Owner, expand};
+
 use crate::{
     Error,
     args::Args,
@@ -65,26 +72,9 @@
     new,
 };
 
-/// Far enough to switch a time limit off, near enough to add to a time.
-const NEVER: Duration = Duration::from_secs(1_000_000);
-
 /// Time of the queue at time zero of the scenario, which leaves time for `warm`.
 const START: Duration = Duration::from_secs(10);
 
-/// Requests of `warm`; enough for every estimate of the queue.
-const WARM_REQUESTS: u64 = 100;
-
-/// More steps than any scenario needs before a queue is idle.
-const MAX_STEPS: usize = 10_000;
-
-struct Owner {
-    queue: ServerQueue,
-    names: BTreeMap<WorkId, String>,
-    /// Work on each connection.
-    busy: BTreeMap<ConnId, WorkId>,
-    conns: u64,
-}
-
 struct Owners {
     without: String,
     settings: Settings,
@@ -158,6 +148,10 @@
         Ok(outs)
     }
 
+    fn broken(&self) -> Option<String> {
+        self.owners.values().find_map(|owner| owner.broken.clone())
+    }
+
     fn state(
         &mut self,
         now: Timestamp,
@@ -200,7 +194,9 @@
             queue,
             names: BTreeMap::new(),
             busy: BTreeMap::new(),
+            live: BTreeSet::new(),
             conns: 0,
+            broken: None,
         };
         self.owners.insert(name.into(), owner);
     }
@@ -242,8 +238,12 @@
             "cancel" => {
                 let work = owner.work(args)?;
                 outs.push(match owner.queue.cancel(now, work) {
-                    Cancelled::Removed => Out::new([&"cancelled", &"removed"]),
+                    Cancelled::Removed => {
+                        owner.ended(work);
+                        Out::new([&"cancelled", &"removed"])
+                    }
                     Cancelled::SendCancel { conn, via } => {
+                        owner.ended(work);
                         let via = via.map_or("none".into(), |c| format!("c{c}"));
                         let out = Out::new([&"cancelled", &"running", &format!("c{conn}")]);
                         out.with("via", via)
@@ -294,7 +294,10 @@
                 idempotent: !once || self.without == "once",
             };
             outs.push(match owner.queue.enqueue(now, work) {
-                Enqueue::Queued => Out::new([&"queued", &name]).optional(),
+                Enqueue::Queued => {
+                    owner.live.insert(id);
+                    Out::new([&"queued", &name]).optional()
+                }
                 Enqueue::Refused { kind, retry_after } => {
                     Out::new([&"refused", &name, &kind]).with("retry", retry_after.0)
                 }
@@ -342,6 +345,9 @@
         };
         let work = owner.queue.answered(now, conn, outcome);
         let busy = owner.busy.remove(&conn);
+        if let Some(work) = work {
+            owner.ended(work);
+        }
         let dropped = work.is_none() || work != busy;
         let name = busy.and_then(|id| owner.names.get(&id));
         let name = name.map_or("unknown", String::as_str);
@@ -370,7 +376,9 @@
             }
             at = at + each;
             for conn in std::mem::take(&mut owner.busy).into_keys() {
-                owner.queue.answered(at, conn, Outcome::Done);
+                if let Some(work) = owner.queue.answered(at, conn, Outcome::Done) {
+                    owner.ended(work);
+                }
             }
         }
         served.truncate(n);
@@ -401,9 +409,11 @@
                 }
                 Next::Check { conn } => outs.push(Out::new([&"check", &format!("c{conn}")])),
                 Next::Expire { work, kind } => {
+                    owner.ended(work);
                     outs.push(Out::new([&"expire", &owner.names[&work], &kind]));
                 }
                 Next::Idle { until } => {
+                    self.check(owner, until);
                     if let Some(until) = until {
                         outs.push(Out::new([&"idle", &show(until - START)]).optional());
                     }
@@ -413,91 +423,15 @@
         }
         outs.push(Out::new([&"idle", &"never"]));
     }
-}
 
-impl Owner {
-    fn id(&mut self, name: &str) -> WorkId {
-        let known = self.names.iter().find(|(_, n)| *n == name);
-        if let Some((id, _)) = known {
-            return *id;
+    /// No more requests than slots, and no queued work that nothing wakes.
+    fn check(&self, owner: &mut Owner, until: Option<Timestamp>) {
+        let (busy, slots) = (owner.busy.len(), self.settings.slots.get());
+        if busy > slots as usize {
+            owner.broken = Some(format!("{busy} requests at a server of {slots} slots"));
         }
-        let id = WorkId(self.names.len() as u64 + 1);
-        self.names.insert(id, name.to_owned());
-        id
-    }
-
-    fn work(&self, args: &mut Args<'_>) -> Result<WorkId, Error> {
-        let missing = args.error("work that was enqueued");
-        let name = args.word("work")?;
-        let known = self.names.iter().find(|(_, n)| *n == name);
-        known.map(|(id, _)| *id).ok_or(missing)
-    }
-
-    /// A connection, named by itself (`c1`) or by the work on it.
-    fn conn(&self, args: &mut Args<'_>) -> Result<ConnId, Error> {
-        let missing = args.error("a connection such as c1, or work that runs");
-        let word = args.word("a connection or work")?;
-        let number = word.strip_prefix('c').and_then(|n| n.parse().ok());
-        let busy = |id: &WorkId| self.names.get(id).is_some_and(|name| name == word);
-        let on = self
-            .busy
-            .iter()
-            .find(|(_, id)| busy(id))
-            .map(|(conn, _)| *conn);
-        on.or(number).ok_or(missing)
-    }
-
-    fn closed(&mut self, now: Timestamp, conn: ConnId) -> Option<Out> {
-        let lost = self.queue.closed(now, conn);
-        self.busy.remove(&conn);
-        match lost {
-            Lost::Nothing => None,
-            Lost::Retry { work } => Some(Out::new([&"lost", &self.names[&work], &"retry"])),
-            Lost::Unknown { work } => Some(Out::new([&"lost", &self.names[&work], &"unknown"])),
-        }
-    }
-
-    /// Uses the server until all its slots are in use and its service time is
-    /// known well enough for a progress timeout.
-    fn warm(&mut self, settings: &Settings) {
-        let mut now = Timestamp::ZERO;
-        let first = 1_000_000;
-        let mut next = first;
-        while next < first + WARM_REQUESTS || self.queue.hint().slots < settings.slots.get() {
-            next += 1;
-            let work = Work {
-                id: WorkId(next),
-                tenant: "t".parse().expect("a valid id"),
-                weight: Weight(1),
-                priority: 0,
-                deadline: now + NEVER,
-                idempotent: true,
-            };
-            self.queue.enqueue(now, work);
-            for _ in 0..MAX_STEPS {
-                match self.queue.next(now) {
-                    Next::Start { conn, .. } => {
-                        now = now + settings.initial_service;
-                        self.queue.answered(now, conn, Outcome::Done);
-                    }
-                    Next::Open => {
-                        self.conns += 1;
-                        self.queue.connected(now, ConnId(self.conns));
-                    }
-                    _ => break,
-                }
-            }
+        if until.is_none() && busy == 0 && !self.manual && owner.queue.hint().queued > 0 {
+            owner.broken = Some("work is queued and nothing wakes the queue".into());
         }
     }
 }
-
-/// `w1..w3` stands for `w1`, `w2` and `w3`.
-fn expand(range: &str) -> Option<Vec<String>> {
-    let Some((first, last)) = range.split_once("..") else {
-        return Some(vec![range.to_owned()]);
-    };
-    let prefix = first.trim_end_matches(|c: char| c.is_ascii_digit());
-    let from: u32 = first[prefix.len()..].parse().ok()?;
-    let to: u32 = last.strip_prefix(prefix)?.parse().ok()?;
-    Some((from..=to).map(|n| format!("{prefix}{n}")).collect())
-}
--- /dev/null
+++ b/tools/scenario/src/machines/execute/servers.rs
@@ -0,0 +1,85 @@
+//! What servers and the links to their owners do with a request.
+
+use jasminepond_query::{ExecuteOutcome, ExecuteStep, Execution, ExecutionAttempt};
+use jasminepond_types::{ErrorKind, Millis, Timestamp};
+
+use super::{Run, Script, Sent, Tier};
+use crate::{Error, args::Args, machine::Out};
+
+impl Tier {
+    /// A server runs a request that was sent to it.
+    pub(super) fn runs(&mut self, at: usize) {
+        let key = self.sent[at].key.clone();
+        let ran = self.ran.entry(key.clone()).or_default();
+        *ran += 1;
+        if *ran > 1 {
+            self.broken = Some(format!("{key} ran {ran} times"));
+        } else if self.not_run.get(&key).is_some_and(|&sent| at < sent) {
+            self.broken = Some(format!("{key} ran after it was reported as not run"));
+        }
+    }
+
+    /// The last request sent to the server with the key.
+    pub(super) fn find_sent(&self, args: &mut Args<'_>) -> Result<usize, Error> {
+        let missing = args.error("a server and a key that was sent to it");
+        let server = args.word("a server")?;
+        let key = args.word("a key")?;
+        let is = |s: &Sent| s.server.as_str() == server && s.key == key;
+        self.sent.iter().rposition(is).ok_or(missing)
+    }
+
+    pub(super) fn reply(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
+        let at = self.find_sent(args)?;
+        let kinds: Vec<&str> = ErrorKind::ALL.iter().map(|k| k.as_str()).collect();
+        let words: Vec<&str> = ["done"].iter().chain(&kinds).copied().collect();
+        let word = args.one_of(&words)?;
+        let retry_after = args.key_parse::<u64>("retry")?.map(Millis);
+        let result = args.key_word("result")?.unwrap_or("ok").to_owned();
+        let outcome = match word.parse::<ErrorKind>() {
+            Err(_) => ExecuteOutcome::Done {
+                result: result.into(),
+            },
+            Ok(kind) => ExecuteOutcome::NotRun { kind, retry_after },
+        };
+        Ok(self.outcome(now, at, |e, attempt, chooser| {
+            e.on_outcome(now, chooser, attempt, outcome)
+        }))
+    }
+
+    /// Gives an outcome to the execution that sent the request, if it is still
+    /// there and its daemon runs.
+    pub(super) fn outcome(
+        &mut self,
+        now: Timestamp,
+        at: usize,
+        event: impl FnOnce(&mut Execution, ExecutionAttempt, &mut Script<'_>) -> Vec<ExecuteStep>,
+    ) -> Vec<Out> {
+        let sent = &self.sent[at];
+        let (attempt, name) = (sent.attempt, sent.daemon.clone());
+        let daemon = self.daemons.get_mut(&name).expect("a known daemon");
+        let current = daemon.up && !daemon.paused && daemon.incarnation == sent.incarnation;
+        let is = |r: &Run| r.execution.id() == attempt.execution;
+        let Some(index) = daemon.runs.iter().position(is).filter(|_| current) else {
+            return Vec::new();
+        };
+        let script = &mut Script(&self.down);
+        let steps = event(&mut daemon.runs[index].execution, attempt, script);
+        self.steps(now, &name, index, steps)
+    }
+
+    /// The link to a server's owner breaks before or after the request left.
+    pub(super) fn lose(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
+        let at = self.find_sent(args)?;
+        let unsent = args.one_of(&["sent", "unsent"])? == "unsent";
+        if unsent || self.without == "unknown-after-send" {
+            let outcome = ExecuteOutcome::NotRun {
+                kind: ErrorKind::NoBackend,
+                retry_after: None,
+            };
+            return Ok(self.outcome(now, at, |e, attempt, chooser| {
+                e.on_outcome(now, chooser, attempt, outcome)
+            }));
+        }
+        Ok(self.outcome(now, at, |e, attempt, _| e.on_link_lost(attempt)))
+    }
+}
