test(scenario): a server runs or refuses a request once

Cause: a scenario could let a server run a request after it had refused it, which would blame the tier for a second run. Change: such an event is a mistake of the scenario.

--- a/tools/scenario/src/machines/execute/mod.rs
+++ b/tools/scenario/src/machines/execute/mod.rs
@@ -91,6 +91,8 @@
     daemon: String,
     incarnation: u64,
     attempt: ExecutionAttempt,
+    /// Whether the server ran it, or it certainly cannot run any more.
+    decided: bool,
 }
 
 struct Tier {
@@ -187,6 +189,7 @@
             "request" => self.request(now, args),
             "runs" => {
                 let at = self.find_sent(args)?;
+                self.decide(at, args)?;
                 self.runs(at);
                 Ok(Vec::new())
             }
@@ -364,6 +367,7 @@
                         daemon: at.to_owned(),
                         incarnation: daemon.incarnation,
                         attempt,
+                        decided: false,
                     });
                 }
                 ExecuteStep::Wait { until } => {
--- a/tools/scenario/src/machines/execute/servers.rs
+++ b/tools/scenario/src/machines/execute/servers.rs
@@ -28,6 +28,14 @@
         self.sent.iter().rposition(is).ok_or(missing)
     }
 
+    /// A server runs or refuses a request once, and not both.
+    pub(super) fn decide(&mut self, at: usize, args: &Args<'_>) -> Result<(), Error> {
+        match std::mem::replace(&mut self.sent[at].decided, true) {
+            true => Err(args.error("a request that the server has neither run nor refused")),
+            false => Ok(()),
+        }
+    }
+
     pub(super) fn reply(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
         let at = self.find_sent(args)?;
         let kinds: Vec<&str> = ErrorKind::ALL.iter().map(|k| k.as_str()).collect();
@@ -39,7 +47,12 @@
             Err(_) => ExecuteOutcome::Done {
                 result: result.into(),
             },
-            Ok(kind) => ExecuteOutcome::NotRun { kind, retry_after },
+            Ok(kind) => {
+                if kind.answer().run == jasminepond_types::Run::NotRun {
+                    self.decide(at, args)?;
+                }
+                ExecuteOutcome::NotRun { kind, retry_after }
+            }
         };
         Ok(self.outcome(now, at, |e, attempt, chooser| {
             e.on_outcome(now, chooser, attempt, outcome)
@@ -71,6 +84,9 @@
     pub(super) fn lose(&mut self, now: Timestamp, args: &mut Args<'_>) -> Result<Vec<Out>, Error> {
         let at = self.find_sent(args)?;
         let unsent = args.one_of(&["sent", "unsent"])? == "unsent";
+        if unsent {
+            self.decide(at, args)?;
+        }
         if unsent || self.without == "unknown-after-send" {
             let outcome = ExecuteOutcome::NotRun {
                 kind: ErrorKind::NoBackend,
