--- a/tools/scenario/src/machines/routing.rs
+++ b/tools/scenario/src/machines/routing.rs
@@ -109,7 +109,7 @@
                 let class = args.key_parse("class")?.unwrap_or(0);
                 let used = Used {
                     latency: args.time("a time")?,
-                    budget: Duration::from_millis(250),
+                    slowest: Estimate::default(),
                     in_time: true,
                 };
                 self.admission.finished(now, &tenant, class, used);
@@ -131,7 +131,10 @@
     ) -> Result<Option<String>, Error> {
         Ok(match key {
             "in-progress" => Some(self.admission.in_progress().to_string()),
-            "limit" => Some(self.admission.limit().to_string()),
+            "limit" => {
+                let class = args.key_parse("class")?.unwrap_or(0);
+                Some(self.admission.limit(class).to_string())
+            }
             "overloaded" => {
                 let server = args.parse("a server")?;
                 let estimate = self.replicas.estimate(now, &server, 0);
