fix(standins): keep the port of a stand-in that is down

Cause: a stand-in that is down closes its listener, and the system could give its port to another program.

Ruled out: fixed ports, which collide between test programs; keeping the listener open while down, since connections would then be accepted.

--- a/tools/relay/src/tcp.rs
+++ b/tools/relay/src/tcp.rs
@@ -23,9 +23,7 @@
 
 pub(crate) async fn listen(route: Route, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let stream = standin_http::accept(&listener).await;
         if let Some(link) = route.open() {
             compio::runtime::spawn(relay(route.clone(), link, stream)).detach();
         }
@@ -37,7 +35,6 @@
         // The target must not see a connection that passes nothing.
         wait_for_blackhole(&route, &link).await;
         let target = TcpStream::connect(route.target()).await?;
-        stream.set_nodelay(true)?;
         target.set_nodelay(true)?;
         let there = pump(
             &route,
--- a/tools/standin-http/src/lib.rs
+++ b/tools/standin-http/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod client;
 mod gate;
+mod reservation;
 mod server;
 
 pub use client::{CallError, Connection, call, get, post};
 pub use gate::{Gate, serve_gated};
-pub use server::{Reply, Request, empty, error, json, read_request, serve, serve_stream};
+pub use reservation::Reservation;
+pub use server::{Reply, Request, accept, empty, error, json, read_request, serve, serve_stream};
--- a/tools/standin-platform/src/service.rs
+++ b/tools/standin-platform/src/service.rs
@@ -5,7 +5,7 @@
 use compio::{net::TcpListener, runtime::Runtime};
 use futures_util::future::join;
 use serde::Serialize;
-use standin_http::Gate;
+use standin_http::{Gate, Reservation};
 
 use crate::{
     Instance, Options,
@@ -49,7 +49,8 @@
     )));
     let gate = Gate::default();
     Runtime::new()?.block_on(async {
-        let listener = TcpListener::bind(options.listen).await?;
+        let reservation = Reservation::new(options.listen).await?;
+        let listener = TcpListener::bind(reservation.address()).await?;
         let control_listener = TcpListener::bind(options.control).await?;
         bound(Bound {
             platform: listener.local_addr()?,
