fix(dispatch): hold the slot of a cancelled request, end queued work in order

A connection closed by the owner before the response of a cancelled request was drained gave its slot back at once, so a second request went to a server of one slot; the queued work of a leaving server ended in the order of a hash map. Change: such a connection keeps its slot until it is closed and then for one median service time; work ends in the order of arrival.

--- a/crates/jasminepond-dispatch/src/connections.rs
+++ b/crates/jasminepond-dispatch/src/connections.rs
@@ -33,6 +33,11 @@
     },
     /// To be closed by the caller; holds the request that was on it.
     Closing(Option<Running>),
+    /// To be closed by the caller before the response of a cancelled request was
+    /// drained: the server may still work on it.
+    ClosingAbandoned {
+        deadline: Timestamp,
+    },
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -53,15 +58,6 @@
     }
 }
 
-/// A cancelled request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Abandoned {
-    pub(crate) conn: ConnId,
-    pub(crate) deadline: Timestamp,
-    /// Whether its connection was about to be closed.
-    pub(crate) closing: bool,
-}
-
 /// All connections that count against the quota, and attempts to open one.
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
@@ -122,7 +118,10 @@
         let holds_slot = |conn: &&Conn| {
             matches!(
                 conn.state,
-                State::Busy(_) | State::Abandoned { .. } | State::Closing(Some(_))
+                State::Busy(_)
+                    | State::Abandoned { .. }
+                    | State::Closing(Some(_))
+                    | State::ClosingAbandoned { .. }
             )
         };
         self.list.iter().filter(holds_slot).count() as u32
@@ -160,8 +159,9 @@
         })
     }
 
-    /// Takes the work off its connection, which must drain until `until`.
-    pub(crate) fn abandon(&mut self, work: WorkId, until: Timestamp) -> Option<Abandoned> {
+    /// Takes the work off its connection, which must drain until `until`. Returns
+    /// the connection.
+    pub(crate) fn abandon(&mut self, work: WorkId, until: Timestamp) -> Option<ConnId> {
         for conn in &mut self.list {
             let (running, closing) = match conn.state {
                 State::Busy(running) => (running, false),
@@ -173,15 +173,11 @@
             }
             let deadline = running.deadline;
             conn.state = if closing {
-                State::Closing(None)
+                State::ClosingAbandoned { deadline }
             } else {
                 State::Abandoned { until, deadline }
             };
-            return Some(Abandoned {
-                conn: conn.id,
-                deadline,
-                closing,
-            });
+            return Some(conn.id);
         }
         None
     }
--- a/crates/jasminepond-dispatch/src/fair.rs
+++ b/crates/jasminepond-dispatch/src/fair.rs
@@ -213,12 +213,15 @@
         Some(item.work)
     }
 
-    /// Takes all work, in no particular order.
+    /// Takes all work in the order of arrival.
     pub(crate) fn drain(&mut self) -> impl Iterator<Item = WorkId> + use<> {
         self.classes.clear();
         self.earliest = None;
         self.passed_over = 0;
-        std::mem::take(&mut self.items).into_keys()
+        let items = std::mem::take(&mut self.items).into_iter();
+        let mut arrived: Vec<_> = items.map(|(id, item)| (item.arrival, id)).collect();
+        arrived.sort_unstable();
+        arrived.into_iter().map(|(_, id)| id)
     }
 }
 
--- a/crates/jasminepond-dispatch/src/lifecycle.rs
+++ b/crates/jasminepond-dispatch/src/lifecycle.rs
@@ -37,14 +37,9 @@
             return Cancelled::Removed;
         }
         let until = now + self.settings.drain_limit;
-        let Some(abandoned) = self.conns.abandon(work, until) else {
+        let Some(conn) = self.conns.abandon(work, until) else {
             return Cancelled::Gone;
         };
-        if abandoned.closing {
-            let deadline = abandoned.deadline;
-            self.hold(now, deadline.min(now + self.service.median()));
-        }
-        let conn = abandoned.conn;
         let via = self.conns.take_idle().map(|idle| {
             idle.state = State::Checking {
                 until: now + self.settings.check_timeout,
@@ -116,7 +111,7 @@
                 // The response may wait in the socket buffer.
                 State::Busy(running) => running.give_up = running.give_up.max(answer_by),
                 State::Abandoned { .. } | State::Checking { .. } => unknown.push(conn.id),
-                State::Suspect | State::Closing(_) => {}
+                State::Suspect | State::Closing(_) | State::ClosingAbandoned { .. } => {}
             }
         }
         for id in unknown {
--- a/crates/jasminepond-dispatch/src/schedule.rs
+++ b/crates/jasminepond-dispatch/src/schedule.rs
@@ -210,7 +210,7 @@
                 Some(conn.used_at + idle_limit),
                 self.last_work.map(|at| at + idle_limit),
             ),
-            State::Closing(_) => (None, None, None),
+            State::Closing(_) | State::ClosingAbandoned { .. } => (None, None, None),
         };
         first.into_iter().chain(second).chain(third)
     }
--- a/crates/jasminepond-dispatch/src/server.rs
+++ b/crates/jasminepond-dispatch/src/server.rs
@@ -352,7 +352,7 @@
                 self.classify(now, running)
             }
             State::Closing(Some(running)) => self.classify(now, running),
-            State::Abandoned { deadline, .. } => {
+            State::Abandoned { deadline, .. } | State::ClosingAbandoned { deadline } => {
                 self.hold(now, deadline.min(now + self.service.median()));
                 Lost::Nothing
             }
@@ -407,11 +407,11 @@
 
     pub(crate) fn close(&mut self, id: ConnId) {
         if let Some(conn) = self.conns.get_mut(id) {
-            let running = match conn.state {
-                State::Busy(running) => Some(running),
-                _ => None,
+            conn.state = match conn.state {
+                State::Busy(running) => State::Closing(Some(running)),
+                State::Abandoned { deadline, .. } => State::ClosingAbandoned { deadline },
+                _ => State::Closing(None),
             };
-            conn.state = State::Closing(running);
             self.closing.push_back(id);
         }
     }
