fix(membership): ignore answers from before a pause

Cause: a resumed daemon took an answer that had waited in its socket since before the pause for a confirmation of its view.

Ruled out: emptying the socket on resuming, which the state machine cannot demand and which loses fresh datagrams.

Change: questions get a new number after a pause; a test that failed before; the crate documentation states what fails and when; sync is tested to ask a member whose revision in the view is newer.

--- a/crates/jasminepond-membership/src/lib.rs
+++ b/crates/jasminepond-membership/src/lib.rs
@@ -9,8 +9,18 @@
 //! on the same datagrams. Members exchange digests of their views and pull
 //! what differs, which also serves to join and to heal after a partition.
 //!
-//! The view is a hint: two daemons may disagree for seconds, and in a
-//! partition for as long as it lasts.
+//! # Failures
+//!
+//! * The view is a hint: two daemons may disagree for seconds, and in a
+//!   partition for as long as it lasts.
+//! * A crash is known after the suspicion timeout, 4 s with up to 10 daemons
+//!   and 14 s with 3,900, plus the time to notice and to spread it.
+//! * A departure that no other daemon received looks like a crash.
+//! * A daemon that pauses is suspected and may be declared dead; it refutes
+//!   when it resumes and must not act until
+//!   [`Membership::is_confirmed`].
+//! * Revisions of other daemons have a fixed share of each datagram. In a
+//!   tier of hundreds of daemons with frequent changes they are minutes old.
 
 mod codec;
 mod exchange;
--- a/crates/jasminepond-membership/src/membership.rs
+++ b/crates/jasminepond-membership/src/membership.rs
@@ -225,6 +225,8 @@
     pub fn woke(&mut self, now: Timestamp) -> Vec<Output> {
         let mut out = Vec::new();
         self.unconfirmed_since = Some(now);
+        // Answers to earlier questions may still wait in a socket.
+        self.nonce = self.nonce.wrapping_add(1);
         self.probes.reset();
         self.pull = None;
         self.changes.clear();
--- a/crates/jasminepond-membership/tests/scenarios.rs
+++ b/crates/jasminepond-membership/tests/scenarios.rs
@@ -164,6 +164,35 @@
     }
 }
 
+/// Guards against an answer from before the pause, still in the socket, that
+/// confirms a view after it.
+#[test]
+fn an_answer_from_before_a_pause_confirms_nothing() {
+    let mut net = Network::new(Settings::default(), 1);
+    net.start(2);
+    let now = net.now;
+    let asked = net.nodes[0].membership.tick(now);
+    let mut answers = Vec::new();
+    for output in asked {
+        let Output::Send { message, .. } = output else {
+            continue;
+        };
+        let peer = &mut net.nodes[1].membership;
+        let from = message.from.membership_address;
+        answers.extend(peer.receive(now, from, *message));
+    }
+    _ = net.wake(0);
+    assert!(!answers.is_empty());
+    for output in answers {
+        let Output::Send { message, .. } = output else {
+            continue;
+        };
+        let from = message.from.membership_address;
+        net.nodes[0].membership.receive(now, from, *message);
+    }
+    assert!(!net.nodes[0].membership.is_confirmed());
+}
+
 /// Guards against waiting for ever when the whole tier paused together, and
 /// against a lone daemon that waits for an answer nobody can give.
 #[test_case(5)]
--- a/crates/jasminepond-sync/src/lib.rs
+++ b/crates/jasminepond-sync/src/lib.rs
@@ -10,6 +10,19 @@
 //! announce in turn. Files and the list of files are addressed by digest, so
 //! that each is verified and only changed ones travel. The revision in effect
 //! never falls.
+//!
+//! # Failures
+//!
+//! * The service refuses or is down: the calls back off, up to a minute; the
+//!   revision in effect stays, and peers still give it to daemons that start.
+//! * The service is stale: its older revision is ignored.
+//! * The readers of a zone fall silent: after 5 s others of the zone start to
+//!   read, one after the other.
+//! * A revision cannot be used: it is reported once and the next is waited
+//!   for. The same revision with other content is reported and not used.
+//! * Peers do not answer or are out of bytes: others are asked; after 12
+//!   unanswered questions the revision is given up until the next
+//!   announcement.
 
 mod digest;
 mod manifest;
--- a/crates/jasminepond-sync/tests/scenarios.rs
+++ b/crates/jasminepond-sync/tests/scenarios.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Tier;
-use jasminepond_membership::{Member, MemberState};
+use jasminepond_membership::{ConfigMark, Member, MemberState};
 use jasminepond_sync::{
     Action, Digest, FileRef, MAX_FILE_BYTES, Role, ServiceFailure, Settings, Source, SyncMessage,
 };
@@ -286,6 +286,21 @@
     assert!(tier.settle(MINUTE).is_some());
 }
 
+/// Guards against a newer revision in the membership view that is ignored.
+#[test]
+fn a_member_with_a_newer_revision_is_asked() {
+    let mut tier = tier(60, 1);
+    let ahead = tier.nodes[33].me.instance.clone();
+    let member = Member::clone(tier.views[0].get(&ahead).unwrap());
+    let config = ConfigMark(Revision(9), 0);
+    tier.views[0].put(Member { config, ..member });
+    let sync = &mut tier.nodes[0].sync;
+    let later = tier.now + MINUTE;
+    let actions = sync.tick(later, &tier.views[0]);
+    let asked = |a: &Action| matches!(a, Action::Send { to, message: SyncMessage::State { .. } } if *to == ahead);
+    assert!(actions.iter().any(asked), "{actions:?}");
+}
+
 /// Guards against files of one revision that are sent to complete another.
 #[test_case(1)]
 #[test_case(3)]
