test(membership): healthy daemons with a tenth of the datagrams lost

Cause: false deaths were only tested without loss.

Ruled out: nothing else was considered.

Change: the scenario runs 3 minutes with a tenth lost, at 7 and 70 daemons.

--- a/crates/jasminepond-membership/tests/scenarios.rs
+++ b/crates/jasminepond-membership/tests/scenarios.rs
@@ -24,13 +24,19 @@
     net
 }
 
-/// Guards against a size at which daemons do not find each other, or suspect
-/// healthy ones.
-#[test_case(2)]
-#[test_case(7)]
-#[test_case(70)]
-fn healthy_daemons_stay_alive(n: usize) {
+/// Guards against a size at which daemons do not find each other, or declare
+/// healthy ones dead, also when datagrams are lost.
+#[test_case(2, 0.0)]
+#[test_case(7, 0.0)]
+#[test_case(7, 0.1)]
+#[test_case(70, 0.1)]
+fn healthy_daemons_stay_alive(n: usize, loss: f64) {
     let mut net = started(n);
+    net.loss = loss;
+    net.run(MINUTE * 3);
+    let died = |o: &Output| matches!(o, Output::Changed(c) if c.to == Some(MemberState::Dead));
+    assert!(net.nodes.iter().all(|n| !n.outputs.iter().any(died)));
+    net.loss = 0.0;
     net.run(MINUTE);
     for j in 0..n {
         assert!(net.all_believe(j, MemberState::Alive), "{j}");
