feat(sync): pace reads by the size of the instance list

Cause: a daemon that starts cut off knows no other member and paced its reads as if it were the only one.

Ruled out: a fixed wait before the first read, which delays every normal start.

Change: `Sync::expect_members`; the property that bounds the reads covers daemons that start cut off.

--- a/crates/jasminepond-sync/src/sync.rs
+++ b/crates/jasminepond-sync/src/sync.rs
@@ -209,6 +209,12 @@
         }
     }
 
+    /// The number of daemons on the instance list. It only paces the reads of
+    /// a daemon that starts cut off and knows no other.
+    pub fn expect_members(&mut self, members: usize) {
+        self.peers.most_members = self.peers.most_members.max(members);
+    }
+
     /// This daemon's role.
     pub fn role(&self) -> Role {
         self.roles.role
--- a/crates/jasminepond-sync/tests/properties.rs
+++ b/crates/jasminepond-sync/tests/properties.rs
@@ -161,10 +161,11 @@
         prop_assert_eq!(tier.in_role(Role::Substitute), 0);
     }
 
-    /// Guards against reads beyond the budget when no daemon sees another.
+    /// Guards against reads beyond the budget when no daemon sees another,
+    /// also when all start that way and know only the size of the list.
     #[test]
     fn reads_stay_bounded_when_all_are_cut_off(
-        n in 20_usize..120, changes in 1_usize..4, seed in any::<u64>(),
+        n in 20_usize..120, changes in 1_usize..4, fresh in any::<bool>(), seed in any::<u64>(),
     ) {
         let settings = Settings { read_budget: 20.0, ..Settings::default() };
         let mut tier = Tier::new(settings, n, ZONES, seed);
@@ -173,6 +174,10 @@
         tier.cut(|i| i);
         tier.run(Duration::from_secs(60));
         (tier.service.peak, tier.service.reads) = (0, 0);
+        for i in (0..n).filter(|_| fresh) {
+            tier.restart(i);
+            tier.nodes[i].sync.expect_members(n);
+        }
         for i in 0..changes {
             tier.change("a.json", format!("{i}"));
             tier.run(Duration::from_secs(20));
