--- a/crates/jasminepond-membership/tests/scenarios.rs
+++ b/crates/jasminepond-membership/tests/scenarios.rs
@@ -24,13 +24,19 @@
     net
 }
 
-/// Guards against a size at which daemons do not find each other, or suspect
-/// healthy ones.
-#[test_case(2)]
-#[test_case(7)]
-#[test_case(70)]
-fn healthy_daemons_stay_alive(n: usize) {
+/// Guards against a size at which daemons do not find each other, or declare
+/// healthy ones dead, also when datagrams are lost.
+#[test_case(2, 0.0)]
+#[test_case(7, 0.0)]
+#[test_case(7, 0.1)]
+#[test_case(70, 0.1)]
+fn healthy_daemons_stay_alive(n: usize, loss: f64) {
     let mut net = started(n);
+    net.loss = loss;
+    net.run(MINUTE * 3);
+    let died = |o: &Output| matches!(o, Output::Changed(c) if c.to == Some(MemberState::Dead));
+    assert!(net.nodes.iter().all(|n| !n.outputs.iter().any(died)));
+    net.loss = 0.0;
     net.run(MINUTE);
     for j in 0..n {
         assert!(net.all_believe(j, MemberState::Alive), "{j}");
@@ -164,6 +170,34 @@
     }
 }
 
+/// Guards against an answer from before the pause, still in the socket, that
+/// confirms a view after it.
+#[test]
+fn an_answer_from_before_a_pause_confirms_nothing() {
+    let mut net = started(2);
+    let now = net.now;
+    let asked = net.wake(0);
+    let mut answers = Vec::new();
+    for output in asked {
+        let Output::Send { message, .. } = output else {
+            continue;
+        };
+        let peer = &mut net.nodes[1].membership;
+        let from = message.from.membership_address;
+        answers.extend(peer.receive(now, from, *message));
+    }
+    _ = net.wake(0);
+    assert!(!answers.is_empty());
+    for output in answers {
+        let Output::Send { message, .. } = output else {
+            continue;
+        };
+        let from = message.from.membership_address;
+        net.nodes[0].membership.receive(now, from, *message);
+    }
+    assert!(!net.nodes[0].membership.is_confirmed());
+}
+
 /// Guards against waiting for ever when the whole tier paused together, and
 /// against a lone daemon that waits for an answer nobody can give.
 #[test_case(5)]
