--- a/tools/bench/src/results.rs
+++ b/tools/bench/src/results.rs
@@ -36,8 +36,11 @@
     violations: f64,
 }
 
-/// Names and columns of the table.
-const COLUMNS: [(&str, fn(&Figures) -> f64); 10] = [
+/// Name and value of a column of the table.
+type Column = (&'static str, fn(&Figures) -> f64);
+
+/// Columns of the table.
+const COLUMNS: [Column; 10] = [
     ("p50 ms", |f| f.p50),
     ("p99 ms", |f| f.p99),
     ("first class p99 ms", |f| f.first_class_p99),
