--- a/crates/jasminepond-membership/src/lib.rs
+++ b/crates/jasminepond-membership/src/lib.rs
@@ -21,6 +21,19 @@
 //!   [`Membership::is_confirmed`].
 //! * Revisions of other daemons have a fixed share of each datagram. In a
 //!   tier of hundreds of daemons with frequent changes they are minutes old.
+//!
+//! # Cost
+//!
+//! Measured with `examples/cost.rs` at 0.12 departures and arrivals per second
+//! and a new revision at every daemon each 8.3 s, per daemon, without IP and
+//! UDP headers:
+//!
+//! | daemons | B/s sent | datagrams/s | departure known | crash known | B per member |
+//! |---|---|---|---|---|---|
+//! | 7 | 334 | 2.5 | 0.4 s | 5.7 s | 680 |
+//! | 100 | 1,096 | 3.0 | 1.6 s | 10.0 s | 271 |
+//! | 1,000 | 1,206 | 3.2 | 2.1 s | 15.1 s | 235 |
+//! | 3,900 | 1,135 | 3.0 | 2.3 s | 17.4 s | 234 |
 
 mod codec;
 mod exchange;
--- a/crates/jasminepond-sync/src/lib.rs
+++ b/crates/jasminepond-sync/src/lib.rs
@@ -23,6 +23,18 @@
 //! * Peers do not answer or are out of bytes: others are asked; after 12
 //!   unanswered questions the revision is given up until the next
 //!   announcement.
+//!
+//! # Cost
+//!
+//! Measured with `examples/spread.rs` over 17 zones, 40 files of 4 KB of which
+//! one changes, without framing:
+//!
+//! | daemons | last daemon | a third of the messages lost | reads per change | bytes sent per daemon and change | quiet B/s |
+//! |---|---|---|---|---|---|
+//! | 7 | 0.12 s | 0.12 s | 14 | 356 | 9 |
+//! | 100 | 0.54 s | 2.38 s | 68 | 4,355 | 584 |
+//! | 1,000 | 0.45 s | 3.12 s | 68 | 6,207 | 575 |
+//! | 3,900 | 0.46 s | 4.08 s | 68 | 6,366 | 573 |
 
 mod digest;
 mod manifest;
