fix(membership): a daemon spreads its reports again until they expire

Ruled out: reports in the exchange of views, which would grow the digests of all members for entries that live 60 s. Change: every 5 s the reporter spreads its own reports under a new sequence number with their age.

--- a/crates/jasminepond-membership/src/membership.rs
+++ b/crates/jasminepond-membership/src/membership.rs
@@ -78,6 +78,7 @@
     probe: Timestamp,
     gossip: Timestamp,
     exchange: Timestamp,
+    reports: Timestamp,
     heal: Timestamp,
     join: Timestamp,
 }
@@ -268,6 +269,23 @@
         self.learn_report(now, &report);
     }
 
+    /// Spreads this daemon's own reports again.
+    fn tick_reports(&mut self, now: Timestamp) {
+        if now < self.due.reports {
+            return;
+        }
+        self.due.reports = now + self.settings.report_repeat;
+        let own = |report: &ServerReport| {
+            report.reporter == self.me.instance && report.incarnation == self.me.incarnation
+        };
+        let own: Vec<ServerReport> = self.reports.iter(now).filter(own).collect();
+        for report in own {
+            self.report_sequence += 1;
+            let sequence = self.report_sequence;
+            self.learn_report(now, &ServerReport { sequence, ..report });
+        }
+    }
+
     /// All reports that have not expired, this daemon's own included.
     pub fn reports(&self, now: Timestamp) -> impl Iterator<Item = ServerReport> {
         self.reports.iter(now)
@@ -298,6 +316,7 @@
         self.tick_probe(now, &mut out);
         self.tick_suspicions(now, &mut out);
         self.tick_views(now, &mut out);
+        self.tick_reports(now);
         self.tick_gossip(now, &mut out);
         self.expire(now, &mut out);
         self.last_tick = Some(now);
--- a/crates/jasminepond-membership/src/settings.rs
+++ b/crates/jasminepond-membership/src/settings.rs
@@ -46,6 +46,10 @@
     pub max_tombstones: usize,
     /// Time for which a report about a backend server is kept and spread.
     pub report_age: Duration,
+    /// Interval at which a daemon spreads its own reports again until they
+    /// expire. One round of gossip misses a daemon now and then, and does not
+    /// reach the other side of a partition.
+    pub report_repeat: Duration,
     /// Reports kept, oldest dropped first.
     pub max_reports: usize,
 }
@@ -66,6 +70,7 @@
             tombstone_age: Duration::from_secs(24 * 3_600),
             max_tombstones: 20_000,
             report_age: Duration::from_secs(60),
+            report_repeat: Duration::from_secs(5),
             max_reports: 1_024,
         }
     }
