fix(backend): report unusable responses as failed and pass on the bare result

Cause: a response that is malformed, too large or for another request ended its call like a connection that broke, so callers got the missing reason `no_replica` for a server that had answered. The result of an execute was the server's whole body, so callers got `{"result": {"result": ..}}`. Ruled out: a mistake in the mapping of reasons of the search aggregate; it got `Unreachable` from the owner. Change: `Sent::Answered` tells such a response apart; the owner reports it as `failed`, for executes still as "outcome unknown". The body of an execute is read as `{result}`.

--- a/crates/jasminepond-backend/src/conn.rs
+++ b/crates/jasminepond-backend/src/conn.rs
@@ -7,7 +7,7 @@
 use cyper_core::HyperStream;
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     Request,
     client::conn::http1::{self, SendRequest},
@@ -47,13 +47,16 @@
     Close,
 }
 
-/// Whether any byte of a call may have left this process.
+/// How far a call came whose connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sent {
     /// Certainly not.
     No,
     /// Possibly.
     Maybe,
+    /// It did, and the response cannot be used: it is malformed, too large or for
+    /// another request.
+    Answered,
 }
 
 /// What a connection reports.
@@ -209,17 +212,23 @@
         // The request comes back only if no byte of it was written.
         let sent = if err.take_message().is_some() {
             Sent::No
+        } else if err.error().is_parse() {
+            Sent::Answered
         } else {
             Sent::Maybe
         };
         (sent, err.error().to_string())
     })?;
-    let maybe = |err: &dyn std::fmt::Display| (Sent::Maybe, err.to_string());
     let (parts, body) = res.into_parts();
-    let body = Limited::new(body, options.max_body)
-        .collect()
-        .await
-        .map_err(|err| maybe(&err))?;
+    let body = Limited::new(body, options.max_body).collect().await;
+    let body = body.map_err(|err| {
+        let sent = if err.is::<LengthLimitError>() {
+            Sent::Answered
+        } else {
+            Sent::Maybe
+        };
+        (sent, err.to_string())
+    })?;
     let wire_id = format!("{}/{id}", options.origin);
     response::parse(
         &wire_id,
@@ -228,7 +237,7 @@
         &parts.headers,
         body.to_bytes(),
     )
-    .map_err(|err| maybe(&err))
+    .map_err(|err| (Sent::Answered, err.to_string()))
 }
 
 fn request(
--- a/crates/jasminepond-backend/src/lib.rs
+++ b/crates/jasminepond-backend/src/lib.rs
@@ -6,7 +6,8 @@
 //! 4.3.
 //!
 //! A call that ends without a response says whether any byte of it may have
-//! left: [`Sent::No`] is certain, [`Sent::Maybe`] is not.
+//! left: [`Sent::No`] is certain, [`Sent::Maybe`] is not. [`Sent::Answered`] says
+//! that the server has responded with what cannot be used.
 
 mod call;
 mod conn;
--- a/crates/jasminepond-backend/src/response.rs
+++ b/crates/jasminepond-backend/src/response.rs
@@ -4,6 +4,7 @@
 use hyper::{HeaderMap, StatusCode};
 use jasminepond_types::{Millis, Version};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::call::{Call, CallOutcome, Hints, NotRunReason, Reply, ServerState};
 
@@ -23,6 +24,12 @@
     Body(#[from] serde_json::Error),
 }
 
+#[derive(Deserialize)]
+struct ExecuteBody<'a> {
+    #[serde(borrow)]
+    result: &'a RawValue,
+}
+
 #[derive(Deserialize)]
 struct HealthBody {
     state: ServerState,
@@ -90,7 +97,10 @@
     } else if status == StatusCode::OK {
         match call {
             Call::Search(_) => CallOutcome::Found(serde_json::from_slice(&body)?),
-            Call::Execute(_) => CallOutcome::Executed(body),
+            Call::Execute(_) => {
+                let ExecuteBody { result } = serde_json::from_slice(&body)?;
+                CallOutcome::Executed(Bytes::copy_from_slice(result.get().as_bytes()))
+            }
             Call::Cancel(_) => CallOutcome::Acknowledged,
             Call::Health => CallOutcome::Health(serde_json::from_slice::<HealthBody>(&body)?.state),
         }
--- a/crates/jasminepond-daemon/src/owner/server.rs
+++ b/crates/jasminepond-daemon/src/owner/server.rs
@@ -336,7 +336,11 @@
         match self.queue.closed(now, id) {
             Lost::Nothing => ConnStep::Nothing,
             Lost::Retry { work } | Lost::Unknown { work } => {
-                ConnStep::Finish(WorkKey::from_work_id(work), Ended::Lost(cause))
+                let ended = match sent {
+                    Some(Sent::Answered) => Ended::Unreadable(cause),
+                    _ => Ended::Lost(cause),
+                };
+                ConnStep::Finish(WorkKey::from_work_id(work), ended)
             }
         }
     }
--- a/crates/jasminepond-daemon/src/owner/work.rs
+++ b/crates/jasminepond-daemon/src/owner/work.rs
@@ -132,6 +132,8 @@
     Failed(u16),
     /// The connection was lost; the request may have run.
     Lost(String),
+    /// The server sent what cannot be used; the request may have run.
+    Unreadable(String),
     /// The sender no longer wants the result.
     Cancelled,
 }
@@ -154,7 +156,7 @@
             CallOutcome::Failed { status } => Self::Failed(status),
             CallOutcome::Cancelled => Self::Cancelled,
             CallOutcome::Acknowledged | CallOutcome::Health(_) => {
-                Self::Lost("response of another kind".to_owned())
+                Self::Unreadable("response of another kind".to_owned())
             }
         }
     }
@@ -185,7 +187,9 @@
             }
             Self::Cancelled => failed(PartFailure::Cancelled, None, Vec::new()),
             Self::Lost(_) => failed(PartFailure::Unreachable, None, Vec::new()),
-            Self::Executed(_) | Self::Failed(_) => failed(PartFailure::Failed, None, Vec::new()),
+            Self::Executed(_) | Self::Failed(_) | Self::Unreadable(_) => {
+                failed(PartFailure::Failed, None, Vec::new())
+            }
         }
     }
 
@@ -207,6 +211,7 @@
             Self::NotRun { retry_after, .. } => not_run(ErrorKind::Overloaded, retry_after),
             Self::Failed(status) => unknown(format!("the backend server failed with {status}")),
             Self::Lost(cause) => unknown(format!("the connection was lost: {cause}")),
+            Self::Unreadable(cause) => unknown(format!("the response cannot be used: {cause}")),
             Self::Cancelled => unknown("cancelled".to_owned()),
             Self::Found(_) => unknown("response of another kind".to_owned()),
         }
--- /dev/null
+++ b/crates/jasminepond-daemon/tests/contract/main.rs
@@ -0,0 +1,4 @@
+//! Contract tests: one test module per interface of the daemon.
+
+mod backends;
+mod support;
