fix(daemon): apply the configured limits and answer slow headers

Cause: the callers' listener used fixed limits and not the `limits` section of the configuration. hyper closed a connection whose headers were late without an answer, answered headers above the limit without a body, and applied its header timeout to idle connections too, so that `idle_timeout_ms` never took effect. At a planned stop, idle connections and the accept queue were closed at once, with requests that had already been sent to them. Ruled out: hyper's own header timeout, which starts before the first byte. Change: limits come from the configuration in effect; the time of a request counts from its first byte; 408 and 431 carry the documented body; what is left of a refused request is read for up to 500 ms, so that closing does not reset the connection; a stopping listener accepts and reads for 200 ms more.

--- a/crates/jasminepond-daemon/src/daemon.rs
+++ b/crates/jasminepond-daemon/src/daemon.rs
@@ -307,6 +307,8 @@
 #[derive(Default)]
 struct InEffect {
     config: RefCell<Option<Arc<Config>>>,
+    /// Limits of the callers' listener.
+    limits: http::SharedLimits,
 }
 
 impl InEffect {
@@ -419,7 +421,8 @@
             metrics: metrics.clone(),
             closing: closing.clone(),
         };
-        let (callers_stop, callers_ended) = spawn_listener(sockets.callers, Rc::new(api));
+        let (callers_stop, callers_ended) =
+            spawn_listener(sockets.callers, Rc::new(api), in_effect.limits.clone());
         let operators = Operators {
             me,
             readiness: readiness.clone(),
@@ -429,7 +432,11 @@
             control: tasks.control.clone(),
             peers: tasks.peers.clone(),
         };
-        let (operators_stop, _) = spawn_listener(sockets.operators, Rc::new(operators));
+        let (operators_stop, _) = spawn_listener(
+            sockets.operators,
+            Rc::new(operators),
+            http::SharedLimits::default(),
+        );
         Ok(Self {
             bound,
             tasks,
@@ -512,11 +519,12 @@
 fn spawn_listener(
     listener: TcpListener,
     handler: Rc<dyn http::Handler>,
+    limits: http::SharedLimits,
 ) -> (crate::stop::StopSender, oneshot::Receiver<()>) {
     let (stop_tx, stopped) = stop();
     let (ended_tx, ended) = oneshot::channel();
     compio::runtime::spawn(async move {
-        http::serve(listener, handler, http::Limits::default(), stopped).await;
+        http::serve(listener, handler, limits, stopped).await;
         let _ = ended_tx.send(());
     })
     .detach();
@@ -560,6 +568,7 @@
             }
         }
         control::Report::Config(_, config) => {
+            *in_effect.limits.borrow_mut() = http::Limits::from(&config.limits);
             *in_effect.config.borrow_mut() = Some(config.clone());
             let _ = tasks
                 .owner
--- a/crates/jasminepond-daemon/src/net/http.rs
+++ b/crates/jasminepond-daemon/src/net/http.rs
@@ -1,9 +1,12 @@
 //! HTTP/1.1 listeners with limits on headers, bodies, connections and slow clients.
 
 use std::{
-    cell::Cell,
-    pin::pin,
+    cell::{Cell, RefCell},
+    future::poll_fn,
+    io,
+    pin::{Pin, pin},
     rc::Rc,
+    task::{Context as TaskContext, Poll, ready},
     time::{Duration, Instant},
 };
 
@@ -16,6 +19,7 @@
     Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    rt::{Read, ReadBuf, ReadBufCursor, Write},
     server::conn::http1,
     service::service_fn,
 };
@@ -33,7 +37,7 @@
     pub max_header_bytes: usize,
     /// Bytes of a request body.
     pub max_body_bytes: usize,
-    /// Longest time for the headers and for the body of a request to arrive.
+    /// Longest time from the first byte of a request to its last.
     pub read_timeout: Duration,
     /// Longest time between a response and the next request, which also bounds
     /// how long a client may take to read a response.
@@ -52,6 +56,32 @@
     }
 }
 
+impl From<&jasminepond_config::Limits> for Limits {
+    fn from(limits: &jasminepond_config::Limits) -> Self {
+        let bytes = |size: u64| usize::try_from(size).unwrap_or(usize::MAX);
+        Self {
+            max_connections: limits.max_connections as usize,
+            max_header_bytes: bytes(limits.max_header_bytes.get()),
+            max_body_bytes: bytes(limits.max_body_bytes.get()),
+            read_timeout: limits.request_read_timeout_ms.duration(),
+            idle_timeout: limits.idle_timeout_ms.duration(),
+        }
+    }
+}
+
+impl Limits {
+    /// Bytes of headers above which reading stops and the answer has no body.
+    fn hard_header_limit(&self) -> usize {
+        (self.max_header_bytes * 2).max(MIN_HARD_HEADER_LIMIT)
+    }
+}
+
+/// Enough for the headers above any small limit to be answered with a body.
+const MIN_HARD_HEADER_LIMIT: usize = 64 << 10;
+
+/// Limits that apply to connections accepted from now on.
+pub type SharedLimits = Rc<RefCell<Limits>>;
+
 /// A request whose body has arrived whole.
 #[derive(Debug)]
 pub struct Received {
@@ -129,12 +159,24 @@
 
 /// Accepts connections until `stop`, then lets the open ones finish their
 /// request and returns when all have ended.
-pub async fn serve(listener: TcpListener, handler: Rc<dyn Handler>, limits: Limits, stop: Stop) {
+///
+/// After `stop`, connections are accepted for [`STOP_GRACE`] more: requests that
+/// were sent before it may still wait in sockets that were not read yet.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Rc<dyn Handler>,
+    limits: SharedLimits,
+    stop: Stop,
+) {
     let open = Rc::new(Cell::new(0));
-    let mut stopped = pin!(stop.clone().wait().fuse());
+    let (close_tx, close) = crate::stop::stop();
+    let stopped = async {
+        stop.wait().await;
+        compio::time::sleep(STOP_GRACE).await;
+    };
+    let mut stopped = pin!(stopped.fuse());
     loop {
         let stream = select_biased! {
-            _ = stopped => break,
             accepted = listener.accept().fuse() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(_) => {
@@ -143,14 +185,16 @@
                     continue;
                 }
             },
+            _ = stopped => break,
         };
+        let limits = limits.borrow().clone();
         if open.get() >= limits.max_connections {
             handler.refused(ErrorKind::Overloaded);
             continue;
         }
         open.set(open.get() + 1);
         let guard = OpenGuard(open.clone());
-        let conn = connection(stream, handler.clone(), limits.clone(), stop.clone());
+        let conn = connection(stream, handler.clone(), limits, close.clone());
         compio::runtime::spawn(async move {
             conn.await;
             drop(guard);
@@ -158,6 +202,7 @@
         .detach();
     }
     drop(listener);
+    close_tx.send();
     while open.get() > 0 {
         compio::time::sleep(DRAIN_POLL).await;
     }
@@ -166,45 +211,192 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
-async fn connection(stream: TcpStream, handler: Rc<dyn Handler>, limits: Limits, stop: Stop) {
+/// Time from the stop to the closing of the listener and of idle connections.
+pub const STOP_GRACE: Duration = Duration::from_millis(200);
+
+/// Longest time to read what a client still sends after its request was refused.
+/// Closing at once would reset the connection and might discard the answer.
+const LINGER: Duration = Duration::from_millis(500);
+
+async fn connection(stream: TcpStream, handler: Rc<dyn Handler>, limits: Limits, close: Stop) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let activity = Rc::new(Activity::default());
     let service = {
-        let (activity, limits) = (activity.clone(), limits.clone());
+        let (activity, limits, handler) = (activity.clone(), limits.clone(), handler.clone());
         service_fn(move |req| {
-            activity.begin();
+            let first_byte = activity.begin();
             let (handler, activity, limits) = (handler.clone(), activity.clone(), limits.clone());
             async move {
-                let res = respond(req, &*handler, &limits).await;
+                let res = respond(req, first_byte, &activity.unread, &*handler, &limits).await;
                 activity.end();
                 Ok::<_, std::convert::Infallible>(res)
             }
+            .boxed_local()
         })
     };
-    let conn = http1::Builder::new()
+    let stream = Watched {
+        stream: HyperStream::new_plain(stream),
+        activity: activity.clone(),
+    };
+    let mut conn = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(limits.read_timeout)
-        // hyper asks for at least 8 KiB.
-        .max_buf_size(limits.max_header_bytes.max(8 << 10))
-        .serve_connection(HyperStream::new_plain(stream), service);
-    let mut conn = pin!(conn);
-    let mut stopped = pin!(stop.wait().fuse());
-    let mut idle = pin!(activity.idle_for(limits.idle_timeout).fuse());
-    loop {
+        .header_read_timeout(None)
+        .max_buf_size(limits.hard_header_limit())
+        .serve_connection(stream, service);
+    let mut closing = pin!(close.wait().fuse());
+    let mut late = pin!(activity.late(&limits).fuse());
+    let ended = loop {
         select_biased! {
-            _ = conn.as_mut().fuse() => return,
-            _ = stopped => conn.as_mut().graceful_shutdown(),
-            _ = idle => return,
+            ended = poll_fn(|cx| conn.poll_without_shutdown(cx)).fuse() => break End::Hyper(ended),
+            // A request that has begun to arrive is answered first.
+            _ = closing => if activity.head_since.get().is_none() {
+                Pin::new(&mut conn).graceful_shutdown();
+            },
+            late = late => break End::Late(late),
+        }
+    };
+    let mut stream = conn.into_parts().io.stream;
+    let refusal = match ended {
+        End::Hyper(Err(err)) if err.is_parse_too_large() => {
+            // hyper has answered 431 without a body.
+            handler.refused(ErrorKind::HeadersTooLarge);
+            None
+        }
+        End::Hyper(Err(err)) if err.is_parse() => {
+            // hyper has answered 400 without a body.
+            handler.refused(ErrorKind::BadRequest);
+            None
+        }
+        End::Hyper(_) | End::Late(Late::Idle) => None,
+        End::Late(Late::Head) => {
+            handler.refused(ErrorKind::SlowRequest);
+            let message = "the headers did not arrive in time";
+            Some(error_response(ErrorKind::SlowRequest, message, None))
+        }
+    };
+    if let Some(res) = refusal {
+        let _ = compio::time::timeout(LINGER, write_raw(&mut stream, res)).await;
+    }
+    let unread = activity.unread.get() || activity.head_since.get().is_some();
+    let _ = compio::time::timeout(LINGER, finish(&mut stream, unread)).await;
+}
+
+/// How a connection ended.
+enum End {
+    Hyper(hyper::Result<()>),
+    Late(Late),
+}
+
+/// What a client was late with.
+enum Late {
+    /// It sent no further request.
+    Idle,
+    /// The headers of a request did not arrive whole.
+    Head,
+}
+
+type Stream = HyperStream<TcpStream>;
+
+/// Writes an answer outside of hyper, which answers only requests whose headers
+/// it has read.
+async fn write_raw(stream: &mut Stream, res: Answered) -> io::Result<()> {
+    let (head, body) = res.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes());
+    let body = body.unwrap_or_default();
+    let mut text = format!("HTTP/1.1 {}\r\n", head.status);
+    for (name, value) in &head.headers {
+        let value = value.to_str().unwrap_or_default();
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    let length = body.len();
+    text.push_str(&format!(
+        "content-length: {length}\r\nconnection: close\r\n\r\n"
+    ));
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(&body);
+    let mut written = 0;
+    while written < bytes.len() {
+        let n = poll_fn(|cx| Pin::new(&mut *stream).poll_write(cx, &bytes[written..])).await?;
+        if n == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        written += n;
+    }
+    poll_fn(|cx| Pin::new(&mut *stream).poll_flush(cx)).await
+}
+
+/// Ends the sending direction and reads what is left of a refused request.
+async fn finish(stream: &mut Stream, unread: bool) -> io::Result<()> {
+    poll_fn(|cx| Pin::new(&mut *stream).poll_shutdown(cx)).await?;
+    if !unread {
+        return Ok(());
+    }
+    let mut bytes = [0; 4 << 10];
+    loop {
+        let mut buf = ReadBuf::new(&mut bytes);
+        poll_fn(|cx| Pin::new(&mut *stream).poll_read(cx, buf.unfilled())).await?;
+        if buf.filled().is_empty() {
+            return Ok(());
+        }
+    }
+}
+
+/// Bytes read at a time, as many as hyper's first read buffer holds.
+const READ_BYTES: usize = 8 << 10;
+
+/// A stream that notes when the first byte of a request arrives.
+struct Watched {
+    stream: Stream,
+    activity: Rc<Activity>,
+}
+
+impl Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut bytes = [0; READ_BYTES];
+        let size = buf.remaining().min(READ_BYTES);
+        let mut read = ReadBuf::new(&mut bytes[..size]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, read.unfilled()))?;
+        if !read.filled().is_empty() {
+            self.activity.received();
         }
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
-/// When the connection last began or ended a request.
+/// What the client of a connection does.
 struct Activity {
     running: Cell<usize>,
+    /// When the last request ended, or the connection began.
     last: Cell<Instant>,
+    /// When the first byte of a request arrived whose headers are not complete.
+    head_since: Cell<Option<Instant>>,
+    /// Whether the rest of a refused request is unread.
+    unread: Cell<bool>,
 }
 
 impl Default for Activity {
@@ -212,13 +404,23 @@
         Self {
             running: Cell::new(0),
             last: Cell::new(Instant::now()),
+            head_since: Cell::new(None),
+            unread: Cell::new(false),
         }
     }
 }
 
 impl Activity {
-    fn begin(&self) {
+    fn received(&self) {
+        if self.running.get() == 0 && self.head_since.get().is_none() {
+            self.head_since.set(Some(Instant::now()));
+        }
+    }
+
+    /// The headers are complete. Returns when the first byte arrived.
+    fn begin(&self) -> Instant {
         self.running.set(self.running.get() + 1);
+        self.head_since.take().unwrap_or_else(Instant::now)
     }
 
     fn end(&self) {
@@ -226,33 +428,62 @@
         self.last.set(Instant::now());
     }
 
-    async fn idle_for(self: &Rc<Self>, limit: Duration) {
+    /// Returns once the client is late with its next request.
+    async fn late(self: &Rc<Self>, limits: &Limits) -> Late {
         loop {
-            let idle = if self.running.get() > 0 {
-                Duration::ZERO
-            } else {
-                self.last.get().elapsed()
+            let head_since = self.head_since.get();
+            let (since, limit) = match head_since {
+                _ if self.running.get() > 0 => (Instant::now(), limits.read_timeout),
+                Some(since) => (since, limits.read_timeout),
+                None => (self.last.get(), limits.idle_timeout),
             };
-            match limit.checked_sub(idle) {
-                Some(rest) if !rest.is_zero() => compio::time::sleep(rest).await,
-                _ => return,
+            match limit.checked_sub(since.elapsed()) {
+                // A request may begin to arrive while the connection is idle.
+                Some(rest) if !rest.is_zero() => {
+                    compio::time::sleep(rest.min(limits.read_timeout)).await;
+                }
+                _ if head_since.is_some() => return Late::Head,
+                _ => return Late::Idle,
             }
         }
     }
 }
 
-async fn respond(req: Request<Incoming>, handler: &dyn Handler, limits: &Limits) -> Answered {
+/// Bytes of the request line and the headers, without their separators.
+fn header_bytes(head: &hyper::http::request::Parts) -> usize {
+    let uri = head
+        .uri
+        .path_and_query()
+        .map_or(0, |uri| uri.as_str().len());
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len());
+    head.method.as_str().len() + uri + headers.sum::<usize>()
+}
+
+async fn respond(
+    req: Request<Incoming>,
+    first_byte: Instant,
+    unread: &Cell<bool>,
+    handler: &dyn Handler,
+    limits: &Limits,
+) -> Answered {
     let (head, body) = req.into_parts();
     let refuse = |kind: ErrorKind, message: &str| {
         handler.refused(kind);
+        unread.set(true);
         let mut res = error_response(kind, message, None);
         // The rest of the body is not read, so the connection cannot be used again.
         res.headers_mut()
             .insert("connection", HeaderValue::from_static("close"));
         res
     };
+    if header_bytes(&head) > limits.max_header_bytes {
+        let message = format!("the headers exceed {} bytes", limits.max_header_bytes);
+        return refuse(ErrorKind::HeadersTooLarge, &message);
+    }
+    let left = limits.read_timeout.saturating_sub(first_byte.elapsed());
     let body = Limited::new(body, limits.max_body_bytes).collect();
-    match compio::time::timeout(limits.read_timeout, body).await {
+    match compio::time::timeout(left, body).await {
         Err(_) => refuse(ErrorKind::SlowRequest, "the body did not arrive in time"),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
             let message = format!("the body exceeds {} bytes", limits.max_body_bytes);
--- a/crates/jasminepond-daemon/tests/contract/main.rs
+++ b/crates/jasminepond-daemon/tests/contract/main.rs
@@ -1,4 +1,5 @@
 //! Contract tests: one test module per interface of the daemon.
 
 mod backends;
+mod callers;
 mod support;
