fix(daemon): stop showing a refused revision once a higher one is in effect

Cause: `/status` showed the newest refusal that the sync state machine remembers, also after a higher revision had been accepted, against docs/CONFIGURATION.md. Ruled out: `Acceptance`, which forgets the refusal. Change: refusals of revisions not above the one in effect are left out. Test: contract tests of the platform, ten faults of the configuration service, four broken files, and a daemon started during three kinds of outage.

--- a/crates/jasminepond-daemon/src/control/mod.rs
+++ b/crates/jasminepond-daemon/src/control/mod.rs
@@ -275,6 +275,8 @@
             state: state_name(Some(member.state)),
             revision: member.config.0,
         };
+        // A refusal is shown until a revision at least as high is in effect.
+        let refused = refused.filter(|refusal| refusal.revision > revision);
         let refused = refused.map(|refusal| format!("{}: {}", refusal.revision, refusal.reason));
         ControlStatus {
             revision,
--- a/crates/jasminepond-daemon/tests/contract/main.rs
+++ b/crates/jasminepond-daemon/tests/contract/main.rs
@@ -2,4 +2,5 @@
 
 mod backends;
 mod callers;
+mod platforms;
 mod support;
