test(daemon): contract between daemons

Cause: the interface between daemons had unit tests only. Change: a peer that speaks the protocol as far as a test wants it to: wrong key, other major versions, a frame before the handshake, an unknown kind, damaged frames, sub-requests beyond the credit, silence, and forged datagrams. A second peer and a caller must be served meanwhile. Conclusion: no defect found.

--- a/crates/jasminepond-daemon/tests/contract/main.rs
+++ b/crates/jasminepond-daemon/tests/contract/main.rs
@@ -2,5 +2,6 @@
 
 mod backends;
 mod callers;
+mod peers;
 mod platforms;
 mod support;
--- /dev/null
+++ b/crates/jasminepond-daemon/tests/contract/peers.rs
@@ -0,0 +1,290 @@
+//! Contract between daemons (section 4.5 of the design page).
+
+use std::net::{TcpStream, UdpSocket};
+
+use jasminepond_types::{Incarnation, Millis};
+use jasminepond_wire::{
+    Frame, Handshake, KeyRing, Local, MAJOR, MAX_PARTS, Next, Part, Role, Search, decode, encode,
+    seal,
+};
+use serde_json::{Value, json};
+use test_case::test_case;
+use tokio_tungstenite::tungstenite::{Message, WebSocket, client};
+
+use crate::support::{Backend, KEY, LIMIT, Platform, Reaction, TestDaemon, folder, post, wait_for};
+
+struct Tier {
+    daemon: TestDaemon,
+    backend: Backend,
+    platform: Platform,
+}
+
+fn start() -> Tier {
+    let backend = Backend::start(Reaction::Answer);
+    let platform = Platform::start(&folder(&[vec![backend.address]]));
+    let daemon = TestDaemon::start("entry-1", platform.address);
+    Tier {
+        daemon,
+        backend,
+        platform,
+    }
+}
+
+impl Tier {
+    /// Instances with a link to the daemon.
+    fn links(&self) -> Vec<String> {
+        let links = self.daemon.status()["links"].clone();
+        serde_json::from_value(links).expect("a list of instances")
+    }
+
+    /// Callers and well-behaved peers are served.
+    fn assert_serves(&self) {
+        let body = json!({"tenant": "t1", "class": "c1", "group": "find", "query": "q"});
+        let response = post(self.daemon.bound.callers, "/v1/search", &body);
+        assert_eq!(response.body["coverage"]["answered"], 1, "{response:?}");
+    }
+}
+
+fn ring(key: &str) -> KeyRing {
+    // The daemon's settings derive the shared key from what operators write.
+    let key: jasminepond_config::PeerKey = key.parse().expect("a valid key");
+    let hex: String = key
+        .mac_key()
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    KeyRing::new([hex.parse().expect("a long key")]).expect("one key")
+}
+
+/// A peer that speaks the protocol as far as a test wants it to.
+struct Peer {
+    socket: WebSocket<TcpStream>,
+}
+
+impl Peer {
+    fn connect(daemon: &TestDaemon) -> Self {
+        let address = daemon.bound.peers;
+        let stream = TcpStream::connect(address).expect("the daemon accepts links");
+        stream.set_read_timeout(Some(LIMIT)).expect("a valid limit");
+        let (socket, _) = client(format!("ws://{address}/peer"), stream).expect("an upgrade");
+        Self { socket }
+    }
+
+    fn send(&mut self, frame: &Frame) {
+        let mut bytes = Vec::new();
+        encode(frame, &mut bytes).expect("a valid frame");
+        self.send_bytes(bytes);
+    }
+
+    fn send_bytes(&mut self, bytes: Vec<u8>) {
+        // The daemon may have closed the link already; reading tells.
+        let _ = self.socket.send(Message::binary(bytes));
+    }
+
+    /// The next frame; `None` once the link is closed.
+    fn receive(&mut self) -> Option<Frame> {
+        loop {
+            match self.socket.read() {
+                Ok(Message::Binary(bytes)) => return Some(decode(&bytes).expect("a valid frame")),
+                Ok(Message::Close(_)) | Err(_) => return None,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    fn wait_until_closed(&mut self) {
+        while self.receive().is_some() {}
+    }
+
+    /// Authenticates as `name`; whether the daemon accepted it.
+    fn authenticate(&mut self, name: &str, key: &str, major: u16) -> bool {
+        let local = Local {
+            role: Role::Dialer,
+            instance: name.parse().expect("a valid id"),
+            incarnation: Incarnation(1),
+            nonce: [7; 16],
+            expect: None,
+        };
+        let (mut handshake, hello) = Handshake::new(ring(key), local);
+        self.send(&Frame::Hello(jasminepond_wire::Hello { major, ..hello }));
+        while let Some(frame) = self.receive() {
+            match handshake.receive(frame) {
+                Next::SendProof(proof) => self.send(&Frame::Proof(proof)),
+                // The daemon's first frame after its proof grants credit.
+                Next::Established(_) => {
+                    return matches!(self.receive(), Some(Frame::Credit { .. }));
+                }
+                Next::Reject(_) => {
+                    self.wait_until_closed();
+                    return false;
+                }
+            }
+        }
+        false
+    }
+
+    fn accepted(daemon: &TestDaemon, name: &str) -> Self {
+        let mut peer = Self::connect(daemon);
+        assert!(peer.authenticate(name, KEY, MAJOR));
+        peer
+    }
+
+    /// The daemon answers a ping: the link works.
+    fn assert_open(&mut self) {
+        self.send(&Frame::Ping { n: 4242 });
+        while let Some(frame) = self.receive() {
+            if frame == (Frame::Pong { n: 4242 }) {
+                return;
+            }
+        }
+        panic!("the link was closed");
+    }
+}
+
+fn search(id: u64, parts: usize) -> Frame {
+    let part = |number: usize| Part {
+        part: number as u32,
+        service: "shard-1".parse().expect("a valid id"),
+        server: "server-1-a".parse().expect("a valid id"),
+    };
+    Frame::Search(Search {
+        id,
+        tenant: "t1".parse().expect("a valid id"),
+        class: "c1".parse().expect("a valid id"),
+        priority: 0,
+        weight: Default::default(),
+        group: "find".parse().expect("a valid id"),
+        version: jasminepond_types::Version(1),
+        query: "hold".into(),
+        limit: 1,
+        left: Millis(20_000),
+        parts: (0..parts).map(part).collect(),
+    })
+}
+
+/// Guards against a link with a process that does not belong to the tier.
+#[test_case("ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100", MAJOR; "wrong key")]
+#[test_case(KEY, MAJOR + 1; "newer major version")]
+#[test_case(KEY, MAJOR - 1; "older major version")]
+fn a_stranger_gets_no_link(key: &str, major: u16) {
+    let tier = start();
+    let mut peer = Peer::connect(&tier.daemon);
+    assert!(!peer.authenticate("entry-9", key, major));
+    assert!(tier.links().is_empty());
+    tier.assert_serves();
+}
+
+/// Guards against work for a peer that has not proved that it belongs.
+#[test]
+fn a_frame_before_the_handshake_ends_the_link() {
+    let tier = start();
+    let mut peer = Peer::connect(&tier.daemon);
+    peer.send(&search(1, 1));
+    peer.wait_until_closed();
+    assert_eq!(tier.backend.searches(), 0);
+    tier.assert_serves();
+}
+
+fn array(kind: u64, rest: &[u8]) -> Vec<u8> {
+    let mut bytes = vec![0x82, 0x19];
+    bytes.extend_from_slice(&(kind as u16).to_be_bytes());
+    bytes.extend_from_slice(rest);
+    bytes
+}
+
+/// Guards against a daemon that cannot be upgraded one at a time: a newer one
+/// sends kinds that an older one does not know.
+#[test]
+fn an_unknown_frame_kind_is_ignored() {
+    let tier = start();
+    let mut peer = Peer::accepted(&tier.daemon, "entry-9");
+    peer.send_bytes(array(60_000, &[0xf6]));
+    peer.assert_open();
+    tier.assert_serves();
+}
+
+/// Guards against a damaged link that goes on, and against damage to others.
+#[test_case(&[0x82]; "an array that ends early")]
+#[test_case(&[0xff, 0xff, 0xff]; "no CBOR")]
+#[test_case(&[]; "nothing")]
+#[test_case(&[0xf6]; "no array")]
+fn half_a_frame_ends_only_its_link(bytes: &[u8]) {
+    let tier = start();
+    let mut good = Peer::accepted(&tier.daemon, "entry-8");
+    let mut bad = Peer::accepted(&tier.daemon, "entry-9");
+    bad.send_bytes(bytes.to_vec());
+    bad.wait_until_closed();
+    good.assert_open();
+    assert_eq!(tier.links(), ["entry-8"]);
+    tier.assert_serves();
+}
+
+/// Guards against a peer that fills the queues beyond its credit.
+#[test]
+fn sub_requests_beyond_the_credit_end_the_link() {
+    let tier = start();
+    tier.backend.hold(true);
+    let mut good = Peer::accepted(&tier.daemon, "entry-8");
+    let mut bad = Peer::accepted(&tier.daemon, "entry-9");
+    for id in 0..4 {
+        bad.send(&search(id, MAX_PARTS));
+    }
+    bad.wait_until_closed();
+    tier.backend.hold(false);
+    good.assert_open();
+    tier.assert_serves();
+}
+
+/// Guards against requests that wait for a peer that says nothing any more.
+#[test]
+fn a_silent_peer_loses_its_link() {
+    let tier = start();
+    let _silent = Peer::accepted(&tier.daemon, "entry-9");
+    wait_for("the link to be up", || {
+        (tier.links() == ["entry-9"]).then_some(())
+    });
+    // It reads nothing and answers no ping.
+    wait_for("the link to be closed", || {
+        tier.links().is_empty().then_some(())
+    });
+    tier.assert_serves();
+}
+
+/// Guards against members that a stranger invents.
+#[test]
+fn forged_datagrams_change_nothing() {
+    let tier = start();
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let to = tier.daemon.bound.membership;
+    let wrong = ring("ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100");
+    let mut changed = seal(&ring(KEY), b"\x81\x00").expect("it fits");
+    if let Some(last) = changed.last_mut() {
+        *last ^= 1;
+    }
+    let forged: [Vec<u8>; 6] = [
+        Vec::new(),
+        vec![0; 1_200],
+        vec![0xff; 65_000],
+        seal(&wrong, b"\x81\x00").expect("it fits"),
+        seal(&ring(KEY), b"no message").expect("it fits"),
+        changed,
+    ];
+    for datagram in &forged {
+        socket.send_to(datagram, to).expect("sent");
+    }
+    // Datagrams are read in order: once a peer has joined, the forged ones were read.
+    tier.platform.list("entry-1", "daemon", to, "live");
+    let second = TestDaemon::start("entry-2", tier.platform.address);
+    let members = |daemon: &TestDaemon| -> Vec<String> {
+        let status = daemon.status();
+        let members = status["config"]["members"].as_array().cloned();
+        let name = |member: &Value| member["instance"].as_str().unwrap_or_default().to_owned();
+        members.unwrap_or_default().iter().map(name).collect()
+    };
+    for daemon in [&tier.daemon, &second] {
+        wait_for("both to know each other", || {
+            (members(daemon) == ["entry-1", "entry-2"]).then_some(())
+        });
+    }
+    tier.assert_serves();
+}
