--- /dev/null
+++ b/crates/jasminepond-daemon/tests/contract/api_page.rs
@@ -0,0 +1,37 @@
+//! `docs/API.md` against the code.
+
+use jasminepond_types::{ErrorKind, RetryAfter, Run};
+
+const PAGE: &str = include_str!("../../../../docs/API.md");
+
+fn row(kind: ErrorKind) -> String {
+    let answer = kind.answer();
+    let not_run = match answer.run {
+        Run::NotRun => "yes",
+        Run::Unknown => "no",
+    };
+    let retry_after = match answer.retry_after {
+        RetryAfter::Stated => "yes",
+        RetryAfter::Never => "-",
+    };
+    format!(
+        "| `{kind}` | {} | {not_run} | {retry_after} |",
+        answer.status
+    )
+}
+
+/// Guards against a page that promises callers something else than the code
+/// does, or that lists kinds that do not exist.
+#[test]
+fn the_table_of_error_kinds_is_the_one_in_the_code() {
+    let table = PAGE.split("## Error kinds").nth(1).expect("the section");
+    // Callers decide by the first four columns; the last one explains.
+    let four_columns = |line: &str| {
+        let cells: Vec<_> = line.split(" | ").take(4).collect();
+        format!("{} |", cells.join(" | "))
+    };
+    let rows = table.lines().filter(|line| line.starts_with("| `"));
+    let documented: Vec<String> = rows.map(four_columns).collect();
+    let expected: Vec<String> = ErrorKind::ALL.iter().map(|kind| row(*kind)).collect();
+    assert_eq!(documented, expected);
+}
