fix(daemon): keep a server that is listed as leaving out of work

Cause: the owner asks a leaving server every 2 s whether it is ready. A server that does not know that its machine is to stop says yes, so it got new work until the list was reported again 15 s later, and so on. Ruled out: the entry side and the reports of other daemons: with the server's own notice (`x-draining`) the same test passes. Change: a report by the instance list or by another daemon holds for 20 s; the list is reported every 15 s while it names the server, so the server stays out of work until the list no longer does. Test: processes, `a_leaving_server_gets_no_new_work`, received requests of the server 208 where 166 were expected before, no difference after.

--- a/crates/jasminepond-daemon/src/owner/mod.rs
+++ b/crates/jasminepond-daemon/src/owner/mod.rs
@@ -533,7 +533,7 @@
             return;
         };
         if let Some(server) = self.servers.get_mut(key) {
-            server.set_draining(now);
+            server.reported_leaving(now);
         }
         self.pump(now, key);
     }
--- a/crates/jasminepond-daemon/src/owner/server.rs
+++ b/crates/jasminepond-daemon/src/owner/server.rs
@@ -25,6 +25,11 @@
 /// Interval at which a leaving server is asked whether it has come back.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time for which a report that a server is leaving holds, although the server
+/// says that it is ready: a server may not know that its machine is to stop.
+/// Above the 15 s at which a listed server is reported again.
+const LEAVING_HOLD: Duration = Duration::from_secs(20);
+
 /// Number of the first connection to a server.
 const FIRST_CONN: u64 = 1;
 
@@ -83,6 +88,8 @@
     next_conn: u64,
     retired: bool,
     next_probe: Timestamp,
+    /// Until then the word of others that it is leaving counts more than its own.
+    leaving_until: Timestamp,
     /// When the queue wants to be looked at again.
     pub timer: Option<Timestamp>,
 }
@@ -125,6 +132,7 @@
             next_conn: FIRST_CONN,
             retired: false,
             next_probe: Timestamp::ZERO,
+            leaving_until: Timestamp::ZERO,
             timer: None,
         })
     }
@@ -377,6 +385,12 @@
         }
     }
 
+    /// The instance list or another daemon says that the server is leaving.
+    pub fn reported_leaving(&mut self, now: Timestamp) {
+        self.leaving_until = now + LEAVING_HOLD;
+        self.set_draining(now);
+    }
+
     /// The process has resumed from a pause.
     pub fn woke(&mut self, now: Timestamp) {
         self.queue.woke(now);
@@ -405,7 +419,8 @@
                     conn.handle.send(Command::Close);
                 }
                 let ready = CallOutcome::Health(backend::ServerState::Ready);
-                if reply.outcome == ready && !reply.hints.draining && !self.retired {
+                let ready = reply.outcome == ready && !reply.hints.draining;
+                if ready && now >= self.leaving_until && !self.retired {
                     self.queue.set_ready(now);
                 }
             }
