feat(cluster): relay between daemons and leaving backend servers

Cause: tests need partitions between daemons and servers that the instance list names as leaving. Change: `Options::relayed` puts `standin-relay` in front of each daemon's peer and membership listener; `Cluster::network` sets its faults; `Cluster::list_server` changes the instance list.

--- a/tools/cluster/src/lib.rs
+++ b/tools/cluster/src/lib.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod http;
 mod process;
+mod relay;
 
 use std::{
     collections::BTreeMap,
@@ -23,6 +24,8 @@
 pub use http::call;
 pub use process::{Process, Signal};
 
+use relay::Relay;
+
 /// A cluster could not be started or asked.
 #[derive(Debug, thiserror::Error)]
 pub enum ClusterError {
@@ -79,6 +82,8 @@
     pub overrides: Value,
     /// Log level of the daemons.
     pub log_level: String,
+    /// Whether daemons reach each other through relays, for network faults.
+    pub relayed: bool,
 }
 
 impl Options {
@@ -94,6 +99,7 @@
             seed: 1,
             overrides: json!({}),
             log_level: "info".to_owned(),
+            relayed: false,
         }
     }
 }
@@ -165,6 +171,8 @@
     pub zone: String,
     /// Its addresses.
     pub addresses: Addresses,
+    /// Address to which other daemons send datagrams.
+    pub membership: Value,
     /// Its process.
     pub process: Process,
 }
@@ -184,6 +192,7 @@
     pub nodes: Vec<Node>,
     _platform: Process,
     _backend: Process,
+    relay: Option<Relay>,
 }
 
 /// Longest wait for a condition. It bounds a failing run; a passing one waits
@@ -261,8 +270,13 @@
             nodes: Vec::new(),
             _platform: platform,
             _backend: backend,
+            relay: None,
             options,
         };
+        if cluster.options.relayed {
+            let options = &cluster.options;
+            cluster.relay = Some(Relay::start(&options.programs, &options.scratch)?);
+        }
         for number in 0..cluster.options.daemons {
             let node = cluster.start_node(number)?;
             cluster.nodes.push(node);
@@ -274,6 +288,8 @@
     fn start_node(&self, number: usize) -> Result<Node, ClusterError> {
         let instance = format!("entry-{}", number + 1);
         let (zone, region) = self.deployment.zone(number);
+        let relay = self.relay.as_ref();
+        let advertise = relay.map(|relay| relay.open(&instance)).transpose()?;
         let settings = json!({
             "instance": instance,
             "zone": zone,
@@ -282,6 +298,7 @@
             "peers": "127.0.0.1:0",
             "membership": "127.0.0.1:0",
             "operators": "127.0.0.1:0",
+            "advertise": advertise.clone().unwrap_or_else(|| json!({})),
             "platform": [self.platform],
             "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"],
             "log": {"level": self.options.log_level, "format": "text"},
@@ -291,6 +308,13 @@
         let log = self.options.scratch.join(format!("{instance}.log"));
         let args = ["serve".into(), "--settings".into(), file.into()];
         let process = Process::start(&self.options.programs, "jasminepond", args, &log)?;
+        if let Some(relay) = &self.relay {
+            relay.lead(&instance, &process.bound)?;
+        }
+        let membership = match &advertise {
+            Some(advertise) => advertise["membership"].clone(),
+            None => process.bound["membership"].clone(),
+        };
         let addresses = Addresses {
             callers: address(&process.bound, "callers", "jasminepond")?,
             operators: address(&process.bound, "operators", "jasminepond")?,
@@ -299,6 +323,7 @@
             instance,
             zone,
             addresses,
+            membership,
             process,
         };
         self.list(&node, "live")?;
@@ -315,13 +340,48 @@
             "id": node.instance,
             "role": "daemon",
             "zone": node.zone,
-            "address": node.process.bound["membership"],
+            "address": node.membership,
             "state": state,
         });
         let path = format!("/instances/{}", node.instance);
         call(self.platform_control, &path, Some(&entry)).map(drop)
     }
 
+    /// Publishes the state of a backend server in the instance list.
+    ///
+    /// # Errors
+    ///
+    /// The stand-in does not answer.
+    pub fn list_server(&self, server: &str, state: &str) -> Result<(), ClusterError> {
+        // The tier takes only the state from the list, not the address.
+        let entry = json!({
+            "id": server,
+            "role": "backend",
+            "zone": "unknown",
+            "address": "127.0.0.1:1",
+            "state": state,
+        });
+        let path = format!("/instances/{server}");
+        call(self.platform_control, &path, Some(&entry)).map(drop)
+    }
+
+    /// Sets faults between the daemons of a relayed cluster, see `standin-relay`:
+    /// on routes to the listeners `peers` or `membership`, or to both with `*`.
+    ///
+    /// # Errors
+    ///
+    /// The cluster has no relay, or it does not answer.
+    pub fn network(&self, listener: &str, patch: &Value) -> Result<(), ClusterError> {
+        let Some(relay) = &self.relay else {
+            return Err(ClusterError::NoAddresses("standin-relay".to_owned()));
+        };
+        if listener == "*" {
+            return relay.patch("*", patch);
+        }
+        let mut nodes = self.nodes.iter();
+        nodes.try_for_each(|node| relay.patch(&format!("{}-{listener}", node.instance), patch))
+    }
+
     /// Starts a daemon again under the same instance.
     ///
     /// # Errors
