--- /dev/null
+++ b/tools/cluster/tests/processes/command_line.rs
@@ -0,0 +1,187 @@
+//! The command line of `jasminepond`.
+
+use std::process::{Command, Output};
+
+use serde_json::{Value, json};
+use test_case::test_case;
+
+use crate::support::{example, foundry, programs, scratch};
+
+fn run(args: &[&str]) -> Output {
+    let program = programs().join("jasminepond");
+    let output = Command::new(program).args(args).output();
+    output.expect("the program runs")
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().expect("an exit code")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Guards against help that names the wrong command or goes to standard error.
+#[test_case(&["--help"], "Usage: jasminepond COMMAND"; "in general")]
+#[test_case(&[], "Usage: jasminepond COMMAND"; "without arguments")]
+#[test_case(&["serve", "--help"], "Usage: jasminepond serve"; "of serve")]
+#[test_case(&["check", "-h"], "Usage: jasminepond check"; "of check")]
+#[test_case(&["search", "--help"], "Usage: jasminepond search"; "of search")]
+#[test_case(&["execute", "--help"], "Usage: jasminepond execute"; "of execute")]
+#[test_case(&["status", "--help"], "Usage: jasminepond status"; "of status")]
+#[test_case(&["--version"], "jasminepond 0.1.0"; "version")]
+fn help_and_version_are_printed(args: &[&str], expected: &str) {
+    let output = run(args);
+    assert_eq!(code(&output), 0);
+    assert!(text(&output.stdout).contains(expected), "{output:?}");
+    assert!(output.stderr.is_empty(), "{output:?}");
+}
+
+/// Guards against a mistake in the command line that is ignored or not named.
+#[test_case(&["--colour"], "--colour"; "unknown flag")]
+#[test_case(&["serv"], "serv"; "unknown command")]
+#[test_case(&["serve", "--setings", "x.json"], "--setings"; "mistyped flag of serve")]
+#[test_case(&["serve"], "--settings"; "serve without settings")]
+#[test_case(&["serve", "--settings", "x.json", "--log-level", "loud"], "loud"; "unknown log level")]
+#[test_case(&["check"], "FOLDER"; "check without folder")]
+#[test_case(&["check", "--fromat", "json", "x"], "--fromat"; "mistyped flag of check")]
+#[test_case(&["search", "--to", "nowhere", "q"], "nowhere"; "address that is none")]
+#[test_case(&["search", "--to", "127.0.0.1:1", "--tennant", "t", "q"], "--tennant"; "mistyped flag of search")]
+#[test_case(&["search", "--to", "127.0.0.1:1", "--tenant", "t", "--class", "c", "--group", "g"], "QUERY"; "search without query")]
+#[test_case(&["execute", "--to", "127.0.0.1:1", "--keey", "k"], "--keey"; "mistyped flag of execute")]
+#[test_case(&["status"], "--to"; "status without address")]
+fn a_wrong_command_line_is_named_with_exit_code_2(args: &[&str], named: &str) {
+    let output = run(args);
+    assert_eq!(code(&output), 2, "{output:?}");
+    assert!(text(&output.stderr).contains(named), "{output:?}");
+    assert!(output.stdout.is_empty(), "{output:?}");
+}
+
+/// Guards against examples that the tier would refuse.
+#[test_case("foundry")]
+#[test_case("registry")]
+fn check_accepts_the_examples(name: &str) {
+    let folder = example(name);
+    let folder = folder.to_str().expect("a path that is text");
+    let output = run(&["check", folder]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    let output = run(&["check", "--format", "json", folder]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    let merged: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert!(merged.is_object());
+}
+
+/// Guards against a broken folder that passes, or mistakes without their place.
+#[test]
+fn check_names_the_mistakes_of_a_broken_folder() {
+    let folder = scratch().join("broken");
+    std::fs::create_dir_all(&folder).expect("the folder can be created");
+    std::fs::write(
+        folder.join("10-zones.json"),
+        r#"{"zones": {}, "colour": 1}"#,
+    )
+    .expect("written");
+    let folder = folder.to_str().expect("a path that is text");
+    let output = run(&["check", folder]);
+    assert_eq!(code(&output), 1, "{output:?}");
+    let all = text(&output.stdout) + &text(&output.stderr);
+    assert!(all.contains("10-zones.json: /colour"), "{all}");
+    let output = run(&["check", "/nowhere/at/all"]);
+    assert_eq!(code(&output), 1, "{output:?}");
+}
+
+/// Guards against a daemon that starts with settings it did not understand.
+#[test]
+fn serve_names_mistakes_in_its_settings() {
+    let file = scratch().join("settings.json");
+    std::fs::write(&file, r#"{"instance": "entry-1", "colour": 1}"#).expect("written");
+    let output = run(&["serve", "--settings", file.to_str().expect("text")]);
+    assert_eq!(code(&output), 1, "{output:?}");
+    let errors = text(&output.stderr);
+    assert!(
+        errors.contains("/colour") && errors.contains("/zone"),
+        "{errors}"
+    );
+}
+
+/// Guards against exit codes and outputs that scripts cannot rely on.
+#[test]
+fn search_execute_and_status_against_a_cluster() {
+    let mut tier = foundry(2);
+    tier.wait_until_complete(&[0, 1]);
+    let to = tier.nodes[0].addresses.callers.to_string();
+    let operators = tier.nodes[0].addresses.operators.to_string();
+    let request = |command: &'static str, group: &'static str, class: &'static str| {
+        let args = [
+            command, "--to", &to, "--tenant", "sales", "--class", class, "--group", group,
+        ];
+        args.map(str::to_owned).to_vec()
+    };
+    let run_with = |mut args: Vec<String>, more: &[&str]| {
+        args.extend(more.iter().map(|arg| (*arg).to_owned()));
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        run(&args)
+    };
+
+    let find = request("search", "sales-office", "archive-search");
+    let output = run_with(find.clone(), &["flange"]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    assert!(
+        text(&output.stdout).contains("coverage: 30 of 30 shards"),
+        "{output:?}"
+    );
+    let output = run_with(find.clone(), &["--json", "--limit", "2", "flange"]);
+    let answer: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(answer["coverage"]["missing"], json!([]));
+    assert!(
+        answer["hits"]
+            .as_array()
+            .is_some_and(|hits| hits.len() <= 2)
+    );
+    let output = run_with(request("search", "nothing", "archive-search"), &["flange"]);
+    assert_eq!(code(&output), 3, "{output:?}");
+    assert!(text(&output.stdout).contains("unknown_group"), "{output:?}");
+
+    let output = run_with(
+        request("execute", "dispatch", "order-entry"),
+        &["--json", r#"{"n":1}"#],
+    );
+    assert_eq!(code(&output), 0, "{output:?}");
+    let answer: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(answer["outcome"], "done");
+    let key = answer["key"].as_str().expect("a key").to_owned();
+    let again = ["--json", "--key", &key, r#"{"n":1}"#];
+    let output = run_with(request("execute", "dispatch", "order-entry"), &again);
+    assert_eq!(code(&output), 0, "{output:?}");
+    assert_eq!(tier.executions_of(&key), 1);
+    let output = run_with(
+        request("execute", "dispatch", "order-entry"),
+        &["--key", "abc", "{}"],
+    );
+    assert_eq!(code(&output), 3, "{output:?}");
+    assert!(
+        text(&output.stdout).contains("not run: certain"),
+        "{output:?}"
+    );
+    let output = run_with(request("execute", "dispatch", "order-entry"), &["{"]);
+    assert_eq!(code(&output), 1, "{output:?}");
+
+    let output = run(&["status", "--to", &operators]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    let shown = text(&output.stdout);
+    assert!(
+        shown.contains("entry-1") && shown.contains("entry-2"),
+        "{shown}"
+    );
+    let output = run(&["status", "--json", "--to", &operators]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    let status: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(status["readiness"], "ready");
+
+    let ended = tier.stop_node(0).expect("it ends");
+    assert_eq!(ended.code(), Some(0));
+    let output = run(&["status", "--to", &operators]);
+    assert_eq!(code(&output), 1, "{output:?}");
+    let output = run_with(find, &["flange"]);
+    assert_eq!(code(&output), 1, "{output:?}");
+}
