fix(daemon): enforce the limits of requests in progress and of keys

Cause: `limits.max_in_flight`, `limits.key_lifetime_ms` and `limits.max_issued_keys` were read and not used; keys lived for 10 minutes while callers were told the configured lifetime. A tenant's `max_in_flight` applied to searches only. Ruled out: admission control, which counts searches per tenant by itself. Change: the entry refuses above both limits with `overloaded` and `tenant_limit`; the table of keys is made with the configured limits. Changed limits of keys apply once no key is left, since the table takes them when it is made. Test: contract, three tests with a search that is held at its server.

--- a/crates/jasminepond-daemon/src/entry/execute.rs
+++ b/crates/jasminepond-daemon/src/entry/execute.rs
@@ -133,6 +133,7 @@
     pub(super) fn issue_keys(&mut self, tenant: &str, count: u32) -> Result<IssuedKeys, Refusal> {
         let config = self.ready()?;
         let now = self.cx.clock.now();
+        let lifetime = Millis::from(self.key_settings.lifetime);
         let Some((tenant, _)) = config.tenants.get_key_value(tenant) else {
             let message = format!("tenant {tenant:?} is not configured");
             return Err(Refusal::new(ErrorKind::UnknownTenant, message));
@@ -143,7 +144,7 @@
             message: format!("{count} keys cannot be issued"),
             retry_after: refusal.retry_after,
         })?;
-        Ok((keys, config.limits.key_lifetime_ms))
+        Ok((keys, lifetime))
     }
 
     pub(super) fn on_execute(&mut self, req: ExecuteRequest, reply: ReplySender) {
@@ -241,6 +242,10 @@
             deadline: (request.left != DEFAULT_DEADLINE).then_some(request.left),
         };
         let checked = check(config, &names, GroupKind::Execute)?;
+        let tenant = &checked.caller.tenant;
+        let running = self.executes.running.values();
+        let same = running.filter(|running| running.checked.caller.tenant == *tenant);
+        self.has_room(&checked, same.count())?;
         let left = checked.caller.left;
         Ok(Checked {
             caller: CallerRequest { left, ..request },
--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -10,7 +10,7 @@
 
 use futures_channel::{mpsc, oneshot};
 use futures_util::{FutureExt, StreamExt, select_biased};
-use jasminepond_config::{Config, GroupKind, Mode};
+use jasminepond_config::{Config, GroupKind, Limits, Mode};
 use jasminepond_membership::{Member, MemberState, ReportKind};
 use jasminepond_query::{ExecuteOutcome, KeyRing, KeySettings, KeyTable, RequestKey, VersionPlan};
 use jasminepond_routing::{
@@ -218,6 +218,15 @@
 /// Retry-after while the daemon has no configuration or has just resumed.
 const NOT_READY_RETRY: Millis = Millis(500);
 
+/// Retry-after above a limit of requests in progress.
+const IN_FLIGHT_RETRY: Millis = Millis(100);
+
+fn key_table(cx: &Context, settings: KeySettings) -> KeyTable {
+    let me = &cx.me;
+    let (instance, keys) = (me.instance.clone(), cx.keys.clone());
+    KeyTable::new(settings, instance, me.incarnation, keys, rand::random())
+}
+
 /// What both kinds of request use to route.
 struct Routing {
     ownership: Ownership,
@@ -235,6 +244,7 @@
     plans: HashMap<GroupId, Arc<[VersionPlan]>>,
     routing: Routing,
     keys: KeyTable,
+    key_settings: KeySettings,
     searches: Searches,
     executes: Executes,
     timers: Timers,
@@ -248,15 +258,8 @@
 impl Entry {
     /// State without configuration; requests are refused as not ready.
     pub fn new(cx: Context) -> Self {
-        let me = cx.me.clone();
         let key_settings = KeySettings::default();
-        let keys = KeyTable::new(
-            key_settings,
-            me.instance.clone(),
-            me.incarnation,
-            cx.keys.clone(),
-            rand::random(),
-        );
+        let keys = key_table(&cx, key_settings.clone());
         let mut entry = Self {
             pauses: PauseCount::new(&cx.clock),
             cx,
@@ -271,6 +274,7 @@
                 unreachable: HashMap::new(),
             },
             keys,
+            key_settings,
             searches: Searches::default(),
             executes: Executes::default(),
             timers: Timers::default(),
@@ -457,9 +461,28 @@
             let (settings, hedges, retries) = chooser::hedging(&config.routing);
             routing.hedging = Hedging::with_budgets(settings, hedges, retries);
         }
+        self.set_key_limits(&config.limits);
         self.config = Some(config);
     }
 
+    /// The table of keys takes its limits when it is made, so changed ones apply
+    /// once no key is left.
+    fn set_key_limits(&mut self, limits: &Limits) {
+        let (lifetime, max_keys) = (
+            limits.key_lifetime_ms.duration(),
+            limits.max_issued_keys as usize,
+        );
+        let old = &self.key_settings;
+        if self.keys.is_empty() && (old.lifetime, old.max_keys) != (lifetime, max_keys) {
+            self.key_settings = KeySettings {
+                lifetime,
+                max_keys,
+                ..KeySettings::default()
+            };
+            self.keys = key_table(&self.cx, self.key_settings.clone());
+        }
+    }
+
     fn on_server(&mut self, server: &ServerId, kind: ReportKind) {
         let now = self.cx.clock.now();
         match kind {
@@ -507,6 +530,26 @@
         })
     }
 
+    /// Refuses requests above the limits of the daemon and of the tenant.
+    /// `tenants` counts the tenant's requests of this kind in progress.
+    fn has_room(&self, checked: &Checked, tenants: usize) -> Result<(), Refusal> {
+        let in_flight = self.searches.len() + self.executes.len();
+        let refuse = |kind, message: &str| {
+            let refusal = Refusal::new(kind, message);
+            Err(refusal.retry_after(IN_FLIGHT_RETRY))
+        };
+        if in_flight >= checked.config.limits.max_in_flight as usize {
+            return refuse(ErrorKind::Overloaded, "too many requests are in progress");
+        }
+        if tenants >= checked.tenant_limit as usize {
+            return refuse(
+                ErrorKind::TenantLimit,
+                "too many requests of this tenant are in progress",
+            );
+        }
+        Ok(())
+    }
+
     fn run_timers(&mut self) {
         let now = self.cx.clock.now();
         while let Some(due) = self.timers.pop(now) {
--- a/crates/jasminepond-daemon/src/entry/search.rs
+++ b/crates/jasminepond-daemon/src/entry/search.rs
@@ -201,6 +201,8 @@
             deadline: req.deadline,
         };
         let checked = check(config, &names, GroupKind::Search)?;
+        // Admission control counts the searches of each tenant itself.
+        self.has_room(&checked, 0)?;
         let limit = req.limit.unwrap_or(max_hits);
         if limit == 0 || limit > max_hits {
             let message = format!("limit is {limit}, allowed are 1 to {max_hits}");
--- a/crates/jasminepond-daemon/tests/contract/callers.rs
+++ b/crates/jasminepond-daemon/tests/contract/callers.rs
@@ -1,8 +1,8 @@
 //! Contract of the callers' interface (sections 4.1 and 4.2 of the design page).
 
 use std::{
-    io::{Read, Write},
-    net::SocketAddr,
+    io::{BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
     sync::LazyLock,
 };
 
@@ -417,3 +417,89 @@
     assert_eq!(copy.body["error"]["not_run"], true, "{copy:?}");
     assert_eq!(tier.backend.executions(&key), 0);
 }
+
+/// Starts a daemon with changed limits, and a search that is held at the server.
+fn start_with(change: Value) -> (Tier, BufReader<TcpStream>) {
+    let backend = Backend::start(Reaction::Answer);
+    let mut all = folder(&[vec![backend.address]]);
+    for (path, value) in change.as_object().expect("paths and values") {
+        *all.pointer_mut(path).expect("a path of the folder") = value.clone();
+    }
+    let platform = Platform::start(&all);
+    let daemon = TestDaemon::start("entry-1", platform.address);
+    let tier = Tier { backend, daemon };
+    tier.backend.hold(true);
+    let mut held = connect(tier.daemon.bound.callers);
+    held.get_mut()
+        .write_all(search_request("hold").as_bytes())
+        .expect("sent");
+    wait_for("the search to run", || {
+        (tier.backend.held() == 1).then_some(())
+    });
+    (tier, held)
+}
+
+fn assert_released(tier: &Tier, mut held: BufReader<TcpStream>) {
+    tier.backend.hold(false);
+    let answer = read_response(&mut held).expect("a whole response");
+    assert_found(&answer.expect("an answer"), "hold");
+    assert_found(
+        &post(tier.daemon.bound.callers, "/v1/search", &search("q")),
+        "q",
+    );
+}
+
+/// Guards against limits that are configured and do not apply.
+#[test]
+fn requests_above_the_limit_in_progress_are_refused() {
+    let limits = json!({"max_in_flight": 1, "max_body_bytes": 4096});
+    let (tier, held) = start_with(json!({ "/limits": limits }));
+    let callers = tier.daemon.bound.callers;
+    let response = post(callers, "/v1/search", &search("q"));
+    assert_error(&response, ErrorKind::Overloaded);
+    let key = new_key(callers);
+    let response = post(callers, "/v1/execute", &execute(&key));
+    assert_error(&response, ErrorKind::Overloaded);
+    assert_eq!(tier.backend.executions(&key), 0);
+    assert_released(&tier, held);
+}
+
+/// Guards against a tenant that takes the share of the others.
+#[test]
+fn a_tenant_above_its_limit_is_refused_and_others_are_not() {
+    let (tier, held) = start_with(json!({"/tenants/t1": {"max_in_flight": 1}}));
+    let callers = tier.daemon.bound.callers;
+    let response = post(callers, "/v1/search", &search("q"));
+    assert_error(&response, ErrorKind::TenantLimit);
+    // The server has one slot at first, so this one waits at the daemon.
+    let other = with(search("other"), "tenant", json!("t2"));
+    let mut waiting = connect(callers);
+    waiting
+        .get_mut()
+        .write_all(request("POST", "/v1/search", &other.to_string()).as_bytes())
+        .expect("sent");
+    assert_released(&tier, held);
+    let other = read_response(&mut waiting).expect("a whole response");
+    assert_found(&other.expect("an answer"), "other");
+}
+
+/// Guards against keys beyond the configured number and a lifetime that is not
+/// the configured one.
+#[test]
+fn keys_follow_the_configured_limits() {
+    let limits = json!({"max_issued_keys": 3, "key_lifetime_ms": 5000});
+    let (tier, held) = start_with(json!({ "/limits": limits }));
+    let callers = tier.daemon.bound.callers;
+    let ask = |count: u32| {
+        post(
+            callers,
+            "/v1/keys",
+            &json!({"tenant": "t1", "count": count}),
+        )
+    };
+    assert_error(&ask(4), ErrorKind::Overloaded);
+    let issued = ask(3);
+    assert_eq!(issued.body["expires_in_ms"], 5000, "{issued:?}");
+    assert_error(&ask(1), ErrorKind::Overloaded);
+    assert_released(&tier, held);
+}
