--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -221,6 +221,21 @@
 /// Retry-after while the daemon has no configuration or has just resumed.
 const NOT_READY_RETRY: Millis = Millis(500);
 
+/// Retry-after above a limit of requests in progress.
+const IN_FLIGHT_RETRY: Millis = Millis(100);
+
+fn key_table(cx: &Context) -> KeyTable {
+    let me = &cx.me;
+    let (instance, keys) = (me.instance.clone(), cx.keys.clone());
+    KeyTable::new(
+        KeySettings::default(),
+        instance,
+        me.incarnation,
+        keys,
+        rand::random(),
+    )
+}
+
 /// What both kinds of request use to route.
 struct Routing {
     ownership: Ownership,
@@ -251,15 +266,7 @@
 impl Entry {
     /// State without configuration; requests are refused as not ready.
     pub fn new(cx: Context) -> Self {
-        let me = cx.me.clone();
-        let key_settings = KeySettings::default();
-        let keys = KeyTable::new(
-            key_settings,
-            me.instance.clone(),
-            me.incarnation,
-            cx.keys.clone(),
-            rand::random(),
-        );
+        let keys = key_table(&cx);
         let mut entry = Self {
             pauses: PauseCount::new(&cx.clock),
             cx,
@@ -525,6 +532,26 @@
         })
     }
 
+    /// Refuses requests above the limits of the daemon and of the tenant.
+    /// `tenants` counts the tenant's requests of this kind in progress.
+    fn has_room(&self, checked: &Checked, tenants: usize) -> Result<(), Refusal> {
+        let in_flight = self.searches.len() + self.executes.len();
+        let refuse = |kind, message: &str| {
+            let refusal = Refusal::new(kind, message);
+            Err(refusal.retry_after(IN_FLIGHT_RETRY))
+        };
+        if in_flight >= checked.config.limits.max_in_flight as usize {
+            return refuse(ErrorKind::Overloaded, "too many requests are in progress");
+        }
+        if tenants >= checked.tenant_limit as usize {
+            return refuse(
+                ErrorKind::TenantLimit,
+                "too many requests of this tenant are in progress",
+            );
+        }
+        Ok(())
+    }
+
     fn run_timers(&mut self) {
         let now = self.cx.clock.now();
         while let Some(due) = self.timers.pop(now) {
