feat(query): map error kinds to execute outcomes in one place

Cause: the daemon turns refusals into outcomes in several places, where a kind that may have run must never become "not run". Two mutated rules were not noticed by a test: an outcome for another run, and has_not_run for a forged key.

Change: ExecuteOutcome::error decides by the kind's guarantee, Refusal converts with it, KeyTable::lifetime gives the value for expires_in_ms; the two cases are tested.

Conclusion: the interface gained two functions and one conversion.

--- a/crates/jasminepond-query/src/key_table.rs
+++ b/crates/jasminepond-query/src/key_table.rs
@@ -69,6 +69,12 @@
     }
 }
 
+impl From<Refusal> for ExecuteOutcome {
+    fn from(refusal: Refusal) -> Self {
+        Self::error(refusal.kind, refusal.retry_after)
+    }
+}
+
 /// What to do with a request that carries a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Begin {
@@ -166,6 +172,11 @@
         }
     }
 
+    /// Lifetime of a key.
+    pub fn lifetime(&self) -> Duration {
+        self.settings.lifetime.min(MAX_LIFETIME)
+    }
+
     /// Issues `n` keys to `tenant`.
     ///
     /// # Errors
@@ -191,7 +202,7 @@
             return Err(self.full(now, ErrorKind::Overloaded));
         }
         *self.per_tenant.entry(tenant.clone()).or_default() += wanted;
-        let expires = now + self.settings.lifetime.min(MAX_LIFETIME);
+        let expires = now + self.lifetime();
         Ok((0..n).map(|_| self.issue_one(tenant, expires)).collect())
     }
 
--- a/crates/jasminepond-query/tests/execute/execution.rs
+++ b/crates/jasminepond-query/tests/execute/execution.rs
@@ -65,14 +65,22 @@
     steps.iter().map(step).collect::<Vec<_>>().join(", ")
 }
 
-/// Guards against a retry of a request that may run, against a retry without
-/// permission or for a reason that holds everywhere, and against endless retries.
+/// Guards against an outcome of another request (P3), against a retry of a request
+/// that may run, against a retry without permission or for a reason that holds
+/// everywhere, and against endless retries.
 #[test]
 fn another_server_gets_the_request_only_after_a_certain_not_run() {
     let (mut e, cx) = (execution(9), &mut first());
     assert_eq!(text(&e.start(ms(0), cx)), ">1 s0 90, w100");
     assert_eq!(text(&e.start(ms(0), cx)), "");
     assert_eq!(text(&e.on_tick(ms(50), cx)), "w100");
+    let execution = slotmap::KeyData::from_ffi(1 << 32 | 1).into();
+    let foreign = ExecutionAttempt {
+        execution,
+        number: 1,
+    };
+    assert_eq!(text(&e.on_link_lost(foreign)), "");
+    assert_eq!(text(&e.on_outcome(ms(50), cx, foreign, done("{}"))), "");
     let mut refuse = |at, n, kind| text(&e.on_outcome(ms(at), cx, attempt(n), not_run(kind)));
     assert_eq!(
         refuse(50, 2, ErrorKind::Draining),
--- a/crates/jasminepond-query/tests/execute/keys.rs
+++ b/crates/jasminepond-query/tests/execute/keys.rs
@@ -77,6 +77,7 @@
         changed.replace_range(at..=at, &new.to_string());
         if let Ok(key) = changed.parse::<RequestKey>() {
             assert_eq!(table.classify(&key), KeyClass::Invalid, "{changed}");
+            assert!(!table.has_not_run(&key), "{changed}");
         }
     }
 }
--- a/crates/jasminepond-wire/src/outcome.rs
+++ b/crates/jasminepond-wire/src/outcome.rs
@@ -33,6 +33,30 @@
     },
 }
 
+impl ExecuteOutcome {
+    /// The outcome of a request that ended in `kind`: "not run" only where that
+    /// is guaranteed for the kind.
+    ///
+    /// ```
+    /// use jasminepond_types::ErrorKind;
+    /// use jasminepond_wire::ExecuteOutcome;
+    ///
+    /// let draining = ExecuteOutcome::error(ErrorKind::Draining, None);
+    /// assert!(matches!(draining, ExecuteOutcome::NotRun { .. }));
+    /// let reused = ExecuteOutcome::error(ErrorKind::KeyReused, None);
+    /// assert!(matches!(reused, ExecuteOutcome::Unknown { .. }));
+    /// ```
+    pub fn error(kind: ErrorKind, retry_after: Option<Millis>) -> Self {
+        match kind.answer().run {
+            Run::NotRun => Self::NotRun { kind, retry_after },
+            Run::Unknown => Self::Unknown {
+                kind,
+                detail: Box::default(),
+            },
+        }
+    }
+}
+
 const DONE: u8 = 0;
 const NOT_RUN: u8 = 1;
 const UNKNOWN: u8 = 2;
