--- a/crates/jasminepond-daemon/src/api.rs
+++ b/crates/jasminepond-daemon/src/api.rs
@@ -212,6 +212,10 @@
                 ..refusal
             })
         }
+        ExecuteOutcome::Unknown { kind, detail } if detail.is_empty() => Err(Refusal::new(
+            kind,
+            "an earlier copy of the request may have run",
+        )),
         ExecuteOutcome::Unknown { kind, detail } => Err(Refusal::new(kind, detail)),
     }
 }
--- a/crates/jasminepond-daemon/src/entry/execute.rs
+++ b/crates/jasminepond-daemon/src/entry/execute.rs
@@ -85,16 +85,7 @@
 
 /// The outcome that a refusal means for the request.
 fn refused(refusal: &Refusal) -> ExecuteOutcome {
-    match refusal.kind.answer().run {
-        jasminepond_types::Run::NotRun => ExecuteOutcome::NotRun {
-            kind: refusal.kind,
-            retry_after: refusal.retry_after,
-        },
-        jasminepond_types::Run::Unknown => ExecuteOutcome::Unknown {
-            kind: refusal.kind,
-            detail: refusal.message.clone().into(),
-        },
-    }
+    ExecuteOutcome::error(refusal.kind, refusal.retry_after)
 }
 
 /// Stands for a deadline that the caller did not state.
--- a/crates/jasminepond-query/tests/execute/keys.rs
+++ b/crates/jasminepond-query/tests/execute/keys.rs
@@ -77,6 +77,8 @@
         changed.replace_range(at..=at, &new.to_string());
         if let Ok(key) = changed.parse::<RequestKey>() {
             assert_eq!(table.classify(&key), KeyClass::Invalid, "{changed}");
+            let kind = refused(begin(&mut table, 0, &key));
+            assert_eq!(kind, ErrorKind::InvalidKey, "{changed}");
         }
     }
 }
