--- a/tools/bench/src/options.rs
+++ b/tools/bench/src/options.rs
@@ -29,6 +29,8 @@
   --repeats N         repeats of each variant (default 5)
   --seconds N         measured time of each run (default 8)
   --seed N            seed of arrivals and service times (default 1)
+  --programs DIR,..   folders with the programs of several builds to compare;
+                      without it, the present tree is built
   --set JSON          configuration merged last into every variant
   --scratch DIR       folder for logs and reports
   -h, --help          print help";
@@ -93,6 +95,8 @@
     pub seconds: u64,
     /// Seed.
     pub seed: u64,
+    /// Folders with programs; empty to build the present tree.
+    pub programs: Vec<PathBuf>,
     /// Configuration merged last.
     pub set: serde_json::Value,
     /// Folder for logs and reports.
@@ -113,6 +117,7 @@
             repeats: 5,
             seconds: 8,
             seed: 1,
+            programs: Vec::new(),
             set: serde_json::json!({}),
             scratch: std::env::temp_dir().join(format!("jasminepond-bench-{}", std::process::id())),
         }
@@ -152,6 +157,7 @@
                 Long("repeats") => options.repeats = parser.value()?.parse()?,
                 Long("seconds") => options.seconds = parser.value()?.parse()?,
                 Long("seed") => options.seed = parser.value()?.parse()?,
+                Long("programs") => options.programs = list(&parser.value()?.string()?)?,
                 Long("set") => options.set = parser.value()?.parse()?,
                 Long("scratch") => options.scratch = parser.value()?.into(),
                 arg => return Err(arg.unexpected()),
--- a/tools/bench/src/results.rs
+++ b/tools/bench/src/results.rs
@@ -5,14 +5,14 @@
 use serde_json::Value;
 
 /// One combination of fault, load and variant.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Case {
     /// The fault.
     pub fault: &'static str,
     /// Offered load as a share of the capacity.
     pub load: f64,
     /// The variant.
-    pub variant: &'static str,
+    pub variant: String,
 }
 
 impl fmt::Display for Case {
--- a/tools/bench/src/run.rs
+++ b/tools/bench/src/run.rs
@@ -32,23 +32,27 @@
 ///
 /// A process cannot be started or gives no report.
 pub fn run(options: &Options) -> Result<Results, Failed> {
-    let programs = build_programs()?;
+    let programs = match options.programs.as_slice() {
+        [] => vec![build_programs()?],
+        folders => folders.to_vec(),
+    };
     let mut results = Results::default();
     for &fault in &options.faults {
         for &load in &options.loads {
             for repeat in 0..options.repeats {
                 for &variant in &options.variants {
-                    let case = Case {
-                        fault: fault.name(),
-                        load,
-                        variant: variant.name(),
-                    };
-                    let report = run_one(options, &programs, (fault, load, variant), repeat)?;
-                    eprintln!(
-                        "{case} repeat {repeat}: {}",
-                        crate::results::summary(&report)
-                    );
-                    results.add(case, &report);
+                    for folder in &programs {
+                        let variant_name = name(variant, folder, programs.len());
+                        let case = Case {
+                            fault: fault.name(),
+                            load,
+                            variant: variant_name,
+                        };
+                        let report = run_one(options, folder, (fault, load, variant), repeat)?;
+                        let summary = crate::results::summary(&report);
+                        eprintln!("{case} repeat {repeat}: {summary}");
+                        results.add(case, &report);
+                    }
                 }
             }
         }
@@ -56,6 +60,15 @@
     Ok(results)
 }
 
+/// The variant, with the build if there are several.
+fn name(variant: Variant, folder: &Path, builds: usize) -> String {
+    let build = folder.file_name().map(|name| name.to_string_lossy());
+    match build {
+        Some(build) if builds > 1 => format!("{} {build}", variant.name()),
+        _ => variant.name().to_owned(),
+    }
+}
+
 /// What every request of the deployment states.
 fn names(deployment: &str) -> [(&'static str, &'static str); 2] {
     match deployment {
