fix(daemon): the loss of a link says nothing about requests on another

Cause: two daemons that dial each other have two links; the end of the one that carries no requests of a daemon made it give up all requests sent to that peer, with "outcome unknown" for non-idempotent ones. Change: only the end of the link on which requests are sent counts. Conclusion: found by reading; the contract tests pass.

--- a/crates/jasminepond-daemon/src/daemon.rs
+++ b/crates/jasminepond-daemon/src/daemon.rs
@@ -264,9 +264,15 @@
             peers::Report::Busy { frame } => {
                 let _ = self.entry.unbounded_send(entry::Event::Busy(frame));
             }
-            peers::Report::LinkDown { link, peer } => {
-                let instance = peer.instance.clone();
-                let _ = self.entry.unbounded_send(entry::Event::LinkDown(instance));
+            peers::Report::LinkDown {
+                link,
+                peer,
+                sending,
+            } => {
+                if sending {
+                    let instance = peer.instance.clone();
+                    let _ = self.entry.unbounded_send(entry::Event::LinkDown(instance));
+                }
                 let _ = self.owner.unbounded_send(owner::Event::LinkDown(link));
             }
         }
--- a/crates/jasminepond-daemon/src/peers.rs
+++ b/crates/jasminepond-daemon/src/peers.rs
@@ -97,6 +97,10 @@
         link: LinkId,
         /// The peer.
         peer: Rc<Peer>,
+        /// Whether this daemon sent its requests on the link. Two daemons that dial
+        /// each other have two links, and the loss of the other one says nothing
+        /// about requests on this one.
+        sending: bool,
     },
 }
 
@@ -302,9 +306,11 @@
         let Some(link) = self.links.remove(&id) else {
             return;
         };
+        let sends = |instance| self.by_instance.get(instance) == Some(&id);
+        let sending = link.instance.as_ref().is_some_and(sends);
         if let Some(instance) = &link.instance {
             info!("peers: link to {instance} ended: {cause}");
-            if self.by_instance.get(instance) == Some(&id) {
+            if sending {
                 self.by_instance.remove(instance);
                 self.adopt_other_link(instance);
             }
@@ -318,7 +324,11 @@
             info!("peers: a link was refused: {cause}");
         }
         if let Some(peer) = link.peer {
-            (self.report)(Report::LinkDown { link: id, peer });
+            (self.report)(Report::LinkDown {
+                link: id,
+                peer,
+                sending,
+            });
         }
     }
 
