test(cluster): wait until both revisions are known before `status`

Cause: the test of the command line failed twice in five runs: `status` exits with 3 until the daemon has heard the revision of the other one, which takes a membership message. Ruled out: a revision that is never heard; it arrived in 8 of 8 runs. Change: the test waits for that condition and then asserts exit code 0 as before.

--- a/tools/cluster/tests/processes/command_line.rs
+++ b/tools/cluster/tests/processes/command_line.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use test_case::test_case;
 
-use crate::support::{example, foundry, programs, scratch};
+use crate::support::{example, foundry, programs, scratch, until};
 
 fn run(args: &[&str]) -> Output {
     let program = programs().join("jasminepond");
@@ -166,6 +166,13 @@
     let output = run_with(request("execute", "dispatch", "order-entry"), &["{"]);
     assert_eq!(code(&output), 1, "{output:?}");
 
+    // Each daemon learns the revision of the other from membership messages.
+    until("both revisions to be known", || {
+        let status = tier.status(0).ok()?;
+        let members = status["config"]["members"].as_array()?;
+        let same = |member: &Value| member["revision"] == status["config"]["revision"];
+        (members.len() == 2 && members.iter().all(same)).then_some(())
+    });
     let output = run(&["status", "--to", &operators]);
     assert_eq!(code(&output), 0, "{output:?}");
     let shown = text(&output.stdout);
