feat(bench): measure the cost of daemons without callers

Ruled out: reading /proc/net, which counts all processes together; looking the counters up by label for each frame, which takes a lock and a hash on the hot path (they are looked up once).

Change: jasminepond_peer_bytes_total and jasminepond_peer_messages_total count datagrams and frames by direction and kind. jasminepond-scale starts n daemons as processes and prints the figures per daemon, and those for a growing number of configured servers, as tables and JSON. The cluster crate can fetch answers that are not JSON.

--- a/crates/jasminepond-daemon/src/control/members.rs
+++ b/crates/jasminepond-daemon/src/control/members.rs
@@ -10,7 +10,10 @@
 use spdlog::{debug, info, warn};
 
 use super::{Control, Event, Report, Sender};
-use crate::stop::Stop;
+use crate::{
+    metrics::{Direction, TrafficKind},
+    stop::Stop,
+};
 
 /// Receives datagrams until `stop` and passes them to the task.
 pub async fn receive(socket: Rc<UdpSocket>, tx: Sender, stop: Stop) {
@@ -45,6 +48,8 @@
 
 impl Control {
     pub(super) fn on_datagram(&mut self, now: Timestamp, from: SocketAddr, datagram: &[u8]) {
+        let traffic = self.cx.metrics.traffic();
+        traffic.count(Direction::Received, TrafficKind::Membership, datagram.len());
         let message = open(&self.cx.keys, datagram)
             .map_err(|err| err.to_string())
             .and_then(|payload| Message::decode(payload).map_err(|err| err.to_string()));
@@ -83,8 +88,12 @@
     pub(super) async fn flush(&mut self) {
         for (to, datagram) in std::mem::take(&mut self.outbox) {
             let BufResult(sent, _) = self.socket.send_to(datagram, to).await;
-            if let Err(err) = sent {
-                debug!("membership: sending to {to} failed: {err}");
+            match sent {
+                Ok(len) => {
+                    let traffic = self.cx.metrics.traffic();
+                    traffic.count(Direction::Sent, TrafficKind::Membership, len);
+                }
+                Err(err) => debug!("membership: sending to {to} failed: {err}"),
             }
         }
     }
--- a/crates/jasminepond-daemon/src/daemon.rs
+++ b/crates/jasminepond-daemon/src/daemon.rs
@@ -622,6 +622,7 @@
             handshake_timeout: HANDSHAKE_TIMEOUT,
             silence_limit: LINK_SILENCE,
             window: LINK_WINDOW,
+            traffic: self.metrics.traffic().clone(),
         };
         let (tx, tasks) = (self.tasks.peers.clone(), self.tasks.clone());
         let report = Rc::new(move |report| tasks.on_peers(report));
--- a/crates/jasminepond-daemon/src/metrics.rs
+++ b/crates/jasminepond-daemon/src/metrics.rs
@@ -41,6 +41,76 @@
     state: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TrafficLabels {
+    direction: &'static str,
+    kind: &'static str,
+}
+
+type TrafficCounters = Family<TrafficLabels, Counter>;
+
+/// Whether a message left or arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// Sent by this daemon.
+    Sent,
+    /// Received by this daemon.
+    Received,
+}
+
+const DIRECTIONS: [&str; 2] = ["sent", "received"];
+
+/// What a message between daemons is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrafficKind {
+    /// A membership datagram.
+    Membership,
+    /// A frame of the configuration exchange or of an exchange of views.
+    Sync,
+    /// A frame that opens, checks or closes a link.
+    Link,
+    /// A frame of a caller's request, or credit for one.
+    Work,
+}
+
+const TRAFFIC_KINDS: [&str; 4] = ["membership", "sync", "link", "work"];
+
+#[derive(Debug, Clone, Default)]
+struct Volume {
+    bytes: Counter,
+    messages: Counter,
+}
+
+/// Counts messages to and from other daemons. The counters are looked up once,
+/// because every frame is counted.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    volumes: [[Volume; TRAFFIC_KINDS.len()]; DIRECTIONS.len()],
+}
+
+impl Traffic {
+    fn new(bytes: &TrafficCounters, messages: &TrafficCounters) -> Self {
+        let volume = |direction, kind| {
+            let labels = TrafficLabels { direction, kind };
+            Volume {
+                bytes: bytes.get_or_create_owned(&labels),
+                messages: messages.get_or_create_owned(&labels),
+            }
+        };
+        Self {
+            volumes: DIRECTIONS.map(|direction| TRAFFIC_KINDS.map(|kind| volume(direction, kind))),
+        }
+    }
+
+    /// Counts one message of `bytes` bytes, without the headers of IP, UDP, TCP
+    /// and WebSocket.
+    pub fn count(&self, direction: Direction, kind: TrafficKind, bytes: usize) {
+        let volume = &self.volumes[direction as usize][kind as usize];
+        volume.bytes.inc_by(bytes as u64);
+        volume.messages.inc();
+    }
+}
+
 /// Why a sub-request was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SentKind {
@@ -93,6 +163,9 @@
     in_progress: Gauge,
     admission_limit: Gauge,
     pauses: Counter,
+    peer_bytes: TrafficCounters,
+    peer_messages: TrafficCounters,
+    traffic: Traffic,
 }
 
 impl Default for Metrics {
@@ -101,6 +174,8 @@
         let build = Info::new(vec![("version", env!("CARGO_PKG_VERSION"))]);
         registry.register("build", "Version of the daemon", build);
         let latency = Latencies::new_with_constructor(latency_histogram);
+        let peer_bytes = TrafficCounters::default();
+        let peer_messages = TrafficCounters::default();
         let metrics = Self {
             searches: Requests::default(),
             search_seconds: latency.clone(),
@@ -117,6 +192,9 @@
             in_progress: Gauge::default(),
             admission_limit: Gauge::default(),
             pauses: Counter::default(),
+            traffic: Traffic::new(&peer_bytes, &peer_messages),
+            peer_bytes,
+            peer_messages,
             registry: Registry::default(),
         };
         metrics.register(&mut registry);
@@ -199,6 +277,21 @@
             "Pauses of the process that were noticed",
             self.pauses.clone(),
         );
+        r.register(
+            "peer_bytes",
+            "Bytes of messages between daemons without headers of IP, UDP, TCP and WebSocket",
+            self.peer_bytes.clone(),
+        );
+        r.register(
+            "peer_messages",
+            "Messages between daemons",
+            self.peer_messages.clone(),
+        );
+    }
+
+    /// Counts messages to and from other daemons.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
     /// The text for a scrape.
--- a/crates/jasminepond-daemon/src/net/link.rs
+++ b/crates/jasminepond-daemon/src/net/link.rs
@@ -23,6 +23,8 @@
 };
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
+use crate::metrics::{Direction, Traffic, TrafficKind};
+
 /// A link of this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct LinkId(pub u64);
@@ -42,6 +44,8 @@
     pub silence_limit: Duration,
     /// Sub-requests that a peer may have outstanding here.
     pub window: u32,
+    /// Counts the frames of all links.
+    pub traffic: Traffic,
 }
 
 /// What happens on a link.
@@ -135,20 +139,43 @@
     Ok(HyperStream::new_plain(stream).compat())
 }
 
-async fn write(socket: &mut Socket, frame: &Frame) -> Result<(), String> {
+fn traffic_kind(frame: &Frame) -> TrafficKind {
+    match frame {
+        Frame::Sync { .. } => TrafficKind::Sync,
+        Frame::Hello(_)
+        | Frame::Proof(_)
+        | Frame::Goodbye
+        | Frame::Ping { .. }
+        | Frame::Pong { .. }
+        | Frame::Unknown { .. } => TrafficKind::Link,
+        Frame::Search(_)
+        | Frame::Parts(_)
+        | Frame::Cancel(_)
+        | Frame::Execute(_)
+        | Frame::Executed(_)
+        | Frame::ForwardExecute(_)
+        | Frame::ForwardExecuted(_)
+        | Frame::Credit { .. } => TrafficKind::Work,
+    }
+}
+
+async fn write(traffic: &Traffic, socket: &mut Socket, frame: &Frame) -> Result<(), String> {
     let mut buf = Vec::new();
     encode(frame, &mut buf).map_err(|err| err.to_string())?;
+    traffic.count(Direction::Sent, traffic_kind(frame), buf.len());
     socket
         .send(Message::binary(buf))
         .await
         .map_err(|err| err.to_string())
 }
 
-async fn read(socket: &mut Socket) -> Result<Frame, String> {
+async fn read(traffic: &Traffic, socket: &mut Socket) -> Result<Frame, String> {
     loop {
         match socket.next().await {
             Some(Ok(Message::Binary(bytes))) => {
-                return decode(&bytes).map_err(|err| err.to_string());
+                let frame = decode(&bytes).map_err(|err| err.to_string())?;
+                traffic.count(Direction::Received, traffic_kind(&frame), bytes.len());
+                return Ok(frame);
             }
             Some(Ok(_)) => {}
             Some(Err(err)) => return Err(err.to_string()),
@@ -171,11 +198,13 @@
         expect,
     };
     let (mut handshake, hello) = Handshake::new(options.keys.clone(), local);
-    write(&mut socket, &Frame::Hello(hello)).await?;
+    write(&options.traffic, &mut socket, &Frame::Hello(hello)).await?;
     loop {
-        let frame = read(&mut socket).await?;
+        let frame = read(&options.traffic, &mut socket).await?;
         match handshake.receive(frame) {
-            Next::SendProof(proof) => write(&mut socket, &Frame::Proof(proof)).await?,
+            Next::SendProof(proof) => {
+                write(&options.traffic, &mut socket, &Frame::Proof(proof)).await?
+            }
             Next::Established(peer) => return Ok((socket, peer)),
             Next::Reject(err) => return Err(err.to_string()),
         }
@@ -187,9 +216,9 @@
 async fn open_windows(options: &Options, socket: &mut Socket) -> Result<Credits, String> {
     let mut credits = Credits::new(options.window);
     let n = credits.open();
-    write(socket, &Frame::Credit { n }).await?;
+    write(&options.traffic, socket, &Frame::Credit { n }).await?;
     loop {
-        match read(socket).await? {
+        match read(&options.traffic, socket).await? {
             Frame::Credit { n } => {
                 credits.granted(n);
                 return Ok(credits);
@@ -226,6 +255,7 @@
                 events: events.clone(),
                 credits: RefCell::new(credits),
                 silence_limit: options.silence_limit,
+                traffic: options.traffic.clone(),
             };
             link.run(socket, &mut rx, &mut unsent).await
         }
@@ -245,6 +275,7 @@
     events: Events,
     credits: RefCell<Credits>,
     silence_limit: Duration,
+    traffic: Traffic,
 }
 
 /// Sub-requests that a frame adds to the receiver's window.
@@ -321,6 +352,10 @@
         }
     }
 
+    fn count(&self, direction: Direction, frame: &Frame, bytes: usize) {
+        self.traffic.count(direction, traffic_kind(frame), bytes);
+    }
+
     async fn feed(
         &self,
         writer: &mut Writer,
@@ -338,6 +373,7 @@
             unsent.push(frame);
             return Err(err.to_string());
         }
+        self.count(Direction::Sent, &frame, buf.len());
         writer
             .feed(Message::binary(buf))
             .await
@@ -350,7 +386,9 @@
         };
         if let Some(n) = credit {
             let mut buf = Vec::new();
-            encode(&Frame::Credit { n }, &mut buf).map_err(|err| err.to_string())?;
+            let frame = Frame::Credit { n };
+            encode(&frame, &mut buf).map_err(|err| err.to_string())?;
+            self.count(Direction::Sent, &frame, buf.len());
             writer
                 .feed(Message::binary(buf))
                 .await
@@ -381,7 +419,10 @@
                 None => return "closed by the peer".to_owned(),
                 Some(Err(err)) => return err.to_string(),
                 Some(Ok(Message::Binary(bytes))) => match decode(&bytes) {
-                    Ok(frame) => frame,
+                    Ok(frame) => {
+                        self.count(Direction::Received, &frame, bytes.len());
+                        frame
+                    }
                     Err(err) => return err.to_string(),
                 },
                 Some(Ok(_)) => continue,
--- /dev/null
+++ b/tools/bench/tests/scale.rs
@@ -0,0 +1,51 @@
+//! The program that measures the slopes of `docs/CAPACITY.md`.
+
+use std::process::{Command, Output};
+
+use serde_json::Value;
+use test_case::test_case;
+
+fn scale(args: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_jasminepond-scale");
+    Command::new(program).args(args).output().unwrap()
+}
+
+/// A mistyped size must not start hundreds of processes.
+#[test_case(&["--daemons", "x"], "--daemons: \"x\""; "not a number")]
+#[test_case(&["--daemons", "7,201"], "from 1 to 200"; "too many daemons")]
+#[test_case(&["--servers", "0"], "from 1 to 25000"; "no servers")]
+#[test_case(&["--seconds", "0"], "--seconds"; "no time")]
+#[test_case(&["--deamons", "7"], "--deamons"; "unknown flag")]
+fn wrong_arguments_are_named(args: &[&str], expected: &str) {
+    let output = scale(args);
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    assert!(message.contains(expected), "{message}");
+}
+
+/// Counters that stay at zero would make the control traffic look free.
+#[test]
+fn traffic_between_daemons_is_counted() {
+    let output = scale(&[
+        "--daemons",
+        "2",
+        "--servers",
+        "",
+        "--seconds",
+        "3",
+        "--changes",
+        "1",
+    ]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let failure = String::from_utf8_lossy(&output.stderr).into_owned();
+    let json = text.find('{').map(|at| &text[at..]).unwrap_or_default();
+    let report: Value = serde_json::from_str(json).expect(&failure);
+    for figure in [
+        "quiet: membership B/s",
+        "quiet: sync B/s",
+        "quiet: link B/s",
+    ] {
+        let value = report["daemons"][0][figure].as_f64();
+        assert!(value > Some(0.0), "{figure}: {report}");
+    }
+}
--- a/tools/cluster/src/http.rs
+++ b/tools/cluster/src/http.rs
@@ -16,6 +16,23 @@
 ///
 /// There is no answer, or it is not JSON.
 pub fn call(address: SocketAddr, path: &str, body: Option<&Value>) -> Result<Value, ClusterError> {
+    let text = text(address, path, body)?;
+    if text.is_empty() {
+        return Ok(Value::Null);
+    }
+    serde_json::from_str(&text).map_err(|err| ClusterError::Http {
+        address,
+        path: path.to_owned(),
+        cause: format!("{err}: {text}"),
+    })
+}
+
+/// Like [`call`], for an answer that is not JSON.
+///
+/// # Errors
+///
+/// There is no answer.
+pub fn text(address: SocketAddr, path: &str, body: Option<&Value>) -> Result<String, ClusterError> {
     let failed = |cause: String| ClusterError::Http {
         address,
         path: path.to_owned(),
@@ -35,13 +52,9 @@
         req.send().await?.text().await
     };
     let answer = runtime.block_on(async { compio::time::timeout(TIMEOUT, exchange).await });
-    let text = match answer {
-        Ok(Ok(text)) => text,
-        Ok(Err(err)) => return Err(failed(err.to_string())),
-        Err(_) => return Err(failed("no answer in time".to_owned())),
-    };
-    if text.is_empty() {
-        return Ok(Value::Null);
+    match answer {
+        Ok(Ok(text)) => Ok(text),
+        Ok(Err(err)) => Err(failed(err.to_string())),
+        Err(_) => Err(failed("no answer in time".to_owned())),
     }
-    serde_json::from_str(&text).map_err(|err| failed(format!("{err}: {text}")))
 }
--- a/tools/cluster/src/lib.rs
+++ b/tools/cluster/src/lib.rs
@@ -20,7 +20,7 @@
 use serde_json::{Value, json};
 
 pub use deployment::{Deployment, ServiceTime};
-pub use http::call;
+pub use http::{call, text};
 pub use process::{Process, Signal};
 
 /// A cluster could not be started or asked.
