feat(bench): processor time per idle link

Cause: between 25 and 100 daemons the processor time of a quiet daemon doubles while membership and configuration traffic stay the same; links were counted only at the end of a run.

Ruled out: the number of members alone, since daemons of one cluster differ.

Change: jasminepond-scale counts links around the quiet time and prints the least squares slope of processor time over links among the daemons.

--- a/tools/bench/src/scale/daemons.rs
+++ b/tools/bench/src/scale/daemons.rs
@@ -11,8 +11,8 @@
 use crate::{
     Failed,
     measure::{
-        cpu_of_all, greatest, increase, load_average, mean, memory_of_all, millis, reads, traffic,
-        wait_for_revision,
+        cpu_of_all, greatest, increase, load_average, mean, memory_of_all, millis, reads, slope,
+        traffic, wait_for_revision,
     },
     options::Options,
     table::Row,
@@ -110,10 +110,17 @@
 };
 
 fn quiet(options: &Options, cluster: &Cluster, row: &mut Row) -> Result<(), Failed> {
-    period(cluster, row, &QUIET, || {
+    let before = links(cluster)?;
+    let cpu = period(cluster, row, &QUIET, || {
         std::thread::sleep(Duration::from_secs(options.seconds));
         Ok(())
-    })
+    })?;
+    let after = links(cluster)?;
+    let between = before.iter().zip(&after).map(|(a, b)| (a + b) / 2.0);
+    let between: Vec<f64> = between.collect();
+    row.add("quiet: links", mean(&between));
+    row.add("quiet: cpu us/s per link", slope(&between, &cpu));
+    Ok(())
 }
 
 fn changing(options: &Options, cluster: &Cluster, row: &mut Row) -> Result<(), Failed> {
@@ -124,16 +131,18 @@
         }
         Ok(())
     })
+    .map(drop)
 }
 
 /// Reads everything before and after `run`; figures are per daemon and second,
-/// bytes and messages are those sent.
+/// bytes and messages are those sent. Returns the processor time of each daemon
+/// in us per second.
 fn period(
     cluster: &Cluster,
     row: &mut Row,
     names: &Names,
     run: impl FnOnce() -> Result<(), Failed>,
-) -> Result<(), Failed> {
+) -> Result<Vec<f64>, Failed> {
     let traffic_before = traffic(cluster)?;
     let reads_before = reads(cluster)?;
     let (start, cpu_before) = (Instant::now(), cpu_of_all(cluster)?);
@@ -153,7 +162,7 @@
         let all = increase((&traffic_before, &traffic_after), (metric, "sent", kind));
         row.add(name, all / seconds / cluster.nodes.len() as f64);
     }
-    Ok(())
+    Ok(cpu)
 }
 
 fn spread(cluster: &Cluster, row: &mut Row) -> Result<(), Failed> {
--- a/tools/bench/src/scale/measure.rs
+++ b/tools/bench/src/scale/measure.rs
@@ -67,6 +67,17 @@
     values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
+/// Slope of the least squares line of `y` over `x`; zero if all `x` are equal.
+pub fn slope(x: &[f64], y: &[f64]) -> f64 {
+    let (x_mean, y_mean) = (mean(x), mean(y));
+    let spread: f64 = x.iter().map(|x| (x - x_mean).powi(2)).sum();
+    let products = x.iter().zip(y).map(|(x, y)| (x - x_mean) * (y - y_mean));
+    if spread == 0.0 {
+        return 0.0;
+    }
+    products.sum::<f64>() / spread
+}
+
 /// Greatest value.
 pub fn greatest(values: &[f64]) -> f64 {
     values.iter().copied().fold(0.0, f64::max)
