fix(control): report a server that the instance list no longer lists as leaving

Since reports are repeated until they expire, the reader went on spreading its own report that the server was leaving, and each one held the server out of work for 20 s more. Ruled out: the owner's health probe, which worked with the server's own notice. Change: the reader spreads "back" once the list no longer names the server. Conclusion: the process test that found it stays as it was. The demo prints the operators' addresses.

--- a/crates/jasminepond-daemon/src/control/platform.rs
+++ b/crates/jasminepond-daemon/src/control/platform.rs
@@ -168,14 +168,31 @@
             .filter(|i| i.role == Listing::Backend && i.state == ListedState::Leaving)
             .filter_map(|i| i.id.parse().ok())
             .collect();
-        self.listed
+        let back: Vec<ServerId> = self
+            .listed
             .leaving
-            .retain(|server, _| leaving.contains(server));
+            .keys()
+            .filter(|server| !leaving.contains(*server))
+            .cloned()
+            .collect();
+        for server in back {
+            self.on_listed_back(now, server);
+        }
         for server in leaving {
             self.on_listed_leaving(now, server);
         }
     }
 
+    /// The list no longer says that the server is leaving. Without this, this
+    /// daemon would go on spreading its own earlier report until it expires.
+    fn on_listed_back(&mut self, now: Timestamp, server: ServerId) {
+        info!("membership: the instance list no longer says that server {server} is leaving");
+        self.listed.leaving.remove(&server);
+        self.membership
+            .report(now, server.clone(), ReportKind::Back);
+        (self.cx.report)(Report::Server(server, ReportKind::Back));
+    }
+
     fn on_listed_leaving(&mut self, now: Timestamp, server: ServerId) {
         let reported = self.listed.leaving.get(&server);
         if reported.is_some_and(|at| now.since(*at) < REPEAT_REPORT) {
--- a/tools/demo/src/lib.rs
+++ b/tools/demo/src/lib.rs
@@ -121,8 +121,8 @@
     let mut cluster = Cluster::start(cluster_options)?;
     for node in &cluster.nodes {
         println!(
-            "  {} in {}: callers on {}",
-            node.instance, node.zone, node.addresses.callers
+            "  {} in {}: callers on {}, operators on {}",
+            node.instance, node.zone, node.addresses.callers, node.addresses.operators
         );
     }
 
