refactor(daemon): one wait for an event or a timer

Cause: entry, owner, control and peers each had the same wait for the next event or timer, entry and owner the same batch around it, and two places built the same cancel frames; Stop::is_stopped was not called. Change: mailbox::next, handle_batch and add_cancels serve them; the dead function is gone. Behaviour is unchanged: events go before timers, the clock is read before each.

--- a/crates/jasminepond-daemon/src/control/mod.rs
+++ b/crates/jasminepond-daemon/src/control/mod.rs
@@ -11,7 +11,6 @@
 
 use compio::net::UdpSocket;
 use futures_channel::{mpsc, oneshot};
-use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_config::{Acceptance, Config};
 use jasminepond_membership::{Me, Member, Membership, ReportKind};
 use jasminepond_platform::{Instance, Platform, PlatformError, Tree};
@@ -23,6 +22,7 @@
 
 use crate::{
     clock::{Clock, PauseCount},
+    mailbox::{self, Next},
     metrics::Metrics,
 };
 
@@ -192,23 +192,21 @@
         let mut next_tick = Timestamp::ZERO;
         loop {
             let now = self.cx.clock.now();
-            let event = select_biased! {
-                event = rx.next() => match event {
-                    Some(event) => Some(event),
-                    None => return,
-                },
-                _ = compio::time::sleep(next_tick.since(now)).fuse() => None,
-            };
+            let next = mailbox::next(&mut rx, Some(next_tick.since(now))).await;
             let now = self.cx.clock.now();
             if self.pauses.changed(&self.cx.clock) {
                 warn!("control: this process was paused");
                 self.cx.metrics.paused();
                 self.on_woke(now);
             }
-            if let Some(event) = event {
-                self.handle(now, event);
-                // An event may have set an earlier timer.
-                next_tick = next_tick.min(self.next_tick(now));
+            match next {
+                Next::Event(event) => {
+                    self.handle(now, event);
+                    // An event may have set an earlier timer.
+                    next_tick = next_tick.min(self.next_tick(now));
+                }
+                Next::Timer => {}
+                Next::Closed => return,
             }
             // Also under a steady stream of events, which would starve the timer.
             if now >= next_tick {
--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -9,7 +9,6 @@
 use std::{collections::HashMap, rc::Rc, sync::Arc};
 
 use futures_channel::{mpsc, oneshot};
-use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_config::{Config, GroupKind, Mode};
 use jasminepond_membership::{Member, MemberState, ReportKind};
 use jasminepond_query::{ExecuteOutcome, KeyRing, KeySettings, KeyTable, RequestKey, VersionPlan};
@@ -25,6 +24,7 @@
 
 use crate::{
     clock::{Clock, PauseCount},
+    mailbox::{self, Next},
     metrics::Metrics,
     net::link::LinkId,
 };
@@ -298,31 +298,15 @@
         loop {
             let now = self.cx.clock.now();
             let wait = self.timers.next().map(|at| at.since(now));
-            let timer = async {
-                match wait {
-                    Some(wait) => compio::time::sleep(wait).await,
-                    None => std::future::pending().await,
-                }
-            };
-            let event = select_biased! {
-                event = rx.next() => match event {
-                    Some(event) => Some(event),
-                    None => return,
-                },
-                _ = std::pin::pin!(timer.fuse()) => None,
-            };
+            let next = mailbox::next(&mut rx, wait).await;
             self.cx.clock.now();
             if self.pauses.changed(&self.cx.clock) {
                 self.on_woke();
             }
-            if let Some(event) = event {
-                self.handle(event);
-                for _ in 1..BATCH {
-                    match rx.try_recv() {
-                        Ok(event) => self.handle(event),
-                        Err(_) => break,
-                    }
-                }
+            match next {
+                Next::Event(event) => self.handle_batch(event, &mut rx),
+                Next::Timer => {}
+                Next::Closed => return,
             }
             self.run_timers();
             self.flush();
@@ -330,6 +314,16 @@
         }
     }
 
+    fn handle_batch(&mut self, first: Event, rx: &mut mpsc::UnboundedReceiver<Event>) {
+        self.handle(first);
+        for _ in 1..BATCH {
+            match rx.try_recv() {
+                Ok(event) => self.handle(event),
+                Err(_) => break,
+            }
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Search(req, reply) => self.on_search(req, reply),
--- a/crates/jasminepond-daemon/src/entry/search.rs
+++ b/crates/jasminepond-daemon/src/entry/search.rs
@@ -154,6 +154,17 @@
         self.frames.push((owner, Frame::Search(frame)));
     }
 
+    /// Adds the cancellation of sub-requests, grouped by owner.
+    fn add_cancels(&mut self, id: QueryId, cancels: HashMap<InstanceId, Vec<u32>>) {
+        for (owner, parts) in cancels {
+            let cancel = Cancel {
+                id: id.get(),
+                parts,
+            };
+            self.frames.push((owner, Frame::Cancel(cancel)));
+        }
+    }
+
     /// Whether no search is in progress.
     pub fn is_empty(&self) -> bool {
         self.running.is_empty()
@@ -349,13 +360,7 @@
                 Step::Finish(answer) => self.finish_search(now, id, answer),
             }
         }
-        for (owner, parts) in cancels {
-            let cancel = Frame::Cancel(Cancel {
-                id: id.get(),
-                parts,
-            });
-            self.searches.frames.push((owner, cancel));
-        }
+        self.searches.add_cancels(id, cancels);
     }
 
     fn send_part(
@@ -600,13 +605,7 @@
                 cancels.entry(owner).or_default().push(part);
             }
         }
-        for (owner, parts) in cancels {
-            let cancel = Frame::Cancel(Cancel {
-                id: id.get(),
-                parts,
-            });
-            self.searches.frames.push((owner, cancel));
-        }
+        self.searches.add_cancels(id, cancels);
         if let Some(running) = self.searches.running.remove(&id) {
             self.release(now, &running, true);
         }
--- a/crates/jasminepond-daemon/src/lib.rs
+++ b/crates/jasminepond-daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod daemon;
 pub mod entry;
+pub mod mailbox;
 pub mod metrics;
 pub mod net;
 pub mod operators;
--- a/crates/jasminepond-daemon/src/owner/mod.rs
+++ b/crates/jasminepond-daemon/src/owner/mod.rs
@@ -12,7 +12,6 @@
 };
 
 use futures_channel::{mpsc, oneshot};
-use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_backend as backend;
 use jasminepond_config::Config;
 use jasminepond_dispatch::{ConnId, Health};
@@ -24,6 +23,7 @@
 
 use crate::{
     clock::{Clock, PauseCount},
+    mailbox::{self, Next},
     net::link::LinkId,
 };
 
@@ -178,25 +178,15 @@
                 .timers
                 .first()
                 .map_or(self.next_sweep, |t| t.0.min(self.next_sweep));
-            let event = select_biased! {
-                event = rx.next() => match event {
-                    Some(event) => Some(event),
-                    None => return,
-                },
-                _ = compio::time::sleep(until.since(now)).fuse() => None,
-            };
+            let next = mailbox::next(&mut rx, Some(until.since(now))).await;
             self.cx.clock.now();
             if self.pauses.changed(&self.cx.clock) {
                 self.on_woke();
             }
-            if let Some(event) = event {
-                self.handle(event);
-                for _ in 1..BATCH {
-                    match rx.try_recv() {
-                        Ok(event) => self.handle(event),
-                        Err(_) => break,
-                    }
-                }
+            match next {
+                Next::Event(event) => self.handle_batch(event, &mut rx),
+                Next::Timer => {}
+                Next::Closed => return,
             }
             self.run_timers();
             self.flush();
@@ -204,6 +194,16 @@
         }
     }
 
+    fn handle_batch(&mut self, first: Event, rx: &mut mpsc::UnboundedReceiver<Event>) {
+        self.handle(first);
+        for _ in 1..BATCH {
+            match rx.try_recv() {
+                Ok(event) => self.handle(event),
+                Err(_) => break,
+            }
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Request {
--- a/crates/jasminepond-daemon/src/peers.rs
+++ b/crates/jasminepond-daemon/src/peers.rs
@@ -11,13 +11,14 @@
 
 use compio::net::{TcpListener, TcpStream};
 use futures_channel::{mpsc, oneshot};
-use futures_util::{FutureExt, StreamExt, select_biased};
+use futures_util::{FutureExt, select_biased};
 use jasminepond_types::{Incarnation, InstanceId, Timestamp};
 use jasminepond_wire::{Frame, Peer};
 use spdlog::{debug, info, warn};
 
 use crate::{
     clock::{Clock, PauseCount},
+    mailbox::{self, Next},
     net::link::{self, Command, LinkId},
 };
 
@@ -186,19 +187,15 @@
         let mut next_sweep = self.clock.now() + SWEEP;
         loop {
             let wait = next_sweep.since(self.clock.now());
-            let event = select_biased! {
-                event = rx.next() => match event {
-                    Some(event) => Some(event),
-                    None => return,
-                },
-                _ = compio::time::sleep(wait).fuse() => None,
-            };
+            let next = mailbox::next(&mut rx, Some(wait)).await;
             let now = self.clock.now();
             if self.pauses.changed(&self.clock) {
                 self.on_woke();
             }
-            if let Some(event) = event {
-                self.handle(event);
+            match next {
+                Next::Event(event) => self.handle(event),
+                Next::Timer => {}
+                Next::Closed => return,
             }
             if now >= next_sweep {
                 next_sweep = now + SWEEP;
--- a/crates/jasminepond-daemon/src/stop.rs
+++ b/crates/jasminepond-daemon/src/stop.rs
@@ -31,9 +31,4 @@
     pub async fn wait(self) {
         let _ = self.rx.await;
     }
-
-    /// Whether the signal was sent.
-    pub fn is_stopped(&self) -> bool {
-        self.rx.clone().now_or_never().is_some()
-    }
 }
