--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -100,7 +100,9 @@
             self.call_lost(now, call, lost);
         } else if rejected {
             self.unreachable(now, server);
-        } else if used {
+        } else {
+            // A new connection shows whether the server has only reached its idle
+            // limit or has gone, before a request has to wait for it.
             let service = self.servers[server].service;
             if self.services[service].routed && self.is_known(server) {
                 self.warm(now, server);
