--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -17,7 +17,7 @@
 use crate::{
     RepeatBudget,
     latency::LatencyTracker,
-    message::{Action, Arrival, Backend, CallKey, ConnKey, ReqKey, Verdict},
+    message::{Action, Arrival, Backend, Belief, CallKey, ConnKey, ReqKey, Verdict},
     request::{ActiveRoute, Destination, Part, Req},
     server::{Reach, Server, ServerKey},
     service::{Service, ServiceKey},
@@ -178,6 +178,11 @@
         self.warm_all(now);
     }
 
+    fn note(&mut self, server: ServerKey, belief: Belief) {
+        let server = self.servers[server].backend.id.clone();
+        self.actions.push_back(Action::Note { server, belief });
+    }
+
     fn warm_all(&mut self, now: Timestamp) {
         let servers: Vec<_> = self.servers_by_id.values().copied().collect();
         for server in servers {
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -6,7 +6,7 @@
 
 use super::{Conn, ConnState, Forwarder};
 use crate::{
-    message::{Action, ConnKey, Exchange, Lost},
+    message::{Action, Belief, ConnKey, Exchange, Lost},
     server::{Reach, ServerKey},
     service::{Service, ServiceKey},
     timers::Timer,
@@ -132,6 +132,8 @@
         let service = server.service;
         let until = server.unreached(now, &self.settings);
         self.timers.set(until, Timer::Server(key));
+        let retry_in = until.since(now);
+        self.note(key, Belief::Unreachable { retry_in });
         self.place_waiting(now, service);
     }
 
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -6,7 +6,7 @@
 
 use super::{Call, ConnState, Forwarder, RETRY_AFTER_BOUNDS};
 use crate::{
-    message::{Action, CallKey, ConnKey, ReqKey},
+    message::{Action, Belief, CallKey, ConnKey, ReqKey},
     request::{ActiveRoute, PartState, Req},
     server::{Reach, ServerKey, Standing},
     service::{ServiceKey, Waiting},
@@ -212,10 +212,11 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        let server = call.server;
+        let (server, unanswered) = (call.server, now.since(call.sent));
         let newly = self.servers[server].stall();
         self.hedge(now, key);
         if newly {
+            self.note(server, Belief::Stalled { unanswered });
             // What else was sent there waits for the same pause.
             for other in self.servers[server].calls.clone() {
                 if other != key {
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -5,7 +5,7 @@
 use super::{Call, Forwarder};
 use crate::{
     merge::greatest,
-    message::{Action, Answer, CallKey, Lost, Refusal, Reply, ReqKey, Summary, Verdict},
+    message::{Action, Answer, Belief, CallKey, Lost, Refusal, Reply, ReqKey, Summary, Verdict},
     request::{Destination, Part, PartState, Req},
     server::Reach,
     timers::Timer,
@@ -44,9 +44,12 @@
         if let Some(server) = self.servers.get_mut(call.server) {
             if reply.is_success() {
                 let usual = call.route.latency.borrow().median();
-                server.answered(now, latency, usual);
+                if server.answered(now, latency, usual) {
+                    self.note(call.server, Belief::Answers);
+                }
             } else if reply.wrong_server {
                 server.displaced = true;
+                self.note(call.server, Belief::Displaced);
             } else if reply.not_run {
                 server.full(now, &self.settings);
             } else {
@@ -293,7 +296,13 @@
                 PartState::Waiting => "not_sent",
                 PartState::Sent => "late",
             };
-            Some(format!("{}:{reason}", self.services[part.service].name))
+            let service = &self.services[part.service];
+            let known = service.servers.len();
+            let usable = service.servers.iter();
+            let usable = usable
+                .filter(|key| self.servers[**key].standing(now, &self.settings).is_some())
+                .count();
+            Some(format!("{}:{reason}:{usable}/{known}", service.name))
         };
         let missing = match verdict {
             Verdict::Served => Vec::new(),
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -20,8 +20,8 @@
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, greatest};
 pub use message::{
-    Action, Answer, Arrival, Backend, BackendState, CallKey, ConnKey, Exchange, Lost, Refusal,
-    Reply, ReqKey, Summary, Verdict,
+    Action, Answer, Arrival, Backend, BackendState, Belief, CallKey, ConnKey, Exchange, Lost,
+    Refusal, Reply, ReqKey, Summary, Verdict,
 };
 pub use request::ActiveRoute;
 pub use server::ServerKey;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -179,12 +179,32 @@
     pub repeats: u32,
     /// Repeated sends that the budget did not allow.
     pub over_budget: u32,
-    /// Shards that are missing, with the reason of each, `service:reason`.
+    /// Parts that are missing, with the reason of each and the servers of the
+    /// service that could be used now, `service:reason:usable/known`.
     pub missing: Vec<String>,
     /// The server whose response was passed on, or that failed last.
     pub server: Option<Arc<str>>,
 }
 
+/// What the forwarder now believes of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Belief {
+    /// A call on it is unanswered for this long, so requests go elsewhere.
+    Stalled {
+        /// Time since the call was sent.
+        unanswered: Duration,
+    },
+    /// It answers again after it was stalled or could not be reached.
+    Answers,
+    /// No connection to it can be opened.
+    Unreachable {
+        /// Time until the next attempt.
+        retry_in: Duration,
+    },
+    /// Another server has its address.
+    Displaced,
+}
+
 /// What is to be done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -213,6 +233,13 @@
         /// The connection.
         conn: ConnKey,
     },
+    /// Log a change of belief.
+    Note {
+        /// Id of the server.
+        server: Arc<str>,
+        /// The belief.
+        belief: Belief,
+    },
     /// A request has ended: answer its caller.
     Answer {
         /// The request.
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -175,13 +175,16 @@
         self.observed = now;
     }
 
-    /// A call was answered after `latency`, where `usual` is the median.
-    pub(crate) fn answered(&mut self, now: Timestamp, latency: Duration, usual: Duration) {
+    /// A call was answered after `latency`, where `usual` is the median. Returns
+    /// whether the server was thought not to answer.
+    pub(crate) fn answered(&mut self, now: Timestamp, latency: Duration, usual: Duration) -> bool {
+        let was_silent = self.stalled || self.failures > 0;
         self.stalled = false;
         self.reach = Reach::Open;
         self.failures = 0;
         let ratio = latency.as_secs_f64() / usual.as_secs_f64().max(0.001);
         self.fold(now, Some(ratio), false);
+        was_silent
     }
 
     /// A call failed, although the server may be reached.
--- a/crates/jasminepond-forward/tests/load.rs
+++ b/crates/jasminepond-forward/tests/load.rs
@@ -152,7 +152,10 @@
     };
     assert_eq!((stamps.len(), *missing), (18, 2));
     assert_eq!(answered.summary.verdict, Verdict::Partial);
-    assert_eq!(answered.summary.missing, ["s0:no_server", "s1:no_server"]);
+    assert_eq!(
+        answered.summary.missing,
+        ["s0:no_server:0/2", "s1:no_server:0/2"]
+    );
     assert!(answered.summary.took <= 150 * MS);
 }
 
--- a/crates/jasminepond-forward/tests/world/mod.rs
+++ b/crates/jasminepond-forward/tests/world/mod.rs
@@ -374,6 +374,7 @@
         while let Some(action) = self.forwarder.next_action() {
             match action {
                 Action::Open { conn, address } => self.open(conn, address),
+                Action::Note { .. } => {}
                 Action::Close { conn } => {
                     self.closed += 1;
                     self.conns.remove(&conn);
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -12,7 +12,8 @@
 use futures_util::{FutureExt, future::poll_fn, select_biased, task::AtomicWaker};
 use jasminepond_daemon::clock::Clock;
 use jasminepond_forward::{
-    Action, ActiveRoute, Answer, Arrival, ConnKey, Exchange, Forwarder, Lost, ReqKey, Summary,
+    Action, ActiveRoute, Answer, Arrival, Belief, ConnKey, Exchange, Forwarder, Lost, ReqKey,
+    Summary,
 };
 use jasminepond_types::{Millis, Timestamp};
 use slotmap::SecondaryMap;
@@ -213,6 +214,7 @@
                 left,
                 ..
             } => self.send(conn, req, &server, left),
+            Action::Note { server, belief } => note(&server, belief),
             Action::Answer {
                 req,
                 answer,
@@ -282,5 +284,23 @@
     }
 }
 
+fn note(server: &str, belief: Belief) {
+    let millis = |time: Duration| time.as_millis() as u64;
+    match belief {
+        Belief::Stalled { unanswered } => {
+            let unanswered_ms = millis(unanswered);
+            info!("gateway: a backend server does not answer; requests go elsewhere", kv: { server, unanswered_ms });
+        }
+        Belief::Answers => info!("gateway: a backend server answers again", kv: { server }),
+        Belief::Unreachable { retry_in } => {
+            let retry_ms = millis(retry_in);
+            info!("gateway: a backend server cannot be reached", kv: { server, retry_ms });
+        }
+        Belief::Displaced => {
+            info!("gateway: another server answers at the address of a backend server", kv: { server });
+        }
+    }
+}
+
 /// Wait of the timer task while nothing is due; it is woken when something is.
 const IDLE_TIMER: Duration = Duration::from_secs(3_600);
--- a/crates/jasminepond-gateway/src/settings.rs
+++ b/crates/jasminepond-gateway/src/settings.rs
@@ -43,7 +43,7 @@
 /// The store answers within milliseconds; with the wait of a watch this stays
 /// below the three seconds in which a release must be in force.
 fn default_store_timeout() -> Millis {
-    Millis(700)
+    Millis(500)
 }
 
 /// Settings of a gateway process.
--- a/crates/jasminepond-gateway/tests/settings.rs
+++ b/crates/jasminepond-gateway/tests/settings.rs
@@ -12,7 +12,7 @@
 #[test]
 fn settings_without_mistakes_are_taken() {
     let settings = Settings::from_json(GOOD.as_bytes()).unwrap();
-    assert_eq!(settings.store.timeout_ms.0, 700);
+    assert_eq!(settings.store.timeout_ms.0, 500);
 }
 
 #[test_case("\"zone\"", "\"zome\"", "zome"; "a mistyped key")]
