--- a/crates/jasminepond-discovery/src/item.rs
+++ b/crates/jasminepond-discovery/src/item.rs
@@ -4,6 +4,7 @@
 
 use jasminepond_forward::Backend;
 use jasminepond_routes::Release;
+use serde::{Deserialize, Serialize};
 
 /// A point in the store's history. Changes are numbered from 1 in the order in
 /// which they were made.
@@ -14,7 +15,10 @@
 /// let position: Position = "12".parse().unwrap();
 /// assert_eq!(position.to_string(), "12");
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
 pub struct Position(pub u64);
 
 impl fmt::Display for Position {
--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -5,6 +5,7 @@
 use jasminepond_forward::Backend;
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::{Millis, Timestamp};
+use serde::{Deserialize, Serialize};
 
 use crate::{Event, Item, Page, Position, Record, Watched};
 
@@ -74,7 +75,7 @@
 }
 
 /// What the daemon is to take over.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// A newer release.
     Release(Box<Release>),
@@ -247,6 +248,23 @@
         changes
     }
 
+    /// Another daemon has passed on changes that it read.
+    pub fn on_relayed(
+        &mut self,
+        now: Timestamp,
+        position: Position,
+        relayed: Vec<Change>,
+    ) -> Vec<Change> {
+        let event = |change| match change {
+            Change::Release(release) => Event::Written(Item::Release(release)),
+            Change::Backend(backend) => Event::Written(Item::Backend(backend)),
+            Change::Gone { id, .. } => Event::BackendRemoved(id),
+            Change::ReleaseRefused { reason } => Event::Written(Item::UnusableRelease { reason }),
+        };
+        let events = relayed.into_iter().map(event).collect();
+        self.on_watch(now, Watched { events, position })
+    }
+
     /// A call has failed. Returns the pause that follows.
     pub fn on_failure(&mut self, now: Timestamp, failure: Failure) -> Duration {
         if failure == Failure::HistoryGone {
--- /dev/null
+++ b/crates/jasminepond-discovery/tests/relay.rs
@@ -0,0 +1,104 @@
+//! Guards against daemons that follow another one and miss a change, or believe a
+//! state that nobody has confirmed.
+
+use std::{sync::Arc, time::Duration};
+
+use jasminepond_discovery::{Change, Position, Relay, Source, Unserved, choose_source};
+use jasminepond_forward::{Backend, BackendState};
+use jasminepond_types::{Millis, Timestamp};
+
+const NOW: Timestamp = Timestamp::from_millis(1);
+
+fn put(id: &str) -> Change {
+    Change::Backend(Backend {
+        id: Arc::from(id),
+        service: "s".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "z".to_owned(),
+        slots: 1,
+        state: BackendState::Ready,
+        warm_up_left: Millis(0),
+        started: None,
+    })
+}
+
+fn gone(id: &str) -> Change {
+    Change::Gone {
+        id: id.to_owned(),
+        reason: "removed".to_owned(),
+    }
+}
+
+#[test]
+fn a_follower_gets_each_change_once() {
+    let mut relay = Relay::default();
+    relay.record(NOW, Position(10), &[put("a"), put("b")]);
+    relay.record(NOW, Position(12), &[put("c")]);
+    relay.record(NOW, Position(15), &[gone("a")]);
+    let ids: Vec<_> = relay
+        .snapshot(NOW)
+        .unwrap()
+        .backends
+        .into_iter()
+        .map(|b| b.id.to_string())
+        .collect();
+    assert_eq!(ids, ["b", "c"]);
+    assert_eq!(
+        relay.changes(NOW, Position(10)).unwrap().changes,
+        [put("c"), gone("a")]
+    );
+    let last = relay.changes(NOW, Position(12)).unwrap();
+    assert_eq!(
+        (last.position, last.changes),
+        (Position(15), vec![gone("a")])
+    );
+    assert_eq!(relay.changes(NOW, Position(15)).unwrap().changes, []);
+}
+
+/// A follower that knows less than the history holds must read everything again.
+#[test]
+fn unknown_history_is_not_passed_over() {
+    let mut relay = Relay::default();
+    relay.record(NOW, Position(10), &[put("a")]);
+    assert_eq!(relay.changes(NOW, Position(9)), Err(Unserved::HistoryGone));
+}
+
+/// A reader that is cut off from the store must not keep its followers in the past.
+#[test]
+fn a_reader_without_the_store_passes_nothing_on() {
+    let mut relay = Relay::default();
+    relay.record(NOW, Position(10), &[]);
+    let later = NOW + Duration::from_secs(3);
+    assert_eq!(
+        relay.changes(later, Position(10)),
+        Err(Unserved::NotCurrent)
+    );
+    relay.follow(Position(11), &[]);
+    assert_eq!(relay.snapshot(NOW), Err(Unserved::NotCurrent));
+}
+
+/// With all readers failing, each daemon must come to the store, but not all calls
+/// may go there.
+#[test]
+fn failing_readers_are_passed_by() {
+    let running = vec![true; 91];
+    for rank in 0..91 {
+        let sources: Vec<_> = (0..4)
+            .map(|failures| choose_source(&running, rank, failures))
+            .collect();
+        let store = sources
+            .iter()
+            .filter(|source| **source == Source::Store)
+            .count();
+        let reads = [0, 30, 60].contains(&rank);
+        assert_eq!(store, if reads { 4 } else { 1 }, "rank {rank}: {sources:?}");
+    }
+}
+
+#[test]
+fn a_dead_reader_is_replaced_by_the_next_daemon() {
+    let mut running = vec![true; 91];
+    running[30] = false;
+    assert_eq!(choose_source(&running, 31, 0), Source::Store);
+    assert_eq!(choose_source(&running, 34, 0), Source::Daemon(31));
+}
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -13,6 +13,7 @@
 };
 use jasminepond_types::{ErrorKind, Timestamp};
 use slotmap::SlotMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     RepeatBudget,
@@ -26,9 +27,17 @@
 };
 
 mod connect;
+mod delegate;
 mod place;
 mod settle;
 
+pub use delegate::{Delegation, Peer};
+
+/// Connections that a server accepts are divided among the daemons up to this
+/// share; the rest is for daemons that restart while their old connections are
+/// still counted.
+const CONNECTION_SHARE: f64 = 0.98;
+
 /// Connections used where the release says nothing of a service.
 const DEFAULT_MAX_CONNECTIONS: u32 = 16;
 
@@ -42,6 +51,8 @@
     sent: Timestamp,
     /// Whether a second call was considered.
     overdue: bool,
+    /// Whether the server is another daemon.
+    delegated: bool,
     route: Rc<ActiveRoute>,
 }
 
@@ -108,6 +119,11 @@
 pub struct Forwarder {
     settings: ForwardSettings,
     crew: Option<Crew>,
+    peers: Vec<Peer>,
+    /// Groups into which shards and daemons are divided.
+    groups: u32,
+    /// The shards of each search of the release in force.
+    searched: Vec<Vec<ServiceKey>>,
     version: Option<ReleaseVersion>,
     table: RouteTable<Rc<ActiveRoute>>,
     routes: usize,
@@ -170,12 +186,10 @@
         }
         self.crew = Some(crew);
         self.settings.repeat.daemons = crew.daemons.max(1);
-        let services: Vec<_> = self.services.keys().collect();
-        for service in services {
-            self.services[service].budget.resize(self.settings.repeat);
-            self.divide(service);
+        for service in self.services.values_mut() {
+            service.budget.resize(self.settings.repeat);
         }
-        self.warm_all(now);
+        self.regroup(now);
     }
 
     fn note(&mut self, server: ServerKey, belief: Belief) {
@@ -200,8 +214,9 @@
             return false;
         }
         for service in self.services.values_mut() {
-            service.routed = false;
+            service.routed = service.helpers;
         }
+        self.searched.clear();
         let mut table = RouteTable::default();
         for route in &release.routes {
             let active = self.activate(release, route);
@@ -217,11 +232,7 @@
                 self.services[*key].max_connections = spec.max_connections;
             }
         }
-        let services: Vec<_> = self.services.keys().collect();
-        for service in services {
-            self.divide(service);
-        }
-        self.warm_all(now);
+        self.regroup(now);
         true
     }
 
@@ -248,6 +259,14 @@
                 least: least_parts(search.shards.len(), search.min_coverage),
             },
         };
+        let mut shard_set = 0;
+        if let (Destination::Search { shards, .. }, Target::Search(search)) =
+            (&destination, &route.target)
+        {
+            self.searched.push(shards.clone());
+            let names: Vec<_> = search.shards.iter().map(ServiceName::as_str).collect();
+            shard_set = xxh3_64(names.join("\n").as_bytes());
+        }
         let latency = self.latencies.entry(route.name.clone()).or_insert_with(|| {
             let objective = route.objective.duration();
             Rc::new(RefCell::new(LatencyTracker::new(objective)))
@@ -257,6 +276,7 @@
             version: release.version,
             destination,
             latency: latency.clone(),
+            shard_set,
         }
     }
 
@@ -335,19 +355,43 @@
         let objective = route.objective();
         let patience = arrival.patience.min(route.route.timeout.duration());
         let deadline = now + patience;
-        let services = match &route.destination {
-            Destination::Service(service) => vec![*service],
+        let only = arrival.delegated.as_ref();
+        let parts = match &route.destination {
+            Destination::Service(service) => vec![Part::new(*service)],
             Destination::Split(services, chooser) => {
                 let chosen = chooser.borrow_mut().choose().unwrap_or(0);
-                services.get(chosen).copied().into_iter().collect()
+                services
+                    .get(chosen)
+                    .map(|service| Part::new(*service))
+                    .into_iter()
+                    .collect()
+            }
+            Destination::Search { shards, .. } => {
+                let only = only.map(|delegated| &delegated.shards[..]);
+                self.search_parts(now, shards, only)
             }
-            Destination::Search { shards, .. } => shards.clone(),
         };
+        for part in parts.iter().filter(|part| part.delegated.is_none()) {
+            self.services[part.service].budget.earn();
+        }
+        let answer_by = match only {
+            Some(delegated) => delegated.answer_within,
+            None => {
+                let answer_by = objective.saturating_sub(self.settings.answer_margin);
+                answer_by.max(objective / 2)
+            }
+        };
+        let shards = parts.iter().map(|part| part.weight).sum();
+        let parts_len = parts.len();
         let key = self.reqs.insert(Req {
             arrived: now,
             deadline,
+            answer_by: now + answer_by,
             overdue: false,
-            parts: services.iter().map(|service| Part::new(*service)).collect(),
+            shards,
+            // The daemon that asked decides what coverage suffices.
+            least: if only.is_some() { 1 } else { route.least() },
+            parts,
             done: 0,
             missing: 0,
             repeats: 0,
@@ -355,22 +399,17 @@
             last_server: None,
             route: route.clone(),
         });
-        for service in &services {
-            self.services[*service].budget.earn();
-        }
-        if self.refuse_unservable(now, key, &route, &services) {
+        if self.refuse_unservable(now, key) {
             return key;
         }
         self.timers.set(deadline, Timer::Deadline(key));
         if route.is_search() {
-            let answer_by = objective.saturating_sub(self.settings.answer_margin);
-            let answer_by = answer_by.max(objective / 2);
             self.timers.set(now + answer_by, Timer::Objective(key));
         } else {
             let limit = objective.mul_f64(self.settings.wait_share);
             self.timers.set(now + limit, Timer::WaitLimit(key));
         }
-        for part in 0..services.len() {
+        for part in 0..parts_len {
             self.place(now, key, part);
         }
         self.settle(now, key);
@@ -378,21 +417,16 @@
     }
 
     /// Refuses a request at once of which too many parts have no usable server.
-    fn refuse_unservable(
-        &mut self,
-        now: Timestamp,
-        key: ReqKey,
-        route: &ActiveRoute,
-        services: &[ServiceKey],
-    ) -> bool {
-        let usable = services
-            .iter()
-            .filter(|service| self.has_usable(now, **service))
-            .count();
-        if usable >= route.least() && usable > 0 {
+    fn refuse_unservable(&mut self, now: Timestamp, key: ReqKey) -> bool {
+        let req = &self.reqs[key];
+        let usable = req.parts.iter();
+        let usable = usable.filter(|part| self.has_usable(now, part.service));
+        let usable: usize = usable.map(|part| part.weight).sum();
+        if usable >= req.least && usable > 0 {
             return false;
         }
-        let retry_after = self.back_in(now, services);
+        let services: Vec<_> = req.parts.iter().map(|part| part.service).collect();
+        let retry_after = self.back_in(now, &services);
         self.refuse(now, key, ErrorKind::NoBackend, Some(retry_after));
         true
     }
@@ -407,8 +441,14 @@
         // way would leave its effect unknown.
         if req.route.may_repeat() {
             for call in calls {
-                let end = now + self.settings.abandoned_call;
-                self.timers.set(end, Timer::Abandoned(call));
+                // Another daemon waits in its turn before it ends its own calls.
+                let helper = self.calls.get(call).is_some_and(|call| call.delegated);
+                let wait = if helper {
+                    Duration::ZERO
+                } else {
+                    self.settings.abandoned_call
+                };
+                self.timers.set(now + wait, Timer::Abandoned(call));
             }
         }
         self.end(now, key, None, Verdict::CallerLeft);
@@ -422,6 +462,7 @@
                 Timer::CallTimeout(call) | Timer::Abandoned(call) => {
                     self.on_call_timeout(now, call, matches!(timer, Timer::Abandoned(_)));
                 }
+                Timer::SlowHelper(call) => self.on_slow_helper(now, call),
                 Timer::Objective(req) => self.on_objective(now, req),
                 Timer::WaitLimit(req) => self.on_wait_limit(now, req),
                 Timer::Deadline(req) => self.on_deadline(now, req),
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -4,11 +4,11 @@
 
 use jasminepond_types::Timestamp;
 
-use super::{Conn, ConnState, Forwarder};
+use super::{Conn, ConnState, Forwarder, delegate::HELPER_CONNECTIONS};
 use crate::{
     message::{Action, Belief, ConnKey, Exchange, Lost},
     server::{Reach, ServerKey},
-    service::{Service, ServiceKey},
+    service::ServiceKey,
     timers::Timer,
 };
 
@@ -17,11 +17,6 @@
 /// zones and the server's work on a new connection, with room.
 const REJECTED_WITHIN: Duration = Duration::from_millis(50);
 
-/// Connections that a server accepts are divided among the daemons up to this
-/// share; the rest is for daemons that restart while their old connections are
-/// still counted.
-const CONNECTION_SHARE: f64 = 0.98;
-
 /// Connections to one server that are opened at the same time. A new connection
 /// holds a slot of the server for a moment.
 const MAX_OPENING: u32 = 2;
@@ -39,10 +34,12 @@
     /// Connections that this daemon may have to a server.
     fn connection_limit(&self, key: ServerKey) -> usize {
         let server = &self.servers[key];
-        let all = f64::from(self.services[server.service].max_connections) * CONNECTION_SHARE;
-        let share = (all / f64::from(self.crew.unwrap_or_default().daemons)).floor();
+        if self.services[server.service].helpers {
+            return HELPER_CONNECTIONS;
+        }
+        let share = self.connection_share(server.service);
         if server.near {
-            share.max(1.0) as usize
+            share.floor().max(1.0) as usize
         } else {
             1
         }
@@ -53,26 +50,9 @@
     /// daemons of successive ranks take successive servers, so that each server
     /// gets the same number of daemons.
     pub(super) fn divide(&mut self, service: ServiceKey) {
-        let Service {
-            servers,
-            max_connections,
-            ..
-        } = &self.services[service];
-        let crew = self.crew.unwrap_or_default();
-        let all = f64::from(*max_connections) * CONNECTION_SHARE;
-        let share = all / f64::from(crew.daemons);
-        let mut ordered = servers.clone();
-        ordered.sort_by(|a, b| {
-            self.servers[*a]
-                .backend
-                .id
-                .cmp(&self.servers[*b].backend.id)
-        });
-        let len = ordered.len();
-        let own = ((share * len as f64).floor() as usize).clamp(1, len.max(1));
-        let first = crew.rank as usize;
+        let (ordered, own) = self.own_servers(service);
         for (at, server) in ordered.into_iter().enumerate() {
-            let near = (at + len - first % len) % len < own;
+            let near = at < own;
             self.servers[server].near = near;
             if !near {
                 self.close_idle(server);
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -6,7 +6,7 @@
 
 use super::{Call, ConnState, Forwarder, RETRY_AFTER_BOUNDS};
 use crate::{
-    message::{Action, Belief, CallKey, ConnKey, ReqKey},
+    message::{Action, Belief, CallKey, ConnKey, Lost, ReqKey},
     request::{ActiveRoute, PartState, Req},
     server::{Reach, ServerKey, Standing},
     service::{ServiceKey, Waiting},
@@ -85,7 +85,7 @@
         let (service, priority) = (req.parts[index].service, req.route.route.priority);
         match self.placement(now, key, index) {
             Placement::Send(conn) => self.send(now, key, index, conn),
-            Placement::Nowhere => self.part_missing(key, index, "no_server"),
+            Placement::Nowhere => self.nowhere(now, key, index),
             Placement::Wait => {
                 self.services[service].wait(Waiting {
                     priority,
@@ -108,13 +108,21 @@
                 Placement::Send(conn) => self.send(now, waiting.req, waiting.part, conn),
                 Placement::Wait => self.services[service].wait(waiting),
                 Placement::Nowhere => {
-                    self.part_missing(waiting.req, waiting.part, "no_server");
+                    self.nowhere(now, waiting.req, waiting.part);
                     self.settle(now, waiting.req);
                 }
             }
         }
     }
 
+    fn nowhere(&mut self, now: Timestamp, key: ReqKey, index: usize) {
+        if self.reqs[key].parts[index].delegated.is_some() {
+            self.take_over(now, key, index, Lost::NotSent);
+        } else {
+            self.part_missing(key, index, "no_server");
+        }
+    }
+
     fn placement(&mut self, now: Timestamp, key: ReqKey, index: usize) -> Placement {
         let part = &self.reqs[key].parts[index];
         let mut candidates = self.candidates(now, part.service, &part.tried);
@@ -148,6 +156,9 @@
 
     fn send(&mut self, now: Timestamp, key: ReqKey, index: usize, conn: ConnKey) {
         let server_key = self.conns[conn].server;
+        let delegation = self.delegation(now, &self.reqs[key], index);
+        let helper_timeout = delegation.as_ref().map(Self::helper_timeout);
+        let delegated = helper_timeout.is_some();
         let req = &mut self.reqs[key];
         let route = req.route.clone();
         let left = req.deadline.since(now);
@@ -158,6 +169,7 @@
             conn,
             sent: now,
             overdue: false,
+            delegated,
             route: route.clone(),
         });
         let part = &mut req.parts[index];
@@ -182,7 +194,13 @@
             server: server.backend.id.clone(),
             // Rounded down, so that the server does not work past the deadline.
             left: Millis((left.as_millis() as u64).max(1)),
+            delegation,
         });
+        if let Some(timeout) = helper_timeout {
+            self.timers
+                .set(now + timeout.min(left), Timer::SlowHelper(call));
+            return;
+        }
         if route.may_repeat() {
             let delay = self.hedge_delay(&route);
             self.timers.set(now + delay, Timer::Hedge(call));
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -7,7 +7,7 @@
     merge::greatest,
     message::{Action, Answer, Belief, CallKey, Lost, Refusal, Reply, ReqKey, Summary, Verdict},
     request::{Destination, Part, PartState, Req},
-    server::Reach,
+    server::{Reach, ServerKey},
     timers::Timer,
 };
 
@@ -35,6 +35,11 @@
         Some(call)
     }
 
+    /// Forgets a call whose answer is no longer waited for.
+    pub(super) fn forget_call(&mut self, key: CallKey) {
+        self.take_call(key);
+    }
+
     pub(super) fn call_replied(&mut self, now: Timestamp, key: CallKey, reply: Reply) {
         let Some(call) = self.take_call(key) else {
             return;
@@ -43,7 +48,11 @@
         let not_run = reply.not_run || reply.wrong_server;
         if let Some(server) = self.servers.get_mut(call.server) {
             if reply.is_success() {
-                let usual = call.route.latency.borrow().median();
+                let usual = if call.delegated {
+                    latency
+                } else {
+                    call.route.latency.borrow().median()
+                };
                 if server.answered(now, latency, usual) {
                     self.note(call.server, Belief::Answers);
                 }
@@ -56,7 +65,7 @@
                 server.failed(now);
             }
         }
-        if reply.is_success() {
+        if reply.is_success() && !call.delegated {
             call.route.latency.borrow_mut().observe(latency);
         }
         let Some(req) = self.reqs.get_mut(call.req) else {
@@ -70,11 +79,20 @@
             return;
         }
         if reply.is_success() {
+            let missing = reply.missing.min(part.weight);
+            req.done += part.weight - missing;
+            req.missing += missing;
             part.state = PartState::Done(reply);
-            req.done += 1;
             if let Some(server) = self.servers.get(call.server) {
                 req.last_server = Some(server.backend.id.clone());
             }
+        } else if call.delegated {
+            let lost = if not_run {
+                Lost::NotSent
+            } else {
+                Lost::Unknown
+            };
+            self.take_over(now, call.req, call.part, lost);
         } else if not_run {
             self.retry(now, &call, "rejected");
         } else {
@@ -100,7 +118,9 @@
         if lost == Lost::NotSent {
             part.runs = part.runs.saturating_sub(1);
         }
-        if part.is_open() {
+        if part.is_open() && call.delegated {
+            self.take_over(now, call.req, call.part, lost);
+        } else if part.is_open() {
             self.retry(now, &call, "connection_lost");
         }
         self.settle(now, call.req);
@@ -134,7 +154,18 @@
         let part = &mut req.parts[index];
         if part.is_open() {
             part.state = PartState::Missing(reason);
-            req.missing += 1;
+            req.missing += part.weight;
+        }
+    }
+
+    /// A server or all connections to it may be silent: only a new connection shows
+    /// whether it answers.
+    pub(super) fn connect_anew(&mut self, now: Timestamp, server: ServerKey) {
+        self.close_idle(server);
+        let state = &mut self.servers[server];
+        if state.conns.is_empty() && state.reach == Reach::Open {
+            state.reach = Reach::Down { until: now };
+            self.timers.set(now, Timer::Server(server));
         }
     }
 
@@ -146,14 +177,7 @@
         let (conn, server, search) = (call.conn, call.server, call.route.is_search());
         self.close_conn(conn);
         if search && !abandoned {
-            // The server or all connections to it may be silent: only a new
-            // connection shows whether it answers.
-            self.close_idle(server);
-            let state = &mut self.servers[server];
-            if state.conns.is_empty() && state.reach == Reach::Open {
-                state.reach = Reach::Down { until: now };
-                self.timers.set(now, Timer::Server(server));
-            }
+            self.connect_anew(now, server);
         }
         let service = self.servers[server].service;
         self.call_lost(now, key, Lost::Unknown);
@@ -180,7 +204,7 @@
         let Some(req) = self.reqs.get(key) else {
             return;
         };
-        if req.route.is_search() && req.done >= req.route.least() {
+        if req.route.is_search() && req.done >= req.least {
             self.answer_search(now, key);
         } else {
             self.fail(now, key, ErrorKind::Overloaded);
@@ -192,7 +216,7 @@
         let Some(req) = self.reqs.get(key) else {
             return;
         };
-        let (parts, least) = (req.parts.len(), req.route.least());
+        let (parts, least) = (req.shards, req.least);
         let open = parts - req.done - req.missing;
         if !req.route.is_search() {
             if open == 0 {
@@ -232,7 +256,7 @@
             _ => None,
         };
         let (stamps, bodies): (Vec<_>, Vec<_>) = req.parts.iter().filter_map(done).unzip();
-        let missing = req.parts.len() - stamps.len();
+        let missing = req.shards - req.done;
         let body = greatest(bodies.iter().map(|body| &body[..]), top_k);
         let verdict = if missing == 0 {
             Verdict::Served
@@ -292,6 +316,7 @@
         let reason = |part: &Part| {
             let reason = match &part.state {
                 PartState::Done(_) => return None,
+                PartState::Missing(_) if part.weight == 0 => return None,
                 PartState::Missing(reason) => reason,
                 PartState::Waiting => "not_sent",
                 PartState::Sent => "late",
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -16,12 +16,12 @@
 mod timers;
 
 pub use budget::RepeatBudget;
-pub use forwarder::{Crew, Forwarder, Status};
+pub use forwarder::{Crew, Delegation, Forwarder, Peer, Status};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, greatest};
 pub use message::{
-    Action, Answer, Arrival, Backend, BackendState, Belief, CallKey, ConnKey, Exchange, Lost,
-    Refusal, Reply, ReqKey, Summary, Verdict,
+    Action, Answer, Arrival, Backend, BackendState, Belief, CallKey, ConnKey, Delegated, Exchange,
+    Lost, Refusal, Reply, ReqKey, Summary, Verdict,
 };
 pub use request::ActiveRoute;
 pub use server::ServerKey;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use jasminepond_routes::{ReleaseVersion, ServiceName};
 use jasminepond_types::{ErrorKind, Millis};
+use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::request::ActiveRoute;
+use crate::{forwarder::Delegation, request::ActiveRoute};
 
 new_key_type! {
     /// A caller's request.
@@ -25,10 +26,21 @@
     pub route: Rc<ActiveRoute>,
     /// How long the caller waits, from now.
     pub patience: Duration,
+    /// Set if another daemon asks for a part of its search.
+    pub delegated: Option<Delegated>,
+}
+
+/// The part of another daemon's search that is wanted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delegated {
+    /// Indexes of the shards.
+    pub shards: Vec<usize>,
+    /// Time after which what is there is wanted.
+    pub answer_within: Duration,
 }
 
 /// State of a backend server as its entry gives it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BackendState {
     /// It takes requests.
     Ready,
@@ -37,7 +49,7 @@
 }
 
 /// Entry of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
     /// Id, unique among all servers.
     pub id: Arc<str>,
@@ -63,8 +75,11 @@
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
-    /// The server's signature of the response.
+    /// The server's signature of the response; signatures of several servers if
+    /// another daemon answers.
     pub stamp: Option<Bytes>,
+    /// Shards that are not in another daemon's answer.
+    pub missing: usize,
     /// Whether the server states that it did not run the request.
     pub not_run: bool,
     /// Whether another server than the expected one answered.
@@ -227,6 +242,8 @@
         server: Arc<str>,
         /// How long the caller still waits.
         left: Millis,
+        /// Set if the server is another daemon.
+        delegation: Option<Delegation>,
     },
     /// Close a connection, whatever runs on it. No event follows.
     Close {
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -32,6 +32,8 @@
     pub(crate) version: ReleaseVersion,
     pub(crate) destination: Destination,
     pub(crate) latency: Rc<RefCell<LatencyTracker>>,
+    /// Equal on two daemons only if both know the same shards in the same order.
+    pub(crate) shard_set: u64,
 }
 
 impl ActiveRoute {
@@ -58,6 +60,19 @@
         matches!(self.destination, Destination::Search { .. })
     }
 
+    /// Tells whether two daemons know the same shards of the route.
+    pub fn shard_set(&self) -> u64 {
+        self.shard_set
+    }
+
+    /// The shards of a search.
+    pub(crate) fn shards(&self) -> &[ServiceKey] {
+        match &self.destination {
+            Destination::Search { shards, .. } => shards,
+            _ => &[],
+        }
+    }
+
     /// Parts needed for an answer.
     pub(crate) fn least(&self) -> usize {
         match &self.destination {
@@ -93,6 +108,10 @@
     pub(crate) sends: u32,
     /// The failure to pass on if there is no success.
     pub(crate) failure: Option<Reply>,
+    /// Indexes of the shards that another daemon is asked for.
+    pub(crate) delegated: Option<Rc<[usize]>>,
+    /// Shards that the part stands for.
+    pub(crate) weight: usize,
 }
 
 impl Part {
@@ -105,6 +124,17 @@
             runs: 0,
             sends: 0,
             failure: None,
+            delegated: None,
+            weight: 1,
+        }
+    }
+
+    /// A part that another daemon does.
+    pub(crate) fn delegated(service: ServiceKey, shards: Rc<[usize]>) -> Self {
+        Self {
+            weight: shards.len(),
+            delegated: Some(shards),
+            ..Self::new(service)
         }
     }
 
@@ -118,6 +148,12 @@
     pub(crate) route: Rc<ActiveRoute>,
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
+    /// When a search is to be answered with what is there.
+    pub(crate) answer_by: Timestamp,
+    /// Shards of a search, 1 for another request.
+    pub(crate) shards: usize,
+    /// Shards needed for an answer.
+    pub(crate) least: usize,
     /// From here on, a search is answered as soon as it may be.
     pub(crate) overdue: bool,
     pub(crate) parts: Vec<Part>,
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -28,6 +28,10 @@
     /// Whether a route of the release in force leads to it.
     pub(crate) routed: bool,
     pub(crate) budget: RepeatBudget,
+    /// Group of daemons that handles this shard, if searches are divided.
+    pub(crate) group: Option<u32>,
+    /// Whether its servers are other daemons.
+    pub(crate) helpers: bool,
     waiting: VecDeque<Waiting>,
 }
 
@@ -39,6 +43,8 @@
             max_connections,
             routed: false,
             budget,
+            group: None,
+            helpers: false,
             waiting: VecDeque::new(),
         }
     }
--- a/crates/jasminepond-forward/src/timers.rs
+++ b/crates/jasminepond-forward/src/timers.rs
@@ -14,6 +14,8 @@
 pub(crate) enum Timer {
     /// A call may be slow: consider a second one.
     Hedge(CallKey),
+    /// Another daemon takes too long for its part of a search.
+    SlowHelper(CallKey),
     /// A call is given up.
     CallTimeout(CallKey),
     /// A call whose caller has left is ended.
--- /dev/null
+++ b/crates/jasminepond-forward/tests/delegate.rs
@@ -0,0 +1,136 @@
+//! Guards searches that are divided among daemons: no shard may be lost or counted
+//! twice when a daemon that helps fails.
+
+mod world;
+
+use std::time::Duration;
+
+use jasminepond_forward::{Answer, Arrival, Delegated, ForwardSettings};
+use test_case::test_case;
+use world::{MS, Mood, World, search};
+
+const PATIENCE: Duration = Duration::from_millis(800);
+
+/// Shards of the search: three groups of 16.
+const SHARDS: usize = 48;
+
+fn divided(daemons: u32) -> (World, Vec<usize>) {
+    let mut world = World::new(ForwardSettings::default(), 1);
+    world.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
+    world.put_release(1, vec![search(SHARDS, 200, 0.9)]);
+    let peers = world.add_peers(daemons - 1);
+    world.run_for(Duration::from_secs(1));
+    (world, peers)
+}
+
+fn arrived(world: &World, servers: impl IntoIterator<Item = usize>) -> usize {
+    let servers = servers.into_iter();
+    servers
+        .map(|server| world.servers[server].arrived.len())
+        .sum()
+}
+
+/// Returns the signatures and the missing shards of the only answer.
+fn merged(world: &World) -> (usize, usize) {
+    match &world.answers[0].answer {
+        Some(Answer::Merged {
+            stamps, missing, ..
+        }) => (stamps.len(), *missing),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A daemon sends the shards of its own group, and one request to each other one.
+#[test]
+fn a_search_is_divided_among_the_groups() {
+    let (mut world, peers) = divided(9);
+    world.submit("/search/x", PATIENCE);
+    world.run_for(PATIENCE);
+    assert_eq!(merged(&world), (16 + 2, 0));
+    assert_eq!(world.answers[0].summary.sends, 18);
+    assert_eq!(arrived(&world, peers), 2);
+    for shard in 0..SHARDS {
+        let sent = arrived(&world, [shard * 2, shard * 2 + 1]);
+        assert_eq!(sent, usize::from(shard % 3 == 0), "shard {shard}");
+    }
+}
+
+/// What a daemon that fails was asked for is done here, and nothing twice.
+#[test_case(Mood::LosesAnswers; "it ends the connection")]
+#[test_case(Mood::Full; "it says that it has not done it")]
+#[test_case(Mood::Failing(1.0); "it answers with a failure")]
+fn the_part_of_a_failed_daemon_is_taken_over(mood: Mood) {
+    let (mut world, peers) = divided(9);
+    for peer in peers {
+        world.set_mood(peer, mood);
+    }
+    world.submit("/search/x", PATIENCE);
+    world.run_for(PATIENCE);
+    assert_eq!(merged(&world), (SHARDS, 0));
+    assert!(world.answers[0].summary.took <= 200 * MS);
+}
+
+/// A daemon that falls silent is found out only after it should have answered: the
+/// search is late then, but it is served, and the next one is in time.
+#[test]
+fn a_silent_daemon_costs_one_late_answer() {
+    let (mut world, peers) = divided(9);
+    world.submit("/search/x", PATIENCE);
+    world.run_for(PATIENCE);
+    for peer in peers {
+        if !world.servers[peer].arrived.is_empty() {
+            world.set_mood(peer, Mood::Dark);
+        }
+    }
+    world.answers.clear();
+    world.submit("/search/x", PATIENCE);
+    world.run_for(PATIENCE);
+    let (stamps, missing) = merged(&world);
+    assert_eq!(stamps + missing, SHARDS);
+    // The least coverage of the route.
+    assert!(stamps >= 44, "{stamps} shards");
+    world.answers.clear();
+    world.submit("/search/x", PATIENCE);
+    world.run_for(PATIENCE);
+    assert_eq!(merged(&world), (16 + 2, 0));
+    assert!(world.answers[0].summary.took <= 200 * MS);
+}
+
+/// Without a daemon to ask, the search is done here.
+#[test_case(7; "too few daemons for three groups")]
+#[test_case(9; "the other daemons are gone")]
+fn a_search_that_cannot_be_divided_is_done_here(daemons: u32) {
+    let (mut world, peers) = divided(daemons);
+    for peer in peers {
+        world.set_mood(peer, Mood::Crashed);
+    }
+    world.run_for(Duration::from_secs(1));
+    world.submit("/search/x", PATIENCE);
+    world.run_for(PATIENCE);
+    assert_eq!(merged(&world), (SHARDS, 0));
+}
+
+/// A daemon that helps answers with what it has by the given time, and says how
+/// much is missing.
+#[test]
+fn a_helping_daemon_answers_in_part() {
+    let (mut world, _) = divided(9);
+    for copy in 0..2 {
+        world.set_mood(2 + copy, Mood::Slow(100.0));
+    }
+    let route = world.forwarder.route("localhost", "/search/x").unwrap();
+    let delegated = Some(Delegated {
+        shards: vec![1, 4, 7, 10],
+        answer_within: 60 * MS,
+    });
+    let arrival = Arrival {
+        route,
+        patience: PATIENCE,
+        delegated,
+    };
+    world.forwarder.submit(world.now, arrival);
+    world.carry_out();
+    world.run_for(PATIENCE);
+    assert_eq!(merged(&world), (3, 1));
+    assert_eq!(world.answers[0].summary.took, 60 * MS);
+}
--- a/crates/jasminepond-forward/tests/world/mod.rs
+++ b/crates/jasminepond-forward/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use jasminepond_forward::{
     Action, Answer, Arrival, Backend, BackendState, ConnKey, Crew, Exchange, ForwardSettings,
-    Forwarder, Lost, Reply, ReqKey, Summary,
+    Forwarder, Lost, Peer, Reply, ReqKey, Summary,
 };
 use jasminepond_routes::{
     Release, ReleaseVersion, Route, Search, ServiceName, ServiceSpec, Target,
@@ -147,6 +147,45 @@
         index
     }
 
+    /// Adds daemons besides this one, which has rank 0, as servers of their own.
+    pub fn add_peers(&mut self, count: u32) -> Vec<usize> {
+        let first = self.servers.len();
+        let mut peers = Vec::new();
+        for rank in 1..=count {
+            let index = self.servers.len();
+            let name = format!("d{rank}");
+            self.servers.push(Server {
+                id: format!("daemon/{name}").into(),
+                service: "peers".into(),
+                address: SocketAddr::from(([127, 0, 0, 1], 10_000 + index as u16)),
+                mood: Mood::Sound,
+                slots: 8,
+                queue: 12,
+                work: 30 * MS,
+                pause: None,
+                busy: 0,
+                waiting: VecDeque::new(),
+                ran: Vec::new(),
+                arrived: Vec::new(),
+            });
+            peers.push(Peer {
+                instance: name.as_str().into(),
+                address: self.servers[index].address,
+                zone: String::new(),
+                rank,
+                running: true,
+            });
+        }
+        let crew = Crew {
+            daemons: count + 1,
+            rank: 0,
+        };
+        self.forwarder.set_peers(self.now, peers);
+        self.forwarder.set_crew(self.now, crew);
+        self.carry_out();
+        (first..self.servers.len()).collect()
+    }
+
     pub fn entry(&self, index: usize) -> Backend {
         let server = &self.servers[index];
         Backend {
@@ -199,7 +238,14 @@
 
     pub fn submit(&mut self, path: &str, patience: Duration) -> ReqKey {
         let route = self.forwarder.route("localhost", path).expect("a route");
-        let key = self.forwarder.submit(self.now, Arrival { route, patience });
+        let key = self.forwarder.submit(
+            self.now,
+            Arrival {
+                route,
+                patience,
+                delegated: None,
+            },
+        );
         self.carry_out();
         key
     }
@@ -479,6 +525,7 @@
     Reply {
         status,
         stamp: Some(Bytes::copy_from_slice(stamp.as_bytes())),
+        missing: 0,
         not_run: false,
         wrong_server: false,
         encoded: false,
--- a/crates/jasminepond-gateway/src/crew.rs
+++ b/crates/jasminepond-gateway/src/crew.rs
@@ -4,13 +4,13 @@
 //! and repeated sends by what it says; a wrong count costs connections that a
 //! server rejects, and breaks no promise.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::{buf::BufResult, net::UdpSocket};
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_daemon::clock::Clock;
-use jasminepond_forward::Crew;
+use jasminepond_forward::{Crew, Peer};
 use jasminepond_membership::{Me, Membership, Message, Output, Settings};
 use jasminepond_types::{InstanceId, Timestamp};
 use spdlog::{debug, info};
@@ -27,6 +27,17 @@
 /// ten seconds after the instances.
 const SETTLE_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// The daemons in the order that all agree on.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    /// Place of this daemon.
+    pub rank: usize,
+    /// Whether each is thought to run.
+    pub running: Vec<bool>,
+    /// Where each takes calls of other daemons.
+    pub addresses: Vec<SocketAddr>,
+}
+
 /// Follows the membership of the daemons.
 pub struct Follower {
     /// The instance of this daemon.
@@ -39,6 +50,8 @@
     pub clock: Clock,
     /// The hub, which is told the count.
     pub hub: Rc<Hub>,
+    /// The daemons in the order that all agree on, for the task that follows the store.
+    pub roster: Rc<RefCell<Roster>>,
 }
 
 /// A membership of this daemon that knows the seeds.
@@ -76,6 +89,7 @@
         let mut known = 0;
         let mut changed = started;
         let mut crew = None;
+        let mut generation = 0;
         loop {
             let now = self.clock.now();
             let outputs = self.membership.tick(now);
@@ -87,6 +101,13 @@
             let settled = now.since(changed) >= SETTLED && known > 1;
             if settled || now.since(started) >= SETTLE_LIMIT || crew.is_some() {
                 let present = self.crew();
+                let view = self.membership.view().generation();
+                if std::mem::replace(&mut generation, view) != view {
+                    *self.roster.borrow_mut() = self.roster();
+                    let peers = self.peers();
+                    self.hub
+                        .change(|forwarder, now| forwarder.set_peers(now, peers));
+                }
                 if crew.replace(present) != Some(present) {
                     info!("crew: daemons", kv: { daemons = present.daemons, rank = present.rank });
                     self.hub
@@ -145,6 +166,29 @@
         }
     }
 
+    fn roster(&self) -> Roster {
+        let members = self.membership.view().members();
+        Roster {
+            rank: self.crew().rank as usize,
+            running: members.iter().map(|member| member.is_reachable()).collect(),
+            addresses: members.iter().map(|member| member.peer_address).collect(),
+        }
+    }
+
+    fn peers(&self) -> Vec<Peer> {
+        let members = self.membership.view().members().iter().zip(0..);
+        let others = members.filter(|(member, _)| member.instance != self.instance);
+        others
+            .map(|(member, rank)| Peer {
+                instance: member.instance.as_str().into(),
+                address: member.peer_address,
+                zone: member.zone.to_string(),
+                rank,
+                running: member.is_reachable(),
+            })
+            .collect()
+    }
+
     /// All known daemons, also those that are gone for now: they mostly come back,
     /// and ranks that change cost connections.
     fn crew(&self) -> Crew {
--- a/crates/jasminepond-gateway/src/front.rs
+++ b/crates/jasminepond-gateway/src/front.rs
@@ -15,7 +15,10 @@
 use jasminepond_types::{ErrorKind, Millis};
 use spdlog::info;
 
-use crate::hub::{Hub, Outbound};
+use crate::{
+    helper::{self, Asked},
+    hub::{Hub, Outbound},
+};
 
 /// When a caller should come back that reached a daemon without a release: a
 /// daemon reads it within this time if the store answers.
@@ -48,7 +51,7 @@
     fn handle(&self, req: Received) -> LocalBoxFuture<'static, Answered> {
         let (hub, closing) = (self.hub.clone(), self.closing.clone());
         async move {
-            let mut res = respond(&hub, req).await;
+            let mut res = respond(&hub, req, None).await;
             if closing.get() {
                 let close = HeaderValue::from_static("close");
                 res.headers_mut().insert("connection", close);
@@ -78,7 +81,8 @@
     }
 }
 
-async fn respond(hub: &Rc<Hub>, req: Received) -> Answered {
+/// Answers a request. `asked` is set if another daemon asks for a part of a search.
+pub async fn respond(hub: &Rc<Hub>, req: Received, asked: Option<Asked>) -> Answered {
     let Received { head, body } = req;
     let names = *hub.headers();
     let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -101,21 +105,30 @@
         let message = format!("no route for {path} of host {host}");
         return refuse(hub, request_id, ErrorKind::NotFound, &message, None);
     };
+    if asked
+        .as_ref()
+        .is_some_and(|asked| asked.shard_set != route.shard_set())
+    {
+        let message = "this daemon knows other shards of the route";
+        return refuse(hub, request_id, ErrorKind::NotReady, message, None);
+    }
     let timeout = route.route().timeout.duration();
     let patience = header(names.time_left_ms).and_then(|text| text.trim().parse().ok());
     let patience = patience.map_or(timeout, Duration::from_millis);
+    let own = [
+        names.time_left_ms,
+        names.expected_server,
+        helper::SHARDS,
+        helper::SHARD_SET,
+        helper::ANSWER_WITHIN_MS,
+    ];
     let outbound = Outbound {
-        head: render_head(
-            &head,
-            path,
-            &body,
-            &[names.time_left_ms, names.expected_server],
-        ),
+        head: render_head(&head, path, &body, &own),
         request_id: Bytes::copy_from_slice(request_id.as_bytes()),
         pass_on: !route.is_search(),
         body,
     };
-    let (key, answer) = hub.submit(route, patience, outbound);
+    let (key, answer) = hub.submit(route, patience, asked.map(|asked| asked.part), outbound);
     let mut progress = InProgress {
         hub: hub.clone(),
         req: Some(key),
@@ -146,7 +159,18 @@
 ) -> Answered {
     hub.metrics().refused(kind);
     info!("gateway: request refused", kv: { id, kind:, message });
-    with_retry_after(error_response(kind, message, retry_after), retry_after)
+    refused(kind, message, retry_after)
+}
+
+fn refused(kind: ErrorKind, message: &str, retry_after: Option<Millis>) -> Answered {
+    let mut res = with_retry_after(error_response(kind, message, retry_after), retry_after);
+    res.extensions_mut().insert(kind);
+    res
+}
+
+/// The kind of an answer that this tier has refused or failed a request with.
+pub fn refused_as(res: &Answered) -> Option<ErrorKind> {
+    res.extensions().get().copied()
 }
 
 fn refusal_response(refusal: Refusal) -> Answered {
@@ -155,8 +179,7 @@
         ErrorKind::Overloaded => "no backend server had room in time",
         _ => "the request was sent and has no usable response",
     };
-    let res = error_response(refusal.kind, message, refusal.retry_after);
-    with_retry_after(res, refusal.retry_after)
+    refused(refusal.kind, message, refusal.retry_after)
 }
 
 /// States the wait in fractions of a second, which callers here understand.
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Starts the tasks of a gateway and stops them in order.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     fmt, io,
     net::SocketAddr,
     path::PathBuf,
@@ -35,7 +35,8 @@
 use spdlog::{info, warn};
 
 use crate::{
-    Dialect, Journal, Settings, crew, front::Front, hub::Hub, metrics::Metrics, store::Follower,
+    Dialect, Journal, Settings, crew, front::Front, helper::Helper, hub::Hub, metrics::Metrics,
+    relay::SharedRelay, store::Follower,
 };
 
 /// How to run a gateway.
@@ -152,7 +153,6 @@
         incarnation: new_incarnation(),
         zone: settings.zone.clone(),
         region: settings.region.clone(),
-        // Daemons have no links to each other.
         peer_address: settings.membership,
         membership_address: settings.membership,
     }
@@ -252,6 +252,7 @@
         address: membership,
         source,
     })?;
+    let peers = bind("peers", settings.membership)?;
     let hup = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGHUP, hup.clone())
         .map_err(StartError::Signals)?;
@@ -274,9 +275,14 @@
     let (complete, closing) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
     let front_limits = SharedLimits::new(limits(&FrontLimits::default()).into());
     compio::runtime::spawn(hub.clone().run_timers()).detach();
+    let roster = Rc::new(RefCell::default());
+    let relay = SharedRelay::new(clock.clone());
     let shared = front_limits.clone();
     let follower = Follower {
         http,
+        timeout: settings.store.timeout_ms.duration(),
+        roster: roster.clone(),
+        relay: relay.clone(),
         dialect: dialect.clone(),
         hub: hub.clone(),
         clock: clock.clone(),
@@ -290,6 +296,7 @@
         socket: Rc::new(socket),
         clock,
         hub: hub.clone(),
+        roster,
     };
     compio::runtime::spawn(crew.run()).detach();
     let probe = ReadyProbe {
@@ -302,6 +309,13 @@
     for (listener, handler) in [
         (readiness, Rc::new(probe) as Rc<dyn Handler>),
         (operators, Rc::new(Operators { hub: hub.clone() })),
+        (
+            peers,
+            Rc::new(Helper {
+                hub: hub.clone(),
+                relay,
+            }),
+        ),
     ] {
         let serve = http::serve(listener, handler, SharedLimits::default(), never());
         compio::runtime::spawn(serve).detach();
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -12,8 +12,8 @@
 use futures_util::{FutureExt, future::poll_fn, select_biased, task::AtomicWaker};
 use jasminepond_daemon::clock::Clock;
 use jasminepond_forward::{
-    Action, ActiveRoute, Answer, Arrival, Belief, ConnKey, Exchange, Forwarder, Lost, ReqKey,
-    Summary,
+    Action, ActiveRoute, Answer, Arrival, Belief, ConnKey, Delegated, Delegation, Exchange,
+    Forwarder, Lost, ReqKey, Summary,
 };
 use jasminepond_types::{Millis, Timestamp};
 use slotmap::SecondaryMap;
@@ -22,6 +22,7 @@
 use crate::{
     HeaderNames,
     backend::{self, Outgoing},
+    helper,
     metrics::Metrics,
 };
 
@@ -105,11 +106,16 @@
         self: &Rc<Self>,
         route: Rc<ActiveRoute>,
         patience: Duration,
+        delegated: Option<Delegated>,
         outbound: Outbound,
     ) -> (ReqKey, oneshot::Receiver<Answer>) {
         let (reply, answer) = oneshot::channel();
         let now = self.clock.now();
-        let arrival = Arrival { route, patience };
+        let arrival = Arrival {
+            route,
+            patience,
+            delegated,
+        };
         let key = self.forwarder.borrow_mut().submit(now, arrival);
         let caller = Caller { reply, outbound };
         self.callers.borrow_mut().insert(key, caller);
@@ -212,8 +218,9 @@
                 req,
                 server,
                 left,
+                delegation,
                 ..
-            } => self.send(conn, req, &server, left),
+            } => self.send(conn, req, &server, left, delegation),
             Action::Note { server, belief } => note(&server, belief),
             Action::Answer {
                 req,
@@ -223,7 +230,14 @@
         }
     }
 
-    fn send(&self, conn: ConnKey, req: ReqKey, server: &str, left: Millis) {
+    fn send(
+        &self,
+        conn: ConnKey,
+        req: ReqKey,
+        server: &str,
+        left: Millis,
+        delegation: Option<Delegation>,
+    ) {
         let callers = self.callers.borrow();
         let conns = self.conns.borrow();
         let (Some(caller), Some(tx)) = (callers.get(req), conns.get(conn)) else {
@@ -241,6 +255,9 @@
             "{time_left_ms}: {}\r\n{expected_server}: {server}\r\n\r\n",
             left.0
         );
+        if let Some(delegation) = delegation {
+            helper::write_headers(&mut bytes, &delegation);
+        }
         bytes.extend_from_slice(own.as_bytes());
         bytes.extend_from_slice(&outbound.body);
         // If the task has ended, its end is reported by itself.
--- /dev/null
+++ b/crates/jasminepond-gateway/src/relay.rs
@@ -0,0 +1,128 @@
+//! Passes on to other daemons what this one has read from the store.
+
+use std::{cell::RefCell, pin::pin, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use futures_util::{FutureExt, select_biased};
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+use jasminepond_daemon::{
+    clock::Clock,
+    net::http::{Answered, Received, error_response},
+};
+use jasminepond_discovery::{Change, Position, Relay, Unserved};
+use jasminepond_types::{ErrorKind, Millis};
+use serde::Serialize;
+
+/// Paths that begin so belong to the daemons.
+pub const PREFIX: &str = "/jasminepond/";
+
+const SNAPSHOT: &str = "/jasminepond/snapshot";
+const CHANGES: &str = "/jasminepond/changes";
+
+/// Longest wait that a follower may ask for.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Path that reads the whole state.
+pub fn snapshot_call() -> String {
+    SNAPSHOT.to_owned()
+}
+
+/// Path that waits for changes.
+pub fn changes_call(after: Position, wait: Millis) -> String {
+    format!("{CHANGES}?after={after}&wait_ms={}", wait.0)
+}
+
+/// The relay with those who wait for changes.
+pub struct SharedRelay {
+    clock: Clock,
+    relay: RefCell<Relay>,
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+impl SharedRelay {
+    /// A relay that has nothing to pass on yet.
+    pub fn new(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            relay: RefCell::default(),
+            waiting: RefCell::default(),
+        })
+    }
+
+    /// Changes were read up to `position`, from the store or from another daemon.
+    pub fn take(&self, from_store: bool, position: Position, changes: &[Change]) {
+        let mut relay = self.relay.borrow_mut();
+        if from_store {
+            relay.record(self.clock.now(), position, changes);
+        } else {
+            relay.follow(position, changes);
+        }
+        if !changes.is_empty() {
+            // A follower that has gone needs no wake-up.
+            for tx in self.waiting.borrow_mut().drain(..) {
+                let _ = tx.send(());
+            }
+        }
+    }
+
+    async fn changes(&self, after: Position, wait: Duration) -> Answered {
+        let known = self.relay.borrow().changes(self.clock.now(), after);
+        let nothing = known.as_ref().is_ok_and(|known| known.changes.is_empty());
+        if nothing {
+            let (tx, rx) = oneshot::channel();
+            self.waiting.borrow_mut().push(tx);
+            select_biased! {
+                _ = rx.fuse() => {}
+                _ = pin!(compio::time::sleep(wait.min(MAX_WAIT)).fuse()) => {}
+            }
+        }
+        encoded(self.relay.borrow().changes(self.clock.now(), after))
+    }
+}
+
+/// Answers another daemon.
+pub async fn answer(relay: Rc<SharedRelay>, req: Received) -> Answered {
+    let param = |name: &str| {
+        let mut pairs = req
+            .head
+            .uri
+            .query()?
+            .split('&')
+            .filter_map(|p| p.split_once('='));
+        pairs.find(|(n, _)| *n == name)?.1.parse::<u64>().ok()
+    };
+    match req.head.uri.path() {
+        SNAPSHOT => encoded(relay.relay.borrow().snapshot(relay.clock.now())),
+        CHANGES => match (param("after"), param("wait_ms")) {
+            (Some(after), Some(wait)) => {
+                relay
+                    .changes(Position(after), Duration::from_millis(wait))
+                    .await
+            }
+            _ => error_response(ErrorKind::BadRequest, "after or wait_ms is missing", None),
+        },
+        path => error_response(ErrorKind::NotFound, &format!("there is no {path}"), None),
+    }
+}
+
+fn encoded(result: Result<impl Serialize, Unserved>) -> Answered {
+    let value = match result {
+        Ok(value) => value,
+        Err(Unserved::HistoryGone) => {
+            let mut res = Response::new(Full::default());
+            *res.status_mut() = StatusCode::GONE;
+            return res;
+        }
+        Err(Unserved::NotCurrent) => {
+            let message = "this daemon has not reached the store lately";
+            return error_response(ErrorKind::NotReady, message, None);
+        }
+    };
+    let mut body = Vec::new();
+    match ciborium::into_writer(&value, &mut body) {
+        Ok(()) => Response::new(Full::new(Bytes::from(body))),
+        Err(err) => error_response(ErrorKind::Internal, &err.to_string(), None),
+    }
+}
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -130,6 +130,7 @@
         reply: Reply {
             status,
             stamp: None,
+            missing: 0,
             not_run: false,
             wrong_server: status == MISDIRECTED,
             encoded: false,
@@ -198,7 +199,10 @@
         } else if is(names.request_id) {
             message.request_id = Some(Bytes::copy_from_slice(value));
             keep(message, header, pass_on);
-        } else if is(names.stamp) {
+        } else if is(names.missing_parts) {
+            let missing = std::str::from_utf8(value).ok();
+            message.reply.missing = missing.and_then(|m| m.trim().parse().ok()).unwrap_or(0);
+        } else if is(names.stamp) || is(names.part_stamps) {
             message.reply.stamp = Some(Bytes::copy_from_slice(value));
         } else if is(names.not_run) {
             message.reply.not_run = true;
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -1,19 +1,40 @@
 //! The task that follows the store.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use jasminepond_daemon::clock::Clock;
-use jasminepond_discovery::{Change, Failure, Reader, ReaderSettings, Step};
+use jasminepond_discovery::{
+    Change, Changes, Failure, Item, Page, Reader, ReaderSettings, Record, Snapshot, Source, Step,
+    choose_source,
+};
+use jasminepond_forward::Backend;
 use jasminepond_platform::{HttpReader, PlatformError};
 use jasminepond_routes::FrontLimits;
+use jasminepond_types::Timestamp;
 use spdlog::{info, warn};
 
-use crate::{Dialect, hub::Hub};
+use crate::{
+    Dialect,
+    crew::Roster,
+    hub::Hub,
+    relay::{self, SharedRelay},
+};
 
 /// Follows the store and puts what it says into the forwarder.
 pub struct Follower {
     /// Calls the store.
     pub http: HttpReader,
+    /// Longest time of a read.
+    pub timeout: Duration,
+    /// The other daemons.
+    pub roster: Rc<RefCell<Roster>>,
+    /// What is passed on to them.
+    pub relay: Rc<SharedRelay>,
     /// Translates the store's answers.
     pub dialect: Rc<dyn Dialect>,
     /// The hub.
@@ -36,6 +57,7 @@
     /// Follows the store for as long as the process runs.
     pub async fn run(self) {
         let mut reader = Reader::new(ReaderSettings::default());
+        let mut peer: Option<(SocketAddr, HttpReader)> = None;
         loop {
             let now = self.clock.now();
             let called = match reader.next(now) {
@@ -43,13 +65,18 @@
                     compio::time::sleep(until.since(now)).await;
                     continue;
                 }
-                step => self.call(&mut reader, step).await,
+                step => match self.peer(&mut peer, reader.failures()) {
+                    Some(http) => self.call_daemon(http, &mut reader, step).await,
+                    None => self.call(&mut reader, step).await,
+                },
             };
             match called {
                 Called::Changes(changes) => {
                     if self.hub.metrics().store_reached() {
                         info!("store: reached", kv: { position: = reader.position() });
                     }
+                    let from_store = peer.is_none();
+                    self.relay.take(from_store, reader.position(), &changes);
                     for change in changes {
                         self.apply(change);
                     }
@@ -76,6 +103,70 @@
         }
     }
 
+    /// The daemon to be followed, or `None` to read the store.
+    fn peer<'a>(
+        &self,
+        peer: &'a mut Option<(SocketAddr, HttpReader)>,
+        failures: u32,
+    ) -> Option<&'a HttpReader> {
+        let roster = self.roster.borrow();
+        let address = match choose_source(&roster.running, roster.rank, failures) {
+            Source::Store => None,
+            Source::Daemon(rank) => roster.addresses.get(rank).copied(),
+        };
+        let present = peer.as_ref().map(|(address, _)| *address);
+        if address != present {
+            info!("store: changes are learnt from", kv: {
+                source: = address.map_or("the store".to_owned(), |address| address.to_string()),
+            });
+            *peer = address.and_then(|address| {
+                let timeout = self.timeout;
+                let options = jasminepond_platform::Options { address, timeout };
+                match HttpReader::new(options) {
+                    Ok(http) => Some((address, http)),
+                    Err(err) => {
+                        warn!("store: no client for another daemon", kv: { error: = err });
+                        None
+                    }
+                }
+            });
+        }
+        peer.as_ref().map(|(_, http)| http)
+    }
+
+    /// Learns from another daemon what the step asks for.
+    async fn call_daemon(&self, http: &HttpReader, reader: &mut Reader, step: Step) -> Called {
+        let (path, extra) = match &step {
+            Step::Watch { after, wait } => (relay::changes_call(*after, *wait), wait.duration()),
+            _ => (relay::snapshot_call(), Duration::ZERO),
+        };
+        let (status, body) = match http.get(&path, extra).await {
+            Ok(answer) => answer,
+            Err(err) => return Called::Failed(Failure::Unreachable, err.to_string()),
+        };
+        let now = self.clock.now();
+        let malformed = |err: ciborium::de::Error<std::io::Error>| {
+            Called::Failed(Failure::Unreachable, err.to_string())
+        };
+        match (&step, status) {
+            (Step::Watch { .. }, 200) => match ciborium::from_reader::<Changes, _>(&body[..]) {
+                Ok(changes) => {
+                    Called::Changes(reader.on_relayed(now, changes.position, changes.changes))
+                }
+                Err(err) => malformed(err),
+            },
+            (Step::Watch { .. }, 410) => {
+                let cause = "the other daemon no longer knows the changes";
+                Called::Failed(Failure::HistoryGone, cause.to_owned())
+            }
+            (_, 200) => match ciborium::from_reader::<Snapshot, _>(&body[..]) {
+                Ok(snapshot) => Called::Changes(read_snapshot(now, reader, snapshot)),
+                Err(err) => malformed(err),
+            },
+            (_, status) => Called::Failed(Failure::Unreachable, format!("status {status}")),
+        }
+    }
+
     async fn call(&self, reader: &mut Reader, step: Step) -> Called {
         self.hub.metrics().store_called();
         let (path, extra) = match &step {
@@ -156,3 +247,20 @@
         }
     }
 }
+
+/// Takes over the whole state of another daemon.
+fn read_snapshot(now: Timestamp, reader: &mut Reader, snapshot: Snapshot) -> Vec<Change> {
+    let position = snapshot.position;
+    let release = snapshot.release.map(Item::Release);
+    let mut changes = reader.on_release(now, release, position);
+    let record = |backend: Backend| Record {
+        key: backend.id.to_string(),
+        item: Item::Backend(backend),
+    };
+    changes.extend(reader.on_page(Page {
+        records: snapshot.backends.into_iter().map(record).collect(),
+        has_more: false,
+        position,
+    }));
+    changes
+}
--- a/crates/jasminepond-routes/src/release.rs
+++ b/crates/jasminepond-routes/src/release.rs
@@ -6,6 +6,7 @@
 };
 
 use jasminepond_types::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Version of a release. A higher version replaces a lower one.
 ///
@@ -16,7 +17,10 @@
 /// assert!(version > ReleaseVersion(6));
 /// assert_eq!(version.to_string(), "7");
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
 pub struct ReleaseVersion(pub u64);
 
 impl fmt::Display for ReleaseVersion {
@@ -41,7 +45,8 @@
 /// let name: ServiceName = "orders".parse().unwrap();
 /// assert_eq!(name.as_str(), "orders");
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct ServiceName(Arc<str>);
 
 impl ServiceName {
@@ -78,7 +83,7 @@
 }
 
 /// Whether a request may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may be sent again while an earlier copy may have run.
     Allowed,
@@ -89,7 +94,7 @@
 }
 
 /// A part of a split.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Weighted {
     /// The service.
     pub service: ServiceName,
@@ -98,7 +103,7 @@
 }
 
 /// A search over several shards.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Search {
     /// One service for each shard.
     pub shards: Vec<ServiceName>,
@@ -109,7 +114,7 @@
 }
 
 /// Where the requests of a route go.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Target {
     /// To one service.
     Service(ServiceName),
@@ -120,7 +125,7 @@
 }
 
 /// A route.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name, unique in a release.
     pub name: Arc<str>,
@@ -159,14 +164,14 @@
 }
 
 /// What a release says of a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Connections that one backend server accepts from all callers together.
     pub max_connections: u32,
 }
 
 /// What callers may send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FrontLimits {
     /// Bytes of request line and headers.
     pub max_header_bytes: usize,
@@ -191,7 +196,7 @@
 }
 
 /// One version of routes, services and limits, read whole.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Release {
     /// Its version.
     pub version: ReleaseVersion,
