fix(forward): a part that another daemon may have sent on is not done again

Cause: a part was taken over from another daemon that had not answered in time or whose connection was lost.

Ruled out: counting the other daemon's sends as one run; about a tenth of them are hedged.

Change: only parts that were certainly not sent on are taken over.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -97,14 +97,14 @@
 
 /// The daemons among which connections and repeated sends are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Crew {
+pub struct Cluster {
     /// How many they are, this one included.
     pub daemons: u32,
     /// How many of them come before this one in the order that all agree on.
     pub rank: u32,
 }
 
-impl Default for Crew {
+impl Default for Cluster {
     fn default() -> Self {
         // Used until the daemons are known: a few more than the 6 or 7 of a site.
         Self {
@@ -118,7 +118,7 @@
 #[derive(Debug, Default)]
 pub struct Forwarder {
     settings: ForwardSettings,
-    crew: Option<Crew>,
+    cluster: Option<Cluster>,
     peers: Vec<Peer>,
     /// Groups into which shards and daemons are divided.
     groups: u32,
@@ -180,12 +180,12 @@
 
     /// The daemons that share connections and repeated sends have changed. No
     /// connection is opened ahead of a request before this is known.
-    pub fn set_crew(&mut self, now: Timestamp, crew: Crew) {
-        if self.crew == Some(crew) {
+    pub fn set_cluster(&mut self, now: Timestamp, cluster: Cluster) {
+        if self.cluster == Some(cluster) {
             return;
         }
-        self.crew = Some(crew);
-        self.settings.repeat.daemons = crew.daemons.max(1);
+        self.cluster = Some(cluster);
+        self.settings.repeat.daemons = cluster.daemons.max(1);
         for service in self.services.values_mut() {
             service.budget.resize(self.settings.repeat);
         }
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -26,7 +26,7 @@
     pub(super) fn warm(&mut self, now: Timestamp, key: ServerKey) {
         let server = &self.servers[key];
         let wanted = server.near && server.leaving_since.is_none() && !server.displaced;
-        if wanted && server.conns.is_empty() && self.crew.is_some() {
+        if wanted && server.conns.is_empty() && self.cluster.is_some() {
             self.open(now, key);
         }
     }
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -13,7 +13,7 @@
 
 use super::Forwarder;
 use crate::{
-    message::{Backend, BackendState, CallKey, Lost, ReqKey},
+    message::{Backend, BackendState, Belief, CallKey, ReqKey},
     request::{Part, PartState, Req},
     server::{ServerKey, Standing},
     service::ServiceKey,
@@ -36,11 +36,14 @@
 /// Connections to one other daemon.
 pub(super) const HELPER_CONNECTIONS: usize = 2;
 
-/// A part that another daemon has not answered for this long after it should have
-/// is done here. Its answer with what was there must have come by then, so that
-/// only a daemon that has failed is replaced.
+/// A daemon that has not answered for this long after it should have is set aside:
+/// several round trips between zones and the scheduling of a small core.
 const HELPER_OVERDUE: Duration = Duration::from_millis(12);
 
+/// Least time after which a daemon that should have answered is given up. Longer
+/// than the tenth of a second for which a core may be withheld.
+const HELPER_GIVEN_UP: Duration = Duration::from_millis(150);
+
 /// Time kept for the way back of another daemon's answer and for merging it.
 const MERGE_MARGIN: Duration = Duration::from_millis(8);
 
@@ -85,13 +88,13 @@
 
     /// Divides the shards of the release in force among the daemons.
     pub(super) fn regroup(&mut self, now: Timestamp) {
-        let crew = self.crew.unwrap_or_default();
+        let cluster = self.cluster.unwrap_or_default();
         let shards = self.searched.iter().map(|shards| shards.len()).max();
         let shards = shards.unwrap_or(0);
         let groups = u32::try_from(shards.div_ceil(SHARDS_PER_GROUP))
             .unwrap_or(1)
             .max(1);
-        let divided = shards >= MIN_SHARDS && crew.daemons >= groups * MIN_GROUP_DAEMONS;
+        let divided = shards >= MIN_SHARDS && cluster.daemons >= groups * MIN_GROUP_DAEMONS;
         self.groups = if divided { groups } else { 1 };
         for service in self.services.values_mut() {
             service.group = None;
@@ -146,7 +149,7 @@
     }
 
     pub(super) fn own_group(&self) -> u32 {
-        self.crew.unwrap_or_default().rank % self.groups.max(1)
+        self.cluster.unwrap_or_default().rank % self.groups.max(1)
     }
 
     fn group_service(&mut self, group: u32) -> ServiceKey {
@@ -161,10 +164,10 @@
         let id = |key: &ServerKey| self.servers[*key].backend.id.clone();
         let mut ordered = state.servers.clone();
         ordered.sort_by_key(id);
-        let crew = self.crew.unwrap_or_default();
+        let cluster = self.cluster.unwrap_or_default();
         let len = ordered.len();
         if state.helpers {
-            ordered.rotate_left(crew.rank as usize % len.max(1));
+            ordered.rotate_left(cluster.rank as usize % len.max(1));
             ordered.sort_by_key(|key| self.servers[*key].backend.zone != self.settings.zone);
             return (ordered, HELPERS_PER_GROUP);
         }
@@ -176,7 +179,7 @@
                 } else {
                     1
                 };
-                ordered.rotate_left((crew.rank / groups) as usize % len.max(1));
+                ordered.rotate_left((cluster.rank / groups) as usize % len.max(1));
                 let own = (self.connection_share(service) * len as f64).floor() as usize;
                 (ordered, own.max(1))
             }
@@ -187,7 +190,7 @@
     /// one if there are more daemons than connections.
     pub(super) fn connection_share(&self, service: ServiceKey) -> f64 {
         let state = &self.services[service];
-        let daemons = self.crew.unwrap_or_default().daemons;
+        let daemons = self.cluster.unwrap_or_default().daemons;
         let daemons = match state.group {
             Some(_) => daemons.div_ceil(self.groups.max(1)),
             None => daemons,
@@ -256,14 +259,20 @@
         })
     }
 
-    /// How long another daemon may take for its part.
-    pub(super) fn helper_timeout(delegation: &Delegation) -> Duration {
-        delegation.answer_within.duration() + HELPER_OVERDUE
+    /// How long another daemon may take for its part: until it is set aside, and
+    /// until it is given up.
+    pub(super) fn helper_timeouts(delegation: &Delegation) -> (Duration, Duration) {
+        let answer = delegation.answer_within.duration();
+        (
+            answer + HELPER_OVERDUE,
+            answer + answer.max(HELPER_GIVEN_UP),
+        )
     }
 
-    /// Does a part here that another daemon has not done. If that daemon may have
-    /// sent it on, each shard needs a token for a repeated send.
-    pub(super) fn take_over(&mut self, now: Timestamp, key: ReqKey, index: usize, lost: Lost) {
+    /// Does a part here that another daemon has certainly not sent on. One that may
+    /// have run is not done again: the other daemon may have used all the runs that
+    /// the route allows.
+    pub(super) fn take_over(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let Some(req) = self.reqs.get_mut(key) else {
             return;
         };
@@ -273,38 +282,27 @@
         let part = &mut req.parts[index];
         part.state = PartState::Missing("taken_over");
         part.weight = 0;
-        let all = req.route.shards().to_vec();
-        for shard in shards.iter() {
-            let service = all[*shard];
+        let services: Vec<_> = shards
+            .iter()
+            .map(|shard| req.route.shards()[*shard])
+            .collect();
+        for service in services {
             let req = &mut self.reqs[key];
             let index = req.parts.len();
-            let mut part = Part::new(service);
-            if lost == Lost::Unknown {
-                // The other daemon has sent it to one server.
-                (part.runs, part.sends) = (1, 1);
-            }
-            req.parts.push(part);
-            if lost == Lost::Unknown && !self.services[service].budget.try_take() {
-                self.reqs[key].over_budget += 1;
-                self.part_missing(key, index, "budget");
-            } else {
-                self.place(now, key, index);
-            }
+            req.parts.push(Part::new(service));
+            self.place(now, key, index);
         }
     }
 
-    /// A call to another daemon has taken too long: its part is done here as well,
-    /// and the first answer counts.
+    /// Another daemon should have answered with what it has. New searches go to
+    /// others; its answer is waited for, since its part cannot be done again.
     pub(super) fn on_slow_helper(&mut self, now: Timestamp, key: CallKey) {
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        let (req, part, conn, server) = (call.req, call.part, call.conn, call.server);
-        self.close_conn(conn);
-        self.servers[server].failed(now);
-        self.forget_call(key);
-        self.connect_anew(now, server);
-        self.take_over(now, req, part, Lost::Unknown);
-        self.settle(now, req);
+        let (server, unanswered) = (call.server, now.since(call.sent));
+        if self.servers[server].stall() {
+            self.note(server, Belief::Stalled { unanswered });
+        }
     }
 }
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -6,7 +6,7 @@
 
 use super::{Call, ConnState, Forwarder, RETRY_AFTER_BOUNDS};
 use crate::{
-    message::{Action, Belief, CallKey, ConnKey, Lost, ReqKey},
+    message::{Action, Belief, CallKey, ConnKey, ReqKey},
     request::{ActiveRoute, PartState, Req},
     server::{Reach, ServerKey, Standing},
     service::{ServiceKey, Waiting},
@@ -117,7 +117,7 @@
 
     fn nowhere(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         if self.reqs[key].parts[index].delegated.is_some() {
-            self.take_over(now, key, index, Lost::NotSent);
+            self.take_over(now, key, index);
         } else {
             self.part_missing(key, index, "no_server");
         }
@@ -157,8 +157,8 @@
     fn send(&mut self, now: Timestamp, key: ReqKey, index: usize, conn: ConnKey) {
         let server_key = self.conns[conn].server;
         let delegation = self.delegation(now, &self.reqs[key], index);
-        let helper_timeout = delegation.as_ref().map(Self::helper_timeout);
-        let delegated = helper_timeout.is_some();
+        let helper_timeouts = delegation.as_ref().map(Self::helper_timeouts);
+        let delegated = helper_timeouts.is_some();
         let req = &mut self.reqs[key];
         let route = req.route.clone();
         let left = req.deadline.since(now);
@@ -196,9 +196,10 @@
             left: Millis((left.as_millis() as u64).max(1)),
             delegation,
         });
-        if let Some(timeout) = helper_timeout {
-            self.timers
-                .set(now + timeout.min(left), Timer::SlowHelper(call));
+        if let Some((overdue, given_up)) = helper_timeouts {
+            self.timers.set(now + overdue, Timer::SlowHelper(call));
+            let given_up = given_up.min(left);
+            self.timers.set(now + given_up, Timer::CallTimeout(call));
             return;
         }
         if route.may_repeat() {
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -35,11 +35,6 @@
         Some(call)
     }
 
-    /// Forgets a call whose answer is no longer waited for.
-    pub(super) fn forget_call(&mut self, key: CallKey) {
-        self.take_call(key);
-    }
-
     pub(super) fn call_replied(&mut self, now: Timestamp, key: CallKey, reply: Reply) {
         let Some(call) = self.take_call(key) else {
             return;
@@ -86,13 +81,10 @@
             if let Some(server) = self.servers.get(call.server) {
                 req.last_server = Some(server.backend.id.clone());
             }
+        } else if call.delegated && not_run {
+            self.take_over(now, call.req, call.part);
         } else if call.delegated {
-            let lost = if not_run {
-                Lost::NotSent
-            } else {
-                Lost::Unknown
-            };
-            self.take_over(now, call.req, call.part, lost);
+            self.part_missing(call.req, call.part, "helper_failed");
         } else if not_run {
             self.retry(now, &call, "rejected");
         } else {
@@ -119,7 +111,10 @@
             part.runs = part.runs.saturating_sub(1);
         }
         if part.is_open() && call.delegated {
-            self.take_over(now, call.req, call.part, lost);
+            match lost {
+                Lost::NotSent => self.take_over(now, call.req, call.part),
+                Lost::Unknown => self.part_missing(call.req, call.part, "helper_lost"),
+            }
         } else if part.is_open() {
             self.retry(now, &call, "connection_lost");
         }
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -16,7 +16,7 @@
 mod timers;
 
 pub use budget::RepeatBudget;
-pub use forwarder::{Crew, Delegation, Forwarder, Peer, Status};
+pub use forwarder::{Cluster, Delegation, Forwarder, Peer, Status};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, greatest};
 pub use message::{
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -35,7 +35,7 @@
 use spdlog::{info, warn};
 
 use crate::{
-    Dialect, Journal, Settings, crew, front::Front, helper::Helper, hub::Hub, metrics::Metrics,
+    Dialect, Log, Settings, front::Front, helper::Helper, hub::Hub, members, metrics::Metrics,
     relay::SharedRelay, store::Follower,
 };
 
@@ -48,7 +48,7 @@
     /// Translates between the platform and the gateway.
     pub dialect: Rc<dyn Dialect>,
     /// The log.
-    pub journal: Journal,
+    pub log: Log,
 }
 
 /// How a gateway ended.
@@ -241,7 +241,7 @@
         path,
         settings,
         dialect,
-        journal,
+        log,
     } = options;
     let callers = bind("callers", settings.callers)?;
     let readiness = bind("readiness", settings.readiness)?;
@@ -275,13 +275,13 @@
     let (complete, closing) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
     let front_limits = SharedLimits::new(limits(&FrontLimits::default()).into());
     compio::runtime::spawn(hub.clone().run_timers()).detach();
-    let roster = Rc::new(RefCell::default());
+    let members = Rc::new(RefCell::default());
     let relay = SharedRelay::new(clock.clone());
     let shared = front_limits.clone();
     let follower = Follower {
         http,
         timeout: settings.store.timeout_ms.duration(),
-        roster: roster.clone(),
+        members: members.clone(),
         relay: relay.clone(),
         dialect: dialect.clone(),
         hub: hub.clone(),
@@ -290,22 +290,22 @@
         on_limits: Rc::new(move |front| *shared.borrow_mut() = limits(front)),
     };
     compio::runtime::spawn(follower.run()).detach();
-    let crew = crew::Follower {
+    let membership = members::Follower {
         instance: settings.instance.clone(),
-        membership: crew::membership(me(&settings), &seeds(&settings)),
+        membership: members::membership(me(&settings), &seeds(&settings)),
         socket: Rc::new(socket),
         clock,
         hub: hub.clone(),
-        roster,
+        members,
     };
-    compio::runtime::spawn(crew.run()).detach();
+    compio::runtime::spawn(membership.run()).detach();
     let probe = ReadyProbe {
         path: dialect.ready_path(),
         complete,
         closing: closing.clone(),
     };
-    let journal = Rc::new(journal);
-    compio::runtime::spawn(housekeeping(hup, path, journal.clone())).detach();
+    let log = Rc::new(log);
+    compio::runtime::spawn(housekeeping(hup, path, log.clone())).detach();
     for (listener, handler) in [
         (readiness, Rc::new(probe) as Rc<dyn Handler>),
         (operators, Rc::new(Operators { hub: hub.clone() })),
@@ -342,7 +342,7 @@
     };
     let left = hub.read(|forwarder| forwarder.status().requests);
     info!("gateway: stopped", kv: { outcome:, requests_left = left });
-    journal.flush();
+    log.flush();
     Ok(outcome)
 }
 
@@ -356,7 +356,7 @@
 }
 
 /// Writes log lines, and reads the settings again after SIGHUP.
-async fn housekeeping(hup: Arc<AtomicBool>, path: PathBuf, journal: Rc<Journal>) {
+async fn housekeeping(hup: Arc<AtomicBool>, path: PathBuf, log: Rc<Log>) {
     loop {
         compio::time::sleep(HOUSEKEEPING).await;
         if hup.swap(false, Ordering::Relaxed) {
@@ -367,7 +367,7 @@
                 Err(err) => warn!("gateway: the settings were read again", kv: { error: = err }),
             }
         }
-        journal.flush();
+        log.flush();
     }
 }
 
--- a/crates/jasminepond-gateway/src/lib.rs
+++ b/crates/jasminepond-gateway/src/lib.rs
@@ -5,13 +5,13 @@
 //! [`jasminepond_forward::Forwarder`] and [`jasminepond_discovery::Reader`].
 
 mod backend;
-mod crew;
 mod dialect;
 mod front;
 mod gateway;
 mod helper;
 mod hub;
-mod journal;
+mod log;
+mod members;
 mod metrics;
 mod relay;
 mod response;
@@ -20,6 +20,6 @@
 
 pub use dialect::{Dialect, HeaderNames, StoreError};
 pub use gateway::{Options, Outcome, StartError, run};
-pub use journal::Journal;
+pub use log::Log;
 pub use response::{Message, ParseError, Parsed, parse};
 pub use settings::{RepeatBounds, Settings, SettingsError, StoreSettings};
--- a/crates/jasminepond-gateway/src/journal.rs
+++ b/crates/jasminepond-gateway/src/log.rs
@@ -107,11 +107,11 @@
 }
 
 /// The log of a gateway process.
-pub struct Journal {
+pub struct Log {
     sink: Arc<WriteSink<Lines>>,
 }
 
-impl Journal {
+impl Log {
     /// Sends all log records of `level` and above to standard output, one JSON
     /// object a line.
     ///
--- a/crates/jasminepond-gateway/src/crew.rs
+++ b/crates/jasminepond-gateway/src/members.rs
@@ -10,7 +10,7 @@
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_daemon::clock::Clock;
-use jasminepond_forward::{Crew, Peer};
+use jasminepond_forward::{Cluster, Peer};
 use jasminepond_membership::{Me, Membership, Message, Output, Settings};
 use jasminepond_types::{InstanceId, Timestamp};
 use spdlog::{debug, info};
@@ -29,7 +29,7 @@
 
 /// The daemons in the order that all agree on.
 #[derive(Debug, Clone, Default)]
-pub struct Roster {
+pub struct Members {
     /// Place of this daemon.
     pub rank: usize,
     /// Whether each is thought to run.
@@ -51,7 +51,7 @@
     /// The hub, which is told the count.
     pub hub: Rc<Hub>,
     /// The daemons in the order that all agree on, for the task that follows the store.
-    pub roster: Rc<RefCell<Roster>>,
+    pub members: Rc<RefCell<Members>>,
 }
 
 /// A membership of this daemon that knows the seeds.
@@ -75,7 +75,7 @@
                 }
             }
             // A refusal of an earlier datagram, for example.
-            Err(err) => debug!("crew: receiving failed", kv: { error: = err }),
+            Err(err) => debug!("membership: receiving failed", kv: { error: = err }),
         }
     }
 }
@@ -88,7 +88,7 @@
         let started = self.clock.now();
         let mut known = 0;
         let mut changed = started;
-        let mut crew = None;
+        let mut cluster = None;
         let mut generation = 0;
         loop {
             let now = self.clock.now();
@@ -99,23 +99,23 @@
                 (known, changed) = (members, now);
             }
             let settled = now.since(changed) >= SETTLED && known > 1;
-            if settled || now.since(started) >= SETTLE_LIMIT || crew.is_some() {
-                let present = self.crew();
+            if settled || now.since(started) >= SETTLE_LIMIT || cluster.is_some() {
+                let present = self.cluster();
                 let view = self.membership.view().generation();
                 if std::mem::replace(&mut generation, view) != view {
-                    *self.roster.borrow_mut() = self.roster();
+                    *self.members.borrow_mut() = self.members();
                     let peers = self.peers();
                     self.hub
                         .change(|forwarder, now| forwarder.set_peers(now, peers));
                 }
-                if crew.replace(present) != Some(present) {
-                    info!("crew: daemons", kv: { daemons = present.daemons, rank = present.rank });
+                if cluster.replace(present) != Some(present) {
+                    info!("membership: daemons", kv: { daemons = present.daemons, rank = present.rank });
                     self.hub
-                        .change(|forwarder, now| forwarder.set_crew(now, present));
+                        .change(|forwarder, now| forwarder.set_cluster(now, present));
                 }
             }
             let next = self.membership.next_tick();
-            let next = match crew {
+            let next = match cluster {
                 Some(_) => next,
                 None => next.min(changed + SETTLED).min(started + SETTLE_LIMIT),
             };
@@ -137,7 +137,7 @@
                 let outputs = self.membership.receive(now, from, message);
                 self.perform(outputs).await;
             }
-            Err(err) => debug!("crew: datagram refused", kv: { from:, error: = err }),
+            Err(err) => debug!("membership: datagram refused", kv: { from:, error: = err }),
         }
     }
 
@@ -147,29 +147,29 @@
                 Output::Send { to, message } => {
                     let BufResult(sent, _) = self.socket.send_to(message.encode(), to).await;
                     if let Err(err) = sent {
-                        debug!("crew: sending failed", kv: { to:, error: = err });
+                        debug!("membership: sending failed", kv: { to:, error: = err });
                     }
                 }
                 Output::Changed(change) => {
                     let name = |state| jasminepond_daemon::control::state_name(state);
-                    info!("crew: a daemon changed", kv: {
+                    info!("membership: a daemon changed", kv: {
                         daemon: = change.instance,
                         was = name(change.from),
                         is = name(change.to),
                     });
                 }
                 Output::Superseded(incarnation) => {
-                    info!("crew: another run of this instance is known", kv: { incarnation: = incarnation });
+                    info!("membership: another run of this instance is known", kv: { incarnation: = incarnation });
                 }
                 Output::Report(_) | Output::Confirmed => {}
             }
         }
     }
 
-    fn roster(&self) -> Roster {
+    fn members(&self) -> Members {
         let members = self.membership.view().members();
-        Roster {
-            rank: self.crew().rank as usize,
+        Members {
+            rank: self.cluster().rank as usize,
             running: members.iter().map(|member| member.is_reachable()).collect(),
             addresses: members.iter().map(|member| member.peer_address).collect(),
         }
@@ -191,12 +191,12 @@
 
     /// All known daemons, also those that are gone for now: they mostly come back,
     /// and ranks that change cost connections.
-    fn crew(&self) -> Crew {
+    fn cluster(&self) -> Cluster {
         let members = self.membership.view().members();
         let before = members
             .iter()
             .filter(|member| member.instance < self.instance);
-        Crew {
+        Cluster {
             daemons: u32::try_from(members.len()).unwrap_or(u32::MAX).max(1),
             rank: u32::try_from(before.count()).unwrap_or(0),
         }
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     Dialect,
-    crew::Roster,
     hub::Hub,
+    members::Members,
     relay::{self, SharedRelay},
 };
 
@@ -32,7 +32,7 @@
     /// Longest time of a read.
     pub timeout: Duration,
     /// The other daemons.
-    pub roster: Rc<RefCell<Roster>>,
+    pub members: Rc<RefCell<Members>>,
     /// What is passed on to them.
     pub relay: Rc<SharedRelay>,
     /// Translates the store's answers.
@@ -109,10 +109,10 @@
         peer: &'a mut Option<(SocketAddr, HttpReader)>,
         failures: u32,
     ) -> Option<&'a HttpReader> {
-        let roster = self.roster.borrow();
-        let address = match choose_source(&roster.running, roster.rank, failures) {
+        let members = self.members.borrow();
+        let address = match choose_source(&members.running, members.rank, failures) {
             Source::Store => None,
-            Source::Daemon(rank) => roster.addresses.get(rank).copied(),
+            Source::Daemon(rank) => members.addresses.get(rank).copied(),
         };
         let present = peer.as_ref().map(|(address, _)| *address);
         if address != present {
--- a/crates/jasminepond/src/main.rs
+++ b/crates/jasminepond/src/main.rs
@@ -127,7 +127,7 @@
         path: gateway.settings,
         settings,
         dialect: Rc::new(UsersPlatform),
-        journal: jasminepond_gateway::Journal::set_up(level)?,
+        log: jasminepond_gateway::Log::set_up(level)?,
     };
     let runtime = compio::runtime::Runtime::new()?;
     Ok(runtime.block_on(jasminepond_gateway::run(options))?)
