--- a/crates/jasminepond-discovery/tests/reader.rs
+++ b/crates/jasminepond-discovery/tests/reader.rs
@@ -1,25 +1,18 @@
 //! Guards against a view of the store that misses a change or goes back in time.
 
-use std::{sync::Arc, time::Duration};
+mod common;
 
+use std::time::Duration;
+
+use common::backend;
 use jasminepond_discovery::{
     Change, Event, Failure, Item, Page, Position, Reader, ReaderSettings, Record, Step, Watched,
 };
-use jasminepond_forward::{Backend, BackendState};
 use jasminepond_routes::{Release, ReleaseVersion};
-use jasminepond_types::{Millis, Timestamp};
+use jasminepond_types::Timestamp;
 
-fn backend(id: &str) -> Item {
-    Item::Backend(Backend {
-        id: Arc::from(id),
-        service: "s".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: "z".to_owned(),
-        slots: 1,
-        state: BackendState::Ready,
-        warm_up_left: Millis(0),
-        started: None,
-    })
+fn entry(id: &str) -> Item {
+    Item::Backend(backend(id))
 }
 
 fn release(version: u64) -> Item {
@@ -32,7 +25,7 @@
 fn page(ids: &[&str], has_more: bool, position: u64) -> Page {
     let record = |id: &&str| Record {
         key: (*id).to_owned(),
-        item: backend(id),
+        item: entry(id),
     };
     Page {
         records: ids.iter().map(record).collect(),
--- a/crates/jasminepond-discovery/tests/relay.rs
+++ b/crates/jasminepond-discovery/tests/relay.rs
@@ -1,25 +1,18 @@
 //! Guards against daemons that follow another one and miss a change, or believe a
 //! state that nobody has confirmed.
 
-use std::{sync::Arc, time::Duration};
+mod common;
 
+use std::time::Duration;
+
+use common::backend;
 use jasminepond_discovery::{Change, Position, Relay, Source, Unserved, choose_source};
-use jasminepond_forward::{Backend, BackendState};
-use jasminepond_types::{Millis, Timestamp};
+use jasminepond_types::Timestamp;
 
 const NOW: Timestamp = Timestamp::from_millis(1);
 
 fn put(id: &str) -> Change {
-    Change::Backend(Backend {
-        id: Arc::from(id),
-        service: "s".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: "z".to_owned(),
-        slots: 1,
-        state: BackendState::Ready,
-        warm_up_left: Millis(0),
-        started: None,
-    })
+    Change::Backend(backend(id))
 }
 
 fn gone(id: &str) -> Change {
--- a/crates/jasminepond-gateway/src/settings.rs
+++ b/crates/jasminepond-gateway/src/settings.rs
@@ -12,10 +12,8 @@
 pub struct RepeatBounds {
     /// Repeated sends per request of a service.
     pub share: f64,
-    /// Repeated sends per service and window beyond the share.
+    /// Repeated sends per service beyond the share, in any window of the bound.
     pub slack: f64,
-    /// Length of the window in seconds.
-    pub window_s: f64,
 }
 
 impl Default for RepeatBounds {
@@ -24,7 +22,6 @@
         Self {
             share: settings.share,
             slack: settings.slack,
-            window_s: 10.0,
         }
     }
 }
--- a/crates/jasminepond/src/main.rs
+++ b/crates/jasminepond/src/main.rs
@@ -6,7 +6,7 @@
 mod logging;
 mod status;
 
-use std::{error::Error, process::ExitCode, rc::Rc};
+use std::{error::Error, fmt::Display, process::ExitCode, rc::Rc};
 
 use args::{Command, Gateway, Parsed, Serve};
 use jasminepond_config::Settings;
@@ -95,28 +95,22 @@
     };
     match runtime.block_on(jasminepond_daemon::run(options, started)) {
         Ok(Outcome::Drained) => EXIT_OK,
-        Ok(outcome) => {
-            eprintln!("jasminepond: {outcome}");
-            EXIT_FAILED
-        }
-        Err(err) => {
-            eprintln!("jasminepond: {err}");
-            EXIT_FAILED
-        }
+        Ok(outcome) => failed(&outcome),
+        Err(err) => failed(&err),
     }
 }
 
+/// Says on standard error why the process did not end as asked.
+fn failed(why: &dyn Display) -> u8 {
+    eprintln!("jasminepond: {why}");
+    EXIT_FAILED
+}
+
 fn gateway(gateway: Gateway) -> u8 {
     match try_gateway(gateway) {
         Ok(jasminepond_gateway::Outcome::Drained) => EXIT_OK,
-        Ok(outcome) => {
-            eprintln!("jasminepond: {outcome}");
-            EXIT_FAILED
-        }
-        Err(err) => {
-            eprintln!("jasminepond: {err}");
-            EXIT_FAILED
-        }
+        Ok(outcome) => failed(&outcome),
+        Err(err) => failed(&err),
     }
 }
 
