fix(routing): a deeper decrease of the admission limit

Cause: low classes whose limit falls by a tenth at a time admit queries for several windows that then miss their deadline; each takes slots of 20 shards.

--- a/crates/jasminepond-routing/src/concurrency.rs
+++ b/crates/jasminepond-routing/src/concurrency.rs
@@ -25,7 +25,10 @@
     /// Share of queries that may miss their deadline behind a queue. In the same
     /// simulation 0.05 cost 4% of goodput: stragglers alone caused most misses.
     pub late_share: f64,
-    /// Factor by which the limit falls.
+    /// Factor by which the limit falls. In eight seeds of the simulation with
+    /// three busy classes, 0.9 answered 0.90 to 0.91 of the capacity and 0.85
+    /// 0.915 to 0.929: lower classes that fill a limit which falls slowly admit
+    /// queries that miss their deadline.
     pub decrease: f64,
     /// Share of the limit by which it rises, at least a quarter of a query.
     pub increase: f64,
@@ -44,7 +47,7 @@
             max: 10_000,
             wait_share: 0.4,
             late_share: 0.1,
-            decrease: 0.9,
+            decrease: 0.85,
             increase: 0.02,
             window: Duration::from_millis(100),
             samples: 10,
--- a/crates/jasminepond-routing/tests/overload.rs
+++ b/crates/jasminepond-routing/tests/overload.rs
@@ -74,9 +74,8 @@
     assert_highest_class_unaffected(&[1.0, 0.7, 0.3]);
 }
 
-/// The same, listed in KNOWN-RED.txt.
+/// The same with one lower class of 1.5 times the capacity.
 #[test]
-#[ignore = "KNOWN-RED"]
 fn the_highest_of_two_classes_is_unaffected() {
     assert_highest_class_unaffected(&[0.0, 1.5, 0.5]);
 }
@@ -102,12 +101,18 @@
     assert!(goodput >= GOAL, "goodput {goodput:.3} of capacity");
 }
 
-/// The same, listed in KNOWN-RED.txt.
-#[test_case(&[0.0, 1.5, 0.5] ; "two classes")]
-#[test_case(&[0.5, 0.5, 1.0] ; "highest class fills the capacity")]
+/// The same with a highest class that alone fills the capacity.
+#[test]
+fn goodput_holds_when_the_highest_class_fills_the_capacity() {
+    let goodput = goodput(&measured(&[0.5, 0.5, 1.0], 0.0, 2, true), 0.0);
+    assert!(goodput >= GOAL, "goodput {goodput:.3} of capacity");
+}
+
+/// The same with two classes. Listed in KNOWN-RED.txt.
+#[test]
 #[ignore = "KNOWN-RED"]
-fn goodput_holds_with_several_classes(shares: &[f64; 3]) {
-    let goodput = goodput(&measured(shares, 0.0, 2, true), 0.0);
+fn goodput_holds_with_two_classes() {
+    let goodput = goodput(&measured(&[0.0, 1.5, 0.5], 0.0, 2, true), 0.0);
     assert!(goodput >= GOAL, "goodput {goodput:.3} of capacity");
 }
 
