feat(forward): remember servers that reject while idle

A rejection only set the server aside for 60 ms, the time in which a queue empties; the next search came later than that, a sixth of all first sends was rejected and the budget for second sends ran out.

Change: a rejection also counts as a failure in the server's cost, which halves every 1.5 s.

--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -192,8 +192,10 @@
         self.fold(now, None, true);
     }
 
-    /// It rejected a call for lack of room.
+    /// It rejected a call for lack of room. A server may also reject while it has
+    /// room; remembering rejections longer than a queue lasts keeps requests off it.
     pub(crate) fn full(&mut self, now: Timestamp, settings: &ForwardSettings) {
+        self.fold(now, None, true);
         self.stalled = false;
         self.full_until = now + settings.full_pause;
     }
--- a/crates/jasminepond-forward/tests/load.rs
+++ b/crates/jasminepond-forward/tests/load.rs
@@ -100,6 +100,22 @@
     assert!(in_time > 0.95, "{in_time} in time");
 }
 
+/// Load: one server of each shard rejects six in ten of its requests although it
+/// is idle. A daemon that takes each rejection for a full queue comes back after
+/// it, and the budget for second sends runs out.
+#[test]
+fn servers_that_reject_while_idle_get_little() {
+    let mut world = world_of_shards(12);
+    for shard in 0..20 {
+        world.set_mood(shard * 2, Mood::Rejecting(0.6));
+    }
+    world.load("/search/x", PER_S, Duration::from_secs(2), PATIENCE);
+    let from = world.now;
+    world.load("/search/x", PER_S, Duration::from_secs(20), PATIENCE);
+    let in_time = world.in_time(from, 150 * MS);
+    assert!(in_time > 0.95, "{in_time} in time");
+}
+
 /// Load: all servers of three of 20 shards are down, where two may be missing.
 /// Each search must be refused at once and not held to its deadline.
 #[test]
--- a/crates/jasminepond-forward/tests/world/mod.rs
+++ b/crates/jasminepond-forward/tests/world/mod.rs
@@ -39,6 +39,8 @@
     Failing(f64),
     /// It rejects every request as not run.
     Full,
+    /// It rejects this share of its requests as not run, however little it has to do.
+    Rejecting(f64),
     /// It runs the request and closes the connection without an answer.
     LosesAnswers,
     /// Another server has its address.
@@ -475,11 +477,16 @@
             not_run: true,
             ..reply(503, "")
         };
+        let rejects = match server.mood {
+            Mood::Full => true,
+            Mood::Rejecting(share) => self.rng.random_bool(share),
+            _ => false,
+        };
         match server.mood {
             Mood::Crashed => self
                 .events
                 .push(Reverse((self.now + ROUND_TRIP, Event::Broken(conn)))),
-            Mood::Full => self.reply(
+            _ if rejects => self.reply(
                 conn,
                 Reply {
                     stamp: None,
