perf(gateway): one edge-triggered set of sockets to backend servers

Closing a caller's connection goes to another thread and back.

Ruled out: logging (one write of many lines each 100 ms) and JSON.

Change: sockets to backend servers stay in one edge-triggered epoll set and are read and written without waiting; shutdown is called directly.

--- a/crates/jasminepond-daemon/src/net/http.rs
+++ b/crates/jasminepond-daemon/src/net/http.rs
@@ -236,6 +236,7 @@
             .boxed_local()
         })
     };
+    let socket = stream.clone();
     let stream = Watched {
         stream: HyperStream::new_plain(stream),
         activity: activity.clone(),
@@ -280,7 +281,7 @@
         let _ = compio::time::timeout(LINGER, write_raw(&mut stream, res)).await;
     }
     let unread = activity.unread.get() || activity.head_since.get().is_some();
-    let _ = compio::time::timeout(LINGER, finish(&mut stream, unread)).await;
+    let _ = compio::time::timeout(LINGER, finish(&mut stream, &socket, unread)).await;
 }
 
 /// How a connection ended.
@@ -328,8 +329,11 @@
 }
 
 /// Ends the sending direction and reads what is left of a refused request.
-async fn finish(stream: &mut Stream, unread: bool) -> io::Result<()> {
-    poll_fn(|cx| Pin::new(&mut *stream).poll_shutdown(cx)).await?;
+async fn finish(stream: &mut Stream, socket: &TcpStream, unread: bool) -> io::Result<()> {
+    poll_fn(|cx| Pin::new(&mut *stream).poll_flush(cx)).await?;
+    // The stream's own shutdown goes to another thread and back, which costs more
+    // than the whole answer.
+    rustix::net::shutdown(socket, rustix::net::Shutdown::Write)?;
     if !unread {
         return Ok(());
     }
--- a/crates/jasminepond-gateway/src/backend.rs
+++ b/crates/jasminepond-gateway/src/backend.rs
@@ -3,26 +3,20 @@
 use std::{io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use compio::{
-    BufResult,
-    io::{AsyncRead, AsyncWriteExt},
-    net::TcpStream,
-};
+use compio::{BufResult, io::AsyncWriteExt, net::TcpStream};
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_forward::{ConnKey, Exchange, Lost};
 
 use crate::{
     hub::Hub,
+    readiness::Socket,
     response::{Message, Parsed, parse},
 };
 
 /// Longest time for the TCP handshake; a server that takes longer is not reached.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Bytes read at a time; holds most parts of a search with their headers.
-const READ_BYTES: usize = 8 << 10;
-
 /// A request to be sent over a connection.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -67,8 +61,12 @@
     if let Err(err) = stream.set_nodelay(true) {
         return hub.connect_failed(conn, &err.to_string());
     }
+    let socket = match hub.readiness().add(stream) {
+        Ok(socket) => socket,
+        Err(err) => return hub.connect_failed(conn, &err.to_string()),
+    };
     hub.connected(conn);
-    match serve(&hub, conn, &stream, &mut rx).await {
+    match serve(&hub, conn, &socket, &mut rx).await {
         End::Asked => {}
         End::Lost(lost, cause) => hub.closed(conn, lost, &cause),
     }
@@ -85,26 +83,23 @@
 async fn serve(
     hub: &Rc<Hub>,
     conn: ConnKey,
-    stream: &TcpStream,
+    socket: &Socket,
     rx: &mut mpsc::UnboundedReceiver<Outgoing>,
 ) -> End {
-    let mut chunk = Vec::with_capacity(READ_BYTES);
     let mut buf = Vec::new();
     let mut needed = 0;
     let mut call: Option<Outgoing> = None;
     loop {
-        let mut reader = stream;
-        let mut read = pin!(reader.read(std::mem::take(&mut chunk)).fuse());
-        let BufResult(read, filled) = loop {
+        let read = loop {
             // The end of an idle connection must be seen before a request is
             // written to it: it then has certainly not been sent.
             select_biased! {
-                read = read => break read,
+                read = socket.read(&mut buf).fuse() => break read,
                 next = rx.next() => {
                     let Some(mut outgoing) = next else { return End::Asked };
                     let bytes = std::mem::take(&mut outgoing.bytes);
                     call = Some(outgoing);
-                    match write(stream, bytes, rx).await {
+                    match write(socket, bytes, rx).await {
                         Written::Whole => {}
                         Written::Asked => return End::Asked,
                         Written::Failed(err) => return End::Lost(Lost::Unknown, err.to_string()),
@@ -112,7 +107,6 @@
                 }
             }
         };
-        chunk = filled;
         let received = match read {
             Ok(len) => len,
             Err(err) => return End::Lost(lost(&call), err.to_string()),
@@ -125,7 +119,6 @@
             };
             return End::Lost(Lost::NotSent, cause.to_owned());
         };
-        buf.extend_from_slice(&chunk[..received]);
         let ended = received == 0;
         // A response to an earlier request may come before the one that is due.
         while buf.len() >= needed.max(1) || ended {
@@ -182,13 +175,19 @@
 }
 
 async fn write(
-    mut stream: &TcpStream,
-    bytes: Vec<u8>,
+    socket: &Socket,
+    mut bytes: Vec<u8>,
     rx: &mut mpsc::UnboundedReceiver<Outgoing>,
 ) -> Written {
+    match socket.try_write(&bytes) {
+        Ok(len) if len == bytes.len() => return Written::Whole,
+        Ok(len) => drop(bytes.drain(..len)),
+        Err(err) => return Written::Failed(err),
+    }
+    let mut stream = socket.stream();
     let mut write = pin!(stream.write_all(bytes).fuse());
     select_biased! {
-        written = write => match written.0 {
+        BufResult(written, _) = write => match written {
             Ok(()) => Written::Whole,
             Err(err) => Written::Failed(err),
         },
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -32,11 +32,11 @@
 use jasminepond_routes::FrontLimits;
 use jasminepond_types::ErrorKind;
 use serde_json::json;
-use spdlog::{info, warn};
+use spdlog::{error, info, warn};
 
 use crate::{
     Dialect, Log, Settings, front::Front, helper::Helper, hub::Hub, members, metrics::Metrics,
-    relay::SharedRelay, store::Follower,
+    readiness::Readiness, relay::SharedRelay, store::Follower,
 };
 
 /// How to run a gateway.
@@ -96,6 +96,9 @@
     /// The signal handlers could not be set up.
     #[error("signals: {0}")]
     Signals(io::Error),
+    /// The set of sockets to backend servers could not be set up.
+    #[error("epoll: {0}")]
+    Sockets(io::Error),
 }
 
 /// Connections that may wait to be accepted. A full queue costs a caller seconds,
@@ -125,6 +128,19 @@
     })
 }
 
+/// Wait before the sockets are watched again after the system refused to.
+const WATCH_AGAIN: Duration = Duration::from_millis(100);
+
+/// Wakes the tasks of connections to backend servers.
+async fn watch(sockets: Rc<Readiness>) {
+    loop {
+        if let Err(err) = sockets.clone().run().await {
+            error!("gateway: connections to backend servers cannot be watched", kv: { cause: = err });
+            compio::time::sleep(WATCH_AGAIN).await;
+        }
+    }
+}
+
 fn limits(front: &FrontLimits) -> Limits {
     Limits {
         max_connections: MAX_CALLERS,
@@ -271,7 +287,15 @@
     let clock = Clock::start();
     let metrics = Rc::new(Metrics::default());
     let forwarder = Forwarder::new(forward_settings(&settings));
-    let hub = Hub::new(clock.clone(), dialect.headers(), forwarder, metrics);
+    let sockets = Readiness::new().map_err(StartError::Sockets)?;
+    compio::runtime::spawn(watch(sockets.clone())).detach();
+    let hub = Hub::new(
+        clock.clone(),
+        dialect.headers(),
+        forwarder,
+        metrics,
+        sockets,
+    );
     let (complete, closing) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
     let front_limits = SharedLimits::new(limits(&FrontLimits::default()).into());
     compio::runtime::spawn(hub.clone().run_timers()).detach();
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -24,6 +24,7 @@
     backend::{self, Outgoing},
     helper,
     metrics::Metrics,
+    readiness::Readiness,
 };
 
 /// A caller's request as it goes to backend servers, without the headers that
@@ -56,6 +57,7 @@
     armed: Cell<Option<Timestamp>>,
     timer: AtomicWaker,
     metrics: Rc<Metrics>,
+    readiness: Rc<Readiness>,
 }
 
 impl Hub {
@@ -65,6 +67,7 @@
         headers: HeaderNames,
         forwarder: Forwarder,
         metrics: Rc<Metrics>,
+        readiness: Rc<Readiness>,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
@@ -75,6 +78,7 @@
             armed: Cell::new(None),
             timer: AtomicWaker::new(),
             metrics,
+            readiness,
         })
     }
 
@@ -88,6 +92,11 @@
         &self.metrics
     }
 
+    /// The sockets of connections to backend servers.
+    pub fn readiness(&self) -> &Rc<Readiness> {
+        &self.readiness
+    }
+
     /// The forwarder, to read from.
     pub fn read<T>(&self, read: impl FnOnce(&Forwarder) -> T) -> T {
         read(&self.forwarder.borrow())
--- a/crates/jasminepond-gateway/src/lib.rs
+++ b/crates/jasminepond-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod log;
 mod members;
 mod metrics;
+mod readiness;
 mod relay;
 mod response;
 mod settings;
