fix(gateway): a response to HEAD has no body

Cause: a response to HEAD states the length that the body would have; the parser waited for it until the caller's deadline. Found by reading.

Change: the connection tells the parser whether a body follows.

Test: a_response_to_head_has_no_body; before, such a response was incomplete.

--- a/crates/jasminepond-gateway/src/backend.rs
+++ b/crates/jasminepond-gateway/src/backend.rs
@@ -11,7 +11,7 @@
 use crate::{
     hub::Hub,
     readiness::Socket,
-    response::{Message, Parsed, parse},
+    response::{Message, Parsed, Wanted, parse},
 };
 
 /// Longest time for the TCP handshake; a server that takes longer is not reached.
@@ -24,8 +24,8 @@
     pub bytes: Vec<u8>,
     /// Id that the response must bear, if it bears one.
     pub request_id: Bytes,
-    /// Whether the headers of the response are passed on.
-    pub pass_on: bool,
+    /// What the response holds.
+    pub wanted: Wanted,
 }
 
 /// Sends requests to a connection's task. Dropping it closes the connection.
@@ -122,7 +122,7 @@
         let ended = received == 0;
         // A response to an earlier request may come before the one that is due.
         while buf.len() >= needed.max(1) || ended {
-            let parsed = parse(&buf, ended, hub.headers(), outgoing.pass_on);
+            let parsed = parse(&buf, ended, hub.headers(), outgoing.wanted);
             let (message, used) = match parsed {
                 Err(err) => return End::Lost(Lost::Unknown, err.to_string()),
                 Ok(Parsed::Incomplete(more)) => {
--- a/crates/jasminepond-gateway/src/front.rs
+++ b/crates/jasminepond-gateway/src/front.rs
@@ -6,7 +6,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http_body_util::Full;
 use hyper::{
-    Response, StatusCode,
+    Method, Response, StatusCode,
     header::{HeaderName, HeaderValue},
     http::request::Parts,
 };
@@ -18,6 +18,7 @@
 use crate::{
     helper::{self, Asked},
     hub::{Hub, Outbound},
+    response::Wanted,
 };
 
 /// When a caller should come back that reached a daemon without a release: a
@@ -125,7 +126,10 @@
     let outbound = Outbound {
         head: render_head(&head, path, &body, &own),
         request_id: Bytes::copy_from_slice(request_id.as_bytes()),
-        pass_on: !route.is_search(),
+        wanted: Wanted {
+            headers: !route.is_search(),
+            body: head.method != Method::HEAD,
+        },
         body,
     };
     let (key, answer) = hub.submit(route, patience, asked.map(|asked| asked.part), outbound);
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -25,6 +25,7 @@
     helper,
     metrics::Metrics,
     readiness::Readiness,
+    response::Wanted,
 };
 
 /// A caller's request as it goes to backend servers, without the headers that
@@ -37,8 +38,8 @@
     pub body: Bytes,
     /// Id of the attempt.
     pub request_id: Bytes,
-    /// Whether a single server's response is passed on with its headers.
-    pub pass_on: bool,
+    /// What a response holds; only a single server's headers are passed on.
+    pub wanted: Wanted,
 }
 
 struct Caller {
@@ -273,7 +274,7 @@
         let _ = tx.unbounded_send(Outgoing {
             bytes,
             request_id: outbound.request_id.clone(),
-            pass_on: outbound.pass_on,
+            wanted: outbound.wanted,
         });
     }
 
--- a/crates/jasminepond-gateway/src/lib.rs
+++ b/crates/jasminepond-gateway/src/lib.rs
@@ -22,5 +22,5 @@
 pub use dialect::{Dialect, HeaderNames, StoreError};
 pub use gateway::{Options, Outcome, StartError, run};
 pub use log::Log;
-pub use response::{Message, ParseError, Parsed, parse};
+pub use response::{Message, ParseError, Parsed, Wanted, parse};
 pub use settings::{RepeatBounds, Settings, SettingsError, StoreSettings};
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -19,6 +19,25 @@
 /// Status of a server that is not the one that the request names.
 const MISDIRECTED: u16 = 421;
 
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wanted {
+    /// Whether the headers of the response are passed on.
+    pub headers: bool,
+    /// Whether a body follows the headers; none does if the method was `HEAD`,
+    /// although they state the length that it would have.
+    pub body: bool,
+}
+
+impl Default for Wanted {
+    fn default() -> Self {
+        Self {
+            headers: false,
+            body: true,
+        }
+    }
+}
+
 /// A whole response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Message {
@@ -69,33 +88,34 @@
 }
 
 /// Reads the response at the start of `buf`. `ended` says that the server has
-/// closed its side. With `pass_on`, the headers are kept.
+/// closed its side.
 ///
 /// # Errors
 ///
 /// The bytes are not a response, or it broke off.
 ///
 /// ```
-/// use jasminepond_gateway::{HeaderNames, Parsed, parse};
+/// use jasminepond_gateway::{HeaderNames, Parsed, Wanted, parse};
 ///
 /// let names = HeaderNames {
 ///     request_id: "x-id", time_left_ms: "x-left", expected_server: "x-server",
 ///     stamp: "x-stamp", not_run: "x-not-run", part_stamps: "x-parts", missing_parts: "x-missing",
 /// };
 /// let bytes = b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
-/// let Ok(Parsed::Complete(message, used)) = parse(bytes, false, &names, false) else {
+/// let Ok(Parsed::Complete(message, used)) = parse(bytes, false, &names, Wanted::default()) else {
 ///     panic!("a whole response");
 /// };
 /// assert_eq!((&message.reply.body[..], used), (&b"ok"[..], bytes.len()));
-/// assert!(matches!(parse(&bytes[..30], false, &names, false), Ok(Parsed::Incomplete(_))));
+/// let part = parse(&bytes[..30], false, &names, Wanted::default());
+/// assert!(matches!(part, Ok(Parsed::Incomplete(_))));
 /// ```
 pub fn parse(
     buf: &[u8],
     ended: bool,
     names: &HeaderNames,
-    pass_on: bool,
+    wanted: Wanted,
 ) -> Result<Parsed, ParseError> {
-    match parse_at(buf, ended, names, pass_on) {
+    match parse_at(buf, ended, names, wanted) {
         Ok(Parsed::Incomplete(_)) if ended => Err(ParseError::BrokenOff),
         result => result,
     }
@@ -105,7 +125,7 @@
     buf: &[u8],
     ended: bool,
     names: &HeaderNames,
-    pass_on: bool,
+    wanted: Wanted,
 ) -> Result<Parsed, ParseError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
@@ -120,7 +140,7 @@
     let status = head.code.ok_or(ParseError::Head)?;
     if (100..200).contains(&status) {
         // An interim response: the real one follows.
-        return Ok(match parse_at(&buf[head_len..], ended, names, pass_on)? {
+        return Ok(match parse_at(&buf[head_len..], ended, names, wanted)? {
             Parsed::Incomplete(needed) => Parsed::Incomplete(head_len + needed),
             Parsed::Complete(message, used) => Parsed::Complete(message, head_len + used),
         });
@@ -140,9 +160,9 @@
         keep_alive: None,
         closes: head.version == Some(0),
     };
-    let framing = read_headers(&mut message, head.headers, names, pass_on)?;
+    let framing = read_headers(&mut message, head.headers, names, wanted.headers)?;
     let (body, used) = match framing {
-        _ if status == 204 || status == 304 => (Bytes::new(), head_len),
+        _ if status == 204 || status == 304 || !wanted.body => (Bytes::new(), head_len),
         Framing::Empty => (Bytes::new(), head_len),
         Framing::Length(len) if len > MAX_BODY_BYTES => return Err(ParseError::TooLarge),
         Framing::Length(len) => match buf.get(head_len..head_len + len) {
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -1,6 +1,6 @@
 //! Guards against answers that are incomplete or belong to another request.
 
-use jasminepond_gateway::{HeaderNames, ParseError, Parsed, parse};
+use jasminepond_gateway::{HeaderNames, ParseError, Parsed, Wanted, parse};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -14,8 +14,13 @@
     missing_parts: "x-missing",
 };
 
+const WANTED: Wanted = Wanted {
+    headers: true,
+    body: true,
+};
+
 fn whole(bytes: &[u8], ended: bool) -> (jasminepond_gateway::Message, usize) {
-    match parse(bytes, ended, &NAMES, true) {
+    match parse(bytes, ended, &NAMES, WANTED) {
         Ok(Parsed::Complete(message, used)) => (*message, used),
         other => panic!("{other:?}"),
     }
@@ -31,24 +36,40 @@
     let (message, used) = whole(bytes, false);
     assert_eq!((message.reply.body.len(), used), (body, bytes.len()));
     for end in 0..bytes.len() {
-        match parse(&bytes[..end], false, &NAMES, true) {
+        match parse(&bytes[..end], false, &NAMES, WANTED) {
             Ok(Parsed::Incomplete(needed)) => assert!(needed > end),
             other => panic!("{end} bytes: {other:?}"),
         }
         assert_eq!(
-            parse(&bytes[..end], true, &NAMES, true),
+            parse(&bytes[..end], true, &NAMES, WANTED),
             Err(ParseError::BrokenOff)
         );
     }
 }
 
+/// A response to `HEAD` states the length of a body that never comes; waiting for
+/// it held the caller to its deadline.
+#[test]
+fn a_response_to_head_has_no_body() {
+    let bytes = b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\n";
+    let wanted = Wanted {
+        body: false,
+        ..WANTED
+    };
+    let Ok(Parsed::Complete(message, used)) = parse(bytes, false, &NAMES, wanted) else {
+        panic!("a whole response");
+    };
+    assert_eq!((message.reply.body.len(), used), (0, bytes.len()));
+    assert!(!message.closes);
+}
+
 /// A body that ends with its connection is whole only if the connection was
 /// closed in order; a reset never reaches the parser as an end.
 #[test]
 fn a_body_without_length_ends_with_the_connection() {
     let bytes = b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\n\r\npart";
     assert!(matches!(
-        parse(bytes, false, &NAMES, true),
+        parse(bytes, false, &NAMES, WANTED),
         Ok(Parsed::Incomplete(_))
     ));
     let (message, _) = whole(bytes, true);
@@ -75,7 +96,7 @@
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", ParseError::TooLarge; "too large")]
 #[test_case("not a response\r\n\r\n", ParseError::Head; "another protocol")]
 fn bytes_that_are_no_response_are_refused(text: &str, expected: ParseError) {
-    assert_eq!(parse(text.as_bytes(), false, &NAMES, true), Err(expected));
+    assert_eq!(parse(text.as_bytes(), false, &NAMES, WANTED), Err(expected));
 }
 
 /// What decides about repeats and callers' answers must be read from the headers.
@@ -102,7 +123,7 @@
     ) {
         let mut bytes = head.into_bytes();
         bytes.extend(rest);
-        if let Ok(Parsed::Complete(message, used)) = parse(&bytes, ended, &NAMES, true) {
+        if let Ok(Parsed::Complete(message, used)) = parse(&bytes, ended, &NAMES, WANTED) {
             prop_assert!(used <= bytes.len() && message.reply.body.len() <= used);
         }
     }
