feat(gateway): status shows routes in force and what is believed of each server

Change: /status lists the routes of the release with its age and each backend server with its standing, the reason, cost, connections and calls; 'jasminepond status' prints them.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -126,7 +126,9 @@
     searched: Vec<Vec<ServiceKey>>,
     version: Option<ReleaseVersion>,
     table: RouteTable<Rc<ActiveRoute>>,
-    routes: usize,
+    active: Vec<Rc<ActiveRoute>>,
+    /// When the release in force was put there.
+    released: Timestamp,
     services: SlotMap<ServiceKey, Service>,
     services_by_name: HashMap<ServiceName, ServiceKey>,
     servers: SlotMap<ServerKey, Server>,
@@ -163,12 +165,29 @@
         self.version
     }
 
+    /// When the release in force was put there.
+    pub fn released(&self) -> Timestamp {
+        self.released
+    }
+
+    pub(crate) fn active_routes(&self) -> impl Iterator<Item = &Route> {
+        self.active.iter().map(|active| active.route())
+    }
+
+    pub(crate) fn known_servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers_by_id.values().map(|key| &self.servers[*key])
+    }
+
+    pub(crate) fn settings(&self) -> &ForwardSettings {
+        &self.settings
+    }
+
     /// Numbers for operators.
     pub fn status(&self) -> Status {
         let down = |server: &&Server| matches!(server.reach, Reach::Down { .. });
         Status {
             version: self.version.unwrap_or_default(),
-            routes: self.routes,
+            routes: self.active.len(),
             servers: self.servers_by_id.len(),
             down: self.servers.values().filter(down).count(),
             requests: self.reqs.len(),
@@ -218,12 +237,15 @@
         }
         self.searched.clear();
         let mut table = RouteTable::default();
+        let mut active = Vec::with_capacity(release.routes.len());
         for route in &release.routes {
-            let active = self.activate(release, route);
-            table.insert(&route.host, &route.prefix, Rc::new(active));
+            let route = Rc::new(self.activate(release, route));
+            table.insert(&route.route().host, &route.route().prefix, route.clone());
+            active.push(route);
         }
         self.table = table;
-        self.routes = release.routes.len();
+        self.active = active;
+        self.released = now;
         self.version = Some(release.version);
         let live = |name: &Arc<str>| release.routes.iter().any(|route| route.name == *name);
         self.latencies.retain(|name, _| live(name));
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod latency;
 mod merge;
 mod message;
+mod report;
 mod request;
 mod server;
 mod service;
@@ -23,6 +24,7 @@
     Action, Answer, Arrival, Backend, BackendState, Belief, CallKey, ConnKey, Delegated, Exchange,
     Lost, Refusal, Reply, ReqKey, Summary, Verdict,
 };
+pub use report::{RouteReport, ServerReport};
 pub use request::ActiveRoute;
 pub use server::ServerKey;
 pub use service::ServiceKey;
--- /dev/null
+++ b/crates/jasminepond-forward/src/report.rs
@@ -0,0 +1,127 @@
+//! What the forwarder believes, for operators.
+
+use std::{sync::Arc, time::Duration};
+
+use jasminepond_routes::{Route, ServiceName, Target};
+use jasminepond_types::Timestamp;
+
+use crate::{
+    Forwarder,
+    server::{Reach, Standing},
+};
+
+/// A route in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteReport {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Host that requests state.
+    pub host: String,
+    /// Prefix of their path.
+    pub prefix: String,
+    /// Where they go, for example `search over 20 shards`.
+    pub target: String,
+}
+
+/// A backend server as it is believed to be.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerReport {
+    /// Its id.
+    pub id: Arc<str>,
+    /// Its service.
+    pub service: ServiceName,
+    /// What is believed of it: `sound`, `full`, `remote`, `stalled`, `leaving` or
+    /// `unusable`, in the order in which servers are preferred.
+    pub standing: &'static str,
+    /// The observation behind it.
+    pub why: String,
+    /// Cost of one more request, relative to an idle sound server in the same zone.
+    pub cost: f64,
+    /// Connections, open or opening.
+    pub connections: usize,
+    /// Calls in progress.
+    pub calls: usize,
+}
+
+impl Forwarder {
+    /// The routes in force, by host and prefix.
+    pub fn route_reports(&self) -> Vec<RouteReport> {
+        let report = |route: &Route| RouteReport {
+            name: route.name.clone(),
+            host: route.host.clone(),
+            prefix: route.prefix.clone(),
+            target: describe(&route.target),
+        };
+        let mut reports: Vec<_> = self.active_routes().map(report).collect();
+        reports.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        reports
+    }
+
+    /// The known backend servers, by service and id.
+    pub fn server_reports(&self, now: Timestamp) -> Vec<ServerReport> {
+        let settings = self.settings();
+        let report = |server: &crate::server::Server| {
+            let standing = server.standing(now, settings);
+            ServerReport {
+                id: server.backend.id.clone(),
+                service: server.backend.service.clone(),
+                standing: name(standing),
+                why: server.why(now, standing),
+                cost: server.cost(now, settings),
+                connections: server.conns.len(),
+                calls: server.calls.len(),
+            }
+        };
+        let mut reports: Vec<_> = self.known_servers().map(report).collect();
+        let place = |report: &ServerReport| (report.service.clone(), report.id.clone());
+        reports.sort_by_key(place);
+        reports
+    }
+}
+
+fn describe(target: &Target) -> String {
+    match target {
+        Target::Service(service) => service.to_string(),
+        Target::Split(parts) => {
+            let part = |part: &jasminepond_routes::Weighted| {
+                format!("{} to {}", part.weight, part.service)
+            };
+            let parts: Vec<_> = parts.iter().map(part).collect();
+            format!("split, {}", parts.join(", "))
+        }
+        Target::Search(search) => format!("search over {} shards", search.shards.len()),
+    }
+}
+
+fn name(standing: Option<Standing>) -> &'static str {
+    match standing {
+        Some(Standing::Sound) => "sound",
+        Some(Standing::Full) => "full",
+        Some(Standing::Remote) => "remote",
+        Some(Standing::Stalled) => "stalled",
+        Some(Standing::Leaving) => "leaving",
+        None => "unusable",
+    }
+}
+
+impl crate::server::Server {
+    fn why(&self, now: Timestamp, standing: Option<Standing>) -> String {
+        let millis = |time: Duration| time.as_millis();
+        match (standing, self.reach, self.leaving_since) {
+            (None, ..) if self.displaced => "another server answered at its address".to_owned(),
+            (None, Reach::Down { until }, _) => {
+                let wait = millis(until.since(now));
+                format!("no connection can be opened, tried again in {wait} ms")
+            }
+            (None | Some(Standing::Leaving), _, Some(since)) => {
+                let age = millis(now.since(since));
+                format!("it drains or its entry went {age} ms ago")
+            }
+            (None, Reach::Open, None) => String::new(),
+            (Some(Standing::Stalled), ..) => "a call is unanswered for too long".to_owned(),
+            (Some(Standing::Full), ..) => "it rejected a call a moment ago".to_owned(),
+            (Some(Standing::Remote), ..) => "other daemons keep the connections".to_owned(),
+            (Some(_), ..) => "it answers, or was not tried".to_owned(),
+        }
+    }
+}
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -26,7 +26,7 @@
     },
     stop::{Stop, stop},
 };
-use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings};
+use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
 use jasminepond_membership::Me;
 use jasminepond_platform::{HttpReader, PlatformError};
 use jasminepond_routes::FrontLimits;
@@ -203,6 +203,42 @@
     }
 }
 
+/// The state of the daemon: counts, the routes in force, and each backend server as
+/// it is believed to be.
+fn state(hub: &Hub) -> serde_json::Value {
+    let now = hub.clock().now();
+    hub.read(|forwarder| {
+        let status = forwarder.status();
+        let route = |route: RouteReport| {
+            json!({ "name": *route.name, "host": route.host, "prefix": route.prefix, "target": route.target })
+        };
+        let server = |server: ServerReport| {
+            json!({
+                "server": *server.id,
+                "service": server.service.as_str(),
+                "standing": server.standing,
+                "why": server.why,
+                "cost": (server.cost * 100.0).round() / 100.0,
+                "connections": server.connections,
+                "calls": server.calls,
+            })
+        };
+        let routes = forwarder.route_reports().into_iter().map(route);
+        let servers = forwarder.server_reports(now).into_iter().map(server);
+        json!({
+            "release": status.version.0,
+            "release_age_ms": now.since(forwarder.released()).as_millis() as u64,
+            "servers_down": status.down,
+            "requests": status.requests,
+            "calls": status.calls,
+            "connections": status.connections,
+            "waiting": status.waiting,
+            "routes": routes.collect::<Vec<_>>(),
+            "backend_servers": servers.collect::<Vec<_>>(),
+        })
+    })
+}
+
 /// Answers operators.
 struct Operators {
     hub: Rc<Hub>,
@@ -223,19 +259,7 @@
                     let text = hub.metrics().render(status);
                     text_response(StatusCode::OK, METRICS_TYPE, text)
                 }
-                "/status" => json_response(
-                    StatusCode::OK,
-                    &json!({
-                        "release": status.version.0,
-                        "routes": status.routes,
-                        "servers": status.servers,
-                        "servers_down": status.down,
-                        "requests": status.requests,
-                        "calls": status.calls,
-                        "connections": status.connections,
-                        "waiting": status.waiting,
-                    }),
-                ),
+                "/status" => json_response(StatusCode::OK, &state(&hub)),
                 _ => error_response(ErrorKind::NotFound, &format!("there is no {path}"), None),
             }
         }
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -98,6 +98,11 @@
         &self.readiness
     }
 
+    /// The clock that the forwarder's times are taken from.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
     /// The forwarder, to read from.
     pub fn read<T>(&self, read: impl FnOnce(&Forwarder) -> T) -> T {
         read(&self.forwarder.borrow())
--- a/crates/jasminepond/src/status.rs
+++ b/crates/jasminepond/src/status.rs
@@ -8,16 +8,22 @@
     client::{ClientError, call},
 };
 
-/// Prints the state of a daemon. The exit code tells whether all running
+/// Prints the state of a daemon. For one that runs `serve`, the exit code tells whether all running
 /// daemons have the same configuration revision.
 pub async fn show(status: Status) -> Result<u8, ClientError> {
     let to = status.to.ok_or(ClientError::NoAddress)?;
     let state = call(to, "/status", None).await?;
+    let gateway = state.get("backend_servers").is_some();
     if status.json {
         println!("{state:#}");
+    } else if gateway {
+        print_gateway(&state);
     } else {
         print(&state);
     }
+    if gateway {
+        return Ok(EXIT_OK);
+    }
     Ok(if same_revision(&state) {
         EXIT_OK
     } else {
@@ -38,10 +44,6 @@
 }
 
 fn print(state: &Value) {
-    let text = |value: &Value| match value {
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    };
     println!(
         "{} (incarnation {}, zone {}): {}",
         text(&state["instance"]),
@@ -84,3 +86,40 @@
         );
     }
 }
+
+fn print_gateway(state: &Value) {
+    println!(
+        "release {}, in force for {} ms; {} requests in progress, {} parts waiting",
+        state["release"], state["release_age_ms"], state["requests"], state["waiting"],
+    );
+    println!("routes:");
+    for route in state["routes"].as_array().into_iter().flatten() {
+        println!(
+            "  {:<16} {}{} -> {}",
+            text(&route["name"]),
+            text(&route["host"]),
+            text(&route["prefix"]),
+            text(&route["target"]),
+        );
+    }
+    println!("backend servers:");
+    for server in state["backend_servers"].as_array().into_iter().flatten() {
+        println!(
+            "  {:<20} {:<16} {:<8} cost {} calls {} connections {}: {}",
+            text(&server["server"]),
+            text(&server["service"]),
+            text(&server["standing"]),
+            server["cost"],
+            server["calls"],
+            server["connections"],
+            text(&server["why"]),
+        );
+    }
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
