--- a/crates/jasminepond-gateway/src/log.rs
+++ b/crates/jasminepond-gateway/src/log.rs
@@ -25,7 +25,7 @@
 /// daemon with a quarter of a core answers.
 const MAX_LINES_PER_S: u32 = 600;
 
-/// Bytes that a pipe takes without blocking once it is writable.
+/// Bytes that a pipe takes at once and whole if it is writable (`PIPE_BUF`).
 const WRITE_BYTES: usize = 4 << 10;
 
 /// Lines on their way to standard output.
@@ -74,8 +74,7 @@
             if !writable {
                 break;
             }
-            let end = self.waiting.len().min(written + WRITE_BYTES);
-            match rustix::io::write(stdout, &self.waiting[written..end]) {
+            match rustix::io::write(stdout, whole_lines(&self.waiting[written..])) {
                 Ok(len) => written += len,
                 // Nobody reads the log; the lines go the way of dropped ones.
                 Err(_) => written = self.waiting.len(),
@@ -85,6 +84,16 @@
     }
 }
 
+/// The first lines of `waiting` that a pipe takes in one write, so that a process
+/// that is killed leaves no part of a line. A longer line goes in parts.
+fn whole_lines(waiting: &[u8]) -> &[u8] {
+    let first = &waiting[..waiting.len().min(WRITE_BYTES)];
+    match first.iter().rposition(|byte| *byte == b'\n') {
+        Some(end) => &first[..=end],
+        None => first,
+    }
+}
+
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         if self.admit(line.len()) {
--- a/tools/cluster/src/lib.rs
+++ b/tools/cluster/src/lib.rs
@@ -24,7 +24,7 @@
 pub use http::{call, text};
 pub use process::{Process, Signal};
 
-use relay::Relay;
+pub use relay::Relay;
 
 /// A cluster could not be started or asked.
 #[derive(Debug, thiserror::Error)]
--- a/tools/cluster/src/relay.rs
+++ b/tools/cluster/src/relay.rs
@@ -1,4 +1,4 @@
-//! Relays in front of the daemons' peer and membership listeners.
+//! A relay in front of listeners, for network faults.
 
 use std::{net::SocketAddr, path::Path};
 
@@ -9,15 +9,20 @@
 /// Leads nowhere until the daemon has bound its listeners.
 const NOWHERE: &str = "127.0.0.1:1";
 
-/// A relay process with two routes per daemon.
+/// A relay process.
 #[derive(Debug)]
-pub(crate) struct Relay {
+pub struct Relay {
     control: SocketAddr,
     _process: Process,
 }
 
 impl Relay {
-    pub(crate) fn start(programs: &Path, scratch: &Path) -> Result<Self, ClusterError> {
+    /// Starts a relay without routes; `scratch` takes its log.
+    ///
+    /// # Errors
+    ///
+    /// The program does not start.
+    pub fn start(programs: &Path, scratch: &Path) -> Result<Self, ClusterError> {
         let log = scratch.join("relay.log");
         let process = Process::start(programs, "standin-relay", [], &log)?;
         Ok(Self {
@@ -26,6 +31,17 @@
         })
     }
 
+    /// Opens a TCP route and returns the address that leads to `target`.
+    ///
+    /// # Errors
+    ///
+    /// The relay does not answer.
+    pub fn route(&self, id: &str, target: SocketAddr) -> Result<SocketAddr, ClusterError> {
+        let route = json!({"id": id, "protocol": "tcp", "target": target});
+        let routes = call(self.control, "/routes", Some(&route))?;
+        address(&routes[id], "address", "standin-relay")
+    }
+
     /// Opens the routes of a daemon, or finds those of its earlier run. Returns
     /// the addresses that it advertises.
     pub(crate) fn open(&self, instance: &str) -> Result<Value, ClusterError> {
@@ -51,7 +67,12 @@
         Ok(())
     }
 
-    pub(crate) fn patch(&self, id: &str, patch: &Value) -> Result<(), ClusterError> {
+    /// Changes a route, see `standin-relay`; `*` stands for every route.
+    ///
+    /// # Errors
+    ///
+    /// The relay does not answer.
+    pub fn patch(&self, id: &str, patch: &Value) -> Result<(), ClusterError> {
         call(self.control, &format!("/routes/{id}"), Some(patch)).map(drop)
     }
 }
--- a/tools/relay/src/route.rs
+++ b/tools/relay/src/route.rs
@@ -66,6 +66,8 @@
     BlackholeExisting,
     /// No connection passes anything; new ones are accepted.
     Blackhole,
+    /// No connection passes anything back; what is sent arrives at the target.
+    BlackholeBack,
 }
 
 /// Faults of a route.
@@ -179,7 +181,8 @@
         state.next_link += 1;
         state.counters.connections += 1;
         let cut = CancellationToken::new();
-        let blackhole = (state.faults.mode == Mode::Blackhole).then(CancellationToken::new);
+        let holds = matches!(state.faults.mode, Mode::Blackhole | Mode::BlackholeBack);
+        let blackhole = holds.then(CancellationToken::new);
         let link_state = LinkState {
             cut: cut.clone(),
             blackhole,
@@ -192,9 +195,14 @@
         self.0.borrow_mut().links.remove(&link.id);
     }
 
-    /// The end of the link's blackhole, if it is one.
-    pub fn blackhole(&self, link: &Link) -> Option<CancellationToken> {
-        self.0.borrow().links.get(&link.id)?.blackhole.clone()
+    /// The end of the link's blackhole, if it is one in this direction.
+    pub fn blackhole(&self, link: &Link, direction: Direction) -> Option<CancellationToken> {
+        let state = self.0.borrow();
+        let passes = state.faults.mode == Mode::BlackholeBack && direction == Direction::ToTarget;
+        if passes {
+            return None;
+        }
+        state.links.get(&link.id)?.blackhole.clone()
     }
 
     /// When traffic received now is due.
@@ -212,7 +220,7 @@
 
     /// Decides whether a datagram on this link passes, and counts it.
     pub fn passes(&self, link: &Link) -> bool {
-        let held = self.blackhole(link).is_some();
+        let held = self.blackhole(link, Direction::Back).is_some();
         let mut state = self.0.borrow_mut();
         let loss = state.faults.loss;
         let lost = loss > 0.0 && state.random.random::<f64>() < loss;
@@ -252,7 +260,7 @@
         for link in state.links.values_mut() {
             match mode {
                 Mode::Cut => link.cut.cancel(),
-                Mode::BlackholeExisting | Mode::Blackhole => {
+                Mode::BlackholeExisting | Mode::Blackhole | Mode::BlackholeBack => {
                     link.blackhole.get_or_insert_default();
                 }
                 Mode::Pass => {
--- a/tools/relay/src/tcp.rs
+++ b/tools/relay/src/tcp.rs
@@ -33,7 +33,7 @@
 async fn relay(route: Route, link: Link, stream: TcpStream) {
     let passing = async {
         // The target must not see a connection that passes nothing.
-        wait_for_blackhole(&route, &link).await;
+        wait_for_blackhole(&route, &link, Direction::ToTarget).await;
         let target = TcpStream::connect(route.target()).await?;
         target.set_nodelay(true)?;
         let there = pump(
@@ -123,7 +123,7 @@
     to: &mut TcpStream,
     bytes: Vec<u8>,
 ) -> io::Result<()> {
-    wait_for_blackhole(route, link).await;
+    wait_for_blackhole(route, link, direction).await;
     if bytes.is_empty() {
         return to.shutdown().await;
     }
@@ -131,8 +131,8 @@
     to.write_all(bytes).await.0
 }
 
-async fn wait_for_blackhole(route: &Route, link: &Link) {
-    while let Some(end) = route.blackhole(link) {
+async fn wait_for_blackhole(route: &Route, link: &Link, direction: Direction) {
+    while let Some(end) = route.blackhole(link, direction) {
         end.cancelled().await;
     }
 }
