test(forward): slow servers get less than half of an equal share

Cause: with the memory of slowness switched off, slow_servers_get_little still passed, as second sends kept searches in time.

--- a/crates/jasminepond-forward/tests/load.rs
+++ b/crates/jasminepond-forward/tests/load.rs
@@ -98,6 +98,18 @@
     world.load("/search/x", PER_S, Duration::from_secs(20), PATIENCE);
     let in_time = world.in_time(from, 150 * MS);
     assert!(in_time > 0.95, "{in_time} in time");
+    for shard in [0, 7, 14] {
+        let sent = |server: usize| {
+            let arrived = &world.servers[server].arrived;
+            arrived.iter().filter(|(at, _)| *at >= from).count()
+        };
+        let (slow, sound) = (sent(shard * 2), sent(shard * 2 + 1));
+        // Half of an equal share.
+        assert!(
+            slow * 3 < sound,
+            "{slow} to the slow server, {sound} to the other"
+        );
+    }
 }
 
 /// Load: the same slow servers, which many daemons use. Each daemon tries a slow
