--- a/crates/jasminepond-gateway/src/readiness.rs
+++ b/crates/jasminepond-gateway/src/readiness.rs
@@ -178,7 +178,7 @@
                 Ok((_, len)) => {
                     // A short read has emptied the socket: what comes later raises
                     // another event.
-                    state.readable = state.ended || len == READ_BYTES;
+                    state.readable = state.ended || len >= READ_BYTES;
                     buf.extend_from_slice(&scratch);
                     return Poll::Ready(Ok(len));
                 }
--- a/crates/jasminepond/src/status.rs
+++ b/crates/jasminepond/src/status.rs
@@ -8,8 +8,8 @@
     client::{ClientError, call},
 };
 
-/// Prints the state of a daemon. For one that runs `serve`, the exit code tells whether all running
-/// daemons have the same configuration revision.
+/// Prints the state of a daemon. For one that runs `serve`, the exit code tells
+/// whether all running daemons have the same configuration revision.
 pub async fn show(status: Status) -> Result<u8, ClientError> {
     let to = status.to.ok_or(ClientError::NoAddress)?;
     let state = call(to, "/status", None).await?;
