--- a/crates/jasminepond-routing/src/concurrency.rs
+++ b/crates/jasminepond-routing/src/concurrency.rs
@@ -26,7 +26,7 @@
     /// simulation 0.05 cost 4% of goodput: stragglers alone caused most misses.
     pub late_share: f64,
     /// Factor by which the limit falls. In eight seeds of the simulation with
-    /// three busy classes, 0.9 answered 0.90 to 0.91 of the capacity and 0.85
+    /// three busy classes, 0.9 answered 0.898 to 0.914 of the capacity and 0.85
     /// 0.915 to 0.929: lower classes that fill a limit which falls slowly admit
     /// queries that miss their deadline.
     pub decrease: f64,
