fix(membership): daemons that start together know each other within a second

It joined by one full view and learned of those that joined after it by gossip, four datagrams a second, and by an exchange of four buckets each 10 s.

Change: a daemon that has joined announces itself to up to 256 members and exchanges whole views every 100 ms at first, then at doubling intervals up to the usual 10 s.

A probe that was sent while the daemon was unconfirmed no longer makes a suspect of its target.

--- a/crates/jasminepond-membership/src/learn.rs
+++ b/crates/jasminepond-membership/src/learn.rs
@@ -96,7 +96,11 @@
         if member.state == MemberState::Suspect {
             let until = now + self.settings.suspicion_timeout(self.view.len());
             let rank = member.rank();
-            let suspicion = Suspicion { rank, until };
+            let suspicion = Suspicion {
+                rank,
+                until,
+                asked: 0,
+            };
             self.suspicions.insert(member.instance.clone(), suspicion);
         }
         if member.is_gone() {
@@ -208,8 +212,12 @@
 
     /// Another member's view has been received.
     pub(crate) fn confirm(&mut self, now: Timestamp, out: &mut Vec<Output>) {
-        self.joined = true;
+        if !std::mem::replace(&mut self.joined, true) {
+            self.announce(now, out);
+        }
         if self.unconfirmed_since.take().is_some() {
+            // One sent while this daemon may have been cut off says nothing.
+            self.probes.current = None;
             self.restart_suspicions(now);
             out.push(Output::Confirmed);
         }
--- a/crates/jasminepond-membership/src/membership.rs
+++ b/crates/jasminepond-membership/src/membership.rs
@@ -27,6 +27,18 @@
 /// Members told at once when this daemon leaves or refutes.
 const URGENT_FANOUT: usize = 4;
 
+/// Exchanges after joining before the time between two begins to grow.
+const FIRST_EXCHANGES: u32 = 5;
+
+/// Members told at once when this daemon has joined.
+const ANNOUNCE_FANOUT: usize = 256;
+
+/// Questions to a suspected member before it is declared dead.
+const LAST_QUESTIONS: u32 = 3;
+
+/// Sequence number of probes whose answers are not waited for.
+const UNCOUNTED: u32 = u32::MAX;
+
 /// Suspicion timeouts after which a resumed daemon that finds every other
 /// member dead stops waiting for an answer.
 const ALONE_AFTER: u32 = 2;
@@ -70,6 +82,8 @@
 pub(crate) struct Suspicion {
     pub(crate) rank: Rank,
     pub(crate) until: Timestamp,
+    /// Questions to the suspect before the end.
+    pub(crate) asked: u32,
 }
 
 /// Times at which periodic work is due.
@@ -126,6 +140,8 @@
     /// Number of the last question for a view; older answers are stale.
     pub(crate) nonce: u32,
     pub(crate) joined: bool,
+    /// Exchanges that were begun since this daemon joined.
+    exchanges: u32,
     /// When the process resumed, until a member has answered.
     pub(crate) unconfirmed_since: Option<Timestamp>,
     pub(crate) superseded: Option<Incarnation>,
@@ -158,6 +174,7 @@
             pull: None,
             nonce: rng.random(),
             joined: false,
+            exchanges: 0,
             unconfirmed_since: None,
             superseded: None,
             due: Due::default(),
@@ -405,6 +422,7 @@
         if !self.can_conclude(now) {
             return;
         }
+        self.ask_suspects(now, out);
         let due = self.suspicions.iter().filter(|(_, s)| now >= s.until);
         let due: Vec<InstanceId> = due.map(|(instance, _)| instance.clone()).collect();
         for instance in due {
@@ -418,6 +436,26 @@
         }
     }
 
+    /// Asks members before they are declared dead. Their refutations spread by gossip,
+    /// which misses a daemon now and then.
+    fn ask_suspects(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let mut targets = Vec::new();
+        for (instance, suspicion) in &mut self.suspicions {
+            let left = LAST_QUESTIONS.saturating_sub(suspicion.asked);
+            let before = self.settings.probe_timeout * left;
+            if left > 0 && now + before >= suspicion.until {
+                suspicion.asked += 1;
+                targets.extend(self.view.get(instance).cloned());
+            }
+        }
+        for member in targets {
+            let target = member.instance.clone();
+            // Only the record in the answer counts.
+            let sequence = UNCOUNTED;
+            self.send_to(now, &member, Body::Probe { sequence, target }, out);
+        }
+    }
+
     fn tick_views(&mut self, now: Timestamp, out: &mut Vec<Output>) {
         self.step_pull(now, out);
         let searching = !self.joined || !self.is_confirmed();
@@ -426,7 +464,9 @@
             self.ask_for_view(now, out);
         }
         if self.joined && now >= self.due.exchange {
-            self.due.exchange = now + self.jittered(self.settings.exchange_period);
+            let period = self.present_exchange_period();
+            self.due.exchange = now + self.jittered(period);
+            self.exchanges = self.exchanges.saturating_add(1);
             if self.pull.is_none() {
                 let peers = self.random_members(1, None);
                 self.summarise_to(now, peers.iter().map(|m| m.membership_address), out);
@@ -450,6 +490,19 @@
         self.summarise_to(now, peers, out);
     }
 
+    fn present_exchange_period(&self) -> Duration {
+        let first = self.settings.first_exchange_period;
+        let doublings = self.exchanges.saturating_sub(FIRST_EXCHANGES);
+        let doubled = first.saturating_mul(2_u32.saturating_pow(doublings));
+        doubled.min(self.settings.exchange_period)
+    }
+
+    /// Whether this daemon has joined lately, so that its view may lack many others
+    /// that joined at the same time.
+    pub(crate) fn is_settling(&self) -> bool {
+        self.present_exchange_period() < self.settings.exchange_period
+    }
+
     /// A time between half and one and a half of `period`, so that daemons
     /// that started together spread out.
     fn jittered(&mut self, period: Duration) -> Duration {
@@ -493,6 +546,14 @@
         }
     }
 
+    /// Tells the members that this daemon has joined. Gossip alone takes seconds if
+    /// hundreds join at the same time.
+    pub(crate) fn announce(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        for peer in self.random_members(ANNOUNCE_FANOUT, None) {
+            self.send_to(now, &peer, Body::Gossip, out);
+        }
+    }
+
     /// Tells a few members at once about this daemon's own change.
     pub(crate) fn tell_urgently(&mut self, now: Timestamp, out: &mut Vec<Output>) {
         for peer in self.random_members(URGENT_FANOUT, None) {
--- a/crates/jasminepond-membership/src/receive.rs
+++ b/crates/jasminepond-membership/src/receive.rs
@@ -25,11 +25,14 @@
         self.learn(now, Record(sender.clone(), 0), Spread::Yes, &mut out);
         let last = message.records.last().map(|r| r.0.instance.clone());
         let piece = matches!(message.body, Body::Piece { .. });
-        let spread = match piece && self.pull.as_ref().is_some_and(|p| p.full) {
-            true => Spread::No,
-            false => Spread::Yes,
-        };
+        let full = piece && self.pull.as_ref().is_some_and(|p| p.full);
         for record in message.records {
+            // Who joins has nothing to tell. Later a suspicion must reach the suspect.
+            let known = !self.joined || record.0.state == MemberState::Alive;
+            let spread = match full && known {
+                true => Spread::No,
+                false => Spread::Yes,
+            };
             self.learn(now, record, spread, &mut out);
         }
         for note in &message.configs {
@@ -198,7 +201,7 @@
         if self.pull.is_some() || buckets.is_empty() {
             return;
         }
-        let full = !self.joined || !self.is_confirmed();
+        let full = !self.joined || !self.is_confirmed() || self.is_settling();
         if !full {
             buckets.shuffle(&mut self.rng);
             buckets.truncate(self.settings.exchange_buckets);
--- a/crates/jasminepond-membership/src/settings.rs
+++ b/crates/jasminepond-membership/src/settings.rs
@@ -34,6 +34,10 @@
     pub gossip_period: Duration,
     /// Time between two exchanges of digests with a random member.
     pub exchange_period: Duration,
+    /// Time from joining to the second exchange. The time between exchanges doubles up
+    /// to `exchange_period`: what daemons that start together know of each other
+    /// changes for seconds.
+    pub first_exchange_period: Duration,
     /// Differing buckets of the view pulled per periodic exchange.
     pub exchange_buckets: usize,
     /// Time between two contacts with a dead member or an unknown seed.
@@ -64,6 +68,7 @@
             retransmit_multiplier: 4,
             gossip_period: Duration::from_millis(250),
             exchange_period: Duration::from_secs(10),
+            first_exchange_period: Duration::from_millis(100),
             exchange_buckets: 4,
             heal_period: Duration::from_secs(3),
             forget_after: Duration::from_secs(600),
--- a/crates/jasminepond-membership/tests/scenarios.rs
+++ b/crates/jasminepond-membership/tests/scenarios.rs
@@ -311,3 +311,28 @@
         assert_eq!(revisions, (40..70).collect::<Vec<_>>());
     }
 }
+
+/// Load: all instances of a site get power back within half a second. Daemons that join
+/// early know only some of the others; until all know each other, they divide searches
+/// in different ways. The bound is the time within which the site is to serve again.
+#[test_case(30)]
+#[test_case(200)]
+fn daemons_that_start_one_after_the_other_know_all_soon(n: usize) {
+    let mut net = Network::new(Settings::default(), n as u64);
+    net.start(n);
+    net.run(Duration::from_millis(20));
+    let spread = Duration::from_millis(500);
+    for i in 0..n {
+        net.kill(i);
+    }
+    for i in 0..n {
+        // Not in the order of their names, and the seeds not first.
+        net.restart((i * 7 + n / 2) % n);
+        net.run(spread / n as u32);
+    }
+    let known = net.run_until(MINUTE, |net| net.views().iter().all(|v| v.len() == n));
+    assert!(
+        known.is_some_and(|t| t <= Duration::from_secs(1)),
+        "{known:?}"
+    );
+}
