fix(discovery): ready only with a current state; no older state of another daemon

Cause: the first reading of the store may be seconds old, and the daemon took requests with it until its first watch returned: a server that had left or a route that was withdrawn was in use again after a restart. A daemon that had lost its history took the whole state of another reader also if that was behind what it knew.

Change: a watch without wait follows an old reading before the daemon is ready. A state at an older position is refused.

Tests: a_first_reading_is_complete_only_with_what_changed_since, an_older_state_of_another_daemon_is_refused. The test of the oldest reading asked that the reader is complete after the listing, which is what was wrong.

--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -9,6 +9,6 @@
 mod source;
 
 pub use item::{Event, Item, Page, Position, Record, Watched};
-pub use reader::{Change, Failure, Reader, ReaderSettings, Step};
+pub use reader::{Behind, Change, Failure, Reader, ReaderSettings, Step};
 pub use relay::{Changes, Relay, Snapshot, Unserved};
 pub use source::{Source, choose_source};
--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -7,7 +7,7 @@
 use jasminepond_types::{Millis, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::{Event, Item, Page, Position, Record, Watched};
+use crate::{Event, Item, Page, Position, Record, Snapshot, Watched};
 
 /// Settings of the reader.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -74,6 +74,16 @@
     HistoryGone,
 }
 
+/// Another daemon's state is older than what is known here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the other daemon is at position {theirs}, this one at {ours}")]
+pub struct Behind {
+    /// Position of the other daemon.
+    pub theirs: Position,
+    /// Position of this daemon.
+    pub ours: Position,
+}
+
 /// What the daemon is to take over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
@@ -98,7 +108,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum State {
     Release,
-    Listing { after: Option<String> },
+    Listing {
+        after: Option<String>,
+    },
+    /// What changed since a reading that may be old is asked for.
+    CatchingUp,
     Watching,
 }
 
@@ -106,8 +120,9 @@
 /// everything again when the store has dropped the changes in between.
 ///
 /// The first reading may be a few seconds old, which costs the store less; the
-/// watch that follows begins at the position of that reading. A reading after
-/// lost history must be current.
+/// watch that follows begins at the position of that reading. Only with its first
+/// answer is the state complete: until then a server that has left, or a route that was
+/// withdrawn, may be in it. A reading after lost history must be current.
 ///
 /// ```
 /// use jasminepond_discovery::{Reader, ReaderSettings, Step};
@@ -173,6 +188,10 @@
                 after: after.clone(),
                 stale: self.stale,
             },
+            State::CatchingUp => Step::Watch {
+                after: self.position,
+                wait: Millis(0),
+            },
             State::Watching => Step::Watch {
                 after: self.position,
                 wait: self.settings.watch_wait.into(),
@@ -225,15 +244,63 @@
         for id in gone {
             self.gone(id, "not in the listing", &mut changes);
         }
-        self.complete = true;
-        self.state = State::Watching;
+        if self.stale && !self.complete {
+            self.state = State::CatchingUp;
+        } else {
+            self.complete = true;
+            self.state = State::Watching;
+        }
         changes
     }
 
+    /// Another daemon that reads the store has passed on its whole state.
+    ///
+    /// # Errors
+    ///
+    /// The other daemon knows less than this one: servers that have left and routes
+    /// that were withdrawn may be in its state.
+    pub fn on_snapshot(
+        &mut self,
+        now: Timestamp,
+        snapshot: Snapshot,
+    ) -> Result<Vec<Change>, Behind> {
+        let Snapshot {
+            position,
+            release,
+            backends,
+        } = snapshot;
+        if position < self.position {
+            return Err(Behind {
+                theirs: position,
+                ours: self.position,
+            });
+        }
+        let mut changes = self.on_release(now, release.map(Item::Release), position);
+        let record = |backend: Backend| Record {
+            key: backend.id.to_string(),
+            item: Item::Backend(backend),
+        };
+        changes.extend(self.on_page(Page {
+            records: backends.into_iter().map(record).collect(),
+            has_more: false,
+            position,
+        }));
+        // It is confirmed by a watch of the other daemon.
+        if self.state == State::CatchingUp {
+            self.complete = true;
+            self.state = State::Watching;
+        }
+        Ok(changes)
+    }
+
     /// A watch has returned.
     pub fn on_watch(&mut self, now: Timestamp, watched: Watched) -> Vec<Change> {
         self.failures = 0;
         self.position = self.position.max(watched.position);
+        if self.state == State::CatchingUp {
+            self.complete = true;
+            self.state = State::Watching;
+        }
         if !watched.events.is_empty() {
             self.pause_until = now + self.settings.watch_pause;
         }
--- a/crates/jasminepond-discovery/tests/reader.rs
+++ b/crates/jasminepond-discovery/tests/reader.rs
@@ -6,7 +6,8 @@
 
 use common::backend;
 use jasminepond_discovery::{
-    Change, Event, Failure, Item, Page, Position, Reader, ReaderSettings, Record, Step, Watched,
+    Change, Event, Failure, Item, Page, Position, Reader, ReaderSettings, Record, Snapshot, Step,
+    Watched,
 };
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::Timestamp;
@@ -40,6 +41,8 @@
     let mut reader = Reader::new(ReaderSettings::default());
     reader.on_release(NOW, Some(release(3)), Position(position));
     reader.on_page(page(ids, false, position));
+    let (events, position) = (Vec::new(), Position(position));
+    reader.on_watch(NOW, Watched { events, position });
     reader
 }
 
@@ -65,10 +68,57 @@
     assert_eq!(reader.next(NOW), next);
     assert!(!reader.is_complete());
     reader.on_page(page(&["b"], false, 25));
-    assert!(reader.is_complete());
     assert!(matches!(reader.next(NOW), Step::Watch { after, .. } if after == Position(17)));
 }
 
+/// The first reading may be seconds old. A daemon that takes requests with it sends
+/// them to servers that have left and over routes that were withdrawn meanwhile.
+#[test]
+fn a_first_reading_is_complete_only_with_what_changed_since() {
+    let mut reader = Reader::new(ReaderSettings::default());
+    reader.on_release(NOW, Some(release(3)), Position(20));
+    reader.on_page(page(&["a", "left"], false, 20));
+    assert!(!reader.is_complete());
+    let next = Step::Watch {
+        after: Position(20),
+        wait: jasminepond_types::Millis(0),
+    };
+    assert_eq!(reader.next(NOW), next);
+    let events = vec![Event::BackendRemoved("left".to_owned())];
+    let position = Position(31);
+    let changes = reader.on_watch(NOW, Watched { events, position });
+    assert_eq!(gone(&changes), ["left"]);
+    assert!(reader.is_complete());
+}
+
+/// A daemon that follows another one falls back to the state of a third that lags. A
+/// server that left in between would be in use again.
+#[test]
+fn an_older_state_of_another_daemon_is_refused() {
+    let mut reader = loaded(&["a"], 10);
+    reader.on_watch(
+        NOW,
+        Watched {
+            events: vec![
+                Event::Written(entry("left")),
+                Event::BackendRemoved("left".to_owned()),
+            ],
+            position: Position(30),
+        },
+    );
+    let snapshot = |position| Snapshot {
+        position: Position(position),
+        release: None,
+        backends: vec![backend("a"), backend("left")],
+    };
+    reader.on_failure(NOW, Failure::HistoryGone);
+    assert!(reader.on_snapshot(NOW, snapshot(20)).is_err());
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(reader.next(later), Step::ReadRelease { stale: false });
+    assert!(reader.on_snapshot(later, snapshot(30)).is_ok());
+    assert!(reader.is_complete());
+}
+
 /// After the store has dropped its history, servers that left in between would
 /// stay in use for ever if the new listing were only added.
 #[test]
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -9,13 +9,10 @@
 
 use jasminepond_daemon::clock::Clock;
 use jasminepond_discovery::{
-    Change, Changes, Failure, Item, Page, Reader, ReaderSettings, Record, Snapshot, Source, Step,
-    choose_source,
+    Change, Changes, Failure, Reader, ReaderSettings, Snapshot, Source, Step, choose_source,
 };
-use jasminepond_forward::Backend;
 use jasminepond_platform::{HttpReader, PlatformError};
 use jasminepond_routes::FrontLimits;
-use jasminepond_types::Timestamp;
 use spdlog::{info, warn};
 
 use crate::{
@@ -50,7 +47,7 @@
 }
 
 /// Longest wait for the other daemons before the store is read.
-const MEMBERS_WAIT: Duration = Duration::from_millis(250);
+const MEMBERS_WAIT: Duration = Duration::from_millis(120);
 
 /// Time between two looks whether they are known.
 const MEMBERS_POLL: Duration = Duration::from_millis(10);
@@ -186,7 +183,10 @@
                 Called::Failed(Failure::HistoryGone, cause.to_owned())
             }
             (_, 200) => match ciborium::from_reader::<Snapshot, _>(&body[..]) {
-                Ok(snapshot) => Called::Changes(read_snapshot(now, reader, snapshot)),
+                Ok(snapshot) => match reader.on_snapshot(now, snapshot) {
+                    Ok(changes) => Called::Changes(changes),
+                    Err(behind) => Called::Failed(Failure::Unreachable, behind.to_string()),
+                },
                 Err(err) => malformed(err),
             },
             (_, status) => Called::Failed(Failure::Unreachable, format!("status {status}")),
@@ -273,20 +273,3 @@
         }
     }
 }
-
-/// Takes over the whole state of another daemon.
-fn read_snapshot(now: Timestamp, reader: &mut Reader, snapshot: Snapshot) -> Vec<Change> {
-    let position = snapshot.position;
-    let release = snapshot.release.map(Item::Release);
-    let mut changes = reader.on_release(now, release, position);
-    let record = |backend: Backend| Record {
-        key: backend.id.to_string(),
-        item: Item::Backend(backend),
-    };
-    changes.extend(reader.on_page(Page {
-        records: snapshot.backends.into_iter().map(record).collect(),
-        has_more: false,
-        position,
-    }));
-    changes
-}
