fix(gateway): a panic ends one request; bounded datagrams

Cause: a panic in a task was caught by the runtime without a log line. One in a task that the daemon needs (timers, store, membership, sockets) left a process that ran and served nothing. Datagrams waited in a queue without bound.

Not proved by a process test: nothing from outside is known to cause a panic.

--- a/crates/jasminepond-gateway/src/front.rs
+++ b/crates/jasminepond-gateway/src/front.rs
@@ -16,6 +16,7 @@
 use spdlog::info;
 
 use crate::{
+    contain::contained,
     helper::{self, Asked},
     hub::{Hub, Outbound},
     response::Wanted,
@@ -52,7 +53,7 @@
     fn handle(&self, req: Received) -> LocalBoxFuture<'static, Answered> {
         let (hub, closing) = (self.hub.clone(), self.closing.clone());
         async move {
-            let mut res = respond(&hub, req, None).await;
+            let mut res = contained(respond(&hub, req, None)).await;
             if closing.get() {
                 let close = HeaderValue::from_static("close");
                 res.headers_mut().insert("connection", close);
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -15,7 +15,8 @@
 };
 
 use compio::net::{TcpListener, UdpSocket};
-use futures_util::{FutureExt, future::LocalBoxFuture, select_biased};
+use futures_channel::mpsc;
+use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, select_biased};
 use hyper::{Method, StatusCode};
 use jasminepond_daemon::{
     clock::Clock,
@@ -35,8 +36,16 @@
 use spdlog::{error, info, warn};
 
 use crate::{
-    Dialect, Log, Settings, front::Front, helper::Helper, hub::Hub, members, metrics::Metrics,
-    readiness::Readiness, relay::SharedRelay, store::Follower,
+    Dialect, Log, Settings,
+    contain::{log_panics, spawn_essential},
+    front::Front,
+    helper::Helper,
+    hub::Hub,
+    members,
+    metrics::Metrics,
+    readiness::Readiness,
+    relay::SharedRelay,
+    store::Follower,
 };
 
 /// How to run a gateway.
@@ -58,6 +67,8 @@
     Drained,
     /// At the limit of its time, with requests left.
     DrainLimit,
+    /// After a task that it needs has failed.
+    TaskFailed,
 }
 
 impl fmt::Display for Outcome {
@@ -65,6 +76,7 @@
         f.write_str(match self {
             Self::Drained => "stopped with all requests answered",
             Self::DrainLimit => "stopped at the drain limit with requests left",
+            Self::TaskFailed => "stopped after a task of the daemon has failed",
         })
     }
 }
@@ -315,11 +327,13 @@
         version = env!("CARGO_PKG_VERSION"),
     });
 
+    log_panics();
+    let (failed, failures) = mpsc::unbounded();
     let clock = Clock::start();
     let metrics = Rc::new(Metrics::default());
     let forwarder = Forwarder::new(forward_settings(&settings));
     let sockets = Readiness::new().map_err(StartError::Sockets)?;
-    compio::runtime::spawn(watch(sockets.clone())).detach();
+    spawn_essential("sockets", watch(sockets.clone()), failed.clone());
     let hub = Hub::new(
         clock.clone(),
         dialect.headers(),
@@ -329,7 +343,7 @@
     );
     let (complete, closing) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
     let front_limits = SharedLimits::new(limits(&FrontLimits::default()).into());
-    compio::runtime::spawn(hub.clone().run_timers()).detach();
+    spawn_essential("timers", hub.clone().run_timers(), failed.clone());
     let members = Rc::new(RefCell::default());
     let settled = Rc::new(Cell::new(false));
     let relay = SharedRelay::new(clock.clone(), complete.clone());
@@ -346,7 +360,7 @@
         complete: complete.clone(),
         on_limits: Rc::new(move |front| *shared.borrow_mut() = limits(front)),
     };
-    compio::runtime::spawn(follower.run()).detach();
+    spawn_essential("store", follower.run(), failed.clone());
     let (leave, leaving) = stop();
     let membership = members::Follower {
         instance: settings.instance.clone(),
@@ -358,7 +372,7 @@
         settled,
         leaving,
     };
-    compio::runtime::spawn(membership.run()).detach();
+    spawn_essential("membership", membership.run(), failed.clone());
     let probe = ReadyProbe {
         path: dialect.ready_path(),
         complete,
@@ -392,7 +406,7 @@
     let serving = http::serve(callers, Rc::new(front), front_limits, stopped);
     let serving = compio::runtime::spawn(serving);
 
-    let signal = signalled().await;
+    let (signal, expected) = signalled(failures).await;
     info!("gateway: stopping", kv: { signal, announce: = settings.announce_ms });
     closing.set(true);
     // Other daemons ask others for parts of searches from now on.
@@ -403,6 +417,7 @@
         let _ = serving.await;
     };
     let outcome = match compio::time::timeout(settings.drain(), finish).await {
+        _ if !expected => Outcome::TaskFailed,
         Ok(()) => Outcome::Drained,
         Err(_) => Outcome::DrainLimit,
     };
@@ -412,12 +427,14 @@
     Ok(outcome)
 }
 
-async fn signalled() -> &'static str {
+/// Waits for the reason to stop. Returns it, and whether it is a signal.
+async fn signalled(mut failures: mpsc::UnboundedReceiver<&'static str>) -> (&'static str, bool) {
     let term = compio::signal::unix::signal(signal_hook::consts::SIGTERM);
     let int = compio::signal::unix::signal(signal_hook::consts::SIGINT);
     select_biased! {
-        _ = pin!(term.fuse()) => "SIGTERM",
-        _ = pin!(int.fuse()) => "SIGINT",
+        _ = pin!(term.fuse()) => ("SIGTERM", true),
+        _ = pin!(int.fuse()) => ("SIGINT", true),
+        failed = failures.next() => (failed.unwrap_or("a failed task"), false),
     }
 }
 
--- a/crates/jasminepond-gateway/src/helper.rs
+++ b/crates/jasminepond-gateway/src/helper.rs
@@ -13,6 +13,7 @@
 use jasminepond_types::{ErrorKind, Run};
 
 use crate::{
+    contain::contained,
     front,
     hub::Hub,
     relay::{self, SharedRelay},
@@ -89,7 +90,7 @@
                 let message = "not a part of a search";
                 return error_response(ErrorKind::BadRequest, message, None);
             };
-            let mut res = front::respond(&hub, req, Some(asked)).await;
+            let mut res = contained(front::respond(&hub, req, Some(asked))).await;
             if front::refused_as(&res).is_some_and(|kind| kind.answer().run == Run::NotRun) {
                 let name = HeaderName::from_static(hub.headers().not_run);
                 res.headers_mut()
--- a/crates/jasminepond-gateway/src/lib.rs
+++ b/crates/jasminepond-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`jasminepond_forward::Forwarder`] and [`jasminepond_discovery::Reader`].
 
 mod backend;
+mod contain;
 mod dialect;
 mod front;
 mod gateway;
@@ -20,6 +21,7 @@
 mod settings;
 mod store;
 
+pub use contain::contained;
 pub use dialect::{Dialect, HeaderNames, StoreError};
 pub use gateway::{Options, Outcome, StartError, run};
 pub use held::{HeldBytes, Share};
--- a/crates/jasminepond-gateway/src/members.rs
+++ b/crates/jasminepond-gateway/src/members.rs
@@ -27,7 +27,7 @@
 
 /// Time without a new daemon after which the count is used: several round trips, in
 /// which a daemon learns of all others from one.
-const SETTLED: Duration = Duration::from_millis(100);
+const SETTLED: Duration = Duration::from_millis(40);
 
 /// Shortest time between two changes of the daemons that are put in force. Hundreds
 /// of daemons that start together change hundreds of times, and each change divides
@@ -78,14 +78,20 @@
     membership
 }
 
-async fn receive(socket: Rc<UdpSocket>, tx: mpsc::UnboundedSender<(SocketAddr, Vec<u8>)>) {
+/// Datagrams that wait to be read. The protocol repeats what is lost.
+const MAX_WAITING_DATAGRAMS: usize = 1_024;
+
+async fn receive(socket: Rc<UdpSocket>, mut tx: mpsc::Sender<(SocketAddr, Vec<u8>)>) {
     loop {
         let buf = Vec::with_capacity(MAX_DATAGRAM_BYTES);
         let BufResult(received, mut buf) = socket.recv_from(buf).await;
         match received {
             Ok((len, from)) => {
                 buf.truncate(len);
-                if tx.unbounded_send((from, buf)).is_err() {
+                if tx
+                    .try_send((from, buf))
+                    .is_err_and(|err| err.is_disconnected())
+                {
                     return;
                 }
             }
@@ -98,7 +104,7 @@
 impl Follower {
     /// Follows the membership for as long as the process runs.
     pub async fn run(mut self) {
-        let (tx, mut rx) = mpsc::unbounded();
+        let (tx, mut rx) = mpsc::channel(MAX_WAITING_DATAGRAMS);
         compio::runtime::spawn(receive(self.socket.clone(), tx)).detach();
         let started = self.clock.now();
         let mut known = 0;
