fix(gateway): turns between reads of endless responses; smaller limits

A body without length took 34 MB.

Change: other tasks run after each read that completes no response. Chunk lines may exceed the body by 8 KiB (64 before), a body has 2 MiB at most (4 before), and the unfinished responses of a daemon 3 MiB (6 before).

--- a/crates/jasminepond-gateway/src/backend.rs
+++ b/crates/jasminepond-gateway/src/backend.rs
@@ -81,9 +81,6 @@
     Lost(Lost, String),
 }
 
-/// Reads in a row after which other tasks get their turn.
-const READS_IN_A_ROW: u32 = 8;
-
 /// Responses to other requests that are skipped while one is awaited.
 const MAX_SKIPPED: u32 = 4;
 
@@ -159,12 +156,7 @@
     let mut reading = Reading::default();
     let mut held = hub.held_bytes().share();
     let mut call: Option<Outgoing> = None;
-    let mut reads = 0;
     loop {
-        reads += 1;
-        if reads % READS_IN_A_ROW == 0 {
-            yield_now().await;
-        }
         let read = loop {
             // The end of an idle connection must be seen before a request is
             // written to it: it then has certainly not been sent.
@@ -195,7 +187,7 @@
             return End::Lost(Lost::NotSent, cause.to_owned());
         };
         match reading.advance(outgoing, received == 0, hub.headers()) {
-            Progress::Awaited if held.set(reading.held()) => {}
+            Progress::Awaited if held.set(reading.held()) => yield_now().await,
             Progress::Awaited => {
                 let cause = "too many bytes of unfinished responses";
                 return End::Lost(Lost::Unknown, cause.to_owned());
--- a/crates/jasminepond-gateway/src/held.rs
+++ b/crates/jasminepond-gateway/src/held.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc};
 
 /// Most bytes that all connections together hold.
-const MAX_HELD_BYTES: usize = 6 << 20;
+const MAX_HELD_BYTES: usize = 3 << 20;
 
 /// Bytes that one connection may hold although the limit is reached, so that servers
 /// that send without end do not cost the others their responses.
@@ -21,8 +21,8 @@
     ///
     /// let held = HeldBytes::default();
     /// let (mut one, mut other) = (held.share(), held.share());
-    /// assert!(one.set(5 << 20) && other.set(1_000));
-    /// assert!(!one.set(6 << 20));
+    /// assert!(one.set(2 << 20) && other.set(1_000));
+    /// assert!(!one.set(3 << 20));
     /// drop(one);
     /// assert!(other.set(1 << 20));
     /// ```
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -21,13 +21,13 @@
 const MAX_INTERIM: u32 = 16;
 
 /// Longest accepted body in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
+const MAX_BODY_BYTES: usize = 2 << 20;
 
 /// Longest line before a chunk, in bytes, with its extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
 /// Bytes of chunk lines that may exceed those of the body.
-const MAX_FRAMING_BYTES: usize = 64 << 10;
+const MAX_FRAMING_BYTES: usize = 8 << 10;
 
 /// Longest accepted trailers, in bytes.
 const MAX_TRAILER_BYTES: usize = 16 << 10;
