--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -15,7 +15,7 @@
 
 /// Longest accepted status line with headers, in bytes, those of interim responses
 /// included.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// Most interim responses before the response.
 const MAX_INTERIM: u32 = 16;
@@ -318,13 +318,17 @@
     /// Length of the lines at the start of `rest` up to and with the first empty one,
     /// or `None` if it has not arrived. Looks at each byte once.
     fn block_end(&mut self, rest: &[u8]) -> Option<usize> {
-        let from = self.scanned.min(rest.len());
-        let mut lines = rest[from..].iter().enumerate();
-        let end = lines.find_map(|(index, byte)| {
-            let before = &rest[..from + index];
-            let empty = before.ends_with(b"\n") || before.ends_with(b"\n\r");
-            (*byte == b'\n' && empty).then_some(from + index + 1)
-        });
+        let mut at = self.scanned.min(rest.len());
+        let mut end = None;
+        while let Some(len) = rest[at..].iter().position(|byte| *byte == b'\n') {
+            let line_end = at + len;
+            let before = &rest[..line_end];
+            at = line_end + 1;
+            if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
+                end = Some(at);
+                break;
+            }
+        }
         self.scanned = if end.is_some() { 0 } else { rest.len() };
         end
     }
