--- a/crates/jasminepond-forward/tests/world/mod.rs
+++ b/crates/jasminepond-forward/tests/world/mod.rs
@@ -175,25 +175,12 @@
     /// Adds daemons besides this one, which has rank 0, as servers of their own.
     pub fn add_peers(&mut self, count: u32) -> Vec<usize> {
         let first = self.servers.len();
-        let mut peers = Vec::new();
-        for rank in 1..=count {
-            let name = format!("d{rank}");
-            let index = self.add_silently(&format!("daemon/{name}"));
-            peers.push(Peer {
-                instance: name.as_str().into(),
-                address: self.servers[index].address,
-                zone: String::new(),
-                processor: Default::default(),
-                rank,
-                running: true,
-            });
-        }
+        let peers = self.add_peers_as(count + 1, 0);
         let cluster = Cluster {
             daemons: count + 1,
             rank: 0,
         };
-        self.forwarder.set_peers(self.now, peers);
-        self.forwarder.set_cluster(self.now, cluster);
+        self.forwarder.set_daemons(self.now, cluster, peers);
         self.carry_out();
         (first..self.servers.len()).collect()
     }
