--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -18,7 +18,7 @@
 use crate::{
     Demand, Division, RepeatBudget,
     latency::LatencyTracker,
-    message::{Action, Arrival, Backend, Belief, CallKey, ConnKey, ReqKey, Verdict},
+    message::{Action, Arrival, Backend, BackendState, Belief, CallKey, ConnKey, ReqKey, Verdict},
     request::{ActiveRoute, Destination, Part, Req},
     server::{Reach, Server, ServerKey},
     service::{Service, ServiceKey},
@@ -345,9 +345,13 @@
             // Another process under the same id: nothing known of the old one holds.
             self.retire(now, key);
         }
+        if backend.state == BackendState::Draining {
+            // Nothing tells since when it drains: its grace may be over, or this daemon
+            // has taken it out of use and its entry is written once more.
+            return;
+        }
         let id = backend.id.clone();
         let server = Server::new(now, backend, service);
-        let leaving = server.leaving_since.is_some();
         let key = self.servers.insert(server);
         self.servers_by_id.insert(id, key);
         self.services[service].servers.push(key);
@@ -356,10 +360,6 @@
         }
         self.assign(service);
         self.divide(service);
-        if leaving {
-            let end = now + self.settings.lapse_grace;
-            self.timers.set(end, Timer::Server(key));
-        }
         self.warm(now, key);
     }
 
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -82,7 +82,7 @@
     pub(crate) fn new(now: Timestamp, backend: Backend, service: ServiceKey) -> Self {
         Self {
             cold_until: now + backend.warm_up_left.duration(),
-            leaving_since: (backend.state == BackendState::Draining).then_some(now),
+            leaving_since: None,
             backend,
             service,
             conns: Vec::new(),
--- a/crates/jasminepond-forward/tests/rules.rs
+++ b/crates/jasminepond-forward/tests/rules.rs
@@ -262,3 +262,23 @@
     world.run_for(15 * MS);
     assert_ne!(world.conn_of(req), first);
 }
+
+/// The entry of a server that drains is written again after its grace has ended, with a
+/// new count. Taken for a new server, it got requests for another two seconds.
+#[test]
+fn a_server_that_drains_is_not_in_use_again_when_its_entry_is_written_again() {
+    let mut world = World::new(ForwardSettings::default(), 6);
+    world.add("one-0", "one", 20 * MS);
+    world.put_release(1, vec![single(Repeat::Never)]);
+    world.run_for(Duration::from_secs(1));
+    let mut entry = world.entry(0);
+    entry.state = BackendState::Draining;
+    for _ in 0..3 {
+        world.put_entry(entry.clone());
+        world.run_for(Duration::from_millis(1_100));
+    }
+    world.submit("/one/x", PATIENCE);
+    world.run_for(PATIENCE);
+    assert!(world.servers[0].arrived.is_empty());
+    assert_eq!(world.answers[0].summary.verdict, Verdict::Refused);
+}
