feat(discovery): a store that comes back from a copy

Cause: positions were numbers of changes. After the store came back from a copy some seconds old, its numbers were lower and given out again: a reader took the release and entries of the copy for the truth, a daemon that started began with them, and a state at a lower number was refused for good.

Change: a position is an era and a change, everywhere: reader, what daemons pass on, log lines. When the stated era rises, everything is read again. Until the store has settled (three heartbeats and two seconds), entries that the copy lacks stay, entries older than what is known (by start and number of writes) are not taken, and a server that had left is used only if it writes its entry again; then everything is listed once more and holds as it is. Releases never went back. An answer of an older era is dropped. Without an era, changes that go back count as a return. A daemon that starts takes the view of a running one first and asks the store what changed since.

Ruled out: holding single entries back and releasing them one by one; one more listing at the end needs no state for it.

--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -3,12 +3,13 @@
 //! [`Reader`] decides which call to the store is made next and what its result
 //! means. It holds no socket and reads no clock.
 
+mod entries;
 mod item;
 mod reader;
 mod relay;
 mod source;
 
-pub use item::{Event, Item, Page, Position, Record, Watched};
-pub use reader::{Behind, Change, Failure, Reader, ReaderSettings, Step};
+pub use item::{Era, Event, Item, Page, Position, PositionError, Record, Watched};
+pub use reader::{Behind, Change, EraStep, Failure, Reader, ReaderSettings, Step};
 pub use relay::{Changes, Relay, Snapshot, Unserved};
 pub use source::{Source, choose_source};
--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -7,7 +7,10 @@
 use jasminepond_types::{Millis, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::{Event, Item, Page, Position, Record, Snapshot, Watched};
+use crate::{
+    Era, Event, Item, Page, Position, Record, Snapshot, Watched,
+    entries::{Entries, Shown},
+};
 
 /// Settings of the reader.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +27,10 @@
     /// Longest pause after a failed call. Below half a second, so that the state
     /// is current within a second of the store's return.
     pub retry_max: Duration,
+    /// Time after the store came back from a copy in which servers write their entries
+    /// again, and entries of servers that have left lapse: three of their heartbeats,
+    /// and two seconds.
+    pub settle: Duration,
 }
 
 impl Default for ReaderSettings {
@@ -33,6 +40,7 @@
             watch_pause: Duration::from_millis(120),
             retry_min: Duration::from_millis(100),
             retry_max: Duration::from_millis(400),
+            settle: Duration::from_millis(5_600),
         }
     }
 }
@@ -72,6 +80,23 @@
     Busy,
     /// The store no longer has the changes after the asked position.
     HistoryGone,
+    /// The answer is from before the store came back from a copy.
+    OldEra,
+}
+
+/// What the era that an answer states means for the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraStep {
+    /// It is of the era that is known.
+    Same,
+    /// The store came back from a copy: the answer is of no use, and everything is read
+    /// again.
+    Restored {
+        /// The era before.
+        before: Era,
+    },
+    /// It is an old answer, to be dropped.
+    Old,
 }
 
 /// Another daemon's state is older than what is known here.
@@ -137,8 +162,14 @@
     state: State,
     stale: bool,
     position: Position,
+    /// The era that the store last stated.
+    era: Option<Era>,
     listed: HashSet<String>,
-    known: HashSet<String>,
+    entries: Entries,
+    /// Until when the store may show less than is known, after it came back from a copy.
+    settled_at: Timestamp,
+    /// Whether everything is listed once more when that is over.
+    list_again: bool,
     version: Option<ReleaseVersion>,
     complete: bool,
     pause_until: Timestamp,
@@ -153,8 +184,11 @@
             state: State::Release,
             stale: true,
             position: Position::default(),
+            era: None,
             listed: HashSet::new(),
-            known: HashSet::new(),
+            entries: Entries::default(),
+            settled_at: Timestamp::ZERO,
+            list_again: false,
             version: None,
             complete: false,
             pause_until: Timestamp::ZERO,
@@ -172,6 +206,16 @@
         self.position
     }
 
+    /// The era that the store last stated.
+    pub fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
+    /// Until when the store may show less than is known. Past if it shows all.
+    pub fn settled_at(&self) -> Timestamp {
+        self.settled_at
+    }
+
     /// Failed calls in a row.
     pub fn failures(&self) -> u32 {
         self.failures
@@ -192,13 +236,57 @@
                 after: self.position,
                 wait: Millis(0),
             },
+            State::Watching if self.list_again && now >= self.settled_at => Step::ListBackends {
+                after: None,
+                stale: false,
+            },
             State::Watching => Step::Watch {
                 after: self.position,
-                wait: self.settings.watch_wait.into(),
+                wait: self.watch_wait(now).into(),
             },
         }
     }
 
+    fn watch_wait(&self, now: Timestamp) -> Duration {
+        let longest = self.settings.watch_wait;
+        match self.list_again {
+            true => longest.min(self.settled_at.since(now)),
+            false => longest,
+        }
+    }
+
+    /// The store has stated its era in an answer, which is to be looked at only if it is
+    /// [`EraStep::Same`].
+    pub fn on_era(&mut self, now: Timestamp, era: Era) -> EraStep {
+        let before = *self.era.get_or_insert(era);
+        if era < before {
+            return EraStep::Old;
+        }
+        if self.position.era < era {
+            self.position = Position::new(era, self.position.change);
+        }
+        if era == before {
+            return EraStep::Same;
+        }
+        self.era = Some(era);
+        self.position = Position::new(era, 0);
+        self.state = State::Release;
+        self.stale = false;
+        self.failures = 0;
+        self.settle(now, self.settings.settle);
+        EraStep::Restored { before }
+    }
+
+    /// The store may show less than is known for this long.
+    fn settle(&mut self, now: Timestamp, time: Duration) {
+        self.settled_at = self.settled_at.max(now + time);
+        self.list_again = true;
+    }
+
+    fn is_settling(&self, now: Timestamp) -> bool {
+        now < self.settled_at
+    }
+
     /// The release was read; `None` if there is none yet.
     pub fn on_release(
         &mut self,
@@ -212,19 +300,28 @@
             self.pause_until = now + self.settings.retry_max;
             return Vec::new();
         }
+        if !self.stale && position < self.position {
+            // The store went back without saying so.
+            self.settle(now, self.settings.settle);
+        }
         self.position = position;
         self.listed.clear();
         self.state = State::Listing { after: None };
         let mut changes = Vec::new();
         if let Some(item) = item {
-            self.take(item, &mut changes);
+            self.take(now, item, Shown::Listed, &mut changes);
         }
         changes
     }
 
     /// A page of the listing was read.
-    pub fn on_page(&mut self, page: Page) -> Vec<Change> {
+    pub fn on_page(&mut self, now: Timestamp, page: Page) -> Vec<Change> {
         self.failures = 0;
+        if self.state == State::Watching {
+            // Everything is listed once more.
+            self.listed.clear();
+            (self.list_again, self.stale) = (false, false);
+        }
         // The watch begins at the oldest of all readings.
         self.position = self.position.min(page.position);
         let mut changes = Vec::new();
@@ -233,16 +330,18 @@
             if let Item::Backend(backend) = &item {
                 self.listed.insert(backend.id.to_string());
             }
-            self.take(item, &mut changes);
+            self.take(now, item, Shown::Listed, &mut changes);
         }
         if page.has_more && last.is_some() {
             self.state = State::Listing { after: last };
             return changes;
         }
         let listed = std::mem::take(&mut self.listed);
-        let gone: Vec<_> = self.known.difference(&listed).cloned().collect();
-        for id in gone {
-            self.gone(id, "not in the listing", &mut changes);
+        // What a copy lacks is written again until it has settled.
+        if !self.is_settling(now) {
+            for id in self.entries.missing(&listed) {
+                self.gone(now, id, "not in the listing", &mut changes);
+            }
         }
         if self.stale && !self.complete {
             self.state = State::CatchingUp;
@@ -268,6 +367,7 @@
             position,
             release,
             backends,
+            settles_in,
         } = snapshot;
         if position < self.position {
             return Err(Behind {
@@ -275,40 +375,48 @@
                 ours: self.position,
             });
         }
+        if self.era.is_some_and(|era| era < position.era) {
+            self.settle(now, self.settings.settle);
+        }
+        self.era = Some(position.era);
+        if settles_in > Millis(0) {
+            self.settle(now, settles_in.duration());
+        }
         let mut changes = self.on_release(now, release.map(Item::Release), position);
         let record = |backend: Backend| Record {
             key: backend.id.to_string(),
             item: Item::Backend(backend),
         };
-        changes.extend(self.on_page(Page {
+        let page = Page {
             records: backends.into_iter().map(record).collect(),
             has_more: false,
             position,
-        }));
-        // It is confirmed by a watch of the other daemon.
+        };
+        changes.extend(self.on_page(now, page));
+        Ok(changes)
+    }
+
+    /// Another daemon, which is followed, has confirmed its state by a watch.
+    pub fn confirmed(&mut self) {
         if self.state == State::CatchingUp {
             self.complete = true;
             self.state = State::Watching;
         }
-        Ok(changes)
     }
 
     /// A watch has returned.
     pub fn on_watch(&mut self, now: Timestamp, watched: Watched) -> Vec<Change> {
         self.failures = 0;
         self.position = self.position.max(watched.position);
-        if self.state == State::CatchingUp {
-            self.complete = true;
-            self.state = State::Watching;
-        }
+        self.confirmed();
         if !watched.events.is_empty() {
             self.pause_until = now + self.settings.watch_pause;
         }
         let mut changes = Vec::new();
         for event in watched.events {
             match event {
-                Event::Written(item) => self.take(item, &mut changes),
-                Event::BackendRemoved(id) => self.gone(id, "removed", &mut changes),
+                Event::Written(item) => self.take(now, item, Shown::Written, &mut changes),
+                Event::BackendRemoved(id) => self.gone(now, id, "removed", &mut changes),
                 Event::Other => {}
             }
         }
@@ -328,6 +436,7 @@
             Change::Gone { id, .. } => Event::BackendRemoved(id),
             Change::ReleaseRefused { reason } => Event::Written(Item::UnusableRelease { reason }),
         };
+        self.era = self.era.max(Some(position.era));
         let events = relayed.into_iter().map(event).collect();
         self.on_watch(now, Watched { events, position })
     }
@@ -346,7 +455,7 @@
         pause
     }
 
-    fn take(&mut self, item: Item, changes: &mut Vec<Change>) {
+    fn take(&mut self, now: Timestamp, item: Item, shown: Shown, changes: &mut Vec<Change>) {
         match item {
             Item::Release(release) => {
                 if self.version.is_none_or(|version| release.version > version) {
@@ -355,17 +464,19 @@
                 }
             }
             Item::Backend(backend) => {
-                self.known.insert(backend.id.to_string());
-                changes.push(Change::Backend(backend));
+                let restored = self.is_settling(now);
+                if self.entries.take(&backend, shown, restored) {
+                    changes.push(Change::Backend(backend));
+                }
             }
-            Item::Unusable { id, reason } => self.gone(id, &reason, changes),
+            Item::Unusable { id, reason } => self.gone(now, id, &reason, changes),
             Item::UnusableRelease { reason } => changes.push(Change::ReleaseRefused { reason }),
             Item::Other => {}
         }
     }
 
-    fn gone(&mut self, id: String, reason: &str, changes: &mut Vec<Change>) {
-        if self.known.remove(&id) {
+    fn gone(&mut self, now: Timestamp, id: String, reason: &str, changes: &mut Vec<Change>) {
+        if self.entries.remove(now, &id) {
             changes.push(Change::Gone {
                 id,
                 reason: reason.to_owned(),
--- a/crates/jasminepond-discovery/src/relay.rs
+++ b/crates/jasminepond-discovery/src/relay.rs
@@ -7,7 +7,7 @@
 
 use jasminepond_forward::Backend;
 use jasminepond_routes::Release;
-use jasminepond_types::Timestamp;
+use jasminepond_types::{Millis, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::{Change, Position};
@@ -30,6 +30,9 @@
     pub release: Option<Box<Release>>,
     /// All entries.
     pub backends: Vec<Backend>,
+    /// How much longer the store may show less than this, after it came back from a copy.
+    #[serde(default)]
+    pub settles_in: Millis,
 }
 
 /// Changes after a position.
@@ -53,14 +56,15 @@
 /// The state as the store gave it, and the latest changes.
 ///
 /// ```
-/// use jasminepond_discovery::{Position, Relay, Unserved};
+/// use jasminepond_discovery::{Era, Position, Relay, Unserved};
 /// use jasminepond_types::Timestamp;
 ///
 /// let mut relay = Relay::default();
 /// let now = Timestamp::from_millis(5);
 /// assert_eq!(relay.snapshot(now), Err(Unserved::NotCurrent));
-/// relay.record(now, Position(3), &[]);
-/// assert_eq!(relay.snapshot(now).unwrap().position, Position(3));
+/// let position = Position::new(Era(1), 3);
+/// relay.record(now, position, &[]);
+/// assert_eq!(relay.snapshot(now).unwrap().position, position);
 /// ```
 #[derive(Debug, Default)]
 pub struct Relay {
@@ -71,6 +75,7 @@
     position: Position,
     history: VecDeque<Changes>,
     confirmed: Option<Timestamp>,
+    settled_at: Timestamp,
 }
 
 impl Relay {
@@ -87,6 +92,11 @@
         self.take(position, changes);
     }
 
+    /// The store may show less than is known until then.
+    pub fn settling(&mut self, until: Timestamp) {
+        self.settled_at = until;
+    }
+
     fn take(&mut self, position: Position, changes: &[Change]) {
         for change in changes {
             match change {
@@ -137,6 +147,7 @@
             position: self.position,
             release: self.release.clone(),
             backends: self.backends.values().cloned().collect(),
+            settles_in: self.settled_at.since(now).into(),
         })
     }
 
--- a/crates/jasminepond-discovery/tests/common/mod.rs
+++ b/crates/jasminepond-discovery/tests/common/mod.rs
@@ -1,10 +1,18 @@
 //! Entries for the tests.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::sync::Arc;
 
+use jasminepond_discovery::{Era, Position};
 use jasminepond_forward::{Backend, BackendState};
 use jasminepond_types::Millis;
 
+/// A position of the first era.
+pub fn at(change: u64) -> Position {
+    Position::new(Era(1), change)
+}
+
 /// An entry of a sound server.
 pub fn backend(id: &str) -> Backend {
     Backend {
@@ -15,6 +23,7 @@
         slots: 1,
         state: BackendState::Ready,
         warm_up_left: Millis(0),
-        started: None,
+        started: Some(1),
+        writes: 1,
     }
 }
--- a/crates/jasminepond-discovery/tests/reader.rs
+++ b/crates/jasminepond-discovery/tests/reader.rs
@@ -4,13 +4,12 @@
 
 use std::time::Duration;
 
-use common::backend;
+use common::{at, backend};
 use jasminepond_discovery::{
-    Change, Event, Failure, Item, Page, Position, Reader, ReaderSettings, Record, Snapshot, Step,
-    Watched,
+    Change, Event, Failure, Item, Page, Reader, ReaderSettings, Record, Snapshot, Step, Watched,
 };
 use jasminepond_routes::{Release, ReleaseVersion};
-use jasminepond_types::Timestamp;
+use jasminepond_types::{Millis, Timestamp};
 
 fn entry(id: &str) -> Item {
     Item::Backend(backend(id))
@@ -31,7 +30,7 @@
     Page {
         records: ids.iter().map(record).collect(),
         has_more,
-        position: Position(position),
+        position: at(position),
     }
 }
 
@@ -39,9 +38,9 @@
 
 fn loaded(ids: &[&str], position: u64) -> Reader {
     let mut reader = Reader::new(ReaderSettings::default());
-    reader.on_release(NOW, Some(release(3)), Position(position));
-    reader.on_page(page(ids, false, position));
-    let (events, position) = (Vec::new(), Position(position));
+    reader.on_release(NOW, Some(release(3)), at(position));
+    reader.on_page(NOW, page(ids, false, position));
+    let (events, position) = (Vec::new(), at(position));
     reader.on_watch(NOW, Watched { events, position });
     reader
 }
@@ -59,16 +58,16 @@
 #[test]
 fn the_watch_begins_at_the_oldest_reading() {
     let mut reader = Reader::new(ReaderSettings::default());
-    reader.on_release(NOW, Some(release(3)), Position(20));
-    reader.on_page(page(&["a"], true, 17));
+    reader.on_release(NOW, Some(release(3)), at(20));
+    reader.on_page(NOW, page(&["a"], true, 17));
     let next = Step::ListBackends {
         after: Some("a".to_owned()),
         stale: true,
     };
     assert_eq!(reader.next(NOW), next);
     assert!(!reader.is_complete());
-    reader.on_page(page(&["b"], false, 25));
-    assert!(matches!(reader.next(NOW), Step::Watch { after, .. } if after == Position(17)));
+    reader.on_page(NOW, page(&["b"], false, 25));
+    assert!(matches!(reader.next(NOW), Step::Watch { after, .. } if after == at(17)));
 }
 
 /// The first reading may be seconds old. A daemon that takes requests with it sends
@@ -76,16 +75,16 @@
 #[test]
 fn a_first_reading_is_complete_only_with_what_changed_since() {
     let mut reader = Reader::new(ReaderSettings::default());
-    reader.on_release(NOW, Some(release(3)), Position(20));
-    reader.on_page(page(&["a", "left"], false, 20));
+    reader.on_release(NOW, Some(release(3)), at(20));
+    reader.on_page(NOW, page(&["a", "left"], false, 20));
     assert!(!reader.is_complete());
     let next = Step::Watch {
-        after: Position(20),
+        after: at(20),
         wait: jasminepond_types::Millis(0),
     };
     assert_eq!(reader.next(NOW), next);
     let events = vec![Event::BackendRemoved("left".to_owned())];
-    let position = Position(31);
+    let position = at(31);
     let changes = reader.on_watch(NOW, Watched { events, position });
     assert_eq!(gone(&changes), ["left"]);
     assert!(reader.is_complete());
@@ -103,19 +102,21 @@
                 Event::Written(entry("left")),
                 Event::BackendRemoved("left".to_owned()),
             ],
-            position: Position(30),
+            position: at(30),
         },
     );
     let snapshot = |position| Snapshot {
-        position: Position(position),
+        position: at(position),
         release: None,
         backends: vec![backend("a"), backend("left")],
+        settles_in: Millis(0),
     };
     reader.on_failure(NOW, Failure::HistoryGone);
     assert!(reader.on_snapshot(NOW, snapshot(20)).is_err());
     let later = NOW + Duration::from_secs(1);
     assert_eq!(reader.next(later), Step::ReadRelease { stale: false });
     assert!(reader.on_snapshot(later, snapshot(30)).is_ok());
+    reader.confirmed();
     assert!(reader.is_complete());
 }
 
@@ -126,8 +127,8 @@
     let mut reader = loaded(&["a", "b"], 10);
     reader.on_failure(NOW, Failure::HistoryGone);
     assert_eq!(reader.next(NOW), Step::ReadRelease { stale: false });
-    reader.on_release(NOW, Some(release(3)), Position(40));
-    let changes = reader.on_page(page(&["b"], false, 40));
+    reader.on_release(NOW, Some(release(3)), at(40));
+    let changes = reader.on_page(NOW, page(&["b"], false, 40));
     assert_eq!(gone(&changes), ["a"]);
 }
 
@@ -137,7 +138,7 @@
     let mut reader = loaded(&["a"], 10);
     let watched = |version, position| Watched {
         events: vec![Event::Written(release(version))],
-        position: Position(position),
+        position: at(position),
     };
     assert_eq!(reader.on_watch(NOW, watched(2, 11)), []);
     assert_eq!(reader.on_watch(NOW, watched(4, 12)).len(), 1);
@@ -156,7 +157,7 @@
     };
     let watched = Watched {
         events: vec![spoiled("a"), spoiled("never-known")],
-        position: Position(11),
+        position: at(11),
     };
     assert_eq!(gone(&reader.on_watch(NOW, watched)), ["a"]);
 }
@@ -173,7 +174,7 @@
         assert!(matches!(reader.next(NOW), Step::Pause(until) if until == NOW + pause));
     }
     let later = NOW + Duration::from_secs(1);
-    assert!(matches!(reader.next(later), Step::Watch { after, .. } if after == Position(10)));
+    assert!(matches!(reader.next(later), Step::Watch { after, .. } if after == at(10)));
     assert!(reader.is_complete());
 }
 
@@ -181,7 +182,7 @@
 #[test]
 fn without_a_release_the_reader_asks_again() {
     let mut reader = Reader::new(ReaderSettings::default());
-    assert_eq!(reader.on_release(NOW, None, Position(5)), []);
+    assert_eq!(reader.on_release(NOW, None, at(5)), []);
     assert!(matches!(reader.next(NOW), Step::Pause(_)));
     let later = NOW + Duration::from_secs(1);
     assert_eq!(reader.next(later), Step::ReadRelease { stale: true });
--- a/crates/jasminepond-discovery/tests/relay.rs
+++ b/crates/jasminepond-discovery/tests/relay.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use common::backend;
-use jasminepond_discovery::{Change, Position, Relay, Source, Unserved, choose_source};
+use common::{at, backend};
+use jasminepond_discovery::{Change, Relay, Source, Unserved, choose_source};
 use jasminepond_types::Timestamp;
 
 const NOW: Timestamp = Timestamp::from_millis(1);
@@ -25,9 +25,9 @@
 #[test]
 fn a_follower_gets_each_change_once() {
     let mut relay = Relay::default();
-    relay.record(NOW, Position(10), &[put("a"), put("b")]);
-    relay.record(NOW, Position(12), &[put("c")]);
-    relay.record(NOW, Position(15), &[gone("a")]);
+    relay.record(NOW, at(10), &[put("a"), put("b")]);
+    relay.record(NOW, at(12), &[put("c")]);
+    relay.record(NOW, at(15), &[gone("a")]);
     let ids: Vec<_> = relay
         .snapshot(NOW)
         .unwrap()
@@ -37,36 +37,30 @@
         .collect();
     assert_eq!(ids, ["b", "c"]);
     assert_eq!(
-        relay.changes(NOW, Position(10)).unwrap().changes,
+        relay.changes(NOW, at(10)).unwrap().changes,
         [put("c"), gone("a")]
     );
-    let last = relay.changes(NOW, Position(12)).unwrap();
-    assert_eq!(
-        (last.position, last.changes),
-        (Position(15), vec![gone("a")])
-    );
-    assert_eq!(relay.changes(NOW, Position(15)).unwrap().changes, []);
+    let last = relay.changes(NOW, at(12)).unwrap();
+    assert_eq!((last.position, last.changes), (at(15), vec![gone("a")]));
+    assert_eq!(relay.changes(NOW, at(15)).unwrap().changes, []);
 }
 
 /// A follower that knows less than the history holds must read everything again.
 #[test]
 fn unknown_history_is_not_passed_over() {
     let mut relay = Relay::default();
-    relay.record(NOW, Position(10), &[put("a")]);
-    assert_eq!(relay.changes(NOW, Position(9)), Err(Unserved::HistoryGone));
+    relay.record(NOW, at(10), &[put("a")]);
+    assert_eq!(relay.changes(NOW, at(9)), Err(Unserved::HistoryGone));
 }
 
 /// A reader that is cut off from the store must not keep its followers in the past.
 #[test]
 fn a_reader_without_the_store_passes_nothing_on() {
     let mut relay = Relay::default();
-    relay.record(NOW, Position(10), &[]);
+    relay.record(NOW, at(10), &[]);
     let later = NOW + Duration::from_secs(3);
-    assert_eq!(
-        relay.changes(later, Position(10)),
-        Err(Unserved::NotCurrent)
-    );
-    relay.follow(Position(11), &[]);
+    assert_eq!(relay.changes(later, at(10)), Err(Unserved::NotCurrent));
+    relay.follow(at(11), &[]);
     assert_eq!(relay.snapshot(NOW), Err(Unserved::NotCurrent));
 }
 
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -429,6 +429,7 @@
         state: BackendState::Ready,
         warm_up_left: Millis(0),
         started: None,
+        writes: 0,
     }
 }
 
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -70,6 +70,10 @@
     /// When it started, in milliseconds of its own clock, if it says so. Another
     /// value under the same id is another process.
     pub started: Option<u64>,
+    /// How often the process had written its entry: of two entries of a process, the one
+    /// with more writes is newer.
+    #[serde(default)]
+    pub writes: u64,
 }
 
 /// How long a server that turned a request away wants to be left alone.
--- a/crates/jasminepond-forward/tests/world/mod.rs
+++ b/crates/jasminepond-forward/tests/world/mod.rs
@@ -224,6 +224,7 @@
             state: BackendState::Ready,
             warm_up_left: Millis(0),
             started: Some(1),
+            writes: 1,
         }
     }
 
--- a/crates/jasminepond-gateway/src/dialect.rs
+++ b/crates/jasminepond-gateway/src/dialect.rs
@@ -1,6 +1,6 @@
 //! What differs between platforms: names of headers, and calls to the store.
 
-use jasminepond_discovery::{Item, Page, Position, Watched};
+use jasminepond_discovery::{Era, Item, Page, Position, Watched};
 use jasminepond_types::Millis;
 
 /// Names of the headers that callers, this tier and backend servers exchange, in
@@ -52,24 +52,24 @@
     /// Path and query that wait for changes.
     fn watch_call(&self, after: Position, wait: Millis) -> String;
 
-    /// Decodes the answer to [`Dialect::release_call`].
+    /// Decodes the answer to [`Dialect::release_call`], given in this era of the store.
     ///
     /// # Errors
     ///
     /// The answer is malformed.
-    fn release(&self, body: &[u8]) -> Result<(Item, Position), StoreError>;
+    fn release(&self, era: Era, body: &[u8]) -> Result<(Item, Position), StoreError>;
 
-    /// Decodes the answer to [`Dialect::backends_call`].
+    /// Decodes the answer to [`Dialect::backends_call`], given in this era of the store.
     ///
     /// # Errors
     ///
     /// The answer is malformed.
-    fn page(&self, body: &[u8]) -> Result<Page, StoreError>;
+    fn page(&self, era: Era, body: &[u8]) -> Result<Page, StoreError>;
 
-    /// Decodes the answer to [`Dialect::watch_call`].
+    /// Decodes the answer to [`Dialect::watch_call`], given in this era of the store.
     ///
     /// # Errors
     ///
     /// The answer is malformed.
-    fn watched(&self, body: &[u8]) -> Result<Watched, StoreError>;
+    fn watched(&self, era: Era, body: &[u8]) -> Result<Watched, StoreError>;
 }
--- a/crates/jasminepond-gateway/src/relay.rs
+++ b/crates/jasminepond-gateway/src/relay.rs
@@ -17,7 +17,7 @@
     net::http::{Answered, Received, error_response},
 };
 use jasminepond_discovery::{Change, Position, Relay, Unserved};
-use jasminepond_types::{ErrorKind, Millis};
+use jasminepond_types::{ErrorKind, Millis, Timestamp};
 use serde::Serialize;
 
 /// Paths that begin so belong to the daemons.
@@ -33,9 +33,9 @@
 /// been read.
 pub const SNAPSHOT_WAIT: Duration = Duration::from_millis(600);
 
-/// Path that reads the whole state.
-pub fn snapshot_call() -> String {
-    SNAPSHOT.to_owned()
+/// Path that reads the whole state, and waits this long while it is being read.
+pub fn snapshot_call(wait: Duration) -> String {
+    format!("{SNAPSHOT}?wait_ms={}", wait.as_millis())
 }
 
 /// Path that waits for changes.
@@ -77,6 +77,11 @@
         }
     }
 
+    /// The store may show less than is known until then.
+    pub fn settling(&self, until: Timestamp) {
+        self.relay.borrow_mut().settling(until);
+    }
+
     /// A reading has been taken over. `news` says whether it changed anything.
     pub fn taken_over(&self, news: bool) {
         self.failing.set(false);
@@ -101,8 +106,8 @@
     }
 
     /// The whole state. One that is being read for the first time is waited for.
-    async fn snapshot(&self) -> Answered {
-        let deadline = self.clock.now() + SNAPSHOT_WAIT;
+    async fn snapshot(&self, wait: Duration) -> Answered {
+        let deadline = self.clock.now() + wait.min(SNAPSHOT_WAIT);
         while !self.complete.get() && !self.failing.get() {
             let left = deadline.since(self.clock.now());
             if left.is_zero() {
@@ -138,23 +143,20 @@
 
 /// Answers another daemon.
 pub async fn answer(relay: Rc<SharedRelay>, req: Received) -> Answered {
-    let param = |name: &str| {
+    let text = |name: &str| {
         let mut pairs = req
             .head
             .uri
             .query()?
             .split('&')
             .filter_map(|p| p.split_once('='));
-        pairs.find(|(n, _)| *n == name)?.1.parse::<u64>().ok()
+        Some(pairs.find(|(n, _)| *n == name)?.1)
     };
+    let wait = || Some(Duration::from_millis(text("wait_ms")?.parse().ok()?));
     match req.head.uri.path() {
-        SNAPSHOT => relay.snapshot().await,
-        CHANGES => match (param("after"), param("wait_ms")) {
-            (Some(after), Some(wait)) => {
-                relay
-                    .changes(Position(after), Duration::from_millis(wait))
-                    .await
-            }
+        SNAPSHOT => relay.snapshot(wait().unwrap_or_default()).await,
+        CHANGES => match (text("after").and_then(|after| after.parse().ok()), wait()) {
+            (Some(after), Some(wait)) => relay.changes(after, wait).await,
             _ => error_response(ErrorKind::BadRequest, "after or wait_ms is missing", None),
         },
         path => error_response(ErrorKind::NotFound, &format!("there is no {path}"), None),
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -7,11 +7,13 @@
     time::Duration,
 };
 
+use hyper::HeaderMap;
 use jasminepond_daemon::clock::Clock;
 use jasminepond_discovery::{
-    Change, Changes, Failure, Reader, ReaderSettings, Snapshot, Source, Step, choose_source,
+    Change, Changes, Era, EraStep, Failure, Reader, ReaderSettings, Snapshot, Source, Step,
+    choose_source,
 };
-use jasminepond_platform::{HttpReader, PlatformError};
+use jasminepond_platform::{HttpAnswer, HttpReader, PlatformError};
 use jasminepond_routes::FrontLimits;
 use spdlog::{info, warn};
 
@@ -52,6 +54,12 @@
 /// Time between two looks whether they are known.
 const MEMBERS_POLL: Duration = Duration::from_millis(10);
 
+/// Longest time for which a daemon that starts waits for another's view.
+const FIRST_VIEW_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Daemons that are asked for it.
+const FIRST_VIEW_ASKED: usize = 2;
+
 /// What came of a call.
 enum Called {
     Changes(Vec<Change>),
@@ -64,6 +72,7 @@
         let mut reader = Reader::new(ReaderSettings::default());
         let mut peer: Option<(SocketAddr, HttpReader)> = None;
         self.wait_for_members().await;
+        self.learn_from_another(&mut reader).await;
         loop {
             let now = self.clock.now();
             let called = match reader.next(now) {
@@ -81,17 +90,7 @@
                     if self.hub.metrics().store_reached() {
                         info!("store: reached", kv: { position: = reader.position() });
                     }
-                    let from_store = peer.is_none();
-                    self.relay.take(from_store, reader.position(), &changes);
-                    let mut news = !changes.is_empty();
-                    for change in changes {
-                        self.apply(change);
-                    }
-                    if reader.is_complete() && !self.complete.replace(true) {
-                        self.log_ready();
-                        news = true;
-                    }
-                    self.relay.taken_over(news);
+                    self.take_over(&reader, peer.is_none(), changes);
                 }
                 Called::Failed(failure, cause) => {
                     self.relay.failed();
@@ -108,6 +107,64 @@
         }
     }
 
+    /// Puts in force what was read, and passes it on.
+    fn take_over(&self, reader: &Reader, from_store: bool, changes: Vec<Change>) {
+        self.relay.take(from_store, reader.position(), &changes);
+        self.relay.settling(reader.settled_at());
+        let mut news = !changes.is_empty();
+        for change in changes {
+            self.apply(change);
+        }
+        if reader.is_complete() && !self.complete.replace(true) {
+            self.log_ready();
+            news = true;
+        }
+        self.relay.taken_over(news);
+    }
+
+    /// Takes the view of a daemon that runs: a store that has just come back from a copy
+    /// knows less than it. What changed since is then asked of the store.
+    async fn learn_from_another(&self, reader: &mut Reader) {
+        for address in self.others() {
+            let timeout = FIRST_VIEW_TIMEOUT;
+            let options = jasminepond_platform::Options { address, timeout };
+            let Ok(http) = HttpReader::new(options) else {
+                continue;
+            };
+            let path = relay::snapshot_call(Duration::ZERO);
+            let snapshot = match http.get(&path, Duration::ZERO).await {
+                Ok(HttpAnswer {
+                    status: 200, body, ..
+                }) => ciborium::from_reader::<Snapshot, _>(&body[..]),
+                // It has none, or does not run any more.
+                Ok(_) | Err(_) => continue,
+            };
+            match snapshot.map(|snapshot| reader.on_snapshot(self.clock.now(), snapshot)) {
+                Ok(Ok(changes)) => {
+                    info!("store: first view from another daemon", kv: { source: = address, position: = reader.position() });
+                    return self.take_over(reader, false, changes);
+                }
+                Ok(Err(err)) => {
+                    warn!("store: no first view from another daemon", kv: { source: = address, cause: = err })
+                }
+                Err(err) => {
+                    warn!("store: no first view from another daemon", kv: { source: = address, cause: = err })
+                }
+            }
+        }
+    }
+
+    /// Daemons that are asked for a first view: those that follow this one in the order
+    /// that all agree on.
+    fn others(&self) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let count = members.addresses.len();
+        let running = |rank: &usize| members.running.get(*rank) == Some(&true);
+        let others = (1..count).map(|step| (members.rank + step) % count);
+        let running = others.filter(running).take(FIRST_VIEW_ASKED);
+        running.map(|rank| members.addresses[rank]).collect()
+    }
+
     fn log_ready(&self) {
         let status = self.hub.read(|forwarder| forwarder.status());
         info!("gateway: ready", kv: {
@@ -161,9 +218,12 @@
     async fn call_daemon(&self, http: &HttpReader, reader: &mut Reader, step: Step) -> Called {
         let (path, extra) = match &step {
             Step::Watch { after, wait } => (relay::changes_call(*after, *wait), wait.duration()),
-            _ => (relay::snapshot_call(), relay::SNAPSHOT_WAIT),
+            _ => {
+                let wait = relay::SNAPSHOT_WAIT;
+                (relay::snapshot_call(wait), wait)
+            }
         };
-        let (status, body) = match http.get(&path, extra).await {
+        let HttpAnswer { status, body, .. } = match http.get(&path, extra).await {
             Ok(answer) => answer,
             Err(err) => return Called::Failed(Failure::Unreachable, err.to_string()),
         };
@@ -184,7 +244,10 @@
             }
             (_, 200) => match ciborium::from_reader::<Snapshot, _>(&body[..]) {
                 Ok(snapshot) => match reader.on_snapshot(now, snapshot) {
-                    Ok(changes) => Called::Changes(changes),
+                    Ok(changes) => {
+                        reader.confirmed();
+                        Called::Changes(changes)
+                    }
                     Err(behind) => Called::Failed(Failure::Unreachable, behind.to_string()),
                 },
                 Err(err) => malformed(err),
@@ -206,7 +269,11 @@
             }
             Step::Pause(_) => return Called::Changes(Vec::new()),
         };
-        let (status, body) = match self.http.get(&path, extra).await {
+        let HttpAnswer {
+            status,
+            headers,
+            body,
+        } = match self.http.get(&path, extra).await {
             Ok(answer) => answer,
             Err(PlatformError::Limited) => {
                 return Called::Failed(Failure::Busy, "too many reads".to_owned());
@@ -214,17 +281,31 @@
             Err(err) => return Called::Failed(Failure::Unreachable, err.to_string()),
         };
         let now = self.clock.now();
+        let era = self.stated_era(&headers).unwrap_or(reader.era());
+        match reader.on_era(now, era) {
+            EraStep::Same => {}
+            EraStep::Restored { before } => {
+                warn!("store: came back from a copy; everything is read again", kv: { before:, era: });
+                return Called::Changes(Vec::new());
+            }
+            EraStep::Old => {
+                let known = reader.era();
+                let cause = format!("an answer of era {era}, after one of era {known}");
+                return Called::Failed(Failure::OldEra, cause);
+            }
+        }
         let changes = match (&step, status) {
             (Step::ReadRelease { .. }, 404) => Ok(reader.on_release(now, None, reader.position())),
             (Step::ReadRelease { .. }, 200) => {
-                let release = self.dialect.release(&body);
+                let release = self.dialect.release(era, &body);
                 release.map(|(item, position)| reader.on_release(now, Some(item), position))
             }
-            (Step::ListBackends { .. }, 200) => {
-                self.dialect.page(&body).map(|page| reader.on_page(page))
-            }
+            (Step::ListBackends { .. }, 200) => self
+                .dialect
+                .page(era, &body)
+                .map(|page| reader.on_page(now, page)),
             (Step::Watch { .. }, 200) => {
-                let watched = self.dialect.watched(&body);
+                let watched = self.dialect.watched(era, &body);
                 watched.map(|watched| reader.on_watch(now, watched))
             }
             (Step::Watch { .. }, 410) => {
@@ -241,6 +322,16 @@
         }
     }
 
+    /// The era that the store states, if it states one that can be read.
+    fn stated_era(&self, headers: &HeaderMap) -> Option<Era> {
+        let value = headers.get(self.dialect.headers().store_era)?;
+        let era = value.to_str().ok().and_then(|text| text.parse().ok());
+        if era.is_none() {
+            warn!("store: its era cannot be read; the one before is taken to hold", kv: { value:? });
+        }
+        era
+    }
+
     fn apply(&self, change: Change) {
         match change {
             Change::Release(release) => {
--- a/crates/jasminepond-platform/src/http.rs
+++ b/crates/jasminepond-platform/src/http.rs
@@ -4,6 +4,7 @@
 
 use cyper::Client;
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture};
+use hyper::HeaderMap;
 use jasminepond_types::Revision;
 use serde::{Deserialize, de::DeserializeOwned};
 
@@ -28,6 +29,17 @@
     client: RefCell<Client>,
 }
 
+/// An answer.
+#[derive(Debug, Clone)]
+pub struct HttpAnswer {
+    /// Its status.
+    pub status: u16,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Vec<u8>,
+}
+
 /// Client of the platform's HTTP interface.
 pub struct HttpPlatform {
     reader: HttpReader,
@@ -50,7 +62,8 @@
     }
 
     async fn get(&self, path: &str, extra: Duration) -> Result<(u16, Vec<u8>), PlatformError> {
-        self.reader.get(path, extra).await
+        let answer = self.reader.get(path, extra).await?;
+        Ok((answer.status, answer.body))
     }
 }
 
@@ -65,30 +78,34 @@
         Ok(Self { options, client })
     }
 
-    /// Status below 500 and body of a GET of `path`, which may take `extra` more
-    /// than the time of the options.
+    /// The answer, with a status below 500, to a GET of `path`, which may take `extra`
+    /// more than the time of the options.
     ///
     /// # Errors
     ///
     /// No response in time, a refusal, a status of 500 or more, or a body that is
     /// too large.
-    pub async fn get(&self, path: &str, extra: Duration) -> Result<(u16, Vec<u8>), PlatformError> {
+    pub async fn get(&self, path: &str, extra: Duration) -> Result<HttpAnswer, PlatformError> {
         let url = format!("http://{}{path}", self.options.address);
         let client = self.client.borrow().clone();
         let read = async {
             let res = client.get(url)?.send().await?;
-            let status = res.status().as_u16();
-            Ok::<_, cyper::Error>((status, limited_body(res).await?))
+            let (status, headers) = (res.status().as_u16(), res.headers().clone());
+            Ok::<_, cyper::Error>((status, headers, limited_body(res).await?))
         };
         let result = match compio::time::timeout(self.options.timeout + extra, read).await {
             Err(_) => Err(PlatformError::Unreachable("no response in time".to_owned())),
             Ok(Err(err)) => Err(PlatformError::Unreachable(err.to_string())),
-            Ok(Ok((_, None))) => Err(PlatformError::Malformed("body too large".to_owned())),
-            Ok(Ok((429, _))) => Err(PlatformError::Limited),
-            Ok(Ok((status, _))) if status >= 500 => {
+            Ok(Ok((_, _, None))) => Err(PlatformError::Malformed("body too large".to_owned())),
+            Ok(Ok((429, ..))) => Err(PlatformError::Limited),
+            Ok(Ok((status, ..))) if status >= 500 => {
                 Err(PlatformError::Unreachable(format!("status {status}")))
             }
-            Ok(Ok((status, Some(body)))) => Ok((status, body)),
+            Ok(Ok((status, headers, Some(body)))) => Ok(HttpAnswer {
+                status,
+                headers,
+                body,
+            }),
         };
         if matches!(result, Err(PlatformError::Unreachable(_))) {
             // A pooled connection may have gone silent: the next read opens a new one.
--- a/crates/jasminepond-platform/src/lib.rs
+++ b/crates/jasminepond-platform/src/lib.rs
@@ -12,7 +12,7 @@
 use jasminepond_types::{Revision, ZoneId};
 use serde::Deserialize;
 
-pub use http::{HttpPlatform, HttpReader, Options};
+pub use http::{HttpAnswer, HttpPlatform, HttpReader, Options};
 
 /// Longest accepted value in bytes; the configuration service has the same limit.
 pub const MAX_FILE_BYTES: usize = 1 << 20;
