perf(forward): windows for calls on a server; late callers wait last

Cause: after a restart of everything, 50 searches came to daemons that had just become ready; each sent all its parts at once, up to three a daemon and server. Their queues of 12 overflowed: 31 of 50 failed within 24 ms with all 20 parts rejected, and the budget for second sends was spent on that. In calmer seconds the parts sent to servers that had stopped answering waited there instead of here.

Change: each daemon holds a window of calls per server that begins with one (at least its part of the slots), grows while answers come within twice the latency without load, and shrinks when they come late or are rejected. What has no room waits at the daemon, where callers whose objective has passed with earlier attempts come last and get no second sends. A server is taken to be at least as slow as its oldest call is old. Searches are answered 17 ms before their objective instead of 10: callers that open a connection need two round trips of 6 ms, and 30 of 60 late answers had left in time.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -18,9 +18,8 @@
 use crate::{
     Demand, Division, RepeatBudget,
     departed::{Departed, Wish},
-    latency::LatencyTracker,
     message::{Action, Arrival, Backend, BackendState, Belief, CallKey, ConnKey, ReqKey, Verdict},
-    request::{ActiveRoute, Destination, Part, Req},
+    request::{ActiveRoute, Destination, Part, Req, RouteStats},
     server::{Reach, Server, ServerKey},
     service::{Service, ServiceKey},
     settings::ForwardSettings,
@@ -135,7 +134,7 @@
     conns: SlotMap<ConnKey, Conn>,
     calls: SlotMap<CallKey, Call>,
     reqs: SlotMap<ReqKey, Req>,
-    latencies: HashMap<Arc<str>, Rc<RefCell<LatencyTracker>>>,
+    stats: HashMap<Arc<str>, Rc<RouteStats>>,
     timers: Timers,
     actions: VecDeque<Action>,
 }
@@ -256,7 +255,7 @@
         self.released = now;
         self.version = Some(release.version);
         let live = |name: &Arc<str>| release.routes.iter().any(|route| route.name == *name);
-        self.latencies.retain(|name, _| live(name));
+        self.stats.retain(|name, _| live(name));
         for (name, spec) in &release.services {
             if let Some(key) = self.services_by_name.get(name) {
                 self.services[*key].max_connections = spec.max_connections;
@@ -297,15 +296,15 @@
             let names: Vec<_> = search.shards.iter().map(ServiceName::as_str).collect();
             shard_set = xxh3_64(names.join("\n").as_bytes());
         }
-        let latency = self.latencies.entry(route.name.clone()).or_insert_with(|| {
+        let stats = self.stats.entry(route.name.clone()).or_insert_with(|| {
             let objective = route.objective.duration();
-            Rc::new(RefCell::new(LatencyTracker::new(objective)))
+            Rc::new(RouteStats::new(objective))
         });
         ActiveRoute {
             route: route.clone(),
             version: release.version,
             destination,
-            latency: latency.clone(),
+            stats: stats.clone(),
             shard_set,
         }
     }
@@ -397,6 +396,9 @@
         let objective = route.objective();
         let patience = arrival.patience.min(route.route.timeout.duration());
         let deadline = now + patience;
+        let longest = route.stats.patience.get().max(arrival.patience);
+        route.stats.patience.set(longest);
+        let late = longest - arrival.patience >= objective;
         let only = arrival.delegated.as_ref();
         let repeat = only.is_some_and(|delegated| delegated.repeat);
         let parts = match &route.destination {
@@ -414,11 +416,6 @@
                 self.search_parts(now, shards, only)
             }
         };
-        // A repeated request has been counted by the daemon that was asked first.
-        let counted = |part: &&Part| part.delegated.is_none() && !repeat;
-        for part in parts.iter().filter(counted) {
-            self.services[part.service].budget.earn();
-        }
         let answer_by = match only {
             Some(delegated) => delegated.answer_within,
             None => {
@@ -431,6 +428,7 @@
         let key = self.reqs.insert(Req {
             arrived: now,
             deadline,
+            late,
             answer_by: now + answer_by,
             overdue: false,
             shards,
@@ -447,6 +445,11 @@
         if self.refuse_unservable(now, key) {
             return key;
         }
+        // A repeated request has been counted by the daemon that was asked first.
+        let counted = |part: &&Part| part.delegated.is_none() && !repeat;
+        for part in self.reqs[key].parts.iter().filter(counted) {
+            self.services[part.service].budget.earn();
+        }
         self.timers.set(deadline, Timer::Deadline(key));
         if route.is_search() {
             self.timers.set(now + answer_by, Timer::Objective(key));
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -46,7 +46,7 @@
         }
         let share = self.connection_share(server.service);
         if server.near {
-            share.floor().max(1.0) as usize
+            (share.floor().max(1.0) as usize).min(server.window_size(&self.settings))
         } else {
             1
         }
@@ -212,6 +212,11 @@
     /// The idle connection of a server that was used last: the others may then
     /// reach the server's idle limit and be closed.
     pub(super) fn idle_conn(&self, now: Timestamp, key: ServerKey) -> Option<ConnKey> {
+        let server = &self.servers[key];
+        let helper = self.services[server.service].helpers;
+        if !helper && server.calls.len() >= server.window_size(&self.settings) {
+            return None;
+        }
         let idle = |conn: &ConnKey| match self.conns[*conn].state {
             ConnState::Idle { since, until } if until.is_none_or(|until| now < until) => {
                 Some((since, *conn))
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -8,7 +8,7 @@
 use crate::{
     message::{Action, Belief, CallKey, ConnKey, ReqKey},
     request::{ActiveRoute, Part, PartState, Req},
-    server::{ServerKey, Standing},
+    server::{Server, ServerKey, Standing},
     service::{ServiceKey, Waiting},
     timers::Timer,
 };
@@ -48,7 +48,7 @@
                 let server = &self.servers[key];
                 Some(Candidate {
                     standing: server.standing(now, &self.settings)?,
-                    cost: server.cost(now, &self.settings),
+                    cost: server.cost(now, self.unanswered(now, server), &self.settings),
                     server: key,
                 })
             })
@@ -60,6 +60,18 @@
         candidates
     }
 
+    /// Age of the oldest call on a server, in usual latencies of its route.
+    pub(crate) fn unanswered(&self, now: Timestamp, server: &Server) -> f64 {
+        let Some(call) = server.calls.first().and_then(|key| self.calls.get(*key)) else {
+            return 0.0;
+        };
+        if call.delegated {
+            return 0.0;
+        }
+        let usual = call.route.stats.latency.borrow().median().as_secs_f64();
+        now.since(call.sent).as_secs_f64() / usual.max(0.001)
+    }
+
     /// Whether a request for the service need not be refused at once.
     pub(super) fn has_usable(&self, now: Timestamp, service: ServiceKey) -> bool {
         let mut servers = self.services[service].servers.iter();
@@ -92,11 +104,13 @@
     pub(super) fn place(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let req = &self.reqs[key];
         let (service, priority) = (req.parts[index].service, req.route.route.priority);
+        let late = req.late;
         match self.placement(now, key, index) {
             Placement::Send(conn) => self.send(now, key, index, conn),
             Placement::Nowhere => self.nowhere(now, key, index),
             Placement::Wait => {
                 self.services[service].wait(Waiting {
+                    late,
                     priority,
                     req: key,
                     part: index,
@@ -247,7 +261,7 @@
 
     /// Time after which a second call is considered.
     fn hedge_delay(&self, route: &ActiveRoute) -> Duration {
-        let usual = route.latency.borrow().high();
+        let usual = route.stats.latency.borrow().high();
         let latest = route.objective().mul_f64(self.settings.hedge_latest);
         let earliest = self.settings.hedge_earliest.min(latest);
         let delay = usual.mul_f64(self.settings.hedge_factor);
@@ -287,7 +301,11 @@
         };
         let part = &req.parts[index];
         let may_run_again = part.runs < req.route.route.max_attempts;
-        if !matches!(part.state, PartState::Sent) || !may_run_again || part.calls.len() > 1 {
+        if req.late
+            || !matches!(part.state, PartState::Sent)
+            || !may_run_again
+            || part.calls.len() > 1
+        {
             return;
         }
         let (service, deadline) = (part.service, req.deadline);
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -45,6 +45,16 @@
             return;
         };
         let latency = now.since(call.sent);
+        if reply.is_success() && !call.delegated {
+            call.route.stats.latency.borrow_mut().observe(latency);
+        }
+        if let Some(server) = self.servers.get_mut(call.server) {
+            let full = server.calls.len() + 1 >= server.window_size(&self.settings);
+            match reply.not_run {
+                true => server.window.rejected(),
+                false => server.window.answered(latency, &call.route.stats, full),
+            }
+        }
         let not_run = reply.not_run || reply.wrong_server;
         if !call.delegated {
             self.heed(now, call.server, &reply);
@@ -54,7 +64,7 @@
                 let usual = if call.delegated {
                     latency
                 } else {
-                    call.route.latency.borrow().median()
+                    call.route.stats.latency.borrow().median()
                 };
                 if server.answered(now, latency, usual, &self.settings) {
                     self.note(call.server, Belief::Answers);
@@ -68,9 +78,6 @@
                 server.failed(now, &self.settings);
             }
         }
-        if reply.is_success() && !call.delegated {
-            call.route.latency.borrow_mut().observe(latency);
-        }
         let Some(req) = self.reqs.get_mut(call.req) else {
             return;
         };
--- a/crates/jasminepond-forward/src/latency.rs
+++ b/crates/jasminepond-forward/src/latency.rs
@@ -51,9 +51,14 @@
     }
 }
 
+/// Share of the calls that are taken not to have waited.
+const LOW_RANK: f64 = 0.1;
+
 /// Latency of the calls of one route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LatencyTracker {
+    /// Unknown before the first sample.
+    low: Option<Quantile>,
     median: Quantile,
     high: Quantile,
 }
@@ -62,6 +67,7 @@
     /// A tracker before the first sample, for a route with this objective.
     pub fn new(objective: Duration) -> Self {
         Self {
+            low: None,
             median: Quantile::new(0.5, objective / 5),
             high: Quantile::new(0.9, objective / 3),
         }
@@ -69,10 +75,19 @@
 
     /// Adds the latency of an answered call.
     pub fn observe(&mut self, sample: Duration) {
+        let low = self
+            .low
+            .get_or_insert_with(|| Quantile::new(LOW_RANK, sample));
+        low.observe(sample);
         self.median.observe(sample);
         self.high.observe(sample);
     }
 
+    /// The latency of calls that do not wait: the 10th percentile.
+    pub fn low(&self) -> Duration {
+        self.low.as_ref().map_or(Duration::ZERO, Quantile::get)
+    }
+
     /// The usual latency.
     pub fn median(&self) -> Duration {
         self.median.get()
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -17,6 +17,7 @@
 mod service;
 mod settings;
 mod timers;
+mod window;
 
 pub use budget::RepeatBudget;
 pub use division::{Candidate, Demand, Division, Group};
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -1,6 +1,11 @@
 //! A request in progress.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use jasminepond_routes::{ReleaseVersion, Repeat, Route, SplitChooser};
 use jasminepond_types::Timestamp;
@@ -24,6 +29,26 @@
     },
 }
 
+/// What is observed of the requests of a route; kept over releases.
+#[derive(Debug)]
+pub(crate) struct RouteStats {
+    pub(crate) objective: Duration,
+    pub(crate) latency: RefCell<LatencyTracker>,
+    /// Longest time that callers wait: what one that waits less has spent on earlier
+    /// attempts.
+    pub(crate) patience: Cell<Duration>,
+}
+
+impl RouteStats {
+    pub(crate) fn new(objective: Duration) -> Self {
+        Self {
+            objective,
+            latency: RefCell::new(LatencyTracker::new(objective)),
+            patience: Cell::default(),
+        }
+    }
+}
+
 /// A route of the release in force. A request keeps the one that it was routed
 /// by, so that all its parts come from one version.
 #[derive(Debug)]
@@ -31,7 +56,7 @@
     pub(crate) route: Route,
     pub(crate) version: ReleaseVersion,
     pub(crate) destination: Destination,
-    pub(crate) latency: Rc<RefCell<LatencyTracker>>,
+    pub(crate) stats: Rc<RouteStats>,
     /// Equal on two daemons only if both know the same shards in the same order.
     pub(crate) shard_set: u64,
 }
@@ -154,6 +179,8 @@
     pub(crate) route: Rc<ActiveRoute>,
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
+    /// Whether its objective had passed when it arrived, with earlier attempts.
+    pub(crate) late: bool,
     /// When a search is to be answered with what is there.
     pub(crate) answer_by: Timestamp,
     /// Shards of a search, 1 for another request.
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -10,6 +10,7 @@
     message::{Backend, BackendState, CallKey, ConnKey},
     service::ServiceKey,
     settings::ForwardSettings,
+    window::Window,
 };
 
 new_key_type! {
@@ -61,6 +62,7 @@
     pub(crate) conns: Vec<ConnKey>,
     pub(crate) opening: u32,
     pub(crate) calls: Vec<CallKey>,
+    pub(crate) window: Window,
     pub(crate) reach: Reach,
     /// Failed attempts to connect since the last answer. An opened connection does
     /// not reset it: a server at its limit accepts connections and closes them.
@@ -95,6 +97,7 @@
             conns: Vec::new(),
             opening: 0,
             calls: Vec::new(),
+            window: Window::default(),
             reach: Reach::Open,
             failures: 0,
             near: true,
@@ -160,10 +163,12 @@
         Some(reached.max(self.quiet_until.since(now)))
     }
 
-    /// Expected cost of one more request, relative to an idle sound server.
-    pub(crate) fn cost(&self, now: Timestamp, settings: &ForwardSettings) -> f64 {
+    /// Expected cost of one more request, relative to an idle sound server. `unanswered` is
+    /// the age of its oldest call in usual latencies: a server that has stopped answering
+    /// is at least that slow.
+    pub(crate) fn cost(&self, now: Timestamp, unanswered: f64, settings: &ForwardSettings) -> f64 {
         let age = self.age_factor(now, settings);
-        let slowness = 1.0 + (self.slowness - 1.0) * age;
+        let slowness = (1.0 + (self.slowness - 1.0) * age).max(unanswered);
         let failing = self.failing * age;
         let cold = if now < self.cold_until {
             COLD_COST
@@ -237,6 +242,12 @@
         self.full_until = now + settings.full_pause;
     }
 
+    /// Calls that this daemon may have on it.
+    pub(crate) fn window_size(&self, settings: &ForwardSettings) -> usize {
+        let slots = f64::from(self.backend.slots) / f64::from(settings.sharing.max(1));
+        self.window.size(slots)
+    }
+
     /// It said that it stops. Returns whether that is new.
     pub(crate) fn announce_stop(&mut self, now: Timestamp) -> bool {
         self.leaving_since.get_or_insert(now);
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -15,6 +15,9 @@
 /// A part of a request that waits for a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Waiting {
+    /// Whether the objective of the request has passed: those that can still be in time go
+    /// first.
+    pub(crate) late: bool,
     pub(crate) priority: u32,
     pub(crate) req: ReqKey,
     pub(crate) part: usize,
@@ -57,7 +60,7 @@
         let before = self
             .waiting
             .iter()
-            .rposition(|w| w.priority <= part.priority);
+            .rposition(|w| (w.late, w.priority) <= (part.late, part.priority));
         let at = before.map_or(0, |at| at + 1);
         self.waiting.insert(at, part);
     }
--- a/crates/jasminepond-forward/src/settings.rs
+++ b/crates/jasminepond-forward/src/settings.rs
@@ -112,7 +112,7 @@
             zone: String::new(),
             processor: Processor::default(),
             repeat: RepeatSettings::default(),
-            answer_margin: Duration::from_millis(10),
+            answer_margin: Duration::from_millis(17),
             wait_share: 0.2,
             hedge_factor: 1.2,
             hedge_latest: 0.45,
--- a/crates/jasminepond-forward/tests/load.rs
+++ b/crates/jasminepond-forward/tests/load.rs
@@ -324,3 +324,40 @@
         }
     }
 }
+
+/// Load: all daemons have restarted. Callers that were cut off come back together, after
+/// their objective, beside the usual ones, who take two fifths of what the servers can do.
+/// The backlog must neither overflow the servers' queues nor delay those who can be in time.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn a_backlog_does_not_delay_those_who_can_be_in_time(seed: u64) {
+    let objective = 120 * MS;
+    let mut world = World::new(ForwardSettings::default(), seed);
+    let alone = Cluster {
+        daemons: 1,
+        rank: 0,
+    };
+    world.forwarder.set_cluster(world.now, alone);
+    world.add_shards(20, 15 * MS, Duration::ZERO, Duration::ZERO);
+    world.put_release(1, vec![search(20, 120, 0.89)]);
+    let from = world.now;
+    world.submit("/search/x", PATIENCE);
+    for _ in 0..120 {
+        world.submit("/search/x", PATIENCE / 2);
+    }
+    let backlog = world.answers.len() + 121;
+    world.load("/search/x", 105.0, Duration::from_secs(2), PATIENCE);
+    world.run_for(PATIENCE);
+    let early = |a: &&world::Answered| {
+        a.summary.verdict == Verdict::Failed && a.summary.took < PATIENCE / 2
+    };
+    let failed = world.answers.iter().filter(early).count();
+    assert_eq!(failed, 0, "failed before their deadline");
+    let submitted = world.answers.len() - backlog;
+    let in_time = world.in_time(from, objective) * world.answers.len() as f64;
+    assert!(
+        in_time >= submitted as f64 * 0.9,
+        "{in_time} in time of {submitted}"
+    );
+}
