fix(gateway): no request is routed by a reading that is not confirmed

Cause: requests were forwarded as soon as a release had been read, although that first reading may be seconds old and readiness waits for what changed since. A restarted daemon could send a request over a withdrawn route or to a server that had left.

Change: callers and other daemons are refused as not ready until the reading is confirmed. To make that soon, a few daemons confirm it without waiting for more of them, and another daemon's view is fetched beside the first reading instead of after it.

--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -12,4 +12,4 @@
 pub use item::{Era, Event, Item, Page, Position, PositionError, Record, Watched};
 pub use reader::{Behind, Change, EraStep, Failure, Reader, ReaderSettings, Step};
 pub use relay::{Changes, Relay, Snapshot, Unserved};
-pub use source::{Source, choose_source};
+pub use source::{Source, choose_source, reads_directly};
--- a/crates/jasminepond-discovery/src/source.rs
+++ b/crates/jasminepond-discovery/src/source.rs
@@ -17,6 +17,11 @@
     Daemon(usize),
 }
 
+/// Whether each of so many daemons reads the store itself.
+pub fn reads_directly(daemons: usize) -> bool {
+    daemons <= MAX_DIRECT
+}
+
 /// Chooses where a daemon learns of changes. `running` says of each daemon, in the
 /// order that all agree on, whether it is thought to run; `rank` is the own place
 /// in it, and `failures` counts the calls that failed in a row.
@@ -33,7 +38,7 @@
 /// assert_eq!(choose_source(&[true; 90], 31, 3), Source::Store);
 /// ```
 pub fn choose_source(running: &[bool], rank: usize, failures: u32) -> Source {
-    if running.len() <= MAX_DIRECT {
+    if reads_directly(running.len()) {
         return Source::Store;
     }
     let readers: Vec<usize> = (0..READERS)
--- a/crates/jasminepond-gateway/src/front.rs
+++ b/crates/jasminepond-gateway/src/front.rs
@@ -22,9 +22,9 @@
     response::Wanted,
 };
 
-/// When a caller should come back that reached a daemon without a release: a
-/// daemon reads it within this time if the store answers.
-const RETRY_WITHOUT_RELEASE: Millis = Millis(300);
+/// When a caller should come back that reached a daemon which has not read the store yet:
+/// it has within this time if the store answers.
+const RETRY_WHEN_READ: Millis = Millis(300);
 
 /// Headers that concern one connection only, or that are set anew.
 const NOT_FORWARDED: [&str; 10] = [
@@ -97,9 +97,10 @@
             None,
         );
     };
-    if hub.read(|forwarder| forwarder.version().is_none()) {
-        let (kind, message) = (ErrorKind::NotReady, "no release has been read yet");
-        return refuse(hub, request_id, kind, message, Some(RETRY_WITHOUT_RELEASE));
+    if !hub.is_complete() {
+        let message = "the routes and backend servers have not been read yet";
+        let kind = ErrorKind::NotReady;
+        return refuse(hub, request_id, kind, message, Some(RETRY_WHEN_READ));
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let host = header("host").unwrap_or_default();
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -335,14 +335,15 @@
     let forwarder = Forwarder::new(forward_settings(&settings));
     let sockets = Readiness::new().map_err(StartError::Sockets)?;
     spawn_essential("sockets", watch(sockets.clone()), failed.clone());
+    let (complete, closing) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
     let hub = Hub::new(
         clock.clone(),
         dialect.headers(),
         forwarder,
         metrics,
         sockets,
+        complete.clone(),
     );
-    let (complete, closing) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
     let front_limits = SharedLimits::new(limits(&FrontLimits::default()).into());
     spawn_essential("timers", hub.clone().run_timers(), failed.clone());
     let members = Rc::new(RefCell::default());
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -60,6 +60,8 @@
     metrics: Rc<Metrics>,
     readiness: Rc<Readiness>,
     held: HeldBytes,
+    /// Set once a release and all backend servers were read.
+    complete: Rc<Cell<bool>>,
 }
 
 impl Hub {
@@ -70,6 +72,7 @@
         forwarder: Forwarder,
         metrics: Rc<Metrics>,
         readiness: Rc<Readiness>,
+        complete: Rc<Cell<bool>>,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
@@ -82,6 +85,7 @@
             metrics,
             readiness,
             held: HeldBytes::default(),
+            complete,
         })
     }
 
@@ -95,6 +99,11 @@
         &self.metrics
     }
 
+    /// Whether a release and all backend servers were read.
+    pub fn is_complete(&self) -> bool {
+        self.complete.get()
+    }
+
     /// The sockets of connections to backend servers.
     pub fn readiness(&self) -> &Rc<Readiness> {
         &self.readiness
--- a/crates/jasminepond-gateway/src/members.rs
+++ b/crates/jasminepond-gateway/src/members.rs
@@ -121,6 +121,9 @@
             let members = self.membership.view().len();
             if members != known {
                 (known, changed) = (members, now);
+                if applied.is_none() {
+                    *self.members.borrow_mut() = self.members();
+                }
             }
             let settled = now.since(changed) >= SETTLED && known > 1;
             let due = match applied {
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -7,11 +7,12 @@
     time::Duration,
 };
 
+use futures_util::join;
 use hyper::HeaderMap;
 use jasminepond_daemon::clock::Clock;
 use jasminepond_discovery::{
     Change, Changes, Era, EraStep, Failure, Reader, ReaderSettings, Snapshot, Source, Step,
-    choose_source,
+    choose_source, reads_directly,
 };
 use jasminepond_platform::{HttpAnswer, HttpReader, PlatformError};
 use jasminepond_routes::FrontLimits;
@@ -49,18 +50,18 @@
     pub on_limits: Rc<dyn Fn(&FrontLimits)>,
 }
 
-/// Longest wait for the other daemons before the store is read.
+/// Longest wait for the other daemons before the first reading is confirmed.
 const MEMBERS_WAIT: Duration = Duration::from_millis(120);
 
 /// Time between two looks whether they are known.
-const MEMBERS_POLL: Duration = Duration::from_millis(10);
+const MEMBERS_POLL: Duration = Duration::from_millis(5);
+
+/// Looks without a new daemon after which a few daemons are taken to be all.
+const FEW_LOOKS: u32 = 2;
 
 /// Longest time for which a daemon that starts waits for another's view.
 const FIRST_VIEW_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Daemons that are asked for it.
-const FIRST_VIEW_ASKED: usize = 1;
-
 /// What came of a call.
 enum Called {
     Changes(Vec<Change>),
@@ -72,9 +73,8 @@
     pub async fn run(self) {
         let started = self.clock.now();
         let mut reader = Reader::new(ReaderSettings::default());
-        self.read_first(&mut reader).await;
-        self.wait_for_members(started).await;
-        self.learn_from_another(&mut reader).await;
+        let (view, ()) = join!(self.fetch_view(started), self.read_first(&mut reader));
+        self.add_view(&mut reader, view);
         let mut peer: Option<(SocketAddr, HttpReader)> = None;
         loop {
             let now = self.clock.now();
@@ -142,47 +142,50 @@
         self.relay.taken_over(news);
     }
 
-    /// Adds what a daemon that runs knows: a store that has just come back from a copy
-    /// knows less.
-    async fn learn_from_another(&self, reader: &mut Reader) {
-        for address in self.others() {
-            let timeout = FIRST_VIEW_TIMEOUT;
-            let options = jasminepond_platform::Options { address, timeout };
-            let Ok(http) = HttpReader::new(options) else {
-                continue;
-            };
-            let path = relay::snapshot_call(Duration::ZERO);
-            let snapshot = match http.get(&path, Duration::ZERO).await {
-                Ok(HttpAnswer {
-                    status: 200, body, ..
-                }) => ciborium::from_reader::<Snapshot, _>(&body[..]),
-                // It has none, or does not run any more.
-                Ok(_) | Err(_) => continue,
-            };
-            match snapshot.map(|snapshot| reader.on_view(self.clock.now(), snapshot)) {
-                Ok(Ok(changes)) => {
-                    info!("store: first view from another daemon", kv: { source: = address, position: = reader.position() });
-                    return self.take_over(reader, false, changes);
-                }
-                Ok(Err(err)) => {
-                    warn!("store: no first view from another daemon", kv: { source: = address, cause: = err })
-                }
-                Err(err) => {
-                    warn!("store: no first view from another daemon", kv: { source: = address, cause: = err })
-                }
+    /// What a daemon that runs knows, once the others are known: a store that has just come
+    /// back from a copy knows less.
+    async fn fetch_view(&self, started: Timestamp) -> Option<(SocketAddr, Snapshot)> {
+        self.wait_for_members(started).await;
+        let address = self.next_daemon()?;
+        let timeout = FIRST_VIEW_TIMEOUT;
+        let http = HttpReader::new(jasminepond_platform::Options { address, timeout }).ok()?;
+        let path = relay::snapshot_call(Duration::ZERO);
+        // One that does not answer or has no view itself adds nothing.
+        let answer = http.get(&path, Duration::ZERO).await.ok()?;
+        if answer.status != 200 {
+            return None;
+        }
+        match ciborium::from_reader(&answer.body[..]) {
+            Ok(view) => Some((address, view)),
+            Err(err) => {
+                warn!("store: the view of another daemon cannot be read", kv: { source: = address, error: = err });
+                None
             }
         }
     }
 
-    /// Daemons that are asked for a first view: those that follow this one in the order
-    /// that all agree on.
-    fn others(&self) -> Vec<SocketAddr> {
+    fn add_view(&self, reader: &mut Reader, view: Option<(SocketAddr, Snapshot)>) {
+        let Some((source, view)) = view else {
+            return;
+        };
+        match reader.on_view(self.clock.now(), view) {
+            Ok(changes) => {
+                info!("store: view of another daemon added", kv: { source: = source, changes = changes.len() });
+                self.take_over(reader, false, changes);
+            }
+            Err(behind) => {
+                warn!("store: view of another daemon not added", kv: { source: = source, cause: = behind });
+            }
+        }
+    }
+
+    /// The running daemon that follows this one in the order that all agree on.
+    fn next_daemon(&self) -> Option<SocketAddr> {
         let members = self.members.borrow();
         let count = members.addresses.len();
-        let running = |rank: &usize| members.running.get(*rank) == Some(&true);
-        let others = (1..count).map(|step| (members.rank + step) % count);
-        let running = others.filter(running).take(FIRST_VIEW_ASKED);
-        running.map(|rank| members.addresses[rank]).collect()
+        let mut others = (1..count).map(|step| (members.rank + step) % count);
+        let next = others.find(|rank| members.running.get(*rank) == Some(&true))?;
+        members.addresses.get(next).copied()
     }
 
     fn log_ready(&self) {
@@ -195,9 +198,16 @@
     }
 
     /// Waits until the other daemons are known, for a short time at most: many daemons
-    /// that start together must not all read the store.
+    /// that start together must not all ask the store for what changed. A few may.
     async fn wait_for_members(&self, started: Timestamp) {
+        let (mut known, mut looks) = (0, 0);
         while !self.settled.get() && self.clock.now().since(started) < MEMBERS_WAIT {
+            let present = self.members.borrow().running.len();
+            looks = if present == known { looks + 1 } else { 0 };
+            known = present;
+            if known > 1 && looks >= FEW_LOOKS && reads_directly(known) {
+                return;
+            }
             compio::time::sleep(MEMBERS_POLL).await;
         }
     }
