fix(forward): windows and late callers hold with odd callers and many samples

One caller that states a far longer time than others made all others late for good. A view of another daemon, up to three seconds old, brought back a server whose entry had gone before the first reading.

A view adds entries only while the store settles. The time to settle follows the servers' heartbeat in the settings.

--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -10,6 +10,6 @@
 mod source;
 
 pub use item::{Era, Event, Item, Page, Position, PositionError, Record, Watched};
-pub use reader::{Behind, Change, EraStep, Failure, Reader, ReaderSettings, Step};
+pub use reader::{Behind, Change, EraStep, Failure, Reader, ReaderSettings, Step, settle_time};
 pub use relay::{Changes, Relay, Snapshot, Unserved};
 pub use source::{Source, choose_source, reads_directly};
--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -28,8 +28,7 @@
     /// is current within a second of the store's return.
     pub retry_max: Duration,
     /// Time after the store came back from a copy in which servers write their entries
-    /// again, and entries of servers that have left lapse: three of their heartbeats,
-    /// and two seconds.
+    /// again, and entries of servers that have left lapse.
     pub settle: Duration,
 }
 
@@ -40,11 +39,20 @@
             watch_pause: Duration::from_millis(120),
             retry_min: Duration::from_millis(30),
             retry_max: Duration::from_millis(400),
-            settle: Duration::from_millis(5_600),
+            settle: settle_time(Duration::from_millis(1_200)),
         }
     }
 }
 
+/// Time in which a store that came back from a copy shows what is: an entry lapses after
+/// three heartbeats of its server without a write, and those that live have written again
+/// within two seconds.
+pub const fn settle_time(heartbeat: Duration) -> Duration {
+    heartbeat
+        .saturating_mul(3)
+        .saturating_add(Duration::from_secs(2))
+}
+
 /// A call to the store, or a pause.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
@@ -406,8 +414,9 @@
         Ok(changes)
     }
 
-    /// Adds the state of another daemon to what was read of the store: the store may have
-    /// just come back from a copy, and the other daemon know more.
+    /// Adds the state of another daemon to what was read of the store. While the store
+    /// settles after it came back from a copy, the other daemon knows more; else only its
+    /// release may be newer, and its entries are as old as its position.
     ///
     /// # Errors
     ///
@@ -424,6 +433,10 @@
         if let Some(release) = view.release {
             self.take(now, Item::Release(release), Shown::Listed, &mut changes);
         }
+        if view.settles_in == Millis(0) {
+            return Ok(changes);
+        }
+        self.settle(now, view.settles_in.duration());
         let mut shown = HashSet::new();
         for backend in view.backends {
             shown.insert(backend.id.to_string());
@@ -431,11 +444,8 @@
                 changes.push(Change::Backend(backend));
             }
         }
-        if view.settles_in > Millis(0) {
-            self.settle(now, view.settles_in.duration());
-            for id in self.entries.missing(&shown) {
-                self.gone(now, id, "unknown to another daemon", &mut changes);
-            }
+        for id in self.entries.missing(&shown) {
+            self.gone(now, id, "unknown to another daemon", &mut changes);
         }
         Ok(changes)
     }
--- a/crates/jasminepond-discovery/tests/restored.rs
+++ b/crates/jasminepond-discovery/tests/restored.rs
@@ -316,6 +316,26 @@
     assert!(matches!(next, Step::ListBackends { stale: false, .. }));
 }
 
+/// The view of another daemon may be seconds older than the reading: a server that left
+/// in between stays out of use.
+#[test]
+fn an_older_view_brings_back_no_server() {
+    let mut relay = Relay::default();
+    let known = [
+        Change::Backend(entry("a", 1)),
+        Change::Backend(entry("left", 1)),
+    ];
+    relay.record(NOW, Position::new(FIRST, 480), &known);
+    let mut reader = Reader::new(ReaderSettings::default());
+    reader.on_era(NOW, FIRST);
+    reader.on_release(NOW, Some(release(5)), Position::new(FIRST, 482));
+    reader.on_page(NOW, page(FIRST, 482, &[entry("a", 1)]));
+    assert_eq!(
+        reader.on_view(NOW, relay.snapshot(NOW).unwrap()),
+        Ok(vec![])
+    );
+}
+
 /// A daemon that has not noticed the return of the store knows nothing newer.
 #[test]
 fn a_view_of_an_older_era_is_refused() {
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -396,9 +396,8 @@
         let objective = route.objective();
         let patience = arrival.patience.min(route.route.timeout.duration());
         let deadline = now + patience;
-        let longest = route.stats.patience.get().max(arrival.patience);
-        route.stats.patience.set(longest);
-        let late = longest - arrival.patience >= objective;
+        let spent = route.stats.patience.borrow_mut().spent(arrival.patience);
+        let late = spent >= objective;
         let only = arrival.delegated.as_ref();
         let repeat = only.is_some_and(|delegated| delegated.repeat);
         let parts = match &route.destination {
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -8,7 +8,7 @@
 use crate::{
     message::{Action, Belief, CallKey, ConnKey, ReqKey},
     request::{ActiveRoute, Part, PartState, Req},
-    server::{Server, ServerKey, Standing},
+    server::{ServerKey, Standing},
     service::{ServiceKey, Waiting},
     timers::Timer,
 };
@@ -48,7 +48,7 @@
                 let server = &self.servers[key];
                 Some(Candidate {
                     standing: server.standing(now, &self.settings)?,
-                    cost: server.cost(now, self.unanswered(now, server), &self.settings),
+                    cost: server.cost(now, &self.settings),
                     server: key,
                 })
             })
@@ -60,18 +60,6 @@
         candidates
     }
 
-    /// Age of the oldest call on a server, in usual latencies of its route.
-    pub(crate) fn unanswered(&self, now: Timestamp, server: &Server) -> f64 {
-        let Some(call) = server.calls.first().and_then(|key| self.calls.get(*key)) else {
-            return 0.0;
-        };
-        if call.delegated {
-            return 0.0;
-        }
-        let usual = call.route.stats.latency.borrow().median().as_secs_f64();
-        now.since(call.sent).as_secs_f64() / usual.max(0.001)
-    }
-
     /// Whether a request for the service need not be refused at once.
     pub(super) fn has_usable(&self, now: Timestamp, service: ServiceKey) -> bool {
         let mut servers = self.services[service].servers.iter();
@@ -301,11 +289,8 @@
         };
         let part = &req.parts[index];
         let may_run_again = part.runs < req.route.route.max_attempts;
-        if req.late
-            || !matches!(part.state, PartState::Sent)
-            || !may_run_again
-            || part.calls.len() > 1
-        {
+        let may_help = !req.late && may_run_again && part.calls.len() <= 1;
+        if !matches!(part.state, PartState::Sent) || !may_help {
             return;
         }
         let (service, deadline) = (part.service, req.deadline);
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -46,7 +46,7 @@
         };
         let latency = now.since(call.sent);
         if reply.is_success() && !call.delegated {
-            call.route.stats.latency.borrow_mut().observe(latency);
+            call.route.stats.latency.borrow_mut().observe(now, latency);
         }
         if let Some(server) = self.servers.get_mut(call.server) {
             let full = server.calls.len() + 1 >= server.window_size(&self.settings);
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -11,6 +11,7 @@
 mod latency;
 mod merge;
 mod message;
+mod patience;
 mod report;
 mod request;
 mod server;
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -67,7 +67,7 @@
                 service: server.backend.service.clone(),
                 standing: name(standing),
                 why: server.why(now, standing),
-                cost: server.cost(now, self.unanswered(now, server), settings),
+                cost: server.cost(now, settings),
                 connections: server.conns.len(),
                 calls: server.calls.len(),
             }
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -1,11 +1,6 @@
 //! A request in progress.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use jasminepond_routes::{ReleaseVersion, Repeat, Route, SplitChooser};
 use jasminepond_types::Timestamp;
@@ -13,6 +8,7 @@
 use crate::{
     latency::LatencyTracker,
     message::{CallKey, ConnKey, Reply},
+    patience::Patience,
     server::ServerKey,
     service::ServiceKey,
 };
@@ -34,9 +30,7 @@
 pub(crate) struct RouteStats {
     pub(crate) objective: Duration,
     pub(crate) latency: RefCell<LatencyTracker>,
-    /// Longest time that callers wait: what one that waits less has spent on earlier
-    /// attempts.
-    pub(crate) patience: Cell<Duration>,
+    pub(crate) patience: RefCell<Patience>,
 }
 
 impl RouteStats {
@@ -44,7 +38,7 @@
         Self {
             objective,
             latency: RefCell::new(LatencyTracker::new(objective)),
-            patience: Cell::default(),
+            patience: RefCell::default(),
         }
     }
 }
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -163,12 +163,10 @@
         Some(reached.max(self.quiet_until.since(now)))
     }
 
-    /// Expected cost of one more request, relative to an idle sound server. `unanswered` is
-    /// the age of its oldest call in usual latencies: a server that has stopped answering
-    /// is at least that slow.
-    pub(crate) fn cost(&self, now: Timestamp, unanswered: f64, settings: &ForwardSettings) -> f64 {
+    /// Expected cost of one more request, relative to an idle sound server.
+    pub(crate) fn cost(&self, now: Timestamp, settings: &ForwardSettings) -> f64 {
         let age = self.age_factor(now, settings);
-        let slowness = (1.0 + (self.slowness - 1.0) * age).max(unanswered);
+        let slowness = 1.0 + (self.slowness - 1.0) * age;
         let failing = self.failing * age;
         let cold = if now < self.cold_until {
             COLD_COST
--- a/crates/jasminepond-forward/tests/load.rs
+++ b/crates/jasminepond-forward/tests/load.rs
@@ -342,11 +342,13 @@
     world.add_shards(20, 15 * MS, Duration::ZERO, Duration::ZERO);
     world.put_release(1, vec![search(20, 120, 0.89)]);
     let from = world.now;
-    world.submit("/search/x", PATIENCE);
+    for _ in 0..2 {
+        world.submit("/search/x", PATIENCE);
+    }
     for _ in 0..120 {
         world.submit("/search/x", PATIENCE / 2);
     }
-    let backlog = world.answers.len() + 121;
+    let backlog = world.answers.len() + 122;
     world.load("/search/x", 105.0, Duration::from_secs(2), PATIENCE);
     world.run_for(PATIENCE);
     let early = |a: &&world::Answered| {
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -27,6 +27,7 @@
     },
     stop::{Stop, stop},
 };
+use jasminepond_discovery::{ReaderSettings, settle_time};
 use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
 use jasminepond_membership::Me;
 use jasminepond_platform::{HttpReader, PlatformError};
@@ -353,6 +354,10 @@
     let follower = Follower {
         http,
         timeout: settings.store.timeout_ms.duration(),
+        reader: ReaderSettings {
+            settle: settle_time(settings.store.heartbeat_ms.duration()),
+            ..ReaderSettings::default()
+        },
         members: members.clone(),
         settled: settled.clone(),
         relay: relay.clone(),
--- a/crates/jasminepond-gateway/src/settings.rs
+++ b/crates/jasminepond-gateway/src/settings.rs
@@ -38,6 +38,14 @@
     /// Longest time of a read, and of a watch beyond the wait that it asks for.
     #[serde(default = "default_store_timeout")]
     pub timeout_ms: Millis,
+    /// Time between two writes of a backend server's entry, by which is judged when a
+    /// store that came back from a copy shows what is.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat_ms: Millis,
+}
+
+fn default_heartbeat() -> Millis {
+    Millis(1_200)
 }
 
 /// The store answers within milliseconds; with the wait of a watch this stays
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -32,6 +32,8 @@
     pub http: HttpReader,
     /// Longest time of a read.
     pub timeout: Duration,
+    /// Settings of the reader.
+    pub reader: ReaderSettings,
     /// The other daemons.
     pub members: Rc<RefCell<Members>>,
     /// Set once they are known.
@@ -72,7 +74,7 @@
     /// Follows the store for as long as the process runs.
     pub async fn run(self) {
         let started = self.clock.now();
-        let mut reader = Reader::new(ReaderSettings::default());
+        let mut reader = Reader::new(self.reader.clone());
         let (view, ()) = join!(self.fetch_view(started), self.read_first(&mut reader));
         self.add_view(&mut reader, view);
         let mut peer: Option<(SocketAddr, HttpReader)> = None;
