feat(gateway): log stated rate limits and the sends to limited servers

Change: the header is parsed once, in the response reader; the adapter names it. Events when a limit is stated, changed, lifted or invalid, and every 4 s the first, hedged and retried sends of a daemon to a limited server; a gauge of limited servers and the limit in the status page. Server selection is unchanged. Tests of the crates forward, gateway and ratelimit pass.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -30,6 +30,7 @@
 
 mod connect;
 mod delegate;
+mod limits;
 mod place;
 mod settle;
 
@@ -82,6 +83,8 @@
     pub servers: usize,
     /// Servers to which no connection can be opened.
     pub down: usize,
+    /// Servers that state a rate limit.
+    pub limited: usize,
     /// Requests in progress.
     pub requests: usize,
     /// Calls in progress.
@@ -191,6 +194,11 @@
             routes: self.active.len(),
             servers: self.servers_by_id.len(),
             down: self.servers.values().filter(down).count(),
+            limited: self
+                .servers
+                .values()
+                .filter(|server| server.limit.is_some())
+                .count(),
             requests: self.reqs.len(),
             calls: self.calls.len(),
             connections: self.conns.len(),
@@ -528,6 +536,7 @@
                 Timer::Deadline(req) => self.on_deadline(now, req),
                 Timer::RemoteIdle(conn) => self.on_remote_idle(now, conn),
                 Timer::Server(server) => self.on_server_timer(now, server),
+                Timer::LimitUsage(server) => self.report_limit_usage(now, server),
             }
         }
     }
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -4,7 +4,7 @@
 
 use jasminepond_types::{Millis, Timestamp};
 
-use super::{Call, ConnState, Forwarder, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN};
+use super::{Call, ConnState, Forwarder, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN, limits::count_send};
 use crate::{
     message::{Action, CallKey, ConnKey, ReqKey, ServerEvent},
     request::{ActiveRoute, Part, PartState, Req},
@@ -203,6 +203,7 @@
             route: route.clone(),
         });
         let part = &mut req.parts[index];
+        count_send(&mut self.servers[server_key], part);
         part.state = PartState::Sent;
         part.calls.push(call);
         part.tried.push(server_key);
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -59,6 +59,7 @@
         let not_run = reply.not_run || reply.wrong_server;
         if !call.delegated {
             self.apply_restrictions(now, call.server, &reply);
+            self.observe_limit(now, call.server, &reply);
         }
         if let Some(server) = self.servers.get_mut(call.server) {
             if reply.is_success() {
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, str::FromStr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use jasminepond_ratelimit::RateLimit;
 use jasminepond_routes::{ReleaseVersion, ServiceName};
 use jasminepond_types::{ErrorKind, Millis};
 use serde::{Deserialize, Serialize};
@@ -118,8 +119,17 @@
     }
 }
 
+/// Rate limit that a server stated in a response.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StatedLimit {
+    /// All daemons together may send this many requests.
+    Limit(RateLimit),
+    /// The value is not a number of requests per second.
+    Invalid,
+}
+
 /// Response of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
@@ -136,6 +146,8 @@
     pub leaving: bool,
     /// Time for which the server wants no further requests, if stated.
     pub retry_after: Option<RetryAfter>,
+    /// Rate limit of the server, if stated.
+    pub rate_limit: Option<StatedLimit>,
     /// Whether the body has a content encoding, and so is not as the server wrote it.
     pub encoded: bool,
     /// Headers to forward.
@@ -152,7 +164,7 @@
 }
 
 /// Response of a call and the state of its connection afterwards.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Exchange {
     /// The response.
     pub reply: Reply,
@@ -181,7 +193,7 @@
 }
 
 /// Answer to a caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
     /// Response of a backend server, forwarded unchanged.
     Forwarded(Reply),
@@ -254,7 +266,7 @@
 }
 
 /// Change in the state of a backend server as observed by the forwarder.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ServerEvent {
     /// A call is unanswered for too long; other servers are preferred from now on.
     Stalled {
@@ -279,10 +291,44 @@
     },
     /// The server sent an invalid `Retry-After`, which is ignored.
     InvalidRetryAfter,
+    /// The server stated a rate limit, or a different one than before.
+    Limited {
+        /// The limit.
+        limit: RateLimit,
+    },
+    /// The server no longer states a rate limit.
+    LimitLifted,
+    /// The server stated an invalid rate limit, which is ignored.
+    InvalidLimit,
+    /// Sends of this daemon to a limited server since the last such event.
+    LimitUsage {
+        /// The limit.
+        limit: RateLimit,
+        /// The sends.
+        sends: SendCounts,
+    },
+}
+
+/// Number of sends to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct SendCounts {
+    /// First sends of a request or of a part of a search.
+    pub first: u32,
+    /// Hedged sends.
+    pub hedged: u32,
+    /// Sends after a rejection or a failure.
+    pub retried: u32,
+}
+
+impl SendCounts {
+    /// All sends.
+    pub fn total(&self) -> u32 {
+        self.first + self.hedged + self.retried
+    }
 }
 
 /// An action for the caller of the forwarder to carry out.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Open a connection.
     Open {
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use jasminepond_ratelimit::RateLimit;
 use jasminepond_routes::{Route, ServiceName, Target};
 use jasminepond_types::Timestamp;
 
@@ -41,6 +42,8 @@
     pub connections: usize,
     /// Calls in progress.
     pub calls: usize,
+    /// Rate limit that the server states.
+    pub limit: Option<RateLimit>,
 }
 
 impl Forwarder {
@@ -70,6 +73,7 @@
                 cost: server.cost(now, settings),
                 connections: server.conns.len(),
                 calls: server.calls.len(),
+                limit: server.limit,
             }
         };
         let mut reports: Vec<_> = self.known_servers().map(report).collect();
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use jasminepond_ratelimit::RateLimit;
 use jasminepond_types::Timestamp;
 use slotmap::new_key_type;
 
 use crate::{
     departed::Restriction,
-    message::{Backend, BackendState, CallKey, ConnKey},
+    message::{Backend, BackendState, CallKey, ConnKey, SendCounts},
     service::ServiceKey,
     settings::ForwardSettings,
     window::Window,
@@ -75,6 +76,10 @@
     pub(crate) stopping: bool,
     /// Time until which the server gets no requests, as set by its `Retry-After`.
     back_off_until: Timestamp,
+    /// Rate limit that the server states.
+    pub(crate) limit: Option<RateLimit>,
+    /// Sends since the last report on the use of its limit.
+    pub(crate) sends: SendCounts,
     stalled: bool,
     full_until: Timestamp,
     warm_up_until: Timestamp,
@@ -93,6 +98,8 @@
             leaving_since: None,
             stopping: false,
             back_off_until: Timestamp::ZERO,
+            limit: None,
+            sends: SendCounts::default(),
             backend,
             service,
             conns: Vec::new(),
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -576,6 +576,7 @@
         wrong_server: false,
         leaving: false,
         retry_after: None,
+        rate_limit: None,
         encoded: false,
         headers: Vec::new(),
         body: Bytes::from_static(b"0123456789abcdef"),
--- a/crates/jasminepond-gateway/src/adapter.rs
+++ b/crates/jasminepond-gateway/src/adapter.rs
@@ -19,6 +19,8 @@
     pub not_run: &'static str,
     /// Present with a value other than `0` if the server is about to stop.
     pub leaving: &'static str,
+    /// Number of requests per second that the server accepts from all daemons together.
+    pub rate_limit: &'static str,
     /// Number of times that the store was restored from a backup.
     pub store_era: &'static str,
     /// Signatures of the parts of a merged response.
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
+use jasminepond_ratelimit::RateLimit;
 use jasminepond_routes::CallerLimits;
 use jasminepond_types::ErrorKind;
 use serde_json::json;
@@ -242,6 +243,7 @@
                 "cost": (server.cost * 100.0).round() / 100.0,
                 "connections": server.connections,
                 "calls": server.calls,
+                "limit_per_second": server.limit.map(RateLimit::per_second),
             })
         };
         let routes = forwarder.route_reports().into_iter().map(route);
@@ -250,6 +252,7 @@
             "release": status.version.0,
             "release_age_ms": now.since(forwarder.released()).as_millis() as u64,
             "servers_down": status.down,
+            "servers_limited": status.limited,
             "requests": status.requests,
             "calls": status.calls,
             "connections": status.connections,
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -356,6 +356,26 @@
         ServerEvent::InvalidRetryAfter => {
             info!("gateway: a backend server's Retry-After cannot be read and is ignored", kv: { server });
         }
+        ServerEvent::Limited { limit } => {
+            let limit_per_s = limit.per_second();
+            info!("gateway: a backend server states a rate limit", kv: { server, limit_per_s });
+        }
+        ServerEvent::LimitLifted => {
+            info!("gateway: a backend server no longer states a rate limit", kv: { server });
+        }
+        ServerEvent::InvalidLimit => {
+            info!("gateway: a backend server's rate limit cannot be read and is ignored", kv: { server });
+        }
+        ServerEvent::LimitUsage { limit, sends } => {
+            let limit_per_s = limit.per_second();
+            info!("gateway: sends to a backend server with a rate limit", kv: {
+                server,
+                limit_per_s,
+                first = sends.first,
+                hedged = sends.hedged,
+                retried = sends.retried,
+            });
+        }
         ServerEvent::AddressTaken => {
             info!("gateway: another server answers at the address of a backend server", kv: { server });
         }
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -45,6 +45,7 @@
     release: Gauge,
     servers: Gauge,
     servers_down: Gauge,
+    servers_limited: Gauge,
     waiting: Gauge,
     store_down: Cell<bool>,
 }
@@ -68,6 +69,7 @@
             release: Gauge::default(),
             servers: Gauge::default(),
             servers_down: Gauge::default(),
+            servers_limited: Gauge::default(),
             waiting: Gauge::default(),
             store_down: Cell::new(false),
         };
@@ -133,6 +135,11 @@
                 "Backend servers that cannot be reached",
                 &self.servers_down,
             ),
+            (
+                "servers_limited",
+                "Backend servers that state a rate limit",
+                &self.servers_limited,
+            ),
             (
                 "waiting",
                 "Parts of requests that wait for a connection",
@@ -148,6 +155,7 @@
     pub fn render(&self, status: Status) -> String {
         self.servers.set(status.servers as i64);
         self.servers_down.set(status.down as i64);
+        self.servers_limited.set(status.limited as i64);
         self.waiting.set(status.waiting as i64);
         let mut text = String::new();
         // Writing to a string cannot fail, but the encoding of a metric can.
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use jasminepond_forward::{Reply, RetryAfter};
+use jasminepond_forward::{Reply, RetryAfter, StatedLimit};
 
 use crate::HeaderNames;
 
@@ -54,7 +54,7 @@
 }
 
 /// A complete response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Message {
     /// Id of the request, if the server states it.
     pub request_id: Option<Bytes>,
@@ -67,7 +67,7 @@
 }
 
 /// Result of [`ResponseReader::advance`].
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Parsed {
     /// More bytes are needed.
     Incomplete,
@@ -144,8 +144,8 @@
 ///
 /// let names = HeaderNames {
 ///     request_id: "x-id", time_left_ms: "x-left", expected_server: "x-server",
-///     stamp: "x-stamp", not_run: "x-not-run", leaving: "x-leaving", store_era: "x-era",
-///     part_stamps: "x-parts", missing_parts: "x-missing",
+///     stamp: "x-stamp", not_run: "x-not-run", leaving: "x-leaving", rate_limit: "x-limit",
+///     store_era: "x-era", part_stamps: "x-parts", missing_parts: "x-missing",
 /// };
 /// let bytes = b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
 /// let mut reader = ResponseReader::default();
@@ -272,6 +272,7 @@
                 wrong_server: status == MISDIRECTED,
                 leaving: false,
                 retry_after: None,
+                rate_limit: None,
                 encoded: false,
                 headers: Vec::new(),
                 body: Bytes::new(),
@@ -463,6 +464,9 @@
         } else if is(names.leaving) {
             message.reply.leaving = value.trim_ascii() != b"0";
             keep_header(message, header, keep_headers);
+        } else if is(names.rate_limit) {
+            merge_rate_limit(&mut message.reply, value);
+            keep_header(message, header, keep_headers);
         } else if is("retry-after") {
             merge_retry_after(&mut message.reply, value);
             keep_header(message, header, keep_headers);
@@ -493,6 +497,18 @@
     };
 }
 
+/// Records a stated rate limit. Of several values, the lowest takes effect.
+fn merge_rate_limit(reply: &mut Reply, value: &[u8]) {
+    let limit = std::str::from_utf8(value).ok();
+    let limit = limit.and_then(|text| text.parse().ok());
+    let stated = limit.map_or(StatedLimit::Invalid, StatedLimit::Limit);
+    reply.rate_limit = match (reply.rate_limit, stated) {
+        (Some(StatedLimit::Limit(a)), StatedLimit::Limit(b)) => Some(StatedLimit::Limit(a.min(b))),
+        (Some(known @ StatedLimit::Limit(_)), StatedLimit::Invalid) => Some(known),
+        (_, stated) => Some(stated),
+    };
+}
+
 fn keep_header(message: &mut Message, header: &httparse::Header<'_>, keep_headers: bool) {
     if keep_headers {
         let name = Bytes::copy_from_slice(header.name.as_bytes());
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
-use jasminepond_forward::RetryAfter;
+use jasminepond_forward::{RetryAfter, StatedLimit};
 use jasminepond_gateway::{
     ExpectedResponse, HeaderNames, Message, ParseError, Parsed, ResponseReader,
 };
+use jasminepond_ratelimit::RateLimit;
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -17,6 +18,7 @@
     stamp: "x-stamp",
     not_run: "x-not-run",
     leaving: "server-leaving",
+    rate_limit: "server-limit",
     store_era: "store-era",
     part_stamps: "x-parts",
     missing_parts: "x-missing",
@@ -259,3 +261,27 @@
     assert_eq!(message.reply.leaving, leaving);
     assert_eq!(message.reply.retry_after, retry_after);
 }
+
+/// A rate limit is read once, in whatever response it is stated; of several, the lowest
+/// takes effect.
+#[test_case("200 OK", "Server-Limit: 22.8\r\n", Some(22.8); "in a success")]
+#[test_case("500 Failed", "server-limit: 3\r\n", Some(3.0); "in a failure")]
+#[test_case("503 Full", "Server-Limit: 0.5\r\nRetry-After: 1\r\n", Some(0.5); "in a rejection")]
+#[test_case("200 OK", "Server-Limit: 9\r\nServer-Limit: 4\r\n", Some(4.0); "twice")]
+#[test_case("200 OK", "Server-Limit: 4\r\nServer-Limit: many\r\n", Some(4.0); "once invalid")]
+#[test_case("200 OK", "Server-Limit: -4\r\n", None; "negative")]
+#[test_case("200 OK", "Server-Limit:\r\n", None; "empty")]
+#[test_case("200 OK", "Server-Limit: \u{ff}\r\n", None; "not ASCII")]
+fn stated_rate_limits_are_read(status: &str, headers: &str, limit: Option<f64>) {
+    let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n{headers}\r\n");
+    let (message, _) = parse_complete(bytes.as_bytes(), false);
+    let expected = limit.and_then(RateLimit::new);
+    let expected = expected.map_or(StatedLimit::Invalid, StatedLimit::Limit);
+    assert_eq!(message.reply.rate_limit, Some(expected));
+}
+
+#[test]
+fn a_response_without_a_rate_limit_states_none() {
+    let (message, _) = parse_complete(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
+    assert_eq!(message.reply.rate_limit, None);
+}
--- /dev/null
+++ b/crates/jasminepond-ratelimit/src/lib.rs
@@ -0,0 +1,5 @@
+//! Rate limits that backend servers state for all daemons together.
+
+mod rate;
+
+pub use rate::{ParseRateLimitError, RateLimit};
