--- /dev/null
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -0,0 +1,409 @@
+//! Simulation of several daemons that share backend servers, on a virtual clock.
+
+#![allow(
+    dead_code,
+    reason = "freezes and lost datagrams are used by later tests"
+)]
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use jasminepond_forward::{
+    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, Exchange, ForwardSettings,
+    Forwarder, Peer, Reply, ReqKey, StatedLimit, Summary,
+};
+use jasminepond_ratelimit::RateLimit;
+use jasminepond_routes::{Release, ReleaseVersion, Route, ServiceSpec};
+use jasminepond_types::{Millis, Timestamp};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::sim::reply;
+
+/// Delay of requests, responses and datagrams.
+const LATENCY: Duration = Duration::from_millis(2);
+
+/// Window over which the requests to a limited server are counted.
+const COUNTED_WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after which a daemon that has received a limit must respect it.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// Time after a server first stated a limit from which its windows are counted.
+const CONTACT: Duration = Duration::from_secs(4);
+
+/// A backend server.
+pub struct Server {
+    pub entry: Backend,
+    /// Duration of a request.
+    pub work: Duration,
+    /// Limit that the server states in its responses.
+    pub limit: Option<StatedLimit>,
+    /// Status of its responses. It states that it has not run a request with status 503.
+    pub status: u16,
+    /// Time and daemon of each request that arrived.
+    pub arrived: Vec<(Timestamp, usize)>,
+    /// When each process of a daemon first received a limit from the server.
+    told: HashMap<usize, Timestamp>,
+}
+
+struct Daemon {
+    forwarder: Forwarder,
+    /// Number of process starts.
+    starts: u32,
+    /// The process does nothing until then.
+    frozen_until: Timestamp,
+    /// Whether datagrams from and to the daemon are lost.
+    unreachable: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Event {
+    Opened(ConnKey),
+    Arrived(ConnKey, ReqKey, usize),
+    Replied(ConnKey, usize, Option<StatedLimit>, u16),
+}
+
+/// An answered request.
+pub struct Answered {
+    pub at: Timestamp,
+    pub answer: Option<Answer>,
+    pub summary: Summary,
+}
+
+pub struct World {
+    pub now: Timestamp,
+    pub servers: Vec<Server>,
+    pub answers: Vec<Answered>,
+    daemons: Vec<Daemon>,
+    events: BinaryHeap<Reverse<(Timestamp, u64)>>,
+    /// Event data by number: the daemon, its process and the event.
+    pending: HashMap<u64, (usize, u32, Event)>,
+    conns: HashMap<(usize, ConnKey), usize>,
+    next_event: u64,
+    release: Release,
+    rng: StdRng,
+}
+
+pub fn limit(per_second: f64) -> Option<StatedLimit> {
+    RateLimit::new(per_second).map(StatedLimit::Limit)
+}
+
+fn daemon_address(daemon: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 1, 1], 20_000 + daemon as u16))
+}
+
+impl World {
+    /// Creates daemons that know each other and the route, without servers.
+    pub fn new(daemons: usize, route: Route, seed: u64) -> Self {
+        let mut world = Self {
+            now: Timestamp::from_millis(1),
+            servers: Vec::new(),
+            answers: Vec::new(),
+            daemons: Vec::new(),
+            events: BinaryHeap::new(),
+            pending: HashMap::new(),
+            conns: HashMap::new(),
+            next_event: 0,
+            release: Release {
+                version: ReleaseVersion(1),
+                routes: vec![route],
+                ..Release::default()
+            },
+            rng: StdRng::seed_from_u64(seed),
+        };
+        for _ in 0..daemons {
+            world.daemons.push(Daemon {
+                forwarder: Forwarder::default(),
+                starts: 0,
+                frozen_until: Timestamp::ZERO,
+                unreachable: false,
+            });
+        }
+        for daemon in 0..daemons {
+            world.restart(daemon);
+        }
+        world
+    }
+
+    /// Starts a new process of a daemon, which knows all daemons and servers.
+    pub fn restart(&mut self, daemon: usize) {
+        let settings = ForwardSettings {
+            zone: "a".to_owned(),
+            ..ForwardSettings::default()
+        };
+        let state = &mut self.daemons[daemon];
+        state.starts += 1;
+        state.forwarder = Forwarder::new(settings);
+        self.conns.retain(|(owner, _), _| *owner != daemon);
+        for server in &mut self.servers {
+            server.told.remove(&daemon);
+        }
+        let running = vec![true; self.daemons.len()];
+        self.set_view(daemon, &running);
+        self.daemons[daemon]
+            .forwarder
+            .put_release(self.now, &self.release);
+        for server in 0..self.servers.len() {
+            let entry = self.servers[server].entry.clone();
+            self.daemons[daemon].forwarder.put_backend(self.now, entry);
+        }
+        self.run_actions(daemon);
+    }
+
+    /// Starts all daemons anew.
+    pub fn restart_all(&mut self) {
+        for daemon in 0..self.daemons.len() {
+            self.restart(daemon);
+        }
+    }
+
+    /// Sets which daemons one daemon considers running.
+    pub fn set_view(&mut self, daemon: usize, running: &[bool]) {
+        let peer = |other: usize| Peer {
+            instance: name(other),
+            address: daemon_address(other),
+            zone: "a".to_owned(),
+            processor: Default::default(),
+            rank: other as u32,
+            running: running[other],
+        };
+        let others = (0..running.len()).filter(|other| *other != daemon);
+        let peers = others.map(peer).collect();
+        let cluster = Cluster {
+            daemons: running.len() as u32,
+            rank: daemon as u32,
+        };
+        self.daemons[daemon]
+            .forwarder
+            .set_daemons(self.now, cluster, peers);
+        self.run_actions(daemon);
+    }
+
+    /// Adds a server and its entry at all daemons.
+    pub fn add_server(&mut self, service: &str, work: Duration) -> usize {
+        let index = self.servers.len();
+        let entry = Backend {
+            id: format!("{service}-{index}").into(),
+            service: service.into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 10_000 + index as u16)),
+            zone: "a".to_owned(),
+            slots: 2,
+            state: BackendState::Ready,
+            warm_up_left: Millis(0),
+            started: Some(1),
+            writes: 1,
+        };
+        let max_connections = 4 * self.daemons.len() as u32;
+        let spec = ServiceSpec { max_connections };
+        self.release.services.insert(service.into(), spec);
+        self.servers.push(Server {
+            entry: entry.clone(),
+            work,
+            limit: None,
+            status: 200,
+            arrived: Vec::new(),
+            told: HashMap::new(),
+        });
+        for daemon in 0..self.daemons.len() {
+            self.daemons[daemon]
+                .forwarder
+                .put_backend(self.now, entry.clone());
+            self.run_actions(daemon);
+        }
+        index
+    }
+
+    /// Freezes a daemon. Its clock stops as well.
+    pub fn freeze(&mut self, daemon: usize, time: Duration) {
+        self.daemons[daemon].frozen_until = self.now + time;
+    }
+
+    /// Loses all datagrams from and to a daemon, or no longer.
+    pub fn set_unreachable(&mut self, daemon: usize, unreachable: bool) {
+        self.daemons[daemon].unreachable = unreachable;
+    }
+
+    /// Submits a request at a daemon.
+    pub fn submit(&mut self, daemon: usize, path: &str, time_left: Duration) {
+        let state = &mut self.daemons[daemon];
+        if self.now < state.frozen_until {
+            return;
+        }
+        let route = state.forwarder.route("localhost", path).expect("a route");
+        let arrival = Arrival {
+            route,
+            time_left,
+            delegated: None,
+        };
+        state.forwarder.submit(self.now, arrival);
+        self.run_actions(daemon);
+    }
+
+    /// Submits requests as a Poisson process. The demand of the daemons differs by a
+    /// factor of up to four.
+    pub fn load(&mut self, path: &str, per_s: f64, time: Duration, time_left: Duration) {
+        let end = self.now + time;
+        let weights: Vec<f64> = (0..self.daemons.len())
+            .map(|daemon| f64::from(1 + daemon as u32 % 4))
+            .collect();
+        let total: f64 = weights.iter().sum();
+        loop {
+            let gap = -(1.0 - self.rng.random::<f64>()).ln() / per_s;
+            let next = self.now + Duration::from_secs_f64(gap);
+            if next > end {
+                return self.run_until(end);
+            }
+            self.run_until(next);
+            let mut pick = self.rng.random::<f64>() * total;
+            let daemon = weights.iter().position(|weight| {
+                pick -= weight;
+                pick < 0.0
+            });
+            self.submit(daemon.unwrap_or(0), path, time_left);
+        }
+    }
+
+    /// Runs the simulation until `end`.
+    pub fn run_until(&mut self, end: Timestamp) {
+        loop {
+            let event = self.events.peek().map(|Reverse((at, _))| *at);
+            let ticks = self
+                .daemons
+                .iter()
+                .enumerate()
+                .filter_map(|(daemon, state)| {
+                    let at = state.forwarder.next_tick()?;
+                    Some((at.max(state.frozen_until), daemon))
+                });
+            let tick = ticks.min();
+            let next = [event, tick.map(|(at, _)| at)].into_iter().flatten().min();
+            let Some(next) = next.filter(|next| *next <= end) else {
+                self.now = end;
+                return;
+            };
+            self.now = self.now.max(next);
+            if event == Some(next) {
+                let Some(Reverse((_, number))) = self.events.pop() else {
+                    return;
+                };
+                self.handle_event(number);
+            } else if let Some((_, daemon)) = tick {
+                self.daemons[daemon].forwarder.tick(self.now);
+                self.run_actions(daemon);
+            }
+        }
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
+    fn push_event(&mut self, after: Duration, daemon: usize, event: Event) {
+        let number = self.next_event;
+        self.next_event += 1;
+        let starts = self.daemons[daemon].starts;
+        self.pending.insert(number, (daemon, starts, event));
+        self.events.push(Reverse((self.now + after, number)));
+    }
+
+    fn handle_event(&mut self, number: u64) {
+        let Some((daemon, starts, event)) = self.pending.remove(&number) else {
+            return;
+        };
+        let frozen_until = self.daemons[daemon].frozen_until;
+        let at_daemon = !matches!(event, Event::Arrived(..));
+        if at_daemon && self.now < frozen_until {
+            self.pending.insert(number, (daemon, starts, event));
+            self.events.push(Reverse((frozen_until, number)));
+            return;
+        }
+        if starts != self.daemons[daemon].starts {
+            return;
+        }
+        let now = self.now;
+        let forwarder = &mut self.daemons[daemon].forwarder;
+        match event {
+            Event::Opened(conn) => forwarder.connected(now, conn),
+            Event::Arrived(conn, _, index) => {
+                let server = &mut self.servers[index];
+                server.arrived.push((now, daemon));
+                let (limit, status) = (server.limit, server.status);
+                let work = server.work;
+                let event = Event::Replied(conn, index, limit, status);
+                return self.push_event(work + LATENCY, daemon, event);
+            }
+            Event::Replied(conn, index, limit, status) => {
+                if matches!(limit, Some(StatedLimit::Limit(_))) {
+                    self.servers[index].told.entry(daemon).or_insert(now);
+                }
+                let reply = Reply {
+                    rate_limit: limit,
+                    not_run: status == 503,
+                    ..reply(status, &format!("{index}-{number}"))
+                };
+                let exchange = Exchange {
+                    reply,
+                    keep_alive: None,
+                    closes: false,
+                };
+                forwarder.replied(now, conn, exchange);
+            }
+        }
+        self.run_actions(daemon);
+    }
+
+    fn run_actions(&mut self, daemon: usize) {
+        while let Some(action) = self.daemons[daemon].forwarder.next_action() {
+            match action {
+                Action::Open { conn, address } => {
+                    let index = usize::from(address.port() - 10_000);
+                    self.conns.insert((daemon, conn), index);
+                    self.push_event(2 * LATENCY, daemon, Event::Opened(conn));
+                }
+                Action::Send { conn, req, .. } => {
+                    let index = self.conns[&(daemon, conn)];
+                    self.push_event(LATENCY, daemon, Event::Arrived(conn, req, index));
+                }
+                Action::Answer {
+                    answer, summary, ..
+                } => self.answers.push(Answered {
+                    at: self.now,
+                    answer,
+                    summary,
+                }),
+                Action::Close { .. } | Action::LogServerEvent { .. } => {}
+            }
+        }
+    }
+
+    /// Largest number of requests that a server got within four seconds from daemons that
+    /// had received its limit, from `named + CONTACT` to `end`.
+    pub fn busiest_window(&self, server: usize, named: Timestamp, end: Timestamp) -> usize {
+        let server = &self.servers[server];
+        let counted = |(at, daemon): &&(Timestamp, usize)| {
+            let told = server.told.get(daemon);
+            (named + CONTACT..end).contains(at) && told.is_some_and(|told| *at >= *told + NOTICE)
+        };
+        let arrived: Vec<_> = server.arrived.iter().filter(counted).collect();
+        let window = |(first, (at, _)): (usize, &&(Timestamp, usize))| {
+            let inside = |(other, _): &&&(Timestamp, usize)| other.since(*at) < COUNTED_WINDOW;
+            arrived[first..].iter().take_while(inside).count()
+        };
+        arrived.iter().enumerate().map(window).max().unwrap_or(0)
+    }
+
+    /// Number of requests that a server got in a period.
+    pub fn arrivals(&self, server: usize, from: Timestamp, end: Timestamp) -> usize {
+        let arrived = self.servers[server].arrived.iter();
+        arrived.filter(|(at, _)| (from..end).contains(at)).count()
+    }
+}
+
+fn name(daemon: usize) -> Arc<str> {
+    format!("d{daemon:04}").into()
+}
