feat(ratelimit): divide a server's limit among daemons without shared state

Cause: a limit holds for all daemons together, and there is no state to share. Ruled out: an even share for each daemon, since the demand of daemons differs by a factor of four on a small site and a share at 1/s among 7 or 8/s among 195 daemons is less than one request in several seconds; shares by announced demand, since every daemon would need the demand of all others. Change: daemons agree by rendezvous hashing on the one that has the token bucket of a server process, and request permits from it, which expire within half a second. A backup grants a quarter of the limit to daemons that the first does not answer.

--- /dev/null
+++ b/crates/jasminepond-ratelimit/src/message.rs
@@ -0,0 +1,207 @@
+//! Messages between daemons, as datagrams.
+//!
+//! Times are encoded as ages and delays, because daemons have no common clock.
+
+use std::time::Duration;
+
+use bytes::{Buf, BufMut};
+
+use crate::{ProcessId, RateLimit};
+
+/// First byte of an encoded message. No membership message begins with it.
+const MAGIC: u8 = b'L';
+
+/// Version of the format. Messages of other versions are ignored, which costs their sender
+/// permits but no limit is exceeded.
+const VERSION: u8 = 1;
+
+const KIND_ASK: u8 = 1;
+const KIND_GRANT: u8 = 2;
+
+/// Maximum number of permits in one message.
+pub(crate) const MAX_PERMITS: u16 = 64;
+
+/// What a daemon last learned about the limit of a process.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Statement {
+    /// The limit, or `None` if the process does not state one.
+    pub limit: Option<RateLimit>,
+    /// Time since this was stated.
+    pub age: Duration,
+}
+
+/// Requests permits.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
+    /// The process.
+    pub process: ProcessId,
+    /// Chosen by the sender, repeated in the response.
+    pub id: u32,
+    /// What the sender knows.
+    pub statement: Statement,
+    /// Number of permits, zero to pass on the statement only.
+    pub count: u16,
+    /// Longest delay after which a permit is still useful.
+    pub wait: Duration,
+}
+
+/// Response to [`Ask`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct Grant {
+    /// The process.
+    pub process: ProcessId,
+    /// Id of the request.
+    pub id: u32,
+    /// What the sender knows.
+    pub statement: Statement,
+    /// Time after which each granted permit can be used.
+    pub delays: Vec<Duration>,
+    /// Time until further permits are available.
+    pub next_in: Duration,
+}
+
+/// A message.
+///
+/// ```
+/// use jasminepond_ratelimit::{Ask, Message, ProcessId, RateLimit, Statement};
+/// use std::time::Duration;
+///
+/// let ask = Message::Ask(Ask {
+///     process: ProcessId::new("i-1", None, "10.0.0.1:80".parse().unwrap()),
+///     id: 7,
+///     statement: Statement { limit: RateLimit::new(22.8), age: Duration::from_millis(3) },
+///     count: 2,
+///     wait: Duration::from_millis(100),
+/// });
+/// let bytes = ask.encode();
+/// assert!(Message::is_encoded(&bytes));
+/// assert_eq!(Message::decode(&bytes).unwrap(), ask);
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    /// Requests permits.
+    Ask(Ask),
+    /// Grants permits.
+    Grant(Grant),
+}
+
+/// A datagram is malformed or of another version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum DecodeError {
+    /// The message ends early or has extra bytes.
+    #[error("wrong length")]
+    Length,
+    /// The version or the kind is unknown.
+    #[error("unknown version or kind")]
+    Unknown,
+    /// The limit is not a rate, or there are too many permits.
+    #[error("value out of range")]
+    Range,
+}
+
+impl Message {
+    /// Whether a datagram is a message of this crate, by its first byte.
+    pub fn is_encoded(bytes: &[u8]) -> bool {
+        bytes.first() == Some(&MAGIC)
+    }
+
+    /// Encodes the message in at most 176 bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let (kind, process, id, statement) = match self {
+            Self::Ask(ask) => (KIND_ASK, ask.process, ask.id, ask.statement),
+            Self::Grant(grant) => (KIND_GRANT, grant.process, grant.id, grant.statement),
+        };
+        let mut buf = Vec::with_capacity(64);
+        buf.put_slice(&[MAGIC, VERSION, kind]);
+        buf.put_u64(process.0);
+        buf.put_u32(id);
+        // A negative number stands for no limit.
+        buf.put_f64(statement.limit.map_or(-1.0, RateLimit::per_second));
+        put_millis(&mut buf, statement.age);
+        match self {
+            Self::Ask(ask) => {
+                buf.put_u16(ask.count);
+                put_millis(&mut buf, ask.wait);
+            }
+            Self::Grant(grant) => {
+                put_millis(&mut buf, grant.next_in);
+                buf.put_u16(grant.delays.len() as u16);
+                for delay in &grant.delays {
+                    buf.put_u16(u16::try_from(delay.as_millis()).unwrap_or(u16::MAX));
+                }
+            }
+        }
+        buf
+    }
+
+    /// Decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are malformed or of another version.
+    pub fn decode(mut bytes: &[u8]) -> Result<Self, DecodeError> {
+        let buf = &mut bytes;
+        let header = [
+            get(buf, Buf::try_get_u8)?,
+            get(buf, Buf::try_get_u8)?,
+            get(buf, Buf::try_get_u8)?,
+        ];
+        let process = ProcessId(get(buf, Buf::try_get_u64)?);
+        let id = get(buf, Buf::try_get_u32)?;
+        let per_second = get(buf, Buf::try_get_f64)?;
+        let limit = match per_second {
+            none if none < 0.0 => None,
+            some => Some(RateLimit::new(some).ok_or(DecodeError::Range)?),
+        };
+        let age = get_millis(buf)?;
+        let statement = Statement { limit, age };
+        let message = match header {
+            [MAGIC, VERSION, KIND_ASK] => Self::Ask(Ask {
+                process,
+                id,
+                statement,
+                count: get(buf, Buf::try_get_u16)?,
+                wait: get_millis(buf)?,
+            }),
+            [MAGIC, VERSION, KIND_GRANT] => {
+                let next_in = get_millis(buf)?;
+                let count = get(buf, Buf::try_get_u16)?;
+                if count > MAX_PERMITS {
+                    return Err(DecodeError::Range);
+                }
+                let delays = (0..count).map(|_| {
+                    let millis = get(buf, Buf::try_get_u16)?;
+                    Ok(Duration::from_millis(millis.into()))
+                });
+                Self::Grant(Grant {
+                    process,
+                    id,
+                    statement,
+                    delays: delays.collect::<Result<_, _>>()?,
+                    next_in,
+                })
+            }
+            _ => return Err(DecodeError::Unknown),
+        };
+        match buf.is_empty() {
+            true => Ok(message),
+            false => Err(DecodeError::Length),
+        }
+    }
+}
+
+fn put_millis(buf: &mut Vec<u8>, time: Duration) {
+    buf.put_u32(u32::try_from(time.as_millis()).unwrap_or(u32::MAX));
+}
+
+fn get_millis(buf: &mut &[u8]) -> Result<Duration, DecodeError> {
+    let millis = get(buf, Buf::try_get_u32)?;
+    Ok(Duration::from_millis(millis.into()))
+}
+
+fn get<'a, T>(
+    buf: &mut &'a [u8],
+    read: impl FnOnce(&mut &'a [u8]) -> Result<T, bytes::TryGetError>,
+) -> Result<T, DecodeError> {
+    read(buf).map_err(|_| DecodeError::Length)
+}
--- /dev/null
+++ b/crates/jasminepond-ratelimit/src/process.rs
@@ -0,0 +1,26 @@
+//! Identity of a server process.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Identifies a process of a backend server among all daemons. A limit ends with the
+/// process, whose id or address may be used again.
+///
+/// ```
+/// use jasminepond_ratelimit::ProcessId;
+///
+/// let address = "10.0.0.1:80".parse().unwrap();
+/// let process = ProcessId::new("i-1", Some(5), address);
+/// assert_eq!(process, ProcessId::new("i-1", Some(5), address));
+/// assert_ne!(process, ProcessId::new("i-1", Some(6), address));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProcessId(pub(crate) u64);
+
+impl ProcessId {
+    /// The process of the server `id` that started at `started` and listens on `address`.
+    pub fn new(id: &str, started: Option<u64>, address: SocketAddr) -> Self {
+        Self(xxh3_64(format!("{id}\n{started:?}\n{address}").as_bytes()))
+    }
+}
