--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -8,10 +8,11 @@
     time::Duration,
 };
 
+use jasminepond_ratelimit::{LimitReport, ProcessId, RateLimiter};
 use jasminepond_routes::{
     Release, ReleaseVersion, Route, RouteTable, ServiceName, Target, WeightedRoundRobin,
 };
-use jasminepond_types::{ErrorKind, Timestamp};
+use jasminepond_types::Timestamp;
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -136,6 +137,8 @@
     services_by_name: HashMap<ServiceName, ServiceKey>,
     servers: SlotMap<ServerKey, Server>,
     servers_by_id: HashMap<Arc<str>, ServerKey>,
+    servers_by_process: HashMap<ProcessId, ServerKey>,
+    limiter: RateLimiter,
     departed: DepartedServers,
     conns: SlotMap<ConnKey, Conn>,
     calls: SlotMap<CallKey, Call>,
@@ -149,6 +152,7 @@
     /// Creates a forwarder without routes and servers.
     pub fn new(settings: ForwardSettings) -> Self {
         Self {
+            limiter: RateLimiter::new(settings.instance.clone()),
             settings,
             ..Self::default()
         }
@@ -156,7 +160,10 @@
 
     /// Returns the next action to carry out, in order.
     pub fn next_action(&mut self) -> Option<Action> {
-        self.actions.pop_front()
+        self.actions.pop_front().or_else(|| {
+            let (to, message) = self.limiter.next_message()?;
+            Some(Action::SendDatagram { to, message })
+        })
     }
 
     /// Time at which [`Forwarder::tick`] must be called next.
@@ -182,6 +189,10 @@
         self.servers_by_id.values().map(|key| &self.servers[*key])
     }
 
+    pub(crate) fn limit_report(&self, now: Timestamp, server: &Server) -> Option<LimitReport> {
+        self.limiter.report(now, server.process)
+    }
+
     pub(crate) fn settings(&self) -> &ForwardSettings {
         &self.settings
     }
@@ -189,16 +200,13 @@
     /// Gauges for operators.
     pub fn status(&self) -> Status {
         let down = |server: &&Server| matches!(server.reachability, Reachability::Down { .. });
+        let limited = |server: &&Server| self.limiter.limit(server.process).is_some();
         Status {
             version: self.version.unwrap_or_default(),
             routes: self.active.len(),
             servers: self.servers_by_id.len(),
             down: self.servers.values().filter(down).count(),
-            limited: self
-                .servers
-                .values()
-                .filter(|server| server.limit.is_some())
-                .count(),
+            limited: self.servers.values().filter(limited).count(),
             requests: self.reqs.len(),
             calls: self.calls.len(),
             connections: self.conns.len(),
@@ -368,7 +376,9 @@
         }
         let id = backend.id.clone();
         let server = Server::new(now, backend, service);
+        let process = server.process;
         let key = self.servers.insert(server);
+        self.servers_by_process.insert(process, key);
         if let Some(Restriction::BackOffUntil(until)) = restriction {
             self.back_off(key, until);
         }
@@ -489,13 +499,15 @@
     fn refuse_unservable(&mut self, now: Timestamp, key: ReqKey) -> bool {
         let req = &self.reqs[key];
         let usable = req.parts.iter();
-        let usable = usable.filter(|part| self.has_usable_server(now, part.service));
+        let usable = usable
+            .filter(|part| self.has_usable_server(now, part.service, self.send_by(req, part)));
         let usable: usize = usable.map(|part| part.weight).sum();
         if usable >= req.min_shards && usable > 0 {
             return false;
         }
         let retry_after = self.available_in(now, key);
-        self.refuse(now, key, ErrorKind::NoBackend, Some(retry_after));
+        let kind = self.unservable_kind(now, key);
+        self.refuse(now, key, kind, Some(retry_after));
         true
     }
 
@@ -536,6 +548,7 @@
                 Timer::Deadline(req) => self.on_deadline(now, req),
                 Timer::RemoteIdle(conn) => self.on_remote_idle(now, conn),
                 Timer::Server(server) => self.on_server_timer(now, server),
+                Timer::Permit(server) => self.on_permit_timer(now, server),
                 Timer::LimitUsage(server) => self.report_limit_usage(now, server),
             }
         }
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -284,7 +284,12 @@
     fn drop_retired(&mut self, key: ServerKey) {
         let idle = |server: &crate::server::Server| server.conns.is_empty();
         if self.servers.get(key).is_some_and(idle) && !self.is_known(key) {
-            self.servers.remove(key);
+            let server = self.servers.remove(key);
+            if let Some(process) = server.map(|server| server.process)
+                && self.servers_by_process.get(&process) == Some(&key)
+            {
+                self.servers_by_process.remove(&process);
+            }
         }
     }
 
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -87,6 +87,7 @@
     /// Recomputes the shard groups and the assignment of servers to this daemon.
     pub(super) fn regroup(&mut self, now: Timestamp) {
         let cluster = self.cluster.unwrap_or_default();
+        self.set_limiter_daemons(now);
         self.demand = self.demand();
         self.shard_groups = ShardGroups::new(&self.daemons(cluster), &self.demand);
         self.settings.daemons_sharing = match self.shard_groups.groups().first() {
--- a/crates/jasminepond-forward/src/forwarder/limits.rs
+++ b/crates/jasminepond-forward/src/forwarder/limits.rs
@@ -1,70 +1,250 @@
-//! Rate limits that backend servers state.
+//! Rate limits that backend servers state for all daemons together.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use jasminepond_types::Timestamp;
+use jasminepond_ratelimit::{Availability, Daemon, LimitChange, Message};
+use jasminepond_types::{ErrorKind, Timestamp};
 
-use super::Forwarder;
+use super::{ConnState, Forwarder};
 use crate::{
-    message::{Reply, ServerEvent, StatedLimit},
-    request::Part,
+    message::{ConnKey, ReqKey, ServerEvent, StatedLimit},
+    request::{Part, PartState},
     server::{Server, ServerKey},
+    service::ServiceKey,
     timers::Timer,
 };
 
-/// Interval at which the sends to a limited server are reported.
+/// Interval at which the use of a limit is reported.
 const USAGE_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Reason for a missing part whose servers are all at their limits.
+pub(super) const LIMITED: &str = "limited";
+
 impl Forwarder {
-    /// Records whether a server states a rate limit in its response.
-    pub(super) fn observe_limit(&mut self, now: Timestamp, key: ServerKey, reply: &Reply) {
-        let Some(server) = self.servers.get_mut(key).filter(|_| !reply.wrong_server) else {
+    /// Handles what a server states in a response to a request that was sent at `sent`.
+    pub(super) fn observe_limit(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        sent: Timestamp,
+        stated: Option<StatedLimit>,
+    ) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let limit = match stated {
+            Some(StatedLimit::Limit(limit)) => Some(limit),
+            Some(StatedLimit::Invalid) => {
+                return self.log_server_event(key, ServerEvent::InvalidLimit);
+            }
+            None => None,
+        };
+        if let Some(change) = self.limiter.observe(now, server.process, sent, limit) {
+            self.on_limit_change(now, key, change);
+        }
+    }
+
+    /// Handles a limit in the headers of a response that broke off.
+    pub fn limit_stated(&mut self, now: Timestamp, conn: ConnKey, limit: StatedLimit) {
+        let Some(conn) = self.conns.get(conn) else {
             return;
         };
-        let known = server.limit;
-        let event = match reply.rate_limit {
-            Some(StatedLimit::Limit(limit)) if known != Some(limit) => {
-                server.limit = Some(limit);
-                if known.is_none() {
-                    server.sends = Default::default();
+        let sent = match conn.state {
+            ConnState::Busy(call) => self.calls.get(call).map(|call| call.sent),
+            ConnState::Opening | ConnState::Idle { .. } => None,
+        };
+        self.observe_limit(now, conn.server, sent.unwrap_or(conn.opened), Some(limit));
+    }
+
+    /// Handles a message about a limit from another daemon.
+    pub fn receive_limit_message(&mut self, now: Timestamp, from: SocketAddr, message: Message) {
+        let received = self.limiter.receive(now, from, message);
+        let Some(&key) = self.servers_by_process.get(&received.process) else {
+            return;
+        };
+        if let Some(change) = received.change {
+            self.on_limit_change(now, key, change);
+        }
+        self.place_waiting(now, self.servers[key].service);
+    }
+
+    /// Stops granting permits to other daemons, because this one is about to stop.
+    pub fn set_leaving(&mut self) {
+        self.limiter.set_leaving();
+    }
+
+    /// Passes the other daemons on to the limiter.
+    pub(super) fn set_limiter_daemons(&mut self, now: Timestamp) {
+        if self.cluster.is_none() {
+            return;
+        }
+        let daemons = self.peers.iter().map(|peer| Daemon {
+            instance: peer.instance.clone(),
+            address: peer.address,
+            running: peer.running,
+        });
+        self.limiter.set_daemons(now, daemons.collect());
+    }
+
+    fn on_limit_change(&mut self, now: Timestamp, key: ServerKey, change: LimitChange) {
+        let event = match change {
+            LimitChange::Limited(limit) => {
+                let server = &mut self.servers[key];
+                if !server.reports_limit {
+                    server.reports_limit = true;
+                    server.limit_usage = Default::default();
                     self.timers
                         .set(now + USAGE_INTERVAL, Timer::LimitUsage(key));
                 }
                 ServerEvent::Limited { limit }
             }
-            Some(StatedLimit::Invalid) => ServerEvent::InvalidLimit,
-            None if known.is_some() => {
-                server.limit = None;
-                ServerEvent::LimitLifted
-            }
-            Some(StatedLimit::Limit(_)) | None => return,
+            LimitChange::Lifted => ServerEvent::LimitLifted,
         };
         self.log_server_event(key, event);
     }
 
-    /// Reports what this daemon sent to a limited server since the last report.
+    /// Reports the use of a limit since the last report.
     pub(super) fn report_limit_usage(&mut self, now: Timestamp, key: ServerKey) {
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
-        let Some(limit) = server.limit else {
+        let usage = std::mem::take(&mut server.limit_usage);
+        let Some(limit) = self.limiter.limit(server.process) else {
+            server.reports_limit = false;
             return;
         };
-        let sends = std::mem::take(&mut server.sends);
         self.timers
             .set(now + USAGE_INTERVAL, Timer::LimitUsage(key));
-        if sends.total() > 0 {
-            self.log_server_event(key, ServerEvent::LimitUsage { limit, sends });
+        if usage != Default::default() {
+            self.log_server_event(key, ServerEvent::LimitUsage { limit, usage });
+        }
+    }
+
+    pub(super) fn availability(&self, now: Timestamp, key: ServerKey) -> Availability {
+        self.limiter.availability(now, self.servers[key].process)
+    }
+
+    /// Records a request for which a server is preferred.
+    pub(super) fn record_demand(&mut self, now: Timestamp, key: ServerKey) {
+        let server = &mut self.servers[key];
+        self.limiter.record_demand(now, server.process);
+        let availability = self.limiter.availability(now, server.process);
+        if matches!(
+            availability,
+            Availability::Unknown | Availability::NotBefore(_)
+        ) {
+            server.limit_usage.held_back += 1;
+        }
+    }
+
+    /// Whether the limit of a server permits a request now, at the latest by a permit from
+    /// this daemon's own bucket.
+    pub(super) fn try_permit(&mut self, now: Timestamp, key: ServerKey) -> bool {
+        let process = self.servers[key].process;
+        self.limiter.request_own(now, process);
+        self.limiter.availability(now, process) == Availability::Permitted
+    }
+
+    /// Requests a permit of the first of `servers` that may have one by `by`, unless enough
+    /// are expected for all queued parts of the service.
+    pub(super) fn request_permits(
+        &mut self,
+        now: Timestamp,
+        service: ServiceKey,
+        servers: &[ServerKey],
+        by: Timestamp,
+    ) {
+        let wanted = self.services[service].waiting() + 1;
+        let process = |key: &ServerKey| self.servers[*key].process;
+        let processes: Vec<_> = servers.iter().map(process).collect();
+        let expected = processes.iter().map(|p| self.limiter.expected(now, *p));
+        let mut missing = wanted.saturating_sub(expected.sum());
+        for process in processes {
+            if missing == 0 {
+                break;
+            }
+            let before = self.limiter.expected(now, process);
+            self.limiter.request(now, process, before + missing, by);
+            missing = missing.saturating_sub(self.limiter.expected(now, process) - before);
+        }
+        for key in servers {
+            self.set_permit_timer(now, *key);
+        }
+    }
+
+    fn set_permit_timer(&mut self, now: Timestamp, key: ServerKey) {
+        let server = &mut self.servers[key];
+        let Some(at) = self.limiter.retry_at(now, server.process) else {
+            return;
+        };
+        if server.permit_timer.is_none_or(|set| set <= now || at < set) {
+            server.permit_timer = Some(at);
+            self.timers.set(at, Timer::Permit(key));
+        }
+    }
+
+    pub(super) fn on_permit_timer(&mut self, now: Timestamp, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            if server.permit_timer.is_some_and(|at| at <= now) {
+                server.permit_timer = None;
+            }
+            let service = server.service;
+            self.place_waiting(now, service);
+        }
+    }
+
+    /// Uses a permit for a send to a server, and counts the send. Called before the counters
+    /// of the part change.
+    pub(super) fn use_permit(&mut self, now: Timestamp, key: ServerKey, req: ReqKey, index: usize) {
+        let server = &mut self.servers[key];
+        if self.limiter.limit(server.process).is_none() {
+            return;
+        }
+        let permitted = self.limiter.take(now, server.process);
+        debug_assert!(permitted, "sent to a limited server without a permit");
+        self.limiter.restock(now, server.process);
+        count_send(server, &self.reqs[req].parts[index]);
+    }
+
+    /// Time until a permit of a server may be available, zero if this is unknown.
+    pub(super) fn permit_in(&self, now: Timestamp, key: ServerKey) -> Duration {
+        match self.availability(now, key) {
+            Availability::NotBefore(at) => at.since(now),
+            Availability::Unlimited | Availability::Permitted | Availability::Unknown => {
+                Duration::ZERO
+            }
+        }
+    }
+
+    /// Whether a server of the service could be used if it had not reached its limit.
+    pub(super) fn is_held_by_limit(&self, now: Timestamp, service: ServiceKey) -> bool {
+        let mut servers = self.services[service].servers.iter();
+        servers.any(|key| {
+            let usable = self.servers[*key].standing(now, &self.settings).is_some();
+            usable && !self.permit_in(now, *key).is_zero()
+        })
+    }
+
+    /// Kind of the refusal of a request that too few servers can serve: limited servers are
+    /// busy, not lost.
+    pub(super) fn unservable_kind(&self, now: Timestamp, key: ReqKey) -> ErrorKind {
+        let limited = |part: &Part| match part.state {
+            PartState::Missing(reason) => reason == LIMITED,
+            PartState::Waiting => self.is_held_by_limit(now, part.service),
+            PartState::Sent | PartState::Done(_) => false,
+        };
+        match self.reqs[key].parts.iter().any(limited) {
+            true => ErrorKind::Overloaded,
+            false => ErrorKind::NoBackend,
         }
     }
 }
 
-/// Counts a send of a part to a server. Called before the part's own counters change.
-pub(super) fn count_send(server: &mut Server, part: &Part) {
-    let sends = &mut server.sends;
+fn count_send(server: &mut Server, part: &Part) {
+    let usage = &mut server.limit_usage;
     match (part.sends, part.calls.is_empty()) {
-        (0, _) => sends.first += 1,
-        (_, false) => sends.hedged += 1,
-        (_, true) => sends.retried += 1,
+        (0, _) => usage.first += 1,
+        (_, false) => usage.hedged += 1,
+        (_, true) => usage.retried += 1,
     }
 }
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -2,9 +2,10 @@
 
 use std::{cmp::Ordering, time::Duration};
 
+use jasminepond_ratelimit::Availability;
 use jasminepond_types::{Millis, Timestamp};
 
-use super::{Call, ConnState, Forwarder, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN, limits::count_send};
+use super::{Call, ConnState, Forwarder, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN, limits::LIMITED};
 use crate::{
     message::{Action, CallKey, ConnKey, ReqKey, ServerEvent},
     request::{ActiveRoute, Part, PartState, Req},
@@ -16,6 +17,17 @@
 /// Delay before hedging is attempted again if no other server is healthy.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(5);
 
+/// Wait for a permit that is preferred to another server that does not answer.
+const SHORT_PERMIT_WAIT: Duration = Duration::from_millis(20);
+
+/// Whether a part is placed for the first time, which counts as demand for the servers that
+/// are preferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Attempt {
+    First,
+    Again,
+}
+
 /// Decision on where a part of a request is sent.
 enum Placement {
     /// Send it over this idle connection.
@@ -31,25 +43,38 @@
     standing: Standing,
     cost: f64,
     server: ServerKey,
+    /// Whether the server's rate limit permits a request now.
+    permitted: bool,
 }
 
 impl Forwarder {
-    /// Usable servers of a service, best first, without those in `tried`.
+    /// Servers of a service that are usable by `by`, best first, without those in `tried`.
     fn candidates(
         &self,
         now: Timestamp,
         service: ServiceKey,
         tried: &[ServerKey],
+        by: Timestamp,
     ) -> Vec<Candidate> {
         let servers = self.services[service].servers.iter();
         let mut candidates: Vec<_> = servers
             .filter(|key| !tried.contains(key))
             .filter_map(|&key| {
                 let server = &self.servers[key];
+                let standing = server.standing(now, &self.settings)?;
+                let (standing, permitted) = match self.availability(now, key) {
+                    Availability::Unlimited | Availability::Permitted => (standing, true),
+                    Availability::NotBefore(at) if at > by => return None,
+                    Availability::NotBefore(at) if at > now + SHORT_PERMIT_WAIT => {
+                        (standing.max(Standing::Stalled), false)
+                    }
+                    Availability::NotBefore(_) | Availability::Unknown => (standing, false),
+                };
                 Some(Candidate {
-                    standing: server.standing(now, &self.settings)?,
+                    standing,
                     cost: server.cost(now, &self.settings),
                     server: key,
+                    permitted,
                 })
             })
             .collect();
@@ -60,10 +85,28 @@
         candidates
     }
 
-    /// Whether any server of the service is usable.
-    pub(super) fn has_usable_server(&self, now: Timestamp, service: ServiceKey) -> bool {
+    /// Whether any server of the service is usable by `by`.
+    pub(super) fn has_usable_server(
+        &self,
+        now: Timestamp,
+        service: ServiceKey,
+        by: Timestamp,
+    ) -> bool {
         let mut servers = self.services[service].servers.iter();
-        servers.any(|key| self.servers[*key].standing(now, &self.settings).is_some())
+        servers.any(|key| {
+            let standing = self.servers[*key].standing(now, &self.settings);
+            standing.is_some() && now + self.permit_in(now, *key) <= by
+        })
+    }
+
+    /// Time by which a part must be sent to be useful.
+    pub(super) fn send_by(&self, req: &Req, part: &Part) -> Timestamp {
+        match req.route.is_search() {
+            true if req.past_answer_by => req.deadline,
+            true => req.answer_by,
+            false if part.sends > 0 => req.deadline,
+            false => req.arrived + req.route.objective().mul_f64(self.settings.wait_share),
+        }
     }
 
     /// Time until enough parts of a request have a usable server.
@@ -83,7 +126,10 @@
 
     fn service_available_in(&self, now: Timestamp, service: ServiceKey) -> Duration {
         let servers = self.services[service].servers.iter();
-        let back = servers.filter_map(|key| self.servers[*key].available_in(now, &self.settings));
+        let back = servers.filter_map(|key| {
+            let wait = self.servers[*key].available_in(now, &self.settings)?;
+            Some(wait.max(self.permit_in(now, *key)))
+        });
         back.min().unwrap_or(RETRY_AFTER_DEFAULT)
     }
 
@@ -93,7 +139,7 @@
         let req = &self.reqs[key];
         let (service, priority) = (req.parts[index].service, req.route.route.priority);
         let late = req.late;
-        match self.placement(now, key, index) {
+        match self.placement(now, key, index, Attempt::First) {
             Placement::Send(conn) => self.send(now, key, index, conn),
             Placement::NoServer => self.on_no_server(now, key, index),
             Placement::Wait => {
@@ -115,7 +161,7 @@
             if !self.reqs.get(waiting.req).is_some_and(waits) {
                 continue;
             }
-            match self.placement(now, waiting.req, waiting.part) {
+            match self.placement(now, waiting.req, waiting.part, Attempt::Again) {
                 Placement::Send(conn) => self.send(now, waiting.req, waiting.part, conn),
                 Placement::Wait => self.services[service].enqueue(waiting),
                 Placement::NoServer => {
@@ -132,26 +178,38 @@
             self.mark_missing(key, index, "helper_lost");
         } else if part.delegated.is_some() {
             self.handle_locally(now, key, index);
+        } else if self.is_held_by_limit(now, part.service) {
+            self.mark_missing(key, index, LIMITED);
         } else {
             self.mark_missing(key, index, "no_server");
         }
     }
 
-    fn placement(&mut self, now: Timestamp, key: ReqKey, index: usize) -> Placement {
+    fn placement(
+        &mut self,
+        now: Timestamp,
+        key: ReqKey,
+        index: usize,
+        attempt: Attempt,
+    ) -> Placement {
         let req = &self.reqs[key];
         let part = &req.parts[index];
-        let mut candidates = self.candidates(now, part.service, &part.tried);
+        let (service, by) = (part.service, self.send_by(req, part));
+        let mut candidates = self.candidates(now, service, &part.tried, by);
         if candidates.is_empty() && !part.tried.is_empty() {
             // All usable servers have been tried: try them again.
-            candidates = self.candidates(now, part.service, &[]);
+            candidates = self.candidates(now, service, &[], by);
             if !req.route.may_repeat() {
                 self.close_used_conns(key, index);
             }
         }
-        match self.free_conn(now, &candidates) {
+        match self.free_conn(now, &candidates, attempt) {
             Some(conn) => Placement::Send(conn),
             None if candidates.is_empty() => Placement::NoServer,
-            None => Placement::Wait,
+            None => {
+                self.request_permits(now, service, &without_permit(&candidates), by);
+                Placement::Wait
+            }
         }
     }
 
@@ -169,13 +227,24 @@
 
     /// Returns an idle connection to the best candidate that has one, and opens a
     /// connection to each better candidate.
-    fn free_conn(&mut self, now: Timestamp, candidates: &[Candidate]) -> Option<ConnKey> {
+    fn free_conn(
+        &mut self,
+        now: Timestamp,
+        candidates: &[Candidate],
+        attempt: Attempt,
+    ) -> Option<ConnKey> {
         let best = candidates.first()?.standing;
         for candidate in candidates {
             // Waiting for a healthy server is faster than using a stalled or leaving one.
             if candidate.standing > best.max(Standing::Full) {
                 return None;
             }
+            if attempt == Attempt::First {
+                self.record_demand(now, candidate.server);
+            }
+            if !candidate.permitted && !self.try_permit(now, candidate.server) {
+                continue;
+            }
             if let Some(conn) = self.idle_conn(now, candidate.server) {
                 return Some(conn);
             }
@@ -189,6 +258,7 @@
         let delegation = self.delegation(now, &self.reqs[key], index);
         let helper_timeouts = delegation.as_ref().map(Self::helper_timeouts);
         let delegated = helper_timeouts.is_some();
+        self.use_permit(now, server_key, key, index);
         let req = &mut self.reqs[key];
         let route = req.route.clone();
         let left = req.deadline.since(now);
@@ -203,7 +273,6 @@
             route: route.clone(),
         });
         let part = &mut req.parts[index];
-        count_send(&mut self.servers[server_key], part);
         part.state = PartState::Sent;
         part.calls.push(call);
         part.tried.push(server_key);
@@ -298,10 +367,12 @@
             return;
         }
         let (service, deadline) = (part.service, req.deadline);
-        let mut candidates = self.candidates(now, service, &part.tried);
+        let by = self.send_by(req, part);
+        let mut candidates = self.candidates(now, service, &part.tried, by);
         let untried = !candidates.is_empty();
         candidates.retain(|candidate| candidate.standing <= Standing::Remote);
-        let Some(conn) = self.free_conn(now, &candidates) else {
+        let Some(conn) = self.free_conn(now, &candidates, Attempt::Again) else {
+            self.request_permits(now, service, &without_permit(&candidates), by);
             if untried && now + HEDGE_RETRY_DELAY < deadline {
                 self.timers.set(now + HEDGE_RETRY_DELAY, Timer::Hedge(key));
             }
@@ -315,3 +386,8 @@
         }
     }
 }
+
+fn without_permit(candidates: &[Candidate]) -> Vec<ServerKey> {
+    let held_back = candidates.iter().filter(|candidate| !candidate.permitted);
+    held_back.map(|candidate| candidate.server).collect()
+}
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -2,7 +2,7 @@
 
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 
-use super::{Call, Forwarder};
+use super::{Call, Forwarder, limits::LIMITED};
 use crate::{
     merge::merge_top_k,
     message::{
@@ -59,7 +59,9 @@
         let not_run = reply.not_run || reply.wrong_server;
         if !call.delegated {
             self.apply_restrictions(now, call.server, &reply);
-            self.observe_limit(now, call.server, &reply);
+            if !reply.wrong_server {
+                self.observe_limit(now, call.server, call.sent, reply.rate_limit);
+            }
         }
         if let Some(server) = self.servers.get_mut(call.server) {
             if reply.is_success() {
@@ -246,7 +248,8 @@
     pub(super) fn on_wait_limit(&mut self, now: Timestamp, key: ReqKey) {
         let is_unsent = |req: &Req| req.parts.iter().all(|part| part.sends == 0);
         if self.reqs.get(key).is_some_and(is_unsent) {
-            self.refuse(now, key, ErrorKind::Overloaded, Some(RETRY_WHEN_BUSY));
+            let retry_after = self.available_in(now, key).max(RETRY_WHEN_BUSY);
+            self.refuse(now, key, ErrorKind::Overloaded, Some(retry_after));
         }
     }
 
@@ -326,9 +329,10 @@
     fn fail(&mut self, now: Timestamp, key: ReqKey, kind: ErrorKind) {
         let req = &self.reqs[key];
         if req.not_run() {
-            let retry_after = match kind {
-                ErrorKind::NoBackend => self.available_in(now, key),
-                _ => RETRY_WHEN_BUSY,
+            let available_in = self.available_in(now, key);
+            let (kind, retry_after) = match kind {
+                ErrorKind::NoBackend => (self.unservable_kind(now, key), available_in),
+                _ => (kind, available_in.max(RETRY_WHEN_BUSY)),
             };
             self.refuse(now, key, kind, Some(retry_after));
         } else {
@@ -379,6 +383,8 @@
                 .count();
             Some(format!("{}:{reason}:{usable}/{known}", service.name))
         };
+        let limited = |part: &&Part| matches!(part.state, PartState::Missing(LIMITED));
+        let limited = req.parts.iter().filter(limited).count();
         let missing = match verdict {
             Verdict::Served => Vec::new(),
             _ => req.parts.iter().filter_map(missing_reason).collect(),
@@ -392,6 +398,7 @@
             repeats: req.repeats,
             over_budget: req.over_budget,
             missing,
+            limited: limited as u32,
             server: req.last_server,
         };
         self.actions.push_back(Action::Answer {
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -26,7 +26,7 @@
 pub use merge::{RECORD_BYTES, merge_top_k};
 pub use message::{
     Action, Answer, Arrival, Backend, BackendState, CallKey, ConnKey, DelegatedPart, Exchange,
-    LostCall, Refusal, Reply, ReqKey, RetryAfter, SendCounts, ServerEvent, StatedLimit, Summary,
+    LimitUsage, LostCall, Refusal, Reply, ReqKey, RetryAfter, ServerEvent, StatedLimit, Summary,
     Verdict,
 };
 pub use report::{RouteReport, ServerReport};
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -261,6 +261,8 @@
     /// Missing parts as `service:reason:usable/known`, with the counts of usable and
     /// known servers of the service.
     pub missing: Vec<String>,
+    /// Parts that were not sent because their servers were at their rate limits.
+    pub limited: u32,
     /// Server whose response was forwarded, or that failed last.
     pub server: Option<Arc<str>>,
 }
@@ -300,31 +302,26 @@
     LimitLifted,
     /// The server stated an invalid rate limit, which is ignored.
     InvalidLimit,
-    /// Sends of this daemon to a limited server since the last such event.
+    /// Use of a server's limit by this daemon since the last such event.
     LimitUsage {
         /// The limit.
         limit: RateLimit,
-        /// The sends.
-        sends: SendCounts,
+        /// What was sent and held back.
+        usage: LimitUsage,
     },
 }
 
-/// Number of sends to a server.
+/// Use of the rate limit of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct SendCounts {
+pub struct LimitUsage {
     /// First sends of a request or of a part of a search.
     pub first: u32,
     /// Hedged sends.
     pub hedged: u32,
     /// Sends after a rejection or a failure.
     pub retried: u32,
-}
-
-impl SendCounts {
-    /// All sends.
-    pub fn total(&self) -> u32 {
-        self.first + self.hedged + self.retried
-    }
+    /// Sends for which the server was preferred but no permit was held.
+    pub held_back: u32,
 }
 
 /// An action for the caller of the forwarder to carry out.
@@ -357,6 +354,13 @@
         /// The connection.
         conn: ConnKey,
     },
+    /// Send a datagram to another daemon.
+    SendDatagram {
+        /// Address of the other daemon.
+        to: SocketAddr,
+        /// The datagram.
+        message: jasminepond_ratelimit::Message,
+    },
     /// Log a change in the state of a backend server.
     LogServerEvent {
         /// Id of the server.
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jasminepond_ratelimit::RateLimit;
+use jasminepond_ratelimit::LimitReport;
 use jasminepond_routes::{Route, ServiceName, Target};
 use jasminepond_types::Timestamp;
 
@@ -43,7 +43,7 @@
     /// Calls in progress.
     pub calls: usize,
     /// Rate limit that the server states.
-    pub limit: Option<RateLimit>,
+    pub limit: Option<LimitReport>,
 }
 
 impl Forwarder {
@@ -73,7 +73,7 @@
                 cost: server.cost(now, settings),
                 connections: server.conns.len(),
                 calls: server.calls.len(),
-                limit: server.limit,
+                limit: self.limit_report(now, server),
             }
         };
         let mut reports: Vec<_> = self.known_servers().map(report).collect();
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use jasminepond_ratelimit::RateLimit;
+use jasminepond_ratelimit::ProcessId;
 use jasminepond_types::Timestamp;
 use slotmap::new_key_type;
 
 use crate::{
     departed::Restriction,
-    message::{Backend, BackendState, CallKey, ConnKey, SendCounts},
+    message::{Backend, BackendState, CallKey, ConnKey, LimitUsage},
     service::ServiceKey,
     settings::ForwardSettings,
     window::Window,
@@ -60,6 +60,8 @@
 pub(crate) struct Server {
     pub(crate) backend: Backend,
     pub(crate) service: ServiceKey,
+    /// Identity of the process for its rate limit.
+    pub(crate) process: ProcessId,
     pub(crate) conns: Vec<ConnKey>,
     pub(crate) opening: u32,
     pub(crate) calls: Vec<CallKey>,
@@ -76,10 +78,12 @@
     pub(crate) stopping: bool,
     /// Time until which the server gets no requests, as set by its `Retry-After`.
     back_off_until: Timestamp,
-    /// Rate limit that the server states.
-    pub(crate) limit: Option<RateLimit>,
-    /// Sends since the last report on the use of its limit.
-    pub(crate) sends: SendCounts,
+    /// Whether the use of its rate limit is reported.
+    pub(crate) reports_limit: bool,
+    /// Use of its rate limit since the last report.
+    pub(crate) limit_usage: LimitUsage,
+    /// When queued parts are tried again because a permit may be available.
+    pub(crate) permit_timer: Option<Timestamp>,
     stalled: bool,
     full_until: Timestamp,
     warm_up_until: Timestamp,
@@ -95,11 +99,13 @@
     pub(crate) fn new(now: Timestamp, backend: Backend, service: ServiceKey) -> Self {
         Self {
             warm_up_until: now + backend.warm_up_left.duration(),
+            process: ProcessId::new(&backend.id, backend.started, backend.address),
             leaving_since: None,
             stopping: false,
             back_off_until: Timestamp::ZERO,
-            limit: None,
-            sends: SendCounts::default(),
+            reports_limit: false,
+            limit_usage: LimitUsage::default(),
+            permit_timer: None,
             backend,
             service,
             conns: Vec::new(),
--- a/crates/jasminepond-forward/src/settings.rs
+++ b/crates/jasminepond-forward/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the forwarder.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use jasminepond_types::CpuCapacity;
 
@@ -36,6 +36,9 @@
 /// Settings of the forwarder.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ForwardSettings {
+    /// Instance on which the daemon runs. Daemons agree by it on who grants the permits of
+    /// servers with a rate limit.
+    pub instance: Arc<str>,
     /// The availability zone of this daemon.
     pub zone: String,
     /// Processor capacity of this daemon.
@@ -107,6 +110,7 @@
 impl Default for ForwardSettings {
     fn default() -> Self {
         Self {
+            instance: "".into(),
             zone: String::new(),
             processor: CpuCapacity::default(),
             repeat: RepeatSettings::default(),
--- a/crates/jasminepond-forward/src/timers.rs
+++ b/crates/jasminepond-forward/src/timers.rs
@@ -30,6 +30,8 @@
     RemoteIdle(ConnKey),
     /// Reconnect to a server, or retire it at the end of its grace period.
     Server(ServerKey),
+    /// Try queued parts again for which a permit may be available.
+    Permit(ServerKey),
     /// Report what was sent to a limited server.
     LimitUsage(ServerKey),
 }
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -1,10 +1,5 @@
 //! Simulation of several daemons that share backend servers, on a virtual clock.
 
-#![allow(
-    dead_code,
-    reason = "freezes and lost datagrams are used by later tests"
-)]
-
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
@@ -17,7 +12,7 @@
     Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, Exchange, ForwardSettings,
     Forwarder, Peer, Reply, ReqKey, StatedLimit, Summary,
 };
-use jasminepond_ratelimit::RateLimit;
+use jasminepond_ratelimit::{Message, RateLimit};
 use jasminepond_routes::{Release, ReleaseVersion, Route, ServiceSpec};
 use jasminepond_types::{Millis, Timestamp};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -66,6 +61,7 @@
     Opened(ConnKey),
     Arrived(ConnKey, ReqKey, usize),
     Replied(ConnKey, usize, Option<StatedLimit>, u16),
+    Datagram(SocketAddr, Message),
 }
 
 /// An answered request.
@@ -133,6 +129,7 @@
     /// Starts a new process of a daemon, which knows all daemons and servers.
     pub fn restart(&mut self, daemon: usize) {
         let settings = ForwardSettings {
+            instance: name(daemon),
             zone: "a".to_owned(),
             ..ForwardSettings::default()
         };
@@ -299,10 +296,6 @@
         }
     }
 
-    pub fn run_for(&mut self, time: Duration) {
-        self.run_until(self.now + time);
-    }
-
     fn push_event(&mut self, after: Duration, daemon: usize, event: Event) {
         let number = self.next_event;
         self.next_event += 1;
@@ -322,13 +315,21 @@
             self.events.push(Reverse((frozen_until, number)));
             return;
         }
-        if starts != self.daemons[daemon].starts {
+        let for_any_process = matches!(event, Event::Datagram(..));
+        if starts != self.daemons[daemon].starts && !for_any_process {
             return;
         }
         let now = self.now;
         let forwarder = &mut self.daemons[daemon].forwarder;
         match event {
             Event::Opened(conn) => forwarder.connected(now, conn),
+            Event::Datagram(from, message) => {
+                if !self.daemons[daemon].unreachable {
+                    self.daemons[daemon]
+                        .forwarder
+                        .receive_limit_message(now, from, message);
+                }
+            }
             Event::Arrived(conn, _, index) => {
                 let server = &mut self.servers[index];
                 server.arrived.push((now, daemon));
@@ -376,6 +377,13 @@
                     answer,
                     summary,
                 }),
+                Action::SendDatagram { to, message } => {
+                    if !self.daemons[daemon].unreachable {
+                        let other = usize::from(to.port() - 20_000);
+                        let event = Event::Datagram(daemon_address(daemon), message);
+                        self.push_event(LATENCY, other, event);
+                    }
+                }
                 Action::Close { .. } | Action::LogServerEvent { .. } => {}
             }
         }
--- a/crates/jasminepond-forward/tests/server_limits.rs
+++ b/crates/jasminepond-forward/tests/server_limits.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use cluster::{World, limit};
+use jasminepond_forward::Answer;
 use jasminepond_routes::Repeat;
+use jasminepond_types::{ErrorKind, Millis};
 use sim::{MS, search, single};
 use test_case::test_case;
 
@@ -58,3 +60,133 @@
         assert!(busiest <= allowed(per_second), "{server}: {busiest}");
     }
 }
+
+/// If all servers of a service are at their limits, requests are not held until their
+/// deadline, and most of what the servers take is used.
+#[test_case(6, 1.5; "small site")]
+#[test_case(91, 0.65; "many daemons")]
+fn requests_beyond_all_limits_are_refused_early(daemons: usize, per_second: f64) {
+    let mut world = World::new(daemons, single(Repeat::Never), 3);
+    let servers: Vec<_> = (0..10).map(|_| world.add_server("one", 60 * MS)).collect();
+    world.restart_all();
+    world.load("/one/x", 25.0, 2 * SECOND, CALLER_TIMEOUT);
+    for server in &servers {
+        world.servers[*server].limit = limit(per_second);
+    }
+    let named = world.now;
+    world.load("/one/x", 25.0, 10 * SECOND, CALLER_TIMEOUT);
+    let from = world.now;
+    world.load("/one/x", 25.0, 20 * SECOND, CALLER_TIMEOUT);
+    for server in &servers {
+        let busiest = world.busiest_window(*server, named, world.now);
+        assert!(busiest <= allowed(per_second), "{server}: {busiest}");
+    }
+    let answers = world.answers.iter().filter(|answered| answered.at >= from);
+    let refused = answers
+        .clone()
+        .filter_map(|answered| match &answered.answer {
+            Some(Answer::Refused(refusal)) => Some((refusal, answered.summary.took)),
+            _ => None,
+        });
+    for (refusal, took) in refused.clone() {
+        assert_eq!(refusal.kind, ErrorKind::Overloaded);
+        assert!(refusal.retry_after >= Some(Millis(100)), "{refusal:?}");
+        assert!(took <= 60 * MS, "{took:?}");
+    }
+    let taken: usize = servers
+        .iter()
+        .map(|server| world.arrivals(*server, from, world.now))
+        .sum();
+    let limits = 20.0 * per_second * servers.len() as f64;
+    assert!(taken as f64 >= 0.7 * limits, "{taken} of {limits}");
+}
+
+/// The permits of a server come from one daemon. While it is frozen or cannot be reached,
+/// the backup takes its place.
+#[test]
+fn the_limit_is_kept_and_used_while_daemons_freeze_or_cannot_be_reached() {
+    let (daemons, per_second) = (6, 22.8);
+    let mut world = World::new(daemons, search(1, 150, 0.5), 4);
+    let limited = world.add_server("s0", 20 * MS);
+    world.add_server("s0", 20 * MS);
+    world.restart_all();
+    world.servers[limited].limit = limit(per_second);
+    let named = world.now;
+    world.load("/search/x", 90.0, 4 * SECOND, CALLER_TIMEOUT);
+    for daemon in 0..daemons {
+        let from = world.now;
+        world.set_unreachable(daemon, true);
+        world.load("/search/x", 90.0, 2 * SECOND, CALLER_TIMEOUT);
+        world.set_unreachable(daemon, false);
+        world.freeze(daemon, 2 * SECOND);
+        world.load("/search/x", 90.0, 4 * SECOND, CALLER_TIMEOUT);
+        let taken = world.arrivals(limited, from, world.now);
+        assert!(taken as f64 >= 0.2 * 6.0 * per_second, "{daemon}: {taken}");
+    }
+    let busiest = world.busiest_window(limited, named, world.now);
+    assert!(busiest <= allowed(per_second), "{busiest}");
+}
+
+/// A limit ends when the server no longer states it, also for daemons that it had kept from
+/// sending.
+#[test_case(6; "small site")]
+#[test_case(59; "many daemons")]
+fn a_lifted_limit_is_forgotten_by_all_daemons(daemons: usize) {
+    let mut world = World::new(daemons, search(1, 150, 0.5), 5);
+    let limited = world.add_server("s0", 20 * MS);
+    let other = world.add_server("s0", 20 * MS);
+    world.restart_all();
+    world.load("/search/x", 90.0, 2 * SECOND, CALLER_TIMEOUT);
+    world.servers[limited].limit = limit(5.0);
+    world.load("/search/x", 90.0, 10 * SECOND, CALLER_TIMEOUT);
+    world.servers[limited].limit = None;
+    world.load("/search/x", 90.0, 3 * SECOND, CALLER_TIMEOUT);
+    let from = world.now;
+    world.load("/search/x", 90.0, 5 * SECOND, CALLER_TIMEOUT);
+    let (taken, others) = (
+        world.arrivals(limited, from, world.now),
+        world.arrivals(other, from, world.now),
+    );
+    assert!(taken * 3 > others, "{taken}, {others}");
+}
+
+/// A limit also counts in a rejection, in a failure, and in a response that broke off.
+#[test_case(503; "in a rejection")]
+#[test_case(500; "in a failure")]
+fn a_limit_counts_whatever_the_response(status: u16) {
+    let mut world = World::new(6, search(1, 150, 0.5), 6);
+    let limited = world.add_server("s0", 5 * MS);
+    world.add_server("s0", 20 * MS);
+    world.restart_all();
+    world.servers[limited].limit = limit(1.0);
+    world.servers[limited].status = status;
+    let named = world.now;
+    world.load("/search/x", 90.0, 12 * SECOND, CALLER_TIMEOUT);
+    let busiest = world.busiest_window(limited, named, world.now);
+    assert!(busiest <= allowed(1.0), "{busiest}");
+}
+
+/// A request that waits for a permit is not stuck, nor is its daemon, if the daemon that
+/// grants the permits does not respond.
+#[test]
+fn requests_are_answered_while_the_coordinator_does_not_respond() {
+    let daemons = 6;
+    let mut world = World::new(daemons, single(Repeat::Allowed), 7);
+    let limited = world.add_server("one", 20 * MS);
+    world.restart_all();
+    world.servers[limited].limit = limit(5.0);
+    let named = world.now;
+    for daemon in 0..daemons {
+        world.set_unreachable(daemon, true);
+        world.load("/one/x", 40.0, 3 * SECOND, CALLER_TIMEOUT);
+        world.set_unreachable(daemon, false);
+    }
+    let busiest = world.busiest_window(limited, named, world.now);
+    assert!(busiest <= allowed(5.0), "{busiest}");
+    let slowest = world
+        .answers
+        .iter()
+        .map(|answered| answered.summary.took)
+        .max();
+    assert!(slowest <= Some(200 * MS), "{slowest:?}");
+}
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -453,7 +453,7 @@
         while let Some(action) = self.forwarder.next_action() {
             match action {
                 Action::Open { conn, address } => self.open(conn, address),
-                Action::LogServerEvent { .. } => {}
+                Action::SendDatagram { .. } | Action::LogServerEvent { .. } => {}
                 Action::Close { conn } => {
                     self.closed += 1;
                     self.conns.remove(&conn);
--- a/crates/jasminepond-gateway/src/backend.rs
+++ b/crates/jasminepond-gateway/src/backend.rs
@@ -176,7 +176,12 @@
         };
         let received = match read {
             Ok(len) => len,
-            Err(err) => return End::Failed(lost_call(&call), err.to_string()),
+            Err(err) => {
+                if let Some(outgoing) = &call {
+                    report_limit(hub, conn, &responses, outgoing);
+                }
+                return End::Failed(lost_call(&call), err.to_string());
+            }
         };
         let Some(outgoing) = &call else {
             let cause = if received == 0 {
@@ -192,7 +197,10 @@
                 let cause = "too many bytes of unfinished responses";
                 return End::Failed(LostCall::MayHaveRun, cause.to_owned());
             }
-            Progress::Unusable(cause) => return End::Failed(LostCall::MayHaveRun, cause),
+            Progress::Unusable(cause) => {
+                report_limit(hub, conn, &responses, outgoing);
+                return End::Failed(LostCall::MayHaveRun, cause);
+            }
             Progress::Complete { message, closes } => {
                 share.set(0);
                 call = None;
@@ -205,6 +213,13 @@
     }
 }
 
+/// Passes on the rate limit that the headers of a broken response state.
+fn report_limit(hub: &Rc<Hub>, conn: ConnKey, responses: &ResponseStream, outgoing: &Outgoing) {
+    if let Some(limit) = responses.reader.rate_limit(&outgoing.request_id) {
+        hub.limit_stated(conn, limit);
+    }
+}
+
 /// Lets other tasks run: an endless response keeps its socket readable.
 async fn yield_now() {
     let mut yielded = false;
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -31,7 +31,7 @@
 use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
-use jasminepond_ratelimit::RateLimit;
+use jasminepond_ratelimit::LimitReport;
 use jasminepond_routes::CallerLimits;
 use jasminepond_types::ErrorKind;
 use serde_json::json;
@@ -171,6 +171,7 @@
 
 fn forward_settings(settings: &Settings) -> ForwardSettings {
     ForwardSettings {
+        instance: settings.instance.as_str().into(),
         zone: settings.zone.to_string(),
         processor: settings.processor(),
         drain_bound: settings.server_drain_ms.duration(),
@@ -225,6 +226,15 @@
     }
 }
 
+fn limit_status(limit: LimitReport) -> serde_json::Value {
+    json!({
+        "per_second": limit.limit.per_second(),
+        "age_ms": limit.age.as_millis() as u64,
+        "coordinator": limit.coordinator.as_deref(),
+        "permits": limit.permits,
+    })
+}
+
 /// Builds the status page: counts, the active routes, and the presumed state of each
 /// backend server.
 fn status_page(hub: &Hub) -> serde_json::Value {
@@ -243,7 +253,7 @@
                 "cost": (server.cost * 100.0).round() / 100.0,
                 "connections": server.connections,
                 "calls": server.calls,
-                "limit_per_second": server.limit.map(RateLimit::per_second),
+                "limit": server.limit.map(limit_status),
             })
         };
         let routes = forwarder.route_reports().into_iter().map(route);
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -2,18 +2,19 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     task::Poll,
     time::Duration,
 };
 
 use bytes::Bytes;
-use futures_channel::oneshot;
+use futures_channel::{mpsc, oneshot};
 use futures_util::{FutureExt, future::poll_fn, select_biased, task::AtomicWaker};
 use jasminepond_daemon::clock::Clock;
 use jasminepond_forward::{
     Action, ActiveRoute, Answer, Arrival, ConnKey, DelegatedPart, DelegationRequest, Exchange,
-    Forwarder, LostCall, ReqKey, ServerEvent, Summary,
+    Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
 };
 use jasminepond_types::{Millis, Timestamp};
 use slotmap::SecondaryMap;
@@ -48,6 +49,9 @@
     outbound: Outbound,
 }
 
+/// A datagram to another daemon and its address.
+pub type Datagram = (SocketAddr, Vec<u8>);
+
 /// Owns the forwarder and executes its actions.
 pub struct Hub {
     clock: Clock,
@@ -61,6 +65,8 @@
     metrics: Rc<Metrics>,
     sockets: Rc<SocketSet>,
     buffered: BufferedBytes,
+    /// Datagrams to other daemons, sent by the membership task.
+    datagrams: RefCell<Option<mpsc::Sender<Datagram>>>,
     /// Set once a release and all backend servers have been read.
     complete: Rc<Cell<bool>>,
 }
@@ -86,10 +92,16 @@
             metrics,
             sockets,
             buffered: BufferedBytes::default(),
+            datagrams: RefCell::default(),
             complete,
         })
     }
 
+    /// Sets the queue of datagrams to other daemons. Without one they are dropped.
+    pub fn set_datagrams(&self, tx: mpsc::Sender<Datagram>) {
+        *self.datagrams.borrow_mut() = Some(tx);
+    }
+
     /// Returns the header names of the platform.
     pub fn headers(&self) -> &HeaderNames {
         &self.headers
@@ -186,6 +198,11 @@
         self.conns.borrow_mut().remove(conn);
     }
 
+    /// Handles a rate limit in the headers of a response that broke off.
+    pub fn limit_stated(self: &Rc<Self>, conn: ConnKey, limit: StatedLimit) {
+        self.change(|forwarder, now| forwarder.limit_stated(now, conn, limit));
+    }
+
     /// Handles the response to a call.
     pub fn replied(self: &Rc<Self>, conn: ConnKey, exchange: Exchange) {
         self.change(|forwarder, now| forwarder.replied(now, conn, exchange));
@@ -254,6 +271,7 @@
                 delegation,
                 ..
             } => self.send(conn, req, &server, left, delegation),
+            Action::SendDatagram { to, message } => self.send_datagram(to, message.encode()),
             Action::LogServerEvent { server, event } => log_server_event(&server, event),
             Action::Answer {
                 req,
@@ -301,6 +319,14 @@
         });
     }
 
+    fn send_datagram(&self, to: SocketAddr, bytes: Vec<u8>) {
+        let mut datagrams = self.datagrams.borrow_mut();
+        let sent = datagrams.as_mut().map(|tx| tx.try_send((to, bytes)));
+        if !matches!(sent, Some(Ok(()))) {
+            self.metrics.datagram_dropped();
+        }
+    }
+
     fn answer(&self, req: ReqKey, answer: Option<Answer>, summary: Summary) {
         let Some(caller) = self.callers.borrow_mut().remove(req) else {
             return;
@@ -366,14 +392,15 @@
         ServerEvent::InvalidLimit => {
             info!("gateway: a backend server's rate limit cannot be read and is ignored", kv: { server });
         }
-        ServerEvent::LimitUsage { limit, sends } => {
+        ServerEvent::LimitUsage { limit, usage } => {
             let limit_per_s = limit.per_second();
             info!("gateway: sends to a backend server with a rate limit", kv: {
                 server,
                 limit_per_s,
-                first = sends.first,
-                hedged = sends.hedged,
-                retried = sends.retried,
+                first = usage.first,
+                hedged = usage.hedged,
+                retried = usage.retried,
+                held_back = usage.held_back,
             });
         }
         ServerEvent::AddressTaken => {
--- a/crates/jasminepond-gateway/src/members.rs
+++ b/crates/jasminepond-gateway/src/members.rs
@@ -17,10 +17,11 @@
 use jasminepond_daemon::{clock::Clock, stop::Stop};
 use jasminepond_forward::{Cluster, Peer};
 use jasminepond_membership::{LocalMember, Membership, Message, Output, Settings};
+use jasminepond_ratelimit::Message as LimitMessage;
 use jasminepond_types::{InstanceId, Timestamp};
 use spdlog::{debug, info};
 
-use crate::hub::Hub;
+use crate::hub::{Datagram, Hub};
 
 /// Receive buffer size. The protocol's datagrams stay below the usual path MTU.
 const MAX_DATAGRAM_BYTES: usize = 1_500;
@@ -101,11 +102,25 @@
     }
 }
 
+/// Sends queued datagrams. The forwarder sends none while it executes its actions, so that
+/// no request waits for the socket.
+async fn send(socket: Rc<UdpSocket>, mut rx: mpsc::Receiver<Datagram>) {
+    while let Some((to, bytes)) = rx.next().await {
+        let BufResult(sent, _) = socket.send_to(bytes, to).await;
+        if let Err(err) = sent {
+            debug!("limits: sending failed", kv: { to:, error: = err });
+        }
+    }
+}
+
 impl MembershipTask {
     /// Runs the protocol until the process ends.
     pub async fn run(mut self) {
         let (tx, mut rx) = mpsc::channel(MAX_QUEUED_DATAGRAMS);
         compio::runtime::spawn(receive(self.socket.clone(), tx)).detach();
+        let (outgoing, queued) = mpsc::channel(MAX_QUEUED_DATAGRAMS);
+        compio::runtime::spawn(send(self.socket.clone(), queued)).detach();
+        self.hub.set_datagrams(outgoing);
         let started = self.clock.now();
         let mut known = 0;
         let mut changed = started;
@@ -145,6 +160,7 @@
             let wait = next.since(self.clock.now()).max(MIN_WAIT);
             let datagram = select_biased! {
                 _ = leave => {
+                    self.hub.change(|forwarder, _| forwarder.set_leaving());
                     let outputs = self.membership.leave(self.clock.now());
                     self.perform(outputs).await;
                     None
@@ -173,6 +189,9 @@
 
     async fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
         let now: Timestamp = self.clock.now();
+        if LimitMessage::is_encoded(bytes) {
+            return self.receive_limit(from, bytes);
+        }
         match Message::decode(bytes) {
             Ok(message) => {
                 let outputs = self.membership.receive(now, from, message);
@@ -182,6 +201,15 @@
         }
     }
 
+    fn receive_limit(&self, from: SocketAddr, bytes: &[u8]) {
+        match LimitMessage::decode(bytes) {
+            Ok(message) => self
+                .hub
+                .change(|forwarder, now| forwarder.receive_limit_message(now, from, message)),
+            Err(err) => debug!("limits: datagram refused", kv: { from:, error: = err }),
+        }
+    }
+
     async fn perform(&mut self, outputs: Vec<Output>) {
         for output in outputs {
             match output {
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     servers_down: Gauge,
     servers_limited: Gauge,
     waiting: Gauge,
+    datagrams_dropped: Counter,
+    limited: Counter,
     store_down: Cell<bool>,
 }
 
@@ -71,6 +73,8 @@
             servers_down: Gauge::default(),
             servers_limited: Gauge::default(),
             waiting: Gauge::default(),
+            datagrams_dropped: Counter::default(),
+            limited: Counter::default(),
             store_down: Cell::new(false),
         };
         let mut registry = Registry::with_prefix("jasminepond_gateway");
@@ -112,6 +116,16 @@
                 "Connections to backend servers that failed to open",
                 &self.connections_failed,
             ),
+            (
+                "datagrams_dropped",
+                "Datagrams to other daemons dropped because the queue was full",
+                &self.datagrams_dropped,
+            ),
+            (
+                "limited_parts",
+                "Shards or requests not served because their servers were at their rate limits",
+                &self.limited,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             (
                 "store_failures",
@@ -177,6 +191,7 @@
         self.repeats.inc_by(summary.repeats.into());
         self.over_budget.inc_by(summary.over_budget.into());
         self.missing.inc_by(summary.missing.len() as u64);
+        self.limited.inc_by(summary.limited.into());
     }
 
     /// Records a request that was refused before it was routed.
@@ -197,6 +212,11 @@
         self.connections_failed.inc();
     }
 
+    /// Records a datagram to another daemon that was dropped.
+    pub fn datagram_dropped(&self) {
+        self.datagrams_dropped.inc();
+    }
+
     /// Records a call to the store.
     pub fn store_called(&self) {
         self.store_calls.inc();
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -168,6 +168,8 @@
     /// Bytes of interim responses before the final one.
     interim_bytes: usize,
     interim: u32,
+    /// Rate limit in the headers of the incomplete response, with its request id.
+    stated_limit: Option<(Option<Bytes>, StatedLimit)>,
 }
 
 impl ResponseReader {
@@ -226,6 +228,15 @@
         }
     }
 
+    /// Returns the rate limit in the headers of a response to `request_id` that broke off or
+    /// is incomplete.
+    pub fn rate_limit(&self, request_id: &[u8]) -> Option<StatedLimit> {
+        let (id, limit) = self.stated_limit.as_ref()?;
+        id.as_ref()
+            .is_none_or(|id| *id == request_id)
+            .then_some(*limit)
+    }
+
     fn head(
         &mut self,
         buf: &[u8],
@@ -281,6 +292,9 @@
             closes: head.version == Some(0),
         });
         let framing = read_headers(&mut message, head.headers, names, expected.keep_headers)?;
+        if let Some(limit) = message.reply.rate_limit.filter(|_| status != MISDIRECTED) {
+            self.stated_limit = Some((message.request_id.clone(), limit));
+        }
         let partial = Partial {
             message,
             body: Vec::new(),
--- a/crates/jasminepond-ratelimit/src/coordinators.rs
+++ b/crates/jasminepond-ratelimit/src/coordinators.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::ProcessId;
 
@@ -17,8 +17,12 @@
     pub running: bool,
 }
 
-/// Share of a limit that the backup grants.
-const BACKUP_SHARE: f64 = 0.25;
+/// Share of a limit that the backup grants. In four seconds, with the permits of the half
+/// second before, both together grant six times the limit per second.
+const BACKUP_SHARE: f64 = 1.0 / 3.0;
+
+/// Number of daemons to which one daemon passes on a notice.
+const FAN_OUT: usize = 8;
 
 /// A daemon that grants permits.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,6 +106,35 @@
         }
     }
 
+    /// The daemons to which a notice is passed on for those with hashes in `range`, each with
+    /// the part of the range that it covers.
+    pub(crate) fn notified(&self, range: (u64, u64)) -> Vec<(SocketAddr, (u64, u64))> {
+        let others = self.others.iter().filter(|daemon| daemon.running);
+        let hashed = others.map(|daemon| (hash(&daemon.instance), daemon.address));
+        let mut inside: Vec<_> = hashed
+            .filter(|(hash, _)| (range.0..=range.1).contains(hash))
+            .collect();
+        inside.sort_unstable_by_key(|(hash, _)| *hash);
+        let parts = inside.chunks(inside.len().div_ceil(FAN_OUT).max(1));
+        let covered = parts.filter_map(|part| {
+            let (first, last) = (part.first()?, part.last()?);
+            Some((first.1, (first.0, last.0)))
+        });
+        covered.collect()
+    }
+
+    /// The daemons that are running in `others` and were not before.
+    pub(crate) fn newly_running(&self, others: &[Daemon]) -> Vec<SocketAddr> {
+        let was_running = |daemon: &Daemon| {
+            let mut known = self.others.iter();
+            known.any(|other| other.instance == daemon.instance && other.running)
+        };
+        let new = others
+            .iter()
+            .filter(|daemon| daemon.running && !was_running(daemon));
+        new.map(|daemon| daemon.address).collect()
+    }
+
     /// Share of the limit of a process that this daemon may grant. A minority of the
     /// daemons, as after a partition, grants only its part, since the others may grant the
     /// whole limit.
@@ -119,3 +152,8 @@
         }
     }
 }
+
+/// Position of a daemon among those that pass on notices.
+fn hash(instance: &str) -> u64 {
+    xxh3_64(instance.as_bytes())
+}
--- a/crates/jasminepond-ratelimit/src/lib.rs
+++ b/crates/jasminepond-ratelimit/src/lib.rs
@@ -7,10 +7,13 @@
 //! demand, and a daemon that crashes, freezes or is cut off strands a fraction of a second
 //! of it.
 //!
-//! The second daemon in the same order is the backup. It grants a quarter of the limit to
+//! The second daemon in the same order is the backup. It grants a third of the limit to
 //! daemons that get no response from the coordinator, so that both together stay within
 //! one and a half times the limit, however much their views differ.
 //!
+//! A limit applies to daemons that have not received it in a response, too. The coordinator
+//! therefore tells the others, along a tree.
+//!
 //! [`RateLimiter`] does no I/O and reads no clock.
 
 mod allocator;
@@ -24,6 +27,6 @@
 
 pub use coordinators::Daemon;
 pub use limiter::{Availability, LimitChange, LimitReport, RateLimiter, Received};
-pub use message::{Ask, DecodeError, Grant, Message, Statement};
+pub use message::{Ask, DecodeError, Grant, Message, Notice, Statement};
 pub use process::ProcessId;
 pub use rate::{ParseRateLimitError, RateLimit};
--- a/crates/jasminepond-ratelimit/src/limiter.rs
+++ b/crates/jasminepond-ratelimit/src/limiter.rs
@@ -10,7 +10,7 @@
 use jasminepond_types::Timestamp;
 
 use crate::{
-    Ask, Daemon, Grant, Message, ProcessId, RateLimit, Statement,
+    Ask, Daemon, Grant, Message, Notice, ProcessId, RateLimit, Statement,
     allocator::Allocator,
     belief::Belief,
     coordinators::{Coordinator, Coordinators, Daemons},
@@ -18,10 +18,6 @@
     permits::{Pending, Permits},
 };
 
-/// Time after which a request for permits counts as lost. Several round trips between
-/// zones, plus the time for which a daemon with little processor time may be delayed.
-const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Time after which the coordinator is asked again instead of the backup.
 const BACKUP_TIME: Duration = Duration::from_millis(500);
 
@@ -32,6 +28,10 @@
 /// of the two daemons have probably converged.
 const DECLINED_RETRY: Duration = Duration::from_millis(50);
 
+/// Shortest time between two notices about a process, which may state a limit in some
+/// responses only.
+const NOTICE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Maximum number of processes whose limits are remembered: one day's worth at ten thousand
 /// restarts a day.
 const MAX_PROCESSES: usize = 10_000;
@@ -47,6 +47,9 @@
 /// the process has ended. The next response states it again if it still holds.
 const LIMIT_MEMORY: Duration = Duration::from_secs(600);
 
+/// Range of hashes of a notice that is not passed on.
+const NO_RANGE: (u64, u64) = (1, 0);
+
 /// When a request may be sent to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
@@ -98,6 +101,8 @@
     allocator: Option<Allocator>,
     /// Coordinators, and the generation of daemons for which they were chosen.
     coordinators: (u64, Coordinators),
+    /// When the other daemons were last told of the limit.
+    noticed: Option<Timestamp>,
     /// When the process was last used or asked for.
     touched: Timestamp,
 }
@@ -109,6 +114,7 @@
             permits: Permits::default(),
             allocator: None,
             coordinators: (0, Coordinators::default()),
+            noticed: None,
             touched: now,
         }
     }
@@ -141,6 +147,11 @@
         (delays, allocator.next_in(now))
     }
 
+    /// Whether this daemon grants the permits of the process.
+    fn is_own(&mut self, process: ProcessId, daemons: &Daemons) -> bool {
+        self.coordinators(process, daemons).first == Some(Coordinator::Own)
+    }
+
     fn statement(&self, now: Timestamp) -> Statement {
         Statement {
             limit: self.belief.limit,
@@ -181,8 +192,8 @@
 ///
 /// let process = ProcessId::new("i-1", None, "10.0.0.1:80".parse().unwrap());
 /// let mut limiter = RateLimiter::new("daemon-1".into());
-/// limiter.set_daemons(vec![]);
 /// let now = Timestamp::from_millis(1);
+/// limiter.set_daemons(now, vec![]);
 /// assert_eq!(limiter.availability(now, process), Availability::Unlimited);
 ///
 /// limiter.observe(now, process, now, RateLimit::new(2.0));
@@ -211,9 +222,27 @@
         }
     }
 
-    /// Sets all other daemons. No permits are granted before.
-    pub fn set_daemons(&mut self, others: Vec<Daemon>) {
+    /// Sets all other daemons. No permits are granted before. Daemons that have started are
+    /// told of the limits for which this daemon grants the permits.
+    pub fn set_daemons(&mut self, now: Timestamp, others: Vec<Daemon>) {
+        let started = self.daemons.newly_running(&others);
         self.daemons.set_others(others);
+        if started.is_empty() {
+            return;
+        }
+        for (process, state) in &mut self.processes {
+            if state.belief.limit.is_none() || !state.is_own(*process, &self.daemons) {
+                continue;
+            }
+            for address in &started {
+                let notice = Message::Notice(Notice {
+                    process: *process,
+                    statement: state.statement(now),
+                    range: NO_RANGE,
+                });
+                self.outbox.push_back((*address, notice));
+            }
+        }
     }
 
     /// Stops granting permits, because the daemon is about to stop.
@@ -246,12 +275,58 @@
         let before = state.belief.limit;
         state.belief.observe(now, sent, stated);
         let change = state.change_since(before);
-        if change == Some(LimitChange::Lifted) {
-            self.send_ask(now, process, 0, Duration::ZERO);
+        match change {
+            None => {}
+            Some(LimitChange::Limited(_)) if before.is_some() => {}
+            Some(_) => self.tell_coordinator(now, process),
         }
         change
     }
 
+    /// Tells the coordinator of a limit that is new or lifted, and the other daemons if this
+    /// one is the coordinator.
+    fn tell_coordinator(&mut self, now: Timestamp, process: ProcessId) {
+        let daemons = &self.daemons;
+        let Some(state) = self.processes.get_mut(&process) else {
+            return;
+        };
+        if state.is_own(process, daemons) {
+            self.tell_all(now, process);
+        } else {
+            self.send_ask(now, process, 0, Duration::ZERO);
+        }
+    }
+
+    /// Tells all other daemons of a limit, unless they were told a moment ago.
+    fn tell_all(&mut self, now: Timestamp, process: ProcessId) {
+        let Some(state) = self.processes.get_mut(&process) else {
+            return;
+        };
+        let told = state
+            .noticed
+            .is_some_and(|at| now.since(at) < NOTICE_INTERVAL);
+        if told || state.belief.limit.is_none() || !state.is_own(process, &self.daemons) {
+            return;
+        }
+        state.noticed = Some(now);
+        self.pass_on(now, process, (0, u64::MAX));
+    }
+
+    fn pass_on(&mut self, now: Timestamp, process: ProcessId, range: (u64, u64)) {
+        let Some(state) = self.processes.get(&process) else {
+            return;
+        };
+        let statement = state.statement(now);
+        for (to, range) in self.daemons.notified(range) {
+            let notice = Notice {
+                process,
+                statement,
+                range,
+            };
+            self.outbox.push_back((to, Message::Notice(notice)));
+        }
+    }
+
     /// When a request may be sent to a process.
     pub fn availability(&self, now: Timestamp, process: ProcessId) -> Availability {
         let Some(state) = self.processes.get(&process) else {
@@ -301,7 +376,7 @@
     pub fn request_own(&mut self, now: Timestamp, process: ProcessId) {
         let daemons = &self.daemons;
         if let Some(state) = self.processes.get_mut(&process)
-            && state.coordinators(process, daemons).first == Some(Coordinator::Own)
+            && state.is_own(process, daemons)
         {
             self.request(now, process, 1, now);
         }
@@ -315,12 +390,14 @@
         };
         state.touched = now;
         state.permits.expire(now);
-        if let Some(pending) = state.permits.pending
-            && now.since(pending.sent) >= ASK_TIMEOUT
+        if state
+            .permits
+            .pending
+            .is_some_and(|pending| pending.is_lost(now))
         {
             state.permits.on_ask_lost(now);
         }
-        let missing = wanted.saturating_sub(state.permits.expected());
+        let missing = wanted.saturating_sub(state.permits.expected(now));
         let waits = state.permits.pending.is_some() || now < state.permits.next_at;
         if state.belief.limit.is_none() || missing == 0 || waits {
             return;
@@ -329,19 +406,19 @@
         self.send_ask(now, process, count.min(MAX_PERMITS), by.since(now));
     }
 
-    /// Whether permits of a process have been requested and are not known to be refused.
-    pub fn expected(&self, process: ProcessId) -> usize {
+    /// Number of permits of a process that are held or requested.
+    pub fn expected(&self, now: Timestamp, process: ProcessId) -> usize {
         let state = self.processes.get(&process);
-        state.map_or(0, |state| state.permits.expected())
+        state.map_or(0, |state| state.permits.expected(now))
     }
 
-    /// When a request that waits for a permit should be tried again, if nothing else happens.
+    /// Later time at which a request that waits for a permit should be tried again, if nothing
+    /// else happens.
     pub fn retry_at(&self, now: Timestamp, process: ProcessId) -> Option<Timestamp> {
         let permits = &self.processes.get(&process)?.permits;
-        let answered = permits.pending.map(|pending| pending.sent + ASK_TIMEOUT);
-        let next = (now < permits.next_at).then_some(permits.next_at);
-        let first = permits.first(now).filter(|from| *from > now);
-        [answered, next, first].into_iter().flatten().min()
+        let lost = permits.pending.map(|pending| pending.lost_at());
+        let times = [lost, Some(permits.next_at), permits.first(now)];
+        times.into_iter().flatten().filter(|at| *at > now).min()
     }
 
     fn send_ask(&mut self, now: Timestamp, process: ProcessId, count: u16, wait: Duration) {
@@ -385,6 +462,7 @@
         match message {
             Message::Ask(ask) => self.on_ask(now, from, ask),
             Message::Grant(grant) => self.on_grant(now, grant),
+            Message::Notice(notice) => self.on_notice(now, notice),
         }
     }
 
@@ -397,6 +475,9 @@
             wait,
         } = ask;
         let change = self.merge(now, process, statement);
+        if change.is_some() {
+            self.tell_all(now, process);
+        }
         let daemons = &self.daemons;
         if let Some(state) = self.processes.get_mut(&process)
             && count > 0
@@ -425,15 +506,23 @@
             state.permits.pending = None;
             // A daemon that was frozen answers late, from a bucket that others may have
             // replaced.
-            if now.since(pending.sent) < ASK_TIMEOUT {
-                state.permits.on_grant(now, &grant.delays, grant.next_in);
-            } else {
-                state.permits.on_ask_lost(now);
+            match pending.is_lost(now) {
+                true => state.permits.on_ask_lost(now),
+                false => state.permits.on_grant(now, &grant.delays, grant.next_in),
             }
         }
         Received { process, change }
     }
 
+    fn on_notice(&mut self, now: Timestamp, notice: Notice) -> Received {
+        let process = notice.process;
+        let change = self.merge(now, process, notice.statement);
+        if self.limit(process).is_some() {
+            self.pass_on(now, process, notice.range);
+        }
+        Received { process, change }
+    }
+
     /// Adopts what another daemon knows if it is newer.
     fn merge(
         &mut self,
--- a/crates/jasminepond-ratelimit/src/message.rs
+++ b/crates/jasminepond-ratelimit/src/message.rs
@@ -17,6 +17,7 @@
 
 const KIND_ASK: u8 = 1;
 const KIND_GRANT: u8 = 2;
+const KIND_NOTICE: u8 = 3;
 
 /// Maximum number of permits in one message.
 pub(crate) const MAX_PERMITS: u16 = 64;
@@ -60,6 +61,18 @@
     pub next_in: Duration,
 }
 
+/// Tells daemons of a limit that they have not received themselves. The receiver passes it
+/// on to the daemons in a range of hashes, so that no daemon has to send to all.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Notice {
+    /// The process.
+    pub process: ProcessId,
+    /// What the sender knows.
+    pub statement: Statement,
+    /// First and last hash of the daemons to which the receiver passes the notice on.
+    pub range: (u64, u64),
+}
+
 /// A message.
 ///
 /// ```
@@ -83,6 +96,8 @@
     Ask(Ask),
     /// Grants permits.
     Grant(Grant),
+    /// Tells of a limit.
+    Notice(Notice),
 }
 
 /// A datagram is malformed or of another version.
@@ -110,6 +125,7 @@
         let (kind, process, id, statement) = match self {
             Self::Ask(ask) => (KIND_ASK, ask.process, ask.id, ask.statement),
             Self::Grant(grant) => (KIND_GRANT, grant.process, grant.id, grant.statement),
+            Self::Notice(notice) => (KIND_NOTICE, notice.process, 0, notice.statement),
         };
         let mut buf = Vec::with_capacity(64);
         buf.put_slice(&[MAGIC, VERSION, kind]);
@@ -130,6 +146,10 @@
                     buf.put_u16(u16::try_from(delay.as_millis()).unwrap_or(u16::MAX));
                 }
             }
+            Self::Notice(notice) => {
+                buf.put_u64(notice.range.0);
+                buf.put_u64(notice.range.1);
+            }
         }
         buf
     }
@@ -181,6 +201,11 @@
                     next_in,
                 })
             }
+            [MAGIC, VERSION, KIND_NOTICE] => Self::Notice(Notice {
+                process,
+                statement,
+                range: (get(buf, Buf::try_get_u64)?, get(buf, Buf::try_get_u64)?),
+            }),
             _ => return Err(DecodeError::Unknown),
         };
         match buf.is_empty() {
--- a/crates/jasminepond-ratelimit/src/permits.rs
+++ b/crates/jasminepond-ratelimit/src/permits.rs
@@ -8,6 +8,10 @@
 /// add to those of the next.
 const LIFETIME: Duration = Duration::from_millis(500);
 
+/// Time after which a request for permits counts as lost. Several round trips between
+/// zones, plus the time for which a daemon with little processor time may be delayed.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time constant of the average demand.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
 
@@ -35,6 +39,17 @@
     pub(crate) count: u16,
 }
 
+impl Pending {
+    /// When the request counts as lost if it has no response.
+    pub(crate) fn lost_at(&self) -> Timestamp {
+        self.sent + ASK_TIMEOUT
+    }
+
+    pub(crate) fn is_lost(&self, now: Timestamp) -> bool {
+        now >= self.lost_at()
+    }
+}
+
 /// Permits, and the demand for them.
 #[derive(Debug, Default)]
 pub(crate) struct Permits {
@@ -95,9 +110,10 @@
     }
 
     /// Number of permits that are held or requested.
-    pub(crate) fn expected(&self) -> usize {
-        let pending = self.pending.map_or(0, |pending| pending.count);
-        self.permits.len() + usize::from(pending)
+    pub(crate) fn expected(&self, now: Timestamp) -> usize {
+        let valid = self.permits.iter().filter(|permit| now <= permit.until);
+        let pending = self.pending.filter(|pending| !pending.is_lost(now));
+        valid.count() + pending.map_or(0, |pending| usize::from(pending.count))
     }
 
     /// Number of permits to keep in stock.
--- a/crates/jasminepond-ratelimit/tests/statements.rs
+++ b/crates/jasminepond-ratelimit/tests/statements.rs
@@ -26,7 +26,7 @@
 /// A limiter that grants its permits itself.
 fn alone() -> RateLimiter {
     let mut limiter = RateLimiter::new("a".into());
-    limiter.set_daemons(vec![]);
+    limiter.set_daemons(START, vec![]);
     limiter
 }
 
@@ -106,7 +106,7 @@
     let mut limiter = alone();
     limiter.observe(START, process(1), START, limit(100.0));
     limiter.request(START, process(1), 40, START + SECOND);
-    assert_eq!(limiter.expected(process(1)), 40);
+    assert_eq!(limiter.expected(START, process(1)), 40);
     let later = START + 5 * SECOND;
     assert_eq!(
         limiter.availability(later, process(1)),
@@ -131,7 +131,7 @@
     let mut limiter = RateLimiter::new("a".into());
     limiter.observe(START, process(1), START, limit(100.0));
     assert_eq!(sends(&mut limiter, START, 5 * SECOND), 0);
-    limiter.set_daemons(vec![]);
+    limiter.set_daemons(START, vec![]);
     assert!(sends(&mut limiter, START + 5 * SECOND, 5 * SECOND) > 400);
 }
 
@@ -144,7 +144,7 @@
         running,
     };
     let mut limiter = RateLimiter::new("a".into());
-    limiter.set_daemons((0..5).map(|number| other(number, false)).collect());
+    limiter.set_daemons(START, (0..5).map(|number| other(number, false)).collect());
     limiter.observe(START, process(1), START, limit(60.0));
     let sends = sends(&mut limiter, START, 10 * SECOND);
     assert!((90..=110).contains(&sends), "{sends}");
--- a/crates/jasminepond-ratelimit/tests/together.rs
+++ b/crates/jasminepond-ratelimit/tests/together.rs
@@ -150,7 +150,7 @@
             running: self.views[daemon][other],
         });
         let daemons = daemons.collect();
-        self.limiters[daemon].set_daemons(daemons);
+        self.limiters[daemon].set_daemons(self.now, daemons);
     }
 
     /// Lets the other daemons notice that one stopped or started, each at its own time.
@@ -384,3 +384,45 @@
         }
     }
 }
+
+/// A daemon that has not received a limit itself would send without a permit. No daemon has
+/// to tell all others.
+#[test_case(7; "small site")]
+#[test_case(195; "large site")]
+#[test_case(3_900; "target size")]
+fn all_daemons_are_told_of_a_limit(daemons: usize) {
+    let now = Timestamp::from_millis(1);
+    let daemon = |other| Daemon {
+        instance: name(other),
+        address: ([10, 0, 0, 1], other as u16 + 1).into(),
+        running: true,
+    };
+    let mut limiters: Vec<_> = (0..daemons).map(|d| RateLimiter::new(name(d))).collect();
+    for (number, limiter) in limiters.iter_mut().enumerate() {
+        let others = (0..daemons).filter(|other| *other != number);
+        limiter.set_daemons(now, others.map(daemon).collect());
+    }
+    limiters[0].observe(now, process(), now, RateLimit::new(8.0));
+    let mut most = 0;
+    let mut rounds = 0;
+    loop {
+        let mut sent = false;
+        for from in 0..daemons {
+            let mut messages = 0;
+            while let Some((to, message)) = limiters[from].next_message() {
+                messages += 1;
+                limiters[usize::from(to.port()) - 1].receive(now, address(0), message);
+            }
+            sent |= messages > 0;
+            most = most.max(messages);
+        }
+        rounds += 1;
+        if !sent {
+            break;
+        }
+        assert!(rounds < 20, "notices are passed on without end");
+    }
+    let told = limiters.iter().filter(|l| l.limit(process()).is_some());
+    assert_eq!(told.count(), daemons);
+    assert!(most <= 9, "{most} messages of one daemon");
+}
