fix(ratelimit): tell daemons of lifted limits and of those at their start

Cause: a daemon that no longer asks for permits kept a lifted limit, and showed it; a healed partition sent one notice for each daemon and limit at once. Change: the notice of a lifted limit takes the same tree; more than eight daemons that start are told along the tree too. An invalid limit is logged once and not for each response. Processes are kept in order, so that the order of messages does not vary.

--- a/crates/jasminepond-forward/src/forwarder/limits.rs
+++ b/crates/jasminepond-forward/src/forwarder/limits.rs
@@ -29,21 +29,28 @@
         sent: Timestamp,
         stated: Option<StatedLimit>,
     ) {
-        let Some(server) = self.servers.get(key) else {
+        let Some(server) = self.servers.get_mut(key) else {
             return;
         };
+        server.invalid_limit &= stated == Some(StatedLimit::Invalid);
+        let process = server.process;
         let limit = match stated {
             Some(StatedLimit::Limit(limit)) => Some(limit),
-            Some(StatedLimit::Invalid) => {
-                return self.log_server_event(key, ServerEvent::InvalidLimit);
-            }
+            Some(StatedLimit::Invalid) => return self.on_invalid_limit(key),
             None => None,
         };
-        if let Some(change) = self.limiter.observe(now, server.process, sent, limit) {
+        if let Some(change) = self.limiter.observe(now, process, sent, limit) {
             self.on_limit_change(now, key, change);
         }
     }
 
+    /// Logs the first of consecutive invalid limits.
+    fn on_invalid_limit(&mut self, key: ServerKey) {
+        if !std::mem::replace(&mut self.servers[key].invalid_limit, true) {
+            self.log_server_event(key, ServerEvent::InvalidLimit);
+        }
+    }
+
     /// Handles a limit in the headers of a response that broke off.
     pub fn limit_stated(&mut self, now: Timestamp, conn: ConnKey, limit: StatedLimit) {
         let Some(conn) = self.conns.get(conn) else {
@@ -88,19 +95,22 @@
 
     fn on_limit_change(&mut self, now: Timestamp, key: ServerKey, change: LimitChange) {
         let event = match change {
-            LimitChange::Limited(limit) => {
-                let server = &mut self.servers[key];
-                if !server.reports_limit {
-                    server.reports_limit = true;
-                    server.limit_usage = Default::default();
-                    self.timers
-                        .set(now + USAGE_INTERVAL, Timer::LimitUsage(key));
-                }
-                ServerEvent::Limited { limit }
-            }
+            LimitChange::Limited(limit) => ServerEvent::Limited { limit },
             LimitChange::Lifted => ServerEvent::LimitLifted,
         };
         self.log_server_event(key, event);
+        self.report_limit(now, key);
+    }
+
+    /// Begins to report the use of a server's limit, if it has one.
+    pub(super) fn report_limit(&mut self, now: Timestamp, key: ServerKey) {
+        let server = &mut self.servers[key];
+        if self.limiter.limit(server.process).is_some() && !server.reports_limit {
+            server.reports_limit = true;
+            server.limit_usage = Default::default();
+            self.timers
+                .set(now + USAGE_INTERVAL, Timer::LimitUsage(key));
+        }
     }
 
     /// Reports the use of a limit since the last report.
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -78,6 +78,8 @@
     pub(crate) stopping: bool,
     /// Time until which the server gets no requests, as set by its `Retry-After`.
     back_off_until: Timestamp,
+    /// Whether its last response stated an invalid rate limit.
+    pub(crate) invalid_limit: bool,
     /// Whether the use of its rate limit is reported.
     pub(crate) reports_limit: bool,
     /// Use of its rate limit since the last report.
@@ -103,6 +105,7 @@
             leaving_since: None,
             stopping: false,
             back_off_until: Timestamp::ZERO,
+            invalid_limit: false,
             reports_limit: false,
             limit_usage: LimitUsage::default(),
             permit_timer: None,
--- a/crates/jasminepond-ratelimit/src/coordinators.rs
+++ b/crates/jasminepond-ratelimit/src/coordinators.rs
@@ -22,7 +22,7 @@
 const BACKUP_SHARE: f64 = 1.0 / 3.0;
 
 /// Number of daemons to which one daemon passes on a notice.
-const FAN_OUT: usize = 8;
+pub(crate) const FAN_OUT: usize = 8;
 
 /// A daemon that grants permits.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/jasminepond-ratelimit/src/limiter.rs
+++ b/crates/jasminepond-ratelimit/src/limiter.rs
@@ -1,7 +1,7 @@
 //! Keeps the limits of all processes.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -13,7 +13,7 @@
     Ask, Daemon, Grant, Message, Notice, ProcessId, RateLimit, Statement,
     allocator::Allocator,
     belief::Belief,
-    coordinators::{Coordinator, Coordinators, Daemons},
+    coordinators::{Coordinator, Coordinators, Daemons, FAN_OUT},
     message::MAX_PERMITS,
     permits::{Pending, Permits},
 };
@@ -47,8 +47,11 @@
 /// the process has ended. The next response states it again if it still holds.
 const LIMIT_MEMORY: Duration = Duration::from_secs(600);
 
+/// Range of hashes of all daemons.
+const ALL: (u64, u64) = (0, u64::MAX);
+
 /// Range of hashes of a notice that is not passed on.
-const NO_RANGE: (u64, u64) = (1, 0);
+const NONE: (u64, u64) = (1, 0);
 
 /// When a request may be sent to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -206,7 +209,7 @@
 #[derive(Debug, Default)]
 pub struct RateLimiter {
     daemons: Daemons,
-    processes: HashMap<ProcessId, Process>,
+    processes: BTreeMap<ProcessId, Process>,
     /// Number of processes at which forgotten ones are removed.
     sweep_at: usize,
     outbox: VecDeque<(SocketAddr, Message)>,
@@ -234,14 +237,12 @@
             if state.belief.limit.is_none() || !state.is_own(*process, &self.daemons) {
                 continue;
             }
-            for address in &started {
-                let notice = Message::Notice(Notice {
-                    process: *process,
-                    statement: state.statement(now),
-                    range: NO_RANGE,
-                });
-                self.outbox.push_back((*address, notice));
-            }
+            let statement = state.statement(now);
+            let to = match started.len() > FAN_OUT {
+                true => self.daemons.notified(ALL),
+                false => started.iter().map(|to| (*to, NONE)).collect(),
+            };
+            push_notices(&mut self.outbox, *process, statement, to);
         }
     }
 
@@ -297,7 +298,8 @@
         }
     }
 
-    /// Tells all other daemons of a limit, unless they were told a moment ago.
+    /// Tells all other daemons of a limit that is new or lifted, unless they were told a
+    /// moment ago.
     fn tell_all(&mut self, now: Timestamp, process: ProcessId) {
         let Some(state) = self.processes.get_mut(&process) else {
             return;
@@ -305,26 +307,13 @@
         let told = state
             .noticed
             .is_some_and(|at| now.since(at) < NOTICE_INTERVAL);
-        if told || state.belief.limit.is_none() || !state.is_own(process, &self.daemons) {
+        if told || !state.is_own(process, &self.daemons) {
             return;
         }
         state.noticed = Some(now);
-        self.pass_on(now, process, (0, u64::MAX));
-    }
-
-    fn pass_on(&mut self, now: Timestamp, process: ProcessId, range: (u64, u64)) {
-        let Some(state) = self.processes.get(&process) else {
-            return;
-        };
         let statement = state.statement(now);
-        for (to, range) in self.daemons.notified(range) {
-            let notice = Notice {
-                process,
-                statement,
-                range,
-            };
-            self.outbox.push_back((to, Message::Notice(notice)));
-        }
+        let to = self.daemons.notified(ALL);
+        push_notices(&mut self.outbox, process, statement, to);
     }
 
     /// When a request may be sent to a process.
@@ -515,11 +504,14 @@
     }
 
     fn on_notice(&mut self, now: Timestamp, notice: Notice) -> Received {
-        let process = notice.process;
-        let change = self.merge(now, process, notice.statement);
-        if self.limit(process).is_some() {
-            self.pass_on(now, process, notice.range);
-        }
+        let Notice {
+            process,
+            statement,
+            range,
+        } = notice;
+        let change = self.merge(now, process, statement);
+        let to = self.daemons.notified(range);
+        push_notices(&mut self.outbox, process, statement, to);
         Received { process, change }
     }
 
@@ -586,3 +578,19 @@
         self.sweep_at = (2 * self.processes.len()).min(MAX_PROCESSES);
     }
 }
+
+fn push_notices(
+    outbox: &mut VecDeque<(SocketAddr, Message)>,
+    process: ProcessId,
+    statement: Statement,
+    to: Vec<(SocketAddr, (u64, u64))>,
+) {
+    for (to, range) in to {
+        let notice = Notice {
+            process,
+            statement,
+            range,
+        };
+        outbox.push_back((to, Message::Notice(notice)));
+    }
+}
--- a/crates/jasminepond-ratelimit/tests/together.rs
+++ b/crates/jasminepond-ratelimit/tests/together.rs
@@ -403,26 +403,31 @@
         limiter.set_daemons(now, others.map(daemon).collect());
     }
     limiters[0].observe(now, process(), now, RateLimit::new(8.0));
-    let mut most = 0;
-    let mut rounds = 0;
-    loop {
-        let mut sent = false;
-        for from in 0..daemons {
-            let mut messages = 0;
+    assert!(deliver_all(&mut limiters, now) <= 9);
+    let told = limiters.iter().filter(|l| l.limit(process()).is_some());
+    assert_eq!(told.count(), daemons);
+
+    let later = now + 10 * SECOND;
+    limiters[0].observe(later, process(), later, None);
+    assert!(deliver_all(&mut limiters, later) <= 9);
+    let told = limiters.iter().filter(|l| l.limit(process()).is_some());
+    assert_eq!(told.count(), 0, "a lifted limit is forgotten");
+}
+
+/// Delivers messages until there are none. Returns the largest number that one daemon sent.
+fn deliver_all(limiters: &mut [RateLimiter], now: Timestamp) -> usize {
+    let mut sent = vec![0; limiters.len()];
+    for _ in 0..20 {
+        let before = sent.clone();
+        for from in 0..limiters.len() {
             while let Some((to, message)) = limiters[from].next_message() {
-                messages += 1;
+                sent[from] += 1;
                 limiters[usize::from(to.port()) - 1].receive(now, address(0), message);
             }
-            sent |= messages > 0;
-            most = most.max(messages);
         }
-        rounds += 1;
-        if !sent {
-            break;
+        if before == sent {
+            return sent.into_iter().max().unwrap_or(0);
         }
-        assert!(rounds < 20, "notices are passed on without end");
     }
-    let told = limiters.iter().filter(|l| l.limit(process()).is_some());
-    assert_eq!(told.count(), daemons);
-    assert!(most <= 9, "{most} messages of one daemon");
+    panic!("notices are passed on without end");
 }
