fix(forward): spend no permit on a part whose response would be too late

Cause: a part of a search that waited for a permit was sent until the moment at which the search is answered, so most permits went to parts that no answer contained. Change: the time by which a part must be sent leaves room for the usual latency.

--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -99,11 +99,11 @@
         })
     }
 
-    /// Time by which a part must be sent to be useful.
+    /// Time by which a part must be sent so that its response is in time.
     pub(super) fn send_by(&self, req: &Req, part: &Part) -> Timestamp {
         match req.route.is_search() {
             true if req.past_answer_by => req.deadline,
-            true => req.answer_by,
+            true => req.answer_by - req.route.stats.latency.borrow().median(),
             false if part.sends > 0 => req.deadline,
             false => req.arrived + req.route.objective().mul_f64(self.settings.wait_share),
         }
--- a/crates/jasminepond-forward/tests/server_limits.rs
+++ b/crates/jasminepond-forward/tests/server_limits.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use cluster::{World, limit};
+use cluster::{Answered, World, limit};
 use jasminepond_forward::Answer;
 use jasminepond_routes::Repeat;
 use jasminepond_types::{ErrorKind, Millis};
@@ -190,3 +190,38 @@
         .max();
     assert!(slowest <= Some(200 * MS), "{slowest:?}");
 }
+
+/// If both replicas of a shard are at their limits, no permit is spent on a part whose
+/// response would be too late.
+#[test]
+fn searches_of_limited_replicas_are_answered_in_time_or_refused() {
+    let (per_second, objective) = (10.0, 150);
+    let mut world = World::new(6, search(1, objective, 0.5), 8);
+    let servers = [(); 2].map(|()| world.add_server("s0", 60 * MS));
+    world.restart_all();
+    world.load("/search/x", 60.0, 2 * SECOND, CALLER_TIMEOUT);
+    for server in servers {
+        world.servers[server].limit = limit(per_second);
+    }
+    let named = world.now;
+    world.load("/search/x", 60.0, 5 * SECOND, CALLER_TIMEOUT);
+    let from = world.now;
+    world.load("/search/x", 60.0, 20 * SECOND, CALLER_TIMEOUT);
+    let mut taken = 0;
+    for server in servers {
+        let busiest = world.busiest_window(server, named, world.now);
+        assert!(busiest <= allowed(per_second), "{server}: {busiest}");
+        taken += world.arrivals(server, from, world.now);
+    }
+    let answers = world.answers.iter().filter(|answered| answered.at >= from);
+    let in_time = |answered: &&Answered| {
+        let served = matches!(answered.answer, Some(Answer::Merged { .. }));
+        served && answered.summary.took <= Duration::from_millis(objective)
+    };
+    let in_time = answers.filter(in_time).count();
+    assert!(in_time as f64 >= 0.8 * 20.0 * 2.0 * per_second, "{in_time}");
+    assert!(
+        in_time as f64 >= 0.95 * taken as f64,
+        "{in_time} of {taken}"
+    );
+}
