fix(forward): refuse no search for the time that a permit would need

Callers of a route whose usual latency exceeds its objective, as under overload, would have been refused at once, with servers free. Cause: the check of usable servers compared the time by which a part must be sent with the time of the next permit, also for servers without a limit; that time lies in the past if the usual latency exceeds the objective. Change: only a server whose permits are known to be later is compared. Two functions are renamed for what they do.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -379,7 +379,7 @@
         let process = server.process;
         let key = self.servers.insert(server);
         self.servers_by_process.insert(process, key);
-        self.report_limit(now, key);
+        self.start_usage_reports(now, key);
         if let Some(Restriction::BackOffUntil(until)) = restriction {
             self.back_off(key, until);
         }
--- a/crates/jasminepond-forward/src/forwarder/limits.rs
+++ b/crates/jasminepond-forward/src/forwarder/limits.rs
@@ -99,11 +99,11 @@
             LimitChange::Lifted => ServerEvent::LimitLifted,
         };
         self.log_server_event(key, event);
-        self.report_limit(now, key);
+        self.start_usage_reports(now, key);
     }
 
     /// Begins to report the use of a server's limit, if it has one.
-    pub(super) fn report_limit(&mut self, now: Timestamp, key: ServerKey) {
+    pub(super) fn start_usage_reports(&mut self, now: Timestamp, key: ServerKey) {
         let server = &mut self.servers[key];
         if self.limiter.limit(server.process).is_some() && !server.reports_limit {
             server.reports_limit = true;
@@ -151,7 +151,7 @@
     /// this daemon's own bucket.
     pub(super) fn try_permit(&mut self, now: Timestamp, key: ServerKey) -> bool {
         let process = self.servers[key].process;
-        self.limiter.request_own(now, process);
+        self.limiter.request_local(now, process);
         self.limiter.availability(now, process) == Availability::Permitted
     }
 
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -95,7 +95,8 @@
         let mut servers = self.services[service].servers.iter();
         servers.any(|key| {
             let standing = self.servers[*key].standing(now, &self.settings);
-            standing.is_some() && now + self.permit_in(now, *key) <= by
+            let permit_in = self.permit_in(now, *key);
+            standing.is_some() && (permit_in.is_zero() || now + permit_in <= by)
         })
     }
 
--- a/crates/jasminepond-forward/tests/server_limits.rs
+++ b/crates/jasminepond-forward/tests/server_limits.rs
@@ -251,3 +251,20 @@
         assert!(busiest <= allowed(per_second), "{context}: {busiest}");
     }
 }
+
+/// The time that is left for a permit does not concern servers without a limit: a route
+/// whose usual latency exceeds its objective is served late, and not refused.
+#[test]
+fn searches_slower_than_their_objective_are_served_without_limits() {
+    let mut world = World::new(3, search(1, 40, 0.5), 9);
+    for _ in 0..2 {
+        world.add_server("s0", 90 * MS);
+    }
+    world.restart_all();
+    world.load("/search/x", 20.0, 10 * SECOND, CALLER_TIMEOUT);
+    let served = world.answers.iter().filter(|answered| {
+        let answer = &answered.answer;
+        matches!(answer, Some(Answer::Merged { .. }))
+    });
+    assert_eq!(served.count(), world.answers.len());
+}
--- a/crates/jasminepond-ratelimit/src/limiter.rs
+++ b/crates/jasminepond-ratelimit/src/limiter.rs
@@ -362,7 +362,7 @@
     }
 
     /// Requests a permit that can be used immediately if this daemon grants them itself.
-    pub fn request_own(&mut self, now: Timestamp, process: ProcessId) {
+    pub fn request_local(&mut self, now: Timestamp, process: ProcessId) {
         let daemons = &self.daemons;
         if let Some(state) = self.processes.get_mut(&process)
             && state.is_own(process, daemons)
