--- a/crates/jasminepond/src/status.rs
+++ b/crates/jasminepond/src/status.rs
@@ -114,9 +114,23 @@
             server["connections"],
             text(&server["why"]),
         );
+        print_limit(&server["limit"]);
     }
 }
 
+fn print_limit(limit: &Value) {
+    if limit.is_null() {
+        return;
+    }
+    println!(
+        "    limit {} requests per second, learned {} ms ago; permits from {}, {} held",
+        limit["per_second"],
+        limit["age_ms"],
+        text(&limit["coordinator"]),
+        limit["permits"],
+    );
+}
+
 fn text(value: &Value) -> String {
     match value {
         Value::String(text) => text.clone(),
