fix(ratelimit): do not renew a limit by sending it to and fro

Callers would have been kept from a server that no longer states a limit, for as long as daemons ask for permits over links with a long delay. Cause: ages exclude the time that a message takes, so a statement that comes back seems newer by a round trip each time; only a response to a later request lifts a limit. Found by reading. Change: an equal statement of another daemon is not adopted again. A request for permits counts as lost after 150 ms instead of 100, which leaves room for links between regions.

--- a/crates/jasminepond-ratelimit/src/belief.rs
+++ b/crates/jasminepond-ratelimit/src/belief.rs
@@ -35,9 +35,12 @@
         };
     }
 
-    /// Adopts the belief of another daemon if it is newer.
+    /// Adopts the belief of another daemon if it is different and newer. Ages exclude the time
+    /// that messages take, so that an equal one that was sent to and fro would seem newer
+    /// each time.
     pub(crate) fn merge(&mut self, other: Self) {
-        if other.at > self.at || (other.at == self.at && other.limit.is_some()) {
+        let newer = other.at > self.at || (other.at == self.at && other.limit.is_some());
+        if newer && other.limit != self.limit {
             *self = other;
         }
     }
--- a/crates/jasminepond-ratelimit/src/permits.rs
+++ b/crates/jasminepond-ratelimit/src/permits.rs
@@ -8,9 +8,9 @@
 /// add to those of the next.
 const LIFETIME: Duration = Duration::from_millis(500);
 
-/// Time after which a request for permits counts as lost. Several round trips between
-/// zones, plus the time for which a daemon with little processor time may be delayed.
-const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which a request for permits counts as lost. A round trip between regions, plus
+/// the time for which a daemon with little processor time may be delayed.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time constant of the average demand.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
--- a/crates/jasminepond-ratelimit/tests/together.rs
+++ b/crates/jasminepond-ratelimit/tests/together.rs
@@ -122,3 +122,27 @@
     }
     panic!("notices are passed on without end");
 }
+
+/// Ages exclude the time that messages take. A statement that daemons send to and fro must
+/// not seem newer each time, or no response could lift the limit.
+#[test]
+fn a_statement_that_is_sent_back_does_not_become_newer() {
+    let start = Timestamp::from_millis(1);
+    let delay = 40 * MS;
+    let mut limiters = limiters(2, start);
+    limiters[0].observe(start, process(), start, RateLimit::new(5.0));
+    let mut now = start;
+    for _ in 0..200 {
+        now = now + 10 * MS;
+        for from in 0..2 {
+            limiters[from].request(now, process(), 1, now + SECOND);
+            while let Some((_, message)) = limiters[from].next_message() {
+                limiters[1 - from].receive(now + delay, address(from), message);
+            }
+        }
+    }
+    for limiter in &limiters {
+        let age = limiter.report(now, process()).unwrap().age;
+        assert!(age >= now.since(start) - 2 * delay, "{age:?}");
+    }
+}
