fix(ratelimit): apply a raised limit at once, and bound the work at the target size

A server that raised a very low limit would have been left unused for up to five seconds. Cause: the time of the next permit was kept from the previous limit, by the daemon that asks and by the bucket. Found by reading. Change: a daemon asks again when the limit changes, and the bucket scales what is granted ahead with the rate, so that a limit that changes with each response grants no more. Two costs at the target size go: comparing each daemon with each at a change of the membership, and a search for the oldest process with each new one beyond 10,000.

--- a/crates/jasminepond-ratelimit/src/allocator.rs
+++ b/crates/jasminepond-ratelimit/src/allocator.rs
@@ -24,12 +24,15 @@
 pub(crate) struct Allocator {
     /// When the next permit becomes available.
     next: Timestamp,
+    /// Time between two permits at the rate of the last grant.
+    interval: Option<Duration>,
 }
 
 impl Allocator {
     pub(crate) fn new(now: Timestamp) -> Self {
         Self {
             next: now + HOLD_OFF,
+            interval: None,
         }
     }
 
@@ -48,6 +51,11 @@
         }
         let per_second = limit.per_second().max(MIN_PER_SECOND) * share;
         let interval = Duration::from_secs_f64(1.0 / per_second);
+        if let Some(before) = self.interval.replace(interval) {
+            // The wait for permits that were granted ahead scales with the rate.
+            let left = self.next.since(now);
+            self.next = self.next.min(now) + left.mul_f64(interval.div_duration_f64(before));
+        }
         self.next = self.next.max(now - BURST.saturating_sub(interval));
         let mut delays = Vec::new();
         while delays.len() < usize::from(count) && self.next.since(now) <= wait {
--- a/crates/jasminepond-ratelimit/src/coordinators.rs
+++ b/crates/jasminepond-ratelimit/src/coordinators.rs
@@ -1,6 +1,6 @@
 //! Choice of the daemon that grants the permits of a process.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -125,13 +125,10 @@
 
     /// The daemons that are running in `others` and were not before.
     pub(crate) fn newly_running(&self, others: &[Daemon]) -> Vec<SocketAddr> {
-        let was_running = |daemon: &Daemon| {
-            let mut known = self.others.iter();
-            known.any(|other| other.instance == daemon.instance && other.running)
-        };
-        let new = others
-            .iter()
-            .filter(|daemon| daemon.running && !was_running(daemon));
+        let known = self.others.iter().filter(|daemon| daemon.running);
+        let known: HashSet<&str> = known.map(|daemon| &*daemon.instance).collect();
+        let running = others.iter().filter(|daemon| daemon.running);
+        let new = running.filter(|daemon| !known.contains(&*daemon.instance));
         new.map(|daemon| daemon.address).collect()
     }
 
--- a/crates/jasminepond-ratelimit/src/limiter.rs
+++ b/crates/jasminepond-ratelimit/src/limiter.rs
@@ -168,7 +168,11 @@
             return None;
         }
         match self.belief.limit {
-            Some(limit) => Some(LimitChange::Limited(limit)),
+            Some(limit) => {
+                // It was computed for the previous limit.
+                self.permits.next_at = Timestamp::ZERO;
+                Some(LimitChange::Limited(limit))
+            }
             None => {
                 self.permits.clear();
                 self.allocator = None;
@@ -569,11 +573,12 @@
 
     fn sweep(&mut self, now: Timestamp) {
         self.processes.retain(|_, state| !state.is_forgotten(now));
-        if self.processes.len() >= MAX_PROCESSES
-            && let Some(oldest) = self.processes.iter().min_by_key(|(_, state)| state.touched)
-        {
-            let oldest = *oldest.0;
-            self.processes.remove(&oldest);
+        if self.processes.len() >= MAX_PROCESSES {
+            let mut touched: Vec<_> = self.processes.values().map(|s| s.touched).collect();
+            let (_, oldest_kept, _) = touched.select_nth_unstable(MAX_PROCESSES / 10);
+            let oldest_kept = *oldest_kept;
+            self.processes
+                .retain(|_, state| state.touched > oldest_kept);
         }
         self.sweep_at = (2 * self.processes.len()).min(MAX_PROCESSES);
     }
--- a/crates/jasminepond-ratelimit/src/permits.rs
+++ b/crates/jasminepond-ratelimit/src/permits.rs
@@ -77,11 +77,9 @@
             .sort_unstable_by_key(|permit| permit.from);
     }
 
-    /// Removes expired permits. Returns their number.
-    pub(crate) fn expire(&mut self, now: Timestamp) -> usize {
-        let before = self.permits.len();
+    /// Removes expired permits.
+    pub(crate) fn expire(&mut self, now: Timestamp) {
         self.permits.retain(|permit| now <= permit.until);
-        before - self.permits.len()
     }
 
     /// Uses a permit.
--- a/crates/jasminepond-ratelimit/tests/statements.rs
+++ b/crates/jasminepond-ratelimit/tests/statements.rs
@@ -115,6 +115,21 @@
     assert!(!limiter.take(later, process(1)));
 }
 
+/// The time of the next permit was computed for the previous limit.
+#[test]
+fn a_raised_limit_takes_effect_at_once() {
+    let mut limiter = alone();
+    limiter.observe(START, process(1), START, limit(0.1));
+    assert!(sends(&mut limiter, START, SECOND) <= 1);
+    let now = START + SECOND;
+    limiter.observe(now, process(1), now, limit(100.0));
+    limiter.request(now, process(1), 1, now + SECOND);
+    let Availability::NotBefore(at) = limiter.availability(now, process(1)) else {
+        panic!("a permit is expected");
+    };
+    assert!(at <= now + 100 * MS, "{at:?}");
+}
+
 /// Only a response can lift a limit, so even a limit of zero lets a request through now and
 /// then.
 #[test]
