feat(gateway): log the loss of contact with all backend servers, and the groups of a daemon

The logs could not tell a daemon that has lost its own links from one whose servers have failed, nor which daemons handle a group of shards.

A daemon now logs, counts (contact_losses) and shows in its status since when no server of at least three services responds, and logs the groups of shards that it handles when they change. Nothing acts on it.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     Demand, RepeatBudget, ShardGroups,
+    contact::Contact,
     departed::{DepartedServers, Restriction},
     message::{
         Action, Arrival, Backend, BackendState, CallKey, ConnKey, ReqKey, ServerEvent, Verdict,
@@ -30,6 +31,7 @@
 };
 
 mod connect;
+mod contact;
 mod delegate;
 mod limits;
 mod place;
@@ -140,6 +142,7 @@
     servers_by_process: HashMap<ProcessId, ServerKey>,
     limiter: RateLimiter,
     departed: DepartedServers,
+    contact: Contact,
     conns: SlotMap<ConnKey, Conn>,
     calls: SlotMap<CallKey, Call>,
     reqs: SlotMap<ReqKey, Req>,
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -100,6 +100,8 @@
         let server = &mut self.servers[state.server];
         server.opening = server.opening.saturating_sub(1);
         server.on_connected();
+        let key = state.server;
+        self.observe_contact(now, key);
         self.on_idle(now, conn, None);
     }
 
@@ -119,6 +121,7 @@
         let service = server.service;
         let until = server.on_connect_failed(now, &self.settings);
         self.timers.set(until, Timer::Server(key));
+        self.observe_silence(now, key);
         let retry_in = until.since(now);
         self.log_server_event(key, ServerEvent::Unreachable { retry_in });
         self.place_waiting(now, service);
@@ -160,6 +163,10 @@
             return;
         };
         let server = state.server;
+        self.observe_contact(now, server);
+        let Some(state) = self.conns.get_mut(conn) else {
+            return;
+        };
         let limit = exchange.keep_alive;
         let until = limit.map(|limit| now + limit.saturating_sub(self.settings.idle_margin));
         state.state = ConnState::Idle { since: now, until };
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -13,7 +13,7 @@
 
 use super::{Cluster, Forwarder};
 use crate::{
-    message::{Backend, BackendState, CallKey, ReqKey, ServerEvent},
+    message::{Action, Backend, BackendState, CallKey, ReqKey, ServerEvent},
     request::{Part, PartState, Req},
     server::{ServerKey, Standing},
     service::ServiceKey,
@@ -89,7 +89,9 @@
         let cluster = self.cluster.unwrap_or_default();
         self.set_limiter_daemons(now);
         self.demand = self.demand();
-        self.shard_groups = ShardGroups::new(&self.daemons(cluster), &self.demand);
+        let groups = ShardGroups::new(&self.daemons(cluster), &self.demand);
+        self.log_groups(&groups, cluster.rank);
+        self.shard_groups = groups;
         self.settings.daemons_sharing = match self.shard_groups.groups().first() {
             Some(group) => group.helpers.len() as u32,
             None => cluster.daemons,
@@ -109,6 +111,21 @@
         self.preconnect_all(now);
     }
 
+    /// Logs the groups that this daemon helps if they change.
+    fn log_groups(&mut self, groups: &ShardGroups, rank: u32) {
+        let own = |groups: &ShardGroups| -> Vec<u32> {
+            let numbers = 0..groups.groups().len() as u32;
+            numbers.filter(|g| groups.is_helper(rank, *g)).collect()
+        };
+        let now_own = own(groups);
+        if now_own != own(&self.shard_groups) {
+            self.actions.push_back(Action::LogGroups {
+                own: now_own,
+                groups: groups.groups().len(),
+            });
+        }
+    }
+
     /// All daemons in the order that all agree on.
     fn daemons(&self, cluster: Cluster) -> Vec<HelperCandidate> {
         let own = HelperCandidate {
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -338,6 +338,7 @@
         };
         let (server, unanswered) = (call.server, now.since(call.sent));
         let newly_stalled = self.servers[server].set_stalled();
+        self.observe_silence(now, server);
         self.hedge(now, key);
         if newly_stalled {
             self.log_server_event(server, ServerEvent::Stalled { unanswered });
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod caller_timeouts;
+mod contact;
 mod departed;
 mod forwarder;
 mod latency;
@@ -21,6 +22,7 @@
 mod window;
 
 pub use budget::RepeatBudget;
+pub use contact::ContactEvent;
 pub use forwarder::{Cluster, DelegationRequest, Forwarder, Peer, Status};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, merge_top_k};
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::{forwarder::DelegationRequest, request::ActiveRoute};
+use crate::{contact::ContactEvent, forwarder::DelegationRequest, request::ActiveRoute};
 
 new_key_type! {
     /// A caller's request.
@@ -368,6 +368,15 @@
         /// The change.
         event: ServerEvent,
     },
+    /// Log a change of the contact with all backend servers together.
+    LogContact(ContactEvent),
+    /// Log the groups of shards for which this daemon sends the sub-requests.
+    LogGroups {
+        /// Indexes of the groups that this daemon handles.
+        own: Vec<u32>,
+        /// Number of all groups.
+        groups: usize,
+    },
     /// A request has ended: answer its caller.
     Answer {
         /// The request.
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -467,7 +467,10 @@
                         self.push_event(LATENCY, other, event);
                     }
                 }
-                Action::Close { .. } | Action::LogServerEvent { .. } => {}
+                Action::Close { .. }
+                | Action::LogServerEvent { .. }
+                | Action::LogContact(_)
+                | Action::LogGroups { .. } => {}
             }
         }
     }
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -453,7 +453,10 @@
         while let Some(action) = self.forwarder.next_action() {
             match action {
                 Action::Open { conn, address } => self.open(conn, address),
-                Action::SendDatagram { .. } | Action::LogServerEvent { .. } => {}
+                Action::SendDatagram { .. }
+                | Action::LogServerEvent { .. }
+                | Action::LogContact(_)
+                | Action::LogGroups { .. } => {}
                 Action::Close { conn } => {
                     self.closed += 1;
                     self.conns.remove(&conn);
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -261,6 +261,7 @@
         json!({
             "release": status.version.0,
             "release_age_ms": now.since(forwarder.released()).as_millis() as u64,
+            "contact_lost_ms": forwarder.contact_lost_for(now).map(|time| time.as_millis() as u64),
             "servers_down": status.down,
             "servers_limited": status.limited,
             "requests": status.requests,
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -13,12 +13,12 @@
 use futures_util::{FutureExt, future::poll_fn, select_biased, task::AtomicWaker};
 use jasminepond_daemon::clock::Clock;
 use jasminepond_forward::{
-    Action, ActiveRoute, Answer, Arrival, ConnKey, DelegatedPart, DelegationRequest, Exchange,
-    Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
+    Action, ActiveRoute, Answer, Arrival, ConnKey, ContactEvent, DelegatedPart, DelegationRequest,
+    Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
 };
 use jasminepond_types::{Millis, Timestamp};
 use slotmap::SecondaryMap;
-use spdlog::info;
+use spdlog::{info, warn};
 
 use crate::{
     BufferedBytes, HeaderNames,
@@ -273,6 +273,11 @@
             } => self.send(conn, req, &server, left, delegation),
             Action::SendDatagram { to, message } => self.send_datagram(to, message.encode()),
             Action::LogServerEvent { server, event } => log_server_event(&server, event),
+            Action::LogContact(event) => self.log_contact(event),
+            Action::LogGroups { own, groups } => {
+                let own: Vec<_> = own.iter().map(ToString::to_string).collect();
+                info!("gateway: groups of shards that this daemon handles", kv: { own = own.join(" "), groups });
+            }
             Action::Answer {
                 req,
                 answer,
@@ -339,6 +344,21 @@
         }
     }
 
+    fn log_contact(&self, event: ContactEvent) {
+        let millis = |time: Duration| time.as_millis() as u64;
+        match event {
+            ContactEvent::Lost { silence, services } => {
+                self.metrics.contact_lost();
+                let silence_ms = millis(silence);
+                warn!("gateway: no backend server responds to this daemon", kv: { silence_ms, services });
+            }
+            ContactEvent::Regained { lost_for } => {
+                let lost_ms = millis(lost_for);
+                warn!("gateway: backend servers respond to this daemon again", kv: { lost_ms });
+            }
+        }
+    }
+
     fn log_answer(&self, id: &[u8], answer: Option<&Answer>, summary: &Summary) {
         let refusal = match answer {
             Some(Answer::Refused(refusal)) => refusal.kind.as_str(),
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -48,6 +48,7 @@
     servers_limited: Gauge,
     waiting: Gauge,
     datagrams_dropped: Counter,
+    contact_losses: Counter,
     limited: Counter,
     store_down: Cell<bool>,
 }
@@ -74,6 +75,7 @@
             servers_limited: Gauge::default(),
             waiting: Gauge::default(),
             datagrams_dropped: Counter::default(),
+            contact_losses: Counter::default(),
             limited: Counter::default(),
             store_down: Cell::new(false),
         };
@@ -126,6 +128,11 @@
                 "Shards or requests not served because their servers were at their rate limits",
                 &self.limited,
             ),
+            (
+                "contact_losses",
+                "Times at which no backend server responded to this daemon any more",
+                &self.contact_losses,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             (
                 "store_failures",
@@ -212,6 +219,11 @@
         self.connections_failed.inc();
     }
 
+    /// Records that no backend server responds any more.
+    pub fn contact_lost(&self) {
+        self.contact_losses.inc();
+    }
+
     /// Records a datagram to another daemon that was dropped.
     pub fn datagram_dropped(&self) {
         self.datagrams_dropped.inc();
