feat(membership): daemons state whether they reach backend servers

A daemon that is partitioned from all servers still answers probes.

A member record now has reaches_servers, set by the member itself. On the wire the records keep their fields, since earlier versions decode them by position; a message lists which of its records reach no server in a field that they ignore.

40 simulated daemons learn of three changes, both ways, within a second of virtual time. Nothing sets the state yet.

--- a/crates/jasminepond-membership/src/codec.rs
+++ b/crates/jasminepond-membership/src/codec.rs
@@ -68,6 +68,8 @@
             region: wire.5,
             config: ConfigVersion(wire.8, wire.9),
             processor: wire.10,
+            // Set from the message that contains the record.
+            reaches_servers: true,
         })
     }
 }
--- a/crates/jasminepond-membership/src/member.rs
+++ b/crates/jasminepond-membership/src/member.rs
@@ -112,6 +112,8 @@
     pub membership_address: SocketAddr,
     /// The configuration version last known to be in effect at this member.
     pub config: ConfigVersion,
+    /// Whether it reaches backend servers, as stated by the member itself.
+    pub reaches_servers: bool,
 }
 
 impl Member {
@@ -146,6 +148,7 @@
     ///     peer_address: "127.0.0.1:7000".parse().unwrap(),
     ///     membership_address: "127.0.0.1:7001".parse().unwrap(),
     ///     config: ConfigVersion::default(),
+    ///     reaches_servers: true,
     /// };
     /// let old = Member { incarnation: Incarnation(1), state: MemberState::Dead, ..alive.clone() };
     /// assert_eq!(old.merge(&alive), alive);
@@ -162,11 +165,13 @@
         }
     }
 
-    /// Total order used by [`Self::merge`]. The fields after the rank differ
-    /// only if two daemons run with the same instance and incarnation.
+    /// Total order used by [`Self::merge`]. The fields after the rank differ only if two
+    /// daemons run with the same instance and incarnation, or if an earlier version of the
+    /// protocol passed on a record without [`Self::reaches_servers`].
     fn order(&self) -> impl Ord + '_ {
         (
             self.rank(),
+            !self.reaches_servers,
             (&self.zone, &self.region, self.processor),
             self.peer_address,
             self.membership_address,
--- a/crates/jasminepond-membership/src/membership.rs
+++ b/crates/jasminepond-membership/src/membership.rs
@@ -277,6 +277,20 @@
         }
     }
 
+    /// Sets whether this daemon reaches backend servers, and announces a change at once: the
+    /// others send it no work while it does not.
+    pub fn set_reaches_servers(&mut self, now: Timestamp, reaches: bool) -> Vec<Output> {
+        let mut out = Vec::new();
+        if self.me.reaches_servers != reaches {
+            self.me.reaches_servers = reaches;
+            // Outranks the records that other daemons have.
+            self.me.refutation = self.me.refutation.saturating_add(1);
+            self.update_own_record(self.me.state, &mut out);
+            self.announce(now, &mut out);
+        }
+        out
+    }
+
     /// Disseminates the state of a backend server as observed by this daemon.
     pub fn report(&mut self, now: Timestamp, server: ServerId, kind: ReportKind) {
         self.report_sequence += 1;
@@ -551,9 +565,9 @@
         }
     }
 
-    /// Notifies members that this daemon has joined. Gossip alone takes seconds if
-    /// hundreds of daemons join at the same time.
-    pub(crate) fn announce_join(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+    /// Notifies many members of this daemon's record. Gossip alone takes seconds if hundreds
+    /// of daemons change at the same time.
+    pub(crate) fn announce(&mut self, now: Timestamp, out: &mut Vec<Output>) {
         for peer in self.random_members(ANNOUNCE_FANOUT, None) {
             self.send_to(now, &peer, Body::Gossip, out);
         }
--- a/crates/jasminepond-membership/src/merge.rs
+++ b/crates/jasminepond-membership/src/merge.rs
@@ -216,7 +216,7 @@
     /// Marks this daemon as joined and its view as confirmed.
     pub(crate) fn confirm(&mut self, now: Timestamp, out: &mut Vec<Output>) {
         if !std::mem::replace(&mut self.joined, true) {
-            self.announce_join(now, out);
+            self.announce(now, out);
         }
         if self.unconfirmed_since.take().is_some() {
             // The current probe is no evidence: it was sent while this daemon may
--- a/crates/jasminepond-membership/src/message.rs
+++ b/crates/jasminepond-membership/src/message.rs
@@ -15,24 +15,79 @@
 /// Times are encoded as ages because daemons have no common clock. Unknown
 /// fields are ignored, so that later versions can add some.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "WireMessage", from = "WireMessage")]
 pub struct Message {
     /// The sender's own record, which also proves that it is running.
-    #[serde(rename = "f")]
     pub from: Member,
     /// The purpose of the message.
-    #[serde(rename = "b")]
     pub body: Body,
     /// Records of other members.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<Record>,
     /// Configuration versions of other members.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub configs: Vec<MemberConfig>,
     /// Reports about backend servers.
-    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<ServerReport>,
 }
 
+/// Encoding of a [`Message`].
+#[derive(Serialize, Deserialize)]
+struct WireMessage {
+    #[serde(rename = "f")]
+    from: Member,
+    #[serde(rename = "b")]
+    body: Body,
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    records: Vec<Record>,
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    configs: Vec<MemberConfig>,
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    reports: Vec<ServerReport>,
+    /// Members that reach no backend server: 0 for the sender, and the positions of the
+    /// records from 1 on. Records have a fixed number of fields, which earlier versions of
+    /// the protocol expect.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    without_servers: Vec<u8>,
+}
+
+impl From<Message> for WireMessage {
+    fn from(message: Message) -> Self {
+        let records = message.records.iter().map(|Record(member, _)| member);
+        let members = (0..).zip(std::iter::once(&message.from).chain(records));
+        let without_servers = members.filter(|(_, member)| !member.reaches_servers);
+        Self {
+            without_servers: without_servers.map(|(at, _)| at).collect(),
+            from: message.from,
+            body: message.body,
+            records: message.records,
+            configs: message.configs,
+            reports: message.reports,
+        }
+    }
+}
+
+impl From<WireMessage> for Message {
+    fn from(wire: WireMessage) -> Self {
+        let (mut from, mut records) = (wire.from, wire.records);
+        for at in wire.without_servers {
+            match usize::from(at).checked_sub(1) {
+                None => from.reaches_servers = false,
+                Some(at) => {
+                    if let Some(Record(member, _)) = records.get_mut(at) {
+                        member.reaches_servers = false;
+                    }
+                }
+            }
+        }
+        Self {
+            from,
+            body: wire.body,
+            records,
+            configs: wire.configs,
+            reports: wire.reports,
+        }
+    }
+}
+
 /// The purpose of a [`Message`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
--- a/crates/jasminepond-membership/src/receive.rs
+++ b/crates/jasminepond-membership/src/receive.rs
@@ -265,7 +265,7 @@
         if self.is_confirmed() {
             for member in exchange::missing(&self.view, bucket, after.as_ref(), known) {
                 let record = self.record(now, member);
-                if !room.take(&record, 0) {
+                if !room.take_record(&record, 0) {
                     let done = false;
                     message.body = Body::PullReply {
                         nonce,
--- a/crates/jasminepond-membership/src/send.rs
+++ b/crates/jasminepond-membership/src/send.rs
@@ -15,6 +15,9 @@
 /// message.
 const LIST_HEADER_BYTES: usize = 16;
 
+/// Encoded size of the position of a record in a message.
+const POSITION_BYTES: usize = 2;
+
 /// Bytes of each datagram that member records leave free for reports while any
 /// are queued.
 const REPORT_BYTES: usize = 200;
@@ -39,6 +42,15 @@
         Self(MAX_DATAGRAM_BYTES.saturating_sub(used))
     }
 
+    /// Performs [`Room::take`] for a record and its position.
+    pub(crate) fn take_record(&mut self, record: &Record, reserve: usize) -> bool {
+        let fits = self.take(record, reserve + POSITION_BYTES);
+        if fits && !record.0.reaches_servers {
+            self.0 -= POSITION_BYTES;
+        }
+        fits
+    }
+
     /// Deducts the size of the value if it fits with `reserve` bytes left over.
     /// Returns whether it did.
     pub(crate) fn take(&mut self, value: &impl Serialize, reserve: usize) -> bool {
@@ -137,7 +149,7 @@
                 return Fit::Added;
             }
             let record = self.record(now, member);
-            if !room.take(&record, reserve) {
+            if !room.take_record(&record, reserve) {
                 return Fit::Full;
             }
             message.records.push(record);
--- a/crates/jasminepond-membership/src/settings.rs
+++ b/crates/jasminepond-membership/src/settings.rs
@@ -136,6 +136,7 @@
             peer_address: self.peer_address,
             membership_address: self.membership_address,
             config: ConfigVersion::default(),
+            reaches_servers: true,
         }
     }
 }
--- a/crates/jasminepond-membership/tests/common/mod.rs
+++ b/crates/jasminepond-membership/tests/common/mod.rs
@@ -136,6 +136,12 @@
     }
 
     /// The daemon neither ticks nor receives until [`Self::resume`].
+    pub fn set_reaches_servers(&mut self, i: usize, reaches: bool) {
+        let now = self.now;
+        let out = self.nodes[i].membership.set_reaches_servers(now, reaches);
+        self.perform(i, out);
+    }
+
     pub fn pause(&mut self, i: usize) {
         self.nodes[i].up = false;
     }
--- a/crates/jasminepond-membership/tests/properties.rs
+++ b/crates/jasminepond-membership/tests/properties.rs
@@ -18,23 +18,33 @@
 }
 
 fn record() -> impl Strategy<Value = Member> {
-    (0_u64..3, 0_u32..3, state(), 0_u64..3, 0_u32..2, 0_u16..2).prop_map(
-        |(incarnation, refutation, state, revision, digest, port)| {
-            let me = local_member(1, incarnation);
-            Member {
-                instance: me.instance,
-                incarnation: me.incarnation,
-                refutation,
-                state,
-                zone: me.zone,
-                region: me.region,
-                processor: me.processor,
-                peer_address: ([10, 0, 0, 1], port).into(),
-                membership_address: me.membership_address,
-                config: ConfigVersion(Revision(revision), digest),
-            }
-        },
+    (
+        0_u64..3,
+        0_u32..3,
+        state(),
+        0_u64..3,
+        0_u32..2,
+        0_u16..2,
+        any::<bool>(),
     )
+        .prop_map(
+            |(incarnation, refutation, state, revision, digest, port, reaches_servers)| {
+                let me = local_member(1, incarnation);
+                Member {
+                    instance: me.instance,
+                    incarnation: me.incarnation,
+                    refutation,
+                    state,
+                    zone: me.zone,
+                    region: me.region,
+                    processor: me.processor,
+                    peer_address: ([10, 0, 0, 1], port).into(),
+                    membership_address: me.membership_address,
+                    config: ConfigVersion(Revision(revision), digest),
+                    reaches_servers,
+                }
+            },
+        )
 }
 
 fn gossip_to(membership: &mut Membership, records: Vec<Member>) {
--- a/crates/jasminepond-membership/tests/scenarios.rs
+++ b/crates/jasminepond-membership/tests/scenarios.rs
@@ -6,7 +6,7 @@
 
 use common::{Network, instance};
 use jasminepond_membership::{
-    Body, MemberState, Message, Output, ReportKind, ServerReport, Settings,
+    Body, Member, MemberState, Message, Output, Record, ReportKind, ServerReport, Settings,
 };
 use jasminepond_types::{Incarnation, Millis, Revision};
 use test_case::test_case;
@@ -340,3 +340,59 @@
         "{known:?}"
     );
 }
+
+/// Guards against daemons that send work to one which reaches no backend server, and against
+/// one that stays excluded after it reaches them again.
+#[test]
+fn all_daemons_learn_which_ones_reach_no_server() {
+    let mut net = started(40);
+    net.run(MINUTE);
+    let seen = |net: &Network, reaches: bool| {
+        let others = net.nodes.iter().skip(3);
+        others
+            .filter(|node| {
+                let view = node.membership.view();
+                let without = (0..3).map(|i| view.get(&instance(i)).unwrap());
+                without
+                    .clone()
+                    .all(|member| member.reaches_servers == reaches)
+                    && view.members().iter().filter(|m| !m.reaches_servers).count()
+                        == if reaches { 0 } else { 3 }
+            })
+            .count()
+    };
+    for reaches in [false, true] {
+        for i in 0..3 {
+            net.set_reaches_servers(i, reaches);
+        }
+        let done = net.run_until(Duration::from_secs(1), |net| seen(net, reaches) == 37);
+        assert!(done.is_some(), "{} of 37 know it", seen(&net, reaches));
+    }
+}
+
+/// Guards against records that earlier versions of the protocol cannot decode.
+#[test]
+fn a_record_without_servers_has_the_same_fields() {
+    let mut net = started(2);
+    net.set_reaches_servers(1, false);
+    let encoded = |member: &Member| {
+        let mut buf = Vec::new();
+        ciborium::into_writer(member, &mut buf).unwrap();
+        buf
+    };
+    let me = net.nodes[1].membership.me().clone();
+    let reaching = Member {
+        reaches_servers: true,
+        ..me.clone()
+    };
+    assert_eq!(encoded(&me), encoded(&reaching));
+    let message = Message {
+        from: reaching,
+        body: Body::Gossip,
+        records: vec![Record(me, 0)],
+        configs: Vec::new(),
+        reports: Vec::new(),
+    };
+    let decoded = Message::decode(&message.encode()).unwrap();
+    assert_eq!(decoded, message);
+}
--- a/tools/scenario/src/machines/config/mod.rs
+++ b/tools/scenario/src/machines/config/mod.rs
@@ -293,6 +293,7 @@
                 peer_address: me.peer_address,
                 membership_address: me.membership_address,
                 config: ConfigVersion::default(),
+                reaches_servers: true,
             }
         };
         View::from_members((0..self.daemons.len()).map(member))
