--- a/crates/jasminepond-forward/src/contact.rs
+++ b/crates/jasminepond-forward/src/contact.rs
@@ -2,19 +2,51 @@
 //!
 //! A daemon that loses its own links and a daemon whose servers have all failed observe the
 //! same about each single server. What differs is the number of services: servers of several
-//! services do not stop responding at the same moment.
+//! services do not stop responding at the same moment. Before contact counts as lost, servers
+//! of further services are therefore probed with new connections.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use jasminepond_types::Timestamp;
 
 use crate::service::ServiceKey;
 
-/// Shortest silence of all servers that is taken for a loss of contact.
+/// Shortest silence of all servers that raises a suspicion.
 const MIN_SILENCE: Duration = Duration::from_millis(50);
 
-/// Number of services whose servers must be silent.
-const MIN_SERVICES: usize = 3;
+/// Time after which a probe counts as unanswered. Covers a handshake between zones and the
+/// work of a server on a new connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Number of services whose servers must be silent. With fewer, the servers of some services
+/// could be taken for all.
+const MIN_SILENT: usize = 8;
+
+/// Number of services whose servers must respond again.
+const MIN_RESPONDING: usize = 3;
+
+/// Number of services that are probed at a time.
+const PROBED: usize = 3;
+
+/// Number of services that are probed if the first probes were not answered and the servers
+/// of too few services are silent.
+const PROBED_AGAIN: usize = 8;
+
+/// Interval of the probes while contact is lost.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time for which the response of a server counts towards regaining contact.
+const RESPONSE_MEMORY: Duration = Duration::from_millis(600);
+
+/// If contact is lost again within this time of regaining it, it stays lost for a time.
+const FLAP_WINDOW: Duration = Duration::from_secs(10);
+
+/// Shortest and longest time for which contact then stays lost.
+const HOLD_MIN: Duration = Duration::from_secs(1);
+const HOLD_MAX: Duration = Duration::from_secs(4);
 
 /// A change of the contact with backend servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,52 +58,217 @@
         /// Number of services whose servers were tried since then.
         services: usize,
     },
-    /// A server responds again.
+    /// Servers of several services respond again.
     Regained {
         /// Time for which no server responded.
         lost_for: Duration,
     },
 }
 
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ContactStep {
+    /// Nothing.
+    Keep,
+    /// Call [`Contact::check`] at this time.
+    CheckAt(Timestamp),
+    /// Open connections to servers of this many services, and call [`Contact::check`] at a
+    /// time.
+    Probe { services: usize, until: Timestamp },
+    /// Contact is lost or regained.
+    Changed(ContactEvent),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+enum State {
+    #[default]
+    InContact,
+    /// Probes were sent, which time out at this time.
+    Suspected { until: Timestamp },
+    Lost {
+        /// When a server last responded before.
+        since: Timestamp,
+        /// Contact is not regained before this time.
+        hold_until: Timestamp,
+        /// When servers of each service last responded since.
+        responses: BTreeMap<ServiceKey, Timestamp>,
+    },
+}
+
 /// Contact of this daemon with all backend servers together.
 #[derive(Debug, Default)]
 pub(crate) struct Contact {
+    state: State,
     /// When any server last responded or accepted a connection.
     heard: Timestamp,
     /// Services with a server that failed to respond since then.
     silent: BTreeSet<ServiceKey>,
-    lost_since: Option<Timestamp>,
+    /// When contact was last regained, and for how long it stayed lost at least.
+    regained: Option<(Timestamp, Duration)>,
+    /// Number of services that have servers.
+    services: usize,
 }
 
 impl Contact {
-    /// Records a sign of life of a server.
-    pub(crate) fn heard(&mut self, now: Timestamp) -> Option<ContactEvent> {
+    /// Sets the number of services that have servers.
+    pub(crate) fn set_services(&mut self, services: usize) {
+        self.services = services;
+    }
+
+    /// Whether contact is lost.
+    pub(crate) fn is_lost(&self) -> bool {
+        matches!(self.state, State::Lost { .. })
+    }
+
+    /// Time for which no server has responded, if contact is lost.
+    pub(crate) fn lost_for(&self, now: Timestamp) -> Option<Duration> {
+        match self.state {
+            State::Lost { since, .. } => Some(now.since(since)),
+            State::InContact | State::Suspected { .. } => None,
+        }
+    }
+
+    /// Whether a probe of the service tells less than one of others: a server of it was tried
+    /// without success, or has responded, since contact was suspected or lost.
+    pub(crate) fn is_known(&self, service: ServiceKey) -> bool {
+        match &self.state {
+            State::Lost { responses, .. } => responses.contains_key(&service),
+            State::InContact | State::Suspected { .. } => self.silent.contains(&service),
+        }
+    }
+
+    /// Records that a server responded or accepted a connection.
+    pub(crate) fn heard(&mut self, now: Timestamp, service: ServiceKey) -> ContactStep {
         self.heard = now;
         self.silent.clear();
-        let since = self.lost_since.take()?;
-        let lost_for = now.since(since);
-        Some(ContactEvent::Regained { lost_for })
+        match &mut self.state {
+            State::InContact => ContactStep::Keep,
+            State::Suspected { .. } => {
+                self.state = State::InContact;
+                ContactStep::Keep
+            }
+            State::Lost { responses, .. } => {
+                let first = responses.is_empty();
+                responses.insert(service, now);
+                match self.regain(now) {
+                    // Probe further services now, since the partition has probably ended.
+                    ContactStep::Keep if first => probe(PROBED, now + PROBE_INTERVAL),
+                    step => step,
+                }
+            }
+        }
     }
 
-    /// Records that a server of a service failed to respond in time, or that no connection
-    /// to it could be opened.
+    /// Records that a server failed to respond in time to a call or to an attempt to connect
+    /// that began at `since`. It counts only if no server has responded after that.
     pub(crate) fn unanswered(
         &mut self,
         now: Timestamp,
         service: ServiceKey,
-    ) -> Option<ContactEvent> {
+        since: Timestamp,
+    ) -> ContactStep {
+        if since < self.heard {
+            return ContactStep::Keep;
+        }
         self.silent.insert(service);
-        let silence = now.since(self.heard);
-        let services = self.silent.len();
-        if self.lost_since.is_some() || silence < MIN_SILENCE || services < MIN_SERVICES {
-            return None;
+        match self.state {
+            State::InContact => self.suspect(now),
+            State::Suspected { .. } | State::Lost { .. } => ContactStep::Keep,
         }
-        self.lost_since = Some(self.heard);
-        Some(ContactEvent::Lost { silence, services })
     }
 
-    /// Time for which no server has responded, if contact is lost.
-    pub(crate) fn lost_for(&self, now: Timestamp) -> Option<Duration> {
-        self.lost_since.map(|since| now.since(since))
+    /// Checks contact after another daemon has lost it, or after a server failed to respond:
+    /// partitions usually affect several daemons.
+    pub(crate) fn suspect(&mut self, now: Timestamp) -> ContactStep {
+        if self.state != State::InContact {
+            return ContactStep::Keep;
+        }
+        if now.since(self.heard) < MIN_SILENCE {
+            return ContactStep::CheckAt(self.heard + MIN_SILENCE);
+        }
+        let until = now + PROBE_TIMEOUT;
+        self.state = State::Suspected { until };
+        probe(PROBED, until)
+    }
+
+    /// Records that servers of a service are probed.
+    pub(crate) fn probed(&mut self, service: ServiceKey) {
+        if let State::Suspected { .. } = self.state {
+            self.silent.insert(service);
+        }
     }
+
+    /// Handles the time that a step has set.
+    pub(crate) fn check(&mut self, now: Timestamp) -> ContactStep {
+        match self.state {
+            State::InContact if self.silent.is_empty() => ContactStep::Keep,
+            State::InContact => self.suspect(now),
+            State::Suspected { until } if now < until => ContactStep::CheckAt(until),
+            State::Suspected { .. } if self.silent.len() >= self.services.clamp(1, MIN_SILENT) => {
+                self.lose(now)
+            }
+            State::Suspected { .. } => {
+                let until = now + PROBE_TIMEOUT;
+                self.state = State::Suspected { until };
+                probe(PROBED_AGAIN, until)
+            }
+            State::Lost { .. } => match self.regain(now) {
+                ContactStep::Keep => probe(PROBED, now + PROBE_INTERVAL),
+                step => step,
+            },
+        }
+    }
+
+    /// Discards what was observed before a pause of this process, which had no chance to
+    /// receive responses.
+    pub(crate) fn on_pause(&mut self, now: Timestamp) {
+        if !self.is_lost() {
+            self.state = State::InContact;
+            self.heard = now;
+            self.silent.clear();
+        }
+    }
+
+    fn lose(&mut self, now: Timestamp) -> ContactStep {
+        let hold = match self.regained {
+            Some((at, hold)) if now.since(at) < FLAP_WINDOW => (hold * 2).clamp(HOLD_MIN, HOLD_MAX),
+            _ => Duration::ZERO,
+        };
+        self.regained = Some((now, hold));
+        self.state = State::Lost {
+            since: self.heard,
+            hold_until: now + hold,
+            responses: BTreeMap::new(),
+        };
+        ContactStep::Changed(ContactEvent::Lost {
+            silence: now.since(self.heard),
+            services: self.silent.len(),
+        })
+    }
+
+    fn regain(&mut self, now: Timestamp) -> ContactStep {
+        let needed = self.services.clamp(1, MIN_RESPONDING);
+        let State::Lost {
+            since,
+            hold_until,
+            responses,
+        } = &mut self.state
+        else {
+            return ContactStep::Keep;
+        };
+        responses.retain(|_, at| now.since(*at) <= RESPONSE_MEMORY);
+        if now < *hold_until || responses.len() < needed {
+            return ContactStep::Keep;
+        }
+        let lost_for = now.since(*since);
+        let hold = self.regained.map_or(Duration::ZERO, |(_, hold)| hold);
+        self.regained = Some((now, hold));
+        self.state = State::InContact;
+        self.silent.clear();
+        ContactStep::Changed(ContactEvent::Regained { lost_for })
+    }
+}
+
+fn probe(services: usize, until: Timestamp) -> ContactStep {
+    ContactStep::Probe { services, until }
 }
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -50,6 +50,8 @@
     server: ServerKey,
     conn: ConnKey,
     sent: Timestamp,
+    /// Whether the part was sent before.
+    repeated: bool,
     /// Whether a hedged send was already granted or refused by the budget.
     hedge_decided: bool,
     /// Whether the server is another daemon.
@@ -143,6 +145,8 @@
     limiter: RateLimiter,
     departed: DepartedServers,
     contact: Contact,
+    /// Number of rounds of probes.
+    probe_round: u64,
     conns: SlotMap<ConnKey, Conn>,
     calls: SlotMap<CallKey, Call>,
     reqs: SlotMap<ReqKey, Req>,
@@ -233,10 +237,16 @@
         if self.cluster == Some(cluster) && self.peers == peers {
             return;
         }
+        let lost = |peer: &&Peer| peer.running && !peer.reaches_servers;
+        let before = self.peers.iter().filter(lost).count();
         self.cluster = Some(cluster);
         self.peers = peers;
         self.settings.repeat.daemons = cluster.daemons.max(1);
         self.regroup(now);
+        if self.peers.iter().filter(lost).count() > before {
+            // Partitions usually affect several daemons.
+            self.suspect_contact(now);
+        }
     }
 
     fn log_server_event(&mut self, server: ServerKey, event: ServerEvent) {
@@ -540,7 +550,8 @@
 
     /// Handles all timers that are due.
     pub fn tick(&mut self, now: Timestamp) {
-        while let Some(timer) = self.timers.pop_due(now) {
+        while let Some((due, timer)) = self.timers.pop_due(now) {
+            self.observe_tick(now, due);
             match timer {
                 Timer::Hedge(call) => self.on_slow_call(now, call),
                 Timer::CallTimeout(call) | Timer::Abandoned(call) => {
@@ -554,6 +565,7 @@
                 Timer::Server(server) => self.on_server_timer(now, server),
                 Timer::Permit(server) => self.on_permit_timer(now, server),
                 Timer::LimitUsage(server) => self.report_limit_usage(now, server),
+                Timer::Contact => self.on_contact_timer(now),
             }
         }
     }
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -33,7 +33,8 @@
             && server.leaving_since.is_none()
             && !server.address_taken
             && server.back_off_left(now).is_zero();
-        if wanted && server.conns.is_empty() && self.cluster.is_some() {
+        let reachable = !self.contact.is_lost() || self.services[server.service].is_helper_group;
+        if wanted && reachable && server.conns.is_empty() && self.cluster.is_some() {
             self.open_conn(now, key);
         }
     }
@@ -79,6 +80,19 @@
         if server.conns.len() >= limit || server.opening >= MAX_OPENING {
             return;
         }
+        self.start_connection(now, key);
+    }
+
+    /// Opens a connection to a server to find out whether it responds, regardless of the
+    /// limits.
+    pub(super) fn open_probe(&mut self, now: Timestamp, key: ServerKey) {
+        if self.servers[key].opening == 0 {
+            self.start_connection(now, key);
+        }
+    }
+
+    fn start_connection(&mut self, now: Timestamp, key: ServerKey) {
+        let server = &mut self.servers[key];
         let conn = self.conns.insert(Conn {
             server: key,
             state: ConnState::Opening,
@@ -102,7 +116,9 @@
         server.on_connected();
         let key = state.server;
         self.observe_contact(now, key);
-        self.on_idle(now, conn, None);
+        if self.conns.contains_key(conn) {
+            self.on_idle(now, conn, None);
+        }
     }
 
     /// Handles a connection that could not be opened.
@@ -110,18 +126,18 @@
         let Some(state) = self.conns.get(conn) else {
             return;
         };
-        let server = state.server;
+        let (server, opened) = (state.server, state.opened);
         self.forget_conn(conn);
-        self.on_connect_failure(now, server);
+        self.on_connect_failure(now, server, opened);
         self.drop_retired(server);
     }
 
-    fn on_connect_failure(&mut self, now: Timestamp, key: ServerKey) {
+    fn on_connect_failure(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
         let server = &mut self.servers[key];
         let service = server.service;
         let until = server.on_connect_failed(now, &self.settings);
         self.timers.set(until, Timer::Server(key));
-        self.observe_silence(now, key);
+        self.observe_silence(now, key, since);
         let retry_in = until.since(now);
         self.log_server_event(key, ServerEvent::Unreachable { retry_in });
         self.place_waiting(now, service);
@@ -133,8 +149,8 @@
         let Some(state) = self.conns.get(conn) else {
             return;
         };
-        let (server, used) = (state.server, state.used);
-        let rejected = !used && now.since(state.opened) < REJECTED_WITHIN;
+        let (server, used, opened) = (state.server, state.used, state.opened);
+        let rejected = !used && now.since(opened) < REJECTED_WITHIN;
         let busy = match state.state {
             ConnState::Busy(call) => Some(call),
             ConnState::Opening | ConnState::Idle { .. } => None,
@@ -143,7 +159,7 @@
         if let Some(call) = busy {
             self.call_lost(now, call, lost);
         } else if rejected {
-            self.on_connect_failure(now, server);
+            self.on_connect_failure(now, server, opened);
         } else {
             // Reconnect now, so that no request has to wait to find out whether the
             // server closed the connection for idleness or is gone.
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -1,13 +1,29 @@
-//! Observations of the contact with backend servers.
+//! Contact with backend servers: observations, probes, and what follows from its loss.
 
 use std::time::Duration;
 
 use jasminepond_types::Timestamp;
+use slotmap::Key;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Forwarder;
-use crate::{contact::ContactEvent, message::Action, server::ServerKey};
+use crate::{
+    contact::{ContactEvent, ContactStep},
+    message::Action,
+    server::{Server, ServerKey},
+    service::ServiceKey,
+    timers::Timer,
+};
+
+/// A timer that fires this late shows that the process was paused.
+const PAUSE: Duration = Duration::from_millis(25);
 
 impl Forwarder {
+    /// Whether contact with all backend servers is lost.
+    pub fn is_contact_lost(&self) -> bool {
+        self.contact.is_lost()
+    }
+
     /// Time for which no backend server has responded, if contact with all of them is lost.
     pub fn contact_lost_for(&self, now: Timestamp) -> Option<Duration> {
         self.contact.lost_for(now)
@@ -15,27 +31,116 @@
 
     /// Records that a server responded or accepted a connection.
     pub(super) fn observe_contact(&mut self, now: Timestamp, key: ServerKey) {
-        if self.is_backend(key) {
-            let event = self.contact.heard(now);
-            self.log_contact(event);
+        if let Some(service) = self.backend_service(key) {
+            let step = self.contact.heard(now, service);
+            self.perform_contact_step(now, step);
+        }
+    }
+
+    /// Records that a server does not respond to what began at `since`.
+    pub(super) fn observe_silence(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
+        if let Some(service) = self.backend_service(key) {
+            let step = self.contact.unanswered(now, service, since);
+            self.perform_contact_step(now, step);
+        }
+    }
+
+    /// Checks contact because another daemon has lost it.
+    pub(super) fn suspect_contact(&mut self, now: Timestamp) {
+        let step = self.contact.suspect(now);
+        self.perform_contact_step(now, step);
+    }
+
+    /// Handles a timer that is due since `due`.
+    pub(super) fn observe_tick(&mut self, now: Timestamp, due: Timestamp) {
+        if now.since(due) >= PAUSE {
+            self.contact.on_pause(now);
         }
     }
 
-    /// Records that a server does not respond.
-    pub(super) fn observe_silence(&mut self, now: Timestamp, key: ServerKey) {
-        if self.is_backend(key) {
-            let event = self.contact.unanswered(now, self.servers[key].service);
-            self.log_contact(event);
+    pub(super) fn on_contact_timer(&mut self, now: Timestamp) {
+        let step = self.contact.check(now);
+        self.perform_contact_step(now, step);
+    }
+
+    /// Service of a backend server, or `None` for another daemon.
+    fn backend_service(&self, key: ServerKey) -> Option<ServiceKey> {
+        let service = self.servers.get(key)?.service;
+        let state = &self.services[service];
+        (!state.is_helper_group).then_some(service)
+    }
+
+    fn perform_contact_step(&mut self, now: Timestamp, step: ContactStep) {
+        match step {
+            ContactStep::Keep => {}
+            ContactStep::CheckAt(at) => self.timers.set(at, Timer::Contact),
+            ContactStep::Probe { services, until } => {
+                self.probe_servers(now, services);
+                self.timers.set(until, Timer::Contact);
+            }
+            ContactStep::Changed(event) => {
+                self.actions.push_back(Action::ContactChanged(event));
+                match event {
+                    ContactEvent::Lost { .. } => self.on_contact_lost(now),
+                    ContactEvent::Regained { .. } => self.on_contact_regained(now),
+                }
+            }
         }
     }
 
-    /// Whether this is a backend server, and not another daemon.
-    fn is_backend(&self, key: ServerKey) -> bool {
-        let server = self.servers.get(key);
-        server.is_some_and(|server| !self.services[server.service].is_helper_group)
+    /// Opens a connection to one server each of several services, first of those that are not
+    /// known to respond or to be silent. Each round takes them in another order, so that the
+    /// servers of some services, such as one index, do not stand for all.
+    fn probe_servers(&mut self, now: Timestamp, count: usize) {
+        let services = self.services.keys();
+        let target = |service| Some((service, self.probe_target(now, service)?));
+        let mut targets: Vec<_> = services.filter_map(target).collect();
+        self.contact.set_services(targets.len());
+        self.probe_round += 1;
+        let position = |(service, _): &(ServiceKey, ServerKey)| {
+            let id = service.data().as_ffi().to_be_bytes();
+            let known = self.contact.is_known(*service);
+            (known, xxh3_64_with_seed(&id, self.probe_round))
+        };
+        targets.sort_by_key(position);
+        targets.truncate(count);
+        for (service, server) in targets {
+            self.contact.probed(service);
+            self.open_probe(now, server);
+        }
     }
 
-    fn log_contact(&mut self, event: Option<ContactEvent>) {
-        self.actions.extend(event.map(Action::LogContact));
+    /// Server of a service to probe, preferably one in this availability zone.
+    fn probe_target(&self, now: Timestamp, service: ServiceKey) -> Option<ServerKey> {
+        let state = &self.services[service];
+        if state.is_helper_group || !state.routed {
+            return None;
+        }
+        let usable = |server: &Server| {
+            server.leaving_since.is_none()
+                && !server.address_taken
+                && server.back_off_left(now).is_zero()
+        };
+        let remote = |key: &&ServerKey| self.servers[**key].backend.zone != self.settings.zone;
+        let targets = state
+            .servers
+            .iter()
+            .filter(|key| usable(&self.servers[**key]));
+        targets.min_by_key(remote).copied()
+    }
+
+    fn on_contact_lost(&mut self, now: Timestamp) {
+        self.regroup(now);
+        self.timers.set(now, Timer::Contact);
+    }
+
+    fn on_contact_regained(&mut self, now: Timestamp) {
+        let backends: Vec<_> = self.servers.keys().collect();
+        for key in backends {
+            if self.backend_service(key).is_some() {
+                self.servers[key].forget_silence();
+            }
+        }
+        self.regroup(now);
     }
 }
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -60,6 +60,8 @@
     pub rank: u32,
     /// Whether membership considers the daemon running.
     pub running: bool,
+    /// Whether the daemon reaches backend servers, as it states itself.
+    pub reaches_servers: bool,
 }
 
 /// Request to another daemon to handle a part of a search.
@@ -128,17 +130,20 @@
 
     /// All daemons in the order that all agree on.
     fn daemons(&self, cluster: Cluster) -> Vec<HelperCandidate> {
+        // If no daemon states that it reaches servers, all of them are as good.
+        let reaching = |peer: &Peer| peer.running && peer.reaches_servers;
+        let any_reaching = !self.contact.is_lost() || self.peers.iter().any(reaching);
         let own = HelperCandidate {
             rank: cluster.rank,
             zone: self.settings.zone.as_str().into(),
             processor: self.settings.processor,
-            running: true,
+            running: !any_reaching || !self.contact.is_lost(),
         };
         let other = |peer: &Peer| HelperCandidate {
             rank: peer.rank,
             zone: peer.zone.as_str().into(),
             processor: peer.processor,
-            running: peer.running,
+            running: peer.running && (!any_reaching || peer.reaches_servers),
         };
         let mut daemons: Vec<_> = self.peers.iter().map(other).collect();
         daemons.push(own);
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -269,6 +269,7 @@
             server: server_key,
             conn,
             sent: now,
+            repeated: req.parts[index].sends > 0,
             hedge_decided: false,
             delegated,
             route: route.clone(),
@@ -336,9 +337,13 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        let (server, unanswered) = (call.server, now.since(call.sent));
+        let (server, sent, unanswered) = (call.server, call.sent, now.since(call.sent));
+        let first = !call.repeated;
         let newly_stalled = self.servers[server].set_stalled();
-        self.observe_silence(now, server);
+        if first {
+            // A part is repeated while its servers are slow, which says nothing about others.
+            self.observe_silence(now, server, sent);
+        }
         self.hedge(now, key);
         if newly_stalled {
             self.log_server_event(server, ServerEvent::Stalled { unanswered });
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -368,8 +368,9 @@
         /// The change.
         event: ServerEvent,
     },
-    /// Log a change of the contact with all backend servers together.
-    LogContact(ContactEvent),
+    /// Tell the other daemons, and log, that contact with all backend servers together is
+    /// lost or regained.
+    ContactChanged(ContactEvent),
     /// Log the groups of shards for which this daemon sends the sub-requests.
     LogGroups {
         /// Indexes of the groups that this daemon handles.
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -306,6 +306,13 @@
         }
     }
 
+    /// Forgets that the server did not respond while this daemon reached no server at all.
+    pub(crate) fn forget_silence(&mut self) {
+        self.stalled = false;
+        self.connect_failures = 0;
+        self.reachability = Reachability::Up;
+    }
+
     /// Records a failed connection attempt. Returns when to try again.
     pub(crate) fn on_connect_failed(
         &mut self,
--- a/crates/jasminepond-forward/src/timers.rs
+++ b/crates/jasminepond-forward/src/timers.rs
@@ -34,6 +34,8 @@
     Permit(ServerKey),
     /// Report what was sent to a limited server.
     LimitUsage(ServerKey),
+    /// Check the contact with backend servers.
+    Contact,
 }
 
 #[derive(Debug, Default)]
@@ -50,10 +52,11 @@
         self.heap.peek().map(|Reverse((at, _))| *at)
     }
 
-    pub(crate) fn pop_due(&mut self, now: Timestamp) -> Option<Timer> {
+    /// Removes the next timer that is due, and returns it with the time for which it was set.
+    pub(crate) fn pop_due(&mut self, now: Timestamp) -> Option<(Timestamp, Timer)> {
         if self.next()? > now {
             return None;
         }
-        self.heap.pop().map(|Reverse((_, timer))| timer)
+        self.heap.pop().map(|Reverse(due)| due)
     }
 }
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -210,6 +210,7 @@
             processor: Default::default(),
             rank: other as u32,
             running: running[other],
+            reaches_servers: true,
         };
         let others = (0..running.len()).filter(|other| *other != daemon);
         let peers = others.map(peer).collect();
@@ -469,7 +470,7 @@
                 }
                 Action::Close { .. }
                 | Action::LogServerEvent { .. }
-                | Action::LogContact(_)
+                | Action::ContactChanged(_)
                 | Action::LogGroups { .. } => {}
             }
         }
--- /dev/null
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -0,0 +1,123 @@
+//! Loss of contact with all backend servers, by the links of this daemon or otherwise.
+
+mod sim;
+
+use std::time::Duration;
+
+use jasminepond_forward::{ContactEvent, ForwardSettings, Peer};
+use sim::{Behavior, MS, Sim, search};
+use test_case::test_case;
+
+const SHARDS: usize = 12;
+
+/// Time within which a loss of contact has to be noticed after the next request, so that
+/// most requests under way can still be served elsewhere.
+const NOTICE: Duration = Duration::from_millis(250);
+
+/// Time within which a daemon has to use its servers again after a partition.
+const RETURN: Duration = Duration::from_millis(500);
+
+fn started() -> Sim {
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
+    sim.put_release(1, vec![search(SHARDS, 150, 0.8)]);
+    sim.load("/search/x", 20.0, Duration::from_secs(1), 800 * MS);
+    sim
+}
+
+fn set_all(sim: &mut Sim, behavior: Behavior) {
+    for index in 0..2 * SHARDS {
+        sim.set_behavior(index, behavior);
+    }
+}
+
+fn losses(sim: &Sim) -> usize {
+    let lost = |(_, event): &&(_, ContactEvent)| matches!(event, ContactEvent::Lost { .. });
+    sim.contact.iter().filter(lost).count()
+}
+
+/// Guards against a daemon that takes the loss of its own links for a failure of each server,
+/// and against one that stays without servers afterwards.
+#[test_case(Behavior::Silent; "silent")]
+#[test_case(Behavior::Crashed; "refused")]
+fn contact_is_lost_and_regained(behavior: Behavior) {
+    let mut sim = started();
+    set_all(&mut sim, behavior);
+    let since = sim.now;
+    sim.load("/search/x", 20.0, Duration::from_secs(3), 800 * MS);
+    let lost = sim.contact.first().expect("contact is lost");
+    assert!(
+        lost.0.since(since) < 100 * MS + NOTICE,
+        "{:?}",
+        lost.0.since(since)
+    );
+    set_all(&mut sim, Behavior::Healthy);
+    let since = sim.now;
+    sim.load("/search/x", 20.0, Duration::from_secs(2), 800 * MS);
+    let (at, event) = sim.contact.last().unwrap();
+    assert!(matches!(event, ContactEvent::Regained { .. }), "{event:?}");
+    assert!(at.since(since) < RETURN, "{:?}", at.since(since));
+    assert_eq!(sim.contact.len(), 2, "{:?}", sim.contact);
+}
+
+/// Guards against a daemon that blames its own links for servers that have failed: its
+/// requests would go to other daemons, which reach no more servers.
+#[test_case(3, Behavior::Silent; "three shards are silent")]
+#[test_case(9, Behavior::Crashed; "three quarters have crashed")]
+#[test_case(SHARDS, Behavior::Slow(10.0); "all are slow")]
+#[test_case(SHARDS, Behavior::Failing(1.0); "all fail")]
+fn failed_servers_are_no_loss_of_contact(shards: usize, behavior: Behavior) {
+    let mut sim = started();
+    for index in 0..2 * shards {
+        sim.set_behavior(index, behavior);
+    }
+    sim.load("/search/x", 20.0, Duration::from_secs(5), 800 * MS);
+    assert_eq!(losses(&sim), 0, "{:?}", sim.contact);
+}
+
+/// Guards against a process that resumes after a pause and takes its own silence for that of
+/// the servers.
+#[test]
+fn a_pause_of_the_process_is_no_loss_of_contact() {
+    let mut sim = started();
+    for n in 0..20 {
+        sim.submit("/search/x", 800 * MS);
+        sim.pause(Duration::from_millis(100 + 20 * n));
+        sim.run_for(100 * MS);
+    }
+    assert_eq!(losses(&sim), 0, "{:?}", sim.contact);
+}
+
+/// Guards against a daemon that changes its mind with each interruption of a partition.
+#[test]
+fn short_returns_of_the_links_do_not_count_each_time() {
+    let mut sim = started();
+    for _ in 0..10 {
+        set_all(&mut sim, Behavior::Silent);
+        sim.load("/search/x", 20.0, 700 * MS, 800 * MS);
+        set_all(&mut sim, Behavior::Healthy);
+        sim.load("/search/x", 20.0, 500 * MS, 800 * MS);
+    }
+    assert!(losses(&sim) <= 5, "{:?}", sim.contact);
+}
+
+/// Guards against parts of searches that are sent to daemons which reach no server.
+#[test]
+fn daemons_without_contact_are_no_helpers() {
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    sim.add_shards(48, 10 * MS, Duration::ZERO, Duration::ZERO);
+    let first = sim.servers.len();
+    let peers = sim.add_peers_as(30, 0);
+    let without: Vec<_> = (0..peers.len()).filter(|at| at % 2 == 0).collect();
+    let state = |(at, peer): (usize, Peer)| Peer {
+        reaches_servers: !without.contains(&at),
+        ..peer
+    };
+    let peers = peers.into_iter().enumerate().map(state).collect();
+    sim.set_peers(30, peers);
+    sim.put_release(1, vec![search(48, 150, 0.8)]);
+    sim.load("/search/x", 20.0, Duration::from_secs(2), 800 * MS);
+    let asked = |at: &usize| !sim.servers[first + at].arrived.is_empty();
+    assert_eq!(without.iter().filter(|at| asked(at)).count(), 0);
+    assert!((0..29).filter(asked).count() >= 3);
+}
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -13,8 +13,8 @@
 
 use bytes::Bytes;
 use jasminepond_forward::{
-    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, Exchange, ForwardSettings,
-    Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
+    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, Exchange,
+    ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
 };
 use jasminepond_routes::{
     Release, ReleaseVersion, Route, Search, ServiceName, ServiceSpec, Target,
@@ -93,6 +93,8 @@
     pub answers: Vec<Answered>,
     /// Requests sent to servers with the time left that was stated.
     pub sent_time_left: Vec<(ReqKey, Millis)>,
+    /// Changes of the contact with servers.
+    pub contact: Vec<(Timestamp, ContactEvent)>,
     pub closed: usize,
     pub opened: usize,
     /// Connection limit of the servers in the next release.
@@ -120,6 +122,7 @@
             servers: Vec::new(),
             answers: Vec::new(),
             sent_time_left: Vec::new(),
+            contact: Vec::new(),
             closed: 0,
             opened: 0,
             max_connections: 25,
@@ -180,13 +183,18 @@
     pub fn add_peers(&mut self, count: u32) -> Vec<usize> {
         let first = self.servers.len();
         let peers = self.add_peers_as(count + 1, 0);
+        self.set_peers(count + 1, peers);
+        (first..self.servers.len()).collect()
+    }
+
+    /// Sets the other daemons of a site with `count` daemons. This daemon has rank 0.
+    pub fn set_peers(&mut self, count: u32, peers: Vec<Peer>) {
         let cluster = Cluster {
-            daemons: count + 1,
+            daemons: count,
             rank: 0,
         };
         self.forwarder.set_daemons(self.now, cluster, peers);
         self.run_actions();
-        (first..self.servers.len()).collect()
     }
 
     /// Adds the other daemons of a site with `count` daemons, seen from the given rank.
@@ -203,6 +211,7 @@
                 processor: Default::default(),
                 rank: other,
                 running: true,
+                reaches_servers: true,
             });
         }
         peers
@@ -338,6 +347,14 @@
         }
     }
 
+    /// Lets the process do nothing for a time. Its timers are handled before the events that
+    /// have accumulated.
+    pub fn pause(&mut self, time: Duration) {
+        self.now = self.now + time;
+        self.forwarder.tick(self.now);
+        self.run_actions();
+    }
+
     pub fn run_for(&mut self, time: Duration) {
         self.run_until(self.now + time);
     }
@@ -453,9 +470,9 @@
         while let Some(action) = self.forwarder.next_action() {
             match action {
                 Action::Open { conn, address } => self.open(conn, address),
+                Action::ContactChanged(event) => self.contact.push((self.now, event)),
                 Action::SendDatagram { .. }
                 | Action::LogServerEvent { .. }
-                | Action::LogContact(_)
                 | Action::LogGroups { .. } => {}
                 Action::Close { conn } => {
                     self.closed += 1;
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -67,6 +67,8 @@
     buffered: BufferedBytes,
     /// Datagrams to other daemons, sent by the membership task.
     datagrams: RefCell<Option<mpsc::Sender<Datagram>>>,
+    /// Tells the membership task whether this daemon reaches backend servers.
+    contact: RefCell<Option<mpsc::UnboundedSender<bool>>>,
     /// Set once a release and all backend servers have been read.
     complete: Rc<Cell<bool>>,
 }
@@ -93,6 +95,7 @@
             sockets,
             buffered: BufferedBytes::default(),
             datagrams: RefCell::default(),
+            contact: RefCell::default(),
             complete,
         })
     }
@@ -102,6 +105,11 @@
         *self.datagrams.borrow_mut() = Some(tx);
     }
 
+    /// Sets who is told whether this daemon reaches backend servers.
+    pub fn set_contact_listener(&self, tx: mpsc::UnboundedSender<bool>) {
+        *self.contact.borrow_mut() = Some(tx);
+    }
+
     /// Returns the header names of the platform.
     pub fn headers(&self) -> &HeaderNames {
         &self.headers
@@ -273,7 +281,7 @@
             } => self.send(conn, req, &server, left, delegation),
             Action::SendDatagram { to, message } => self.send_datagram(to, message.encode()),
             Action::LogServerEvent { server, event } => log_server_event(&server, event),
-            Action::LogContact(event) => self.log_contact(event),
+            Action::ContactChanged(event) => self.on_contact_changed(event),
             Action::LogGroups { own, groups } => {
                 let own: Vec<_> = own.iter().map(ToString::to_string).collect();
                 info!("gateway: groups of shards that this daemon handles", kv: { own = own.join(" "), groups });
@@ -344,8 +352,13 @@
         }
     }
 
-    fn log_contact(&self, event: ContactEvent) {
+    fn on_contact_changed(&self, event: ContactEvent) {
         let millis = |time: Duration| time.as_millis() as u64;
+        let reaches_servers = matches!(event, ContactEvent::Regained { .. });
+        if let Some(tx) = &*self.contact.borrow() {
+            // The receiver is gone only if the process is about to end.
+            let _ = tx.unbounded_send(reaches_servers);
+        }
         match event {
             ContactEvent::Lost { silence, services } => {
                 self.metrics.contact_lost();
--- a/crates/jasminepond-gateway/src/members.rs
+++ b/crates/jasminepond-gateway/src/members.rs
@@ -121,6 +121,8 @@
         let (outgoing, queued) = mpsc::channel(MAX_QUEUED_DATAGRAMS);
         compio::runtime::spawn(send(self.socket.clone(), queued)).detach();
         self.hub.set_datagrams(outgoing);
+        let (contact, mut contact_changes) = mpsc::unbounded();
+        self.hub.set_contact_listener(contact);
         let started = self.clock.now();
         let mut known = 0;
         let mut changed = started;
@@ -165,6 +167,14 @@
                     self.perform(outputs).await;
                     None
                 }
+                reaches = contact_changes.next().fuse() => {
+                    if let Some(reaches) = reaches {
+                        let now = self.clock.now();
+                        let outputs = self.membership.set_reaches_servers(now, reaches);
+                        self.perform(outputs).await;
+                    }
+                    None
+                }
                 datagram = rx.next().fuse() => datagram,
                 _ = std::pin::pin!(compio::time::sleep(wait).fuse()) => None,
             };
@@ -175,15 +185,22 @@
     }
 
     /// Passes the current member list to the forwarder.
-    fn apply(&mut self, known: &mut Option<Cluster>) {
+    fn apply(&mut self, known: &mut Option<(Cluster, usize)>) {
         let current = self.cluster();
         *self.members.borrow_mut() = self.members();
         self.settled.set(true);
         let peers = self.peers();
         self.hub
             .change(|forwarder, now| forwarder.set_daemons(now, current, peers));
+        let members = self.membership.view().members();
+        let without_servers = members
+            .iter()
+            .filter(|member| member.is_reachable() && !member.reaches_servers)
+            .count();
+        let current = (current, without_servers);
         if known.replace(current) != Some(current) {
-            info!("membership: daemons", kv: { daemons = current.daemons, rank = current.rank });
+            let Cluster { daemons, rank } = current.0;
+            info!("membership: daemons", kv: { daemons, rank, without_servers });
         }
     }
 
@@ -255,6 +272,7 @@
                 processor: member.processor,
                 rank,
                 running: member.is_reachable(),
+                reaches_servers: member.reaches_servers,
             })
             .collect()
     }
