--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -21,7 +21,8 @@
     contact::Contact,
     departed::{DepartedServers, Restriction},
     message::{
-        Action, Arrival, Backend, BackendState, CallKey, ConnKey, ReqKey, ServerEvent, Verdict,
+        Action, Arrival, Backend, BackendState, CallKey, ConnKey, ReqKey, Scope, ServerEvent,
+        Verdict,
     },
     request::{ActiveRoute, Destination, Part, Req, RouteStats},
     server::{Reachability, Server, ServerKey},
@@ -35,6 +36,7 @@
 mod delegate;
 mod limits;
 mod place;
+mod relay;
 mod settle;
 
 pub use delegate::{DelegationRequest, Peer};
@@ -133,6 +135,8 @@
     /// Shards of each search route of the release in force.
     search_shards: Vec<Vec<ServiceKey>>,
     version: Option<ReleaseVersion>,
+    /// Newest release by which another daemon routed a request of this one.
+    newest_release: ReleaseVersion,
     table: RouteTable<Rc<ActiveRoute>>,
     active: Vec<Rc<ActiveRoute>>,
     /// When the release in force took effect.
@@ -272,7 +276,8 @@
             return false;
         }
         for service in self.services.values_mut() {
-            service.routed = service.is_helper_group;
+            service.routed =
+                service.is_helper_group && (!service.is_relays || self.contact.is_lost());
         }
         self.search_shards.clear();
         let mut table = RouteTable::default();
@@ -437,25 +442,28 @@
             .borrow_mut()
             .observe(arrival.time_left);
         let late = spent >= objective;
-        let only = arrival.delegated.as_ref();
-        let repeat = only.is_some_and(|delegated| delegated.repeat);
+        let delegated = arrival.delegated.as_ref();
+        let repeat = delegated.is_some_and(|delegated| delegated.repeat);
+        let only = delegated.and_then(|delegated| match &delegated.scope {
+            Scope::Shards(shards) => Some((&shards[..], delegated.answer_within)),
+            Scope::Whole => None,
+        });
         let parts = match &route.destination {
-            Destination::Service(service) => vec![Part::new(*service)],
+            Destination::Service(service) => {
+                vec![self.single_part(now, *service, delegated.is_some())]
+            }
             Destination::Split(services, chooser) => {
                 let chosen = chooser.borrow_mut().choose().unwrap_or(0);
-                services
-                    .get(chosen)
-                    .map(|service| Part::new(*service))
-                    .into_iter()
-                    .collect()
+                let service = services.get(chosen).copied();
+                let part = |service| self.single_part(now, service, delegated.is_some());
+                service.map(part).into_iter().collect()
             }
             Destination::Search { shards, .. } => {
-                let only = only.map(|delegated| &delegated.shards[..]);
-                self.search_parts(now, shards, only)
+                self.search_parts(now, shards, only.map(|(shards, _)| shards))
             }
         };
         let answer_by = match only {
-            Some(delegated) => delegated.answer_within,
+            Some((_, answer_within)) => answer_within,
             None => {
                 let answer_by = objective.saturating_sub(self.settings.answer_margin);
                 answer_by.max(objective / 2)
@@ -476,6 +484,11 @@
             } else {
                 route.min_shards()
             },
+            from_peer: delegated.is_some(),
+            max_attempts: delegated
+                .map_or(u32::MAX, |delegated| delegated.max_attempts)
+                .min(route.route.max_attempts),
+            retry_after: Duration::ZERO,
             parts,
             done: 0,
             missing: 0,
@@ -509,6 +522,15 @@
         key
     }
 
+    /// The part of a request to one server of a service.
+    fn single_part(&mut self, now: Timestamp, service: ServiceKey, from_peer: bool) -> Part {
+        let relayed = !from_peer && self.needs_relay(now, service) && self.can_relay(now, service);
+        match relayed {
+            true => Part::relayed(self.relays(), service),
+            false => Part::new(service),
+        }
+    }
+
     /// Refuses a request immediately if too many of its parts have no usable server.
     fn refuse_unservable(&mut self, now: Timestamp, key: ReqKey) -> bool {
         let req = &self.reqs[key];
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -17,6 +17,10 @@
 /// between zones and the server's work on a new connection, with a margin.
 const REJECTED_WITHIN: Duration = Duration::from_millis(50);
 
+/// Time after which an idle connection to another daemon is not used any more. Daemons close
+/// theirs after a minute, and a request that crosses the close may have run.
+const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(45);
+
 /// Maximum number of connections to one server that are opened concurrently. Accepting
 /// a connection briefly occupies a slot of the server.
 const MAX_OPENING: u32 = 2;
@@ -183,7 +187,11 @@
         let Some(state) = self.conns.get_mut(conn) else {
             return;
         };
-        let limit = exchange.keep_alive;
+        let is_peer = self
+            .servers
+            .get(server)
+            .is_some_and(|state| self.services[state.service].is_helper_group);
+        let limit = exchange.keep_alive.or(is_peer.then_some(PEER_IDLE_TIMEOUT));
         let until = limit.map(|limit| now + limit.saturating_sub(self.settings.idle_margin));
         state.state = ConnState::Idle { since: now, until };
         if exchange.closes {
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -131,6 +131,7 @@
 
     fn on_contact_lost(&mut self, now: Timestamp) {
         self.regroup(now);
+        self.relay_requests(now);
         self.timers.set(now, Timer::Contact);
     }
 
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -8,13 +8,13 @@
     time::Duration,
 };
 
-use jasminepond_routes::ServiceName;
+use jasminepond_routes::{ReleaseVersion, ServiceName};
 use jasminepond_types::{CpuCapacity, Millis, Timestamp};
 
-use super::{Cluster, Forwarder};
+use super::{Cluster, Forwarder, relay::RELAYS};
 use crate::{
     message::{Action, Backend, BackendState, CallKey, ReqKey, ServerEvent},
-    request::{Part, PartState, Req},
+    request::{ActiveRoute, Delegated, Part, Req},
     server::{ServerKey, Standing},
     service::ServiceKey,
     settings::RepeatSettings,
@@ -64,17 +64,22 @@
     pub reaches_servers: bool,
 }
 
-/// Request to another daemon to handle a part of a search.
+/// Request to another daemon to handle a request or a part of a search.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DelegationRequest {
-    /// Indexes of the shards in the route.
-    pub shards: Rc<[usize]>,
+    /// Indexes of the shards in the route, or `None` for a request to one server.
+    pub shards: Option<Rc<[usize]>>,
     /// Fingerprint by which both daemons check that they know the same shards.
     pub shard_set: u64,
-    /// Time after which the helper returns the results received so far.
+    /// Oldest release by which the request may be routed.
+    pub release: ReleaseVersion,
+    /// Time after which the other daemon returns the results of a search received so far.
     pub answer_within: Millis,
-    /// Whether another daemon was asked first and may have sent the sub-requests.
+    /// Whether the request may have been sent to servers before.
     pub repeat: bool,
+    /// Maximum number of servers to which each part may be sent, if that is fewer than the
+    /// route allows.
+    pub max_attempts: u32,
 }
 
 impl Forwarder {
@@ -238,10 +243,10 @@
             }
         }
         let peers: HashMap<u32, &Peer> = self.peers.iter().map(|p| (p.rank, p)).collect();
-        let entries: Vec<Backend> = wanted
+        let helpers = wanted
             .iter()
-            .filter_map(|(group, helper)| Some(helper_entry(*group, peers.get(helper)?)))
-            .collect();
+            .filter_map(|(group, helper)| Some(helper_entry(*group, peers.get(helper)?)));
+        let entries: Vec<Backend> = helpers.chain(self.relay_entries()).collect();
         let ids: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
         let helpers = self
             .services
@@ -257,8 +262,11 @@
         }
         for entry in entries {
             let service = self.service(&entry.service);
-            self.services[service].is_helper_group = true;
-            self.services[service].routed = true;
+            let state = &mut self.services[service];
+            state.is_helper_group = true;
+            state.is_relays = state.name.as_str() == RELAYS;
+            // Connections to relays are opened once they are needed.
+            state.routed = !state.is_relays || self.contact.is_lost();
             let known = self.servers_by_id.get(&entry.id);
             let known = known.map(|key| &self.servers[*key].backend);
             if known.is_none_or(|known| known.address != entry.address) {
@@ -267,7 +275,7 @@
         }
     }
 
-    fn group_service(&mut self, group: u32) -> ServiceKey {
+    pub(super) fn group_service(&mut self, group: u32) -> ServiceKey {
         self.service(&group_name(group))
     }
 
@@ -283,7 +291,12 @@
         if state.is_helper_group {
             // Daemons prefer different helpers, which spreads the load evenly.
             ordered.rotate_left(rank % len.max(1));
-            return (ordered, CONNECTED_HELPERS);
+            let count = if state.is_relays {
+                len
+            } else {
+                CONNECTED_HELPERS
+            };
+            return (ordered, count);
         }
         match state.group {
             Some(group) if self.helps_group(group) => (ordered, len),
@@ -319,12 +332,16 @@
             let known = only.iter().filter_map(|index| shards.get(*index));
             return known.map(|service| Part::new(*service)).collect();
         }
+        let mut unreached = Vec::new();
         let groups = self.shard_groups.groups().len();
         let mut of_groups = vec![Vec::new(); groups];
         let mut local = Vec::new();
         for (index, shard) in shards.iter().enumerate() {
             match self.services[*shard].group {
                 Some(group) if !self.helps_group(group) => of_groups[group as usize].push(index),
+                _ if self.needs_relay(now, *shard) && self.can_relay(now, *shard) => {
+                    unreached.push(index);
+                }
                 _ => local.push(index),
             }
         }
@@ -341,13 +358,16 @@
                 local.extend(of_group);
             }
         }
+        if !unreached.is_empty() {
+            parts.push(Part::delegated(self.relays(), unreached.into()));
+        }
         parts.extend(local.into_iter().map(|index| Part::new(shards[index])));
         parts
     }
 
     /// Whether a group has a helper that is not known to be unresponsive. Waiting for a
     /// connection to it is faster than connecting to all servers of the group.
-    fn has_helper(&self, now: Timestamp, service: ServiceKey) -> bool {
+    pub(super) fn has_helper(&self, now: Timestamp, service: ServiceKey) -> bool {
         let answers = |key: &ServerKey| {
             let standing = self.servers[*key].standing(now, &self.settings);
             standing.is_some_and(|standing| standing < Standing::Stalled)
@@ -362,20 +382,36 @@
         req: &Req,
         index: usize,
     ) -> Option<DelegationRequest> {
-        let shards = req.parts[index].delegated.clone()?;
-        let left = req.answer_by.since(now).saturating_sub(MERGE_MARGIN);
+        let part = &req.parts[index];
+        let (shards, left) = match part.delegated.clone()? {
+            Delegated::Shards(shards) => {
+                let left = req.answer_by.since(now).saturating_sub(MERGE_MARGIN);
+                (Some(shards), left)
+            }
+            Delegated::Whole(_) => (None, req.deadline.since(now)),
+        };
         Some(DelegationRequest {
             shards,
             shard_set: req.route.shard_set,
+            release: req.route.version.max(self.newest_release),
             answer_within: Millis((left.as_millis() as u64).max(1)),
-            repeat: req.parts[index].repeat,
+            repeat: part.repeat,
+            max_attempts: part.max_attempts,
         })
     }
 
     /// Times after which a helper is marked as stalled and after which its call is
     /// aborted.
-    pub(super) fn helper_timeouts(delegation: &DelegationRequest) -> (Duration, Duration) {
+    pub(super) fn helper_timeouts(
+        &self,
+        delegation: &DelegationRequest,
+        route: &ActiveRoute,
+    ) -> (Duration, Duration) {
         let answer = delegation.answer_within.duration();
+        if delegation.shards.is_none() {
+            // The other daemon hedges after the same time.
+            return (self.hedge_delay(route) * 2 + HELPER_OVERDUE, answer);
+        }
         (
             answer + HELPER_OVERDUE,
             answer + answer.max(HELPER_TIMEOUT_MIN),
@@ -386,25 +422,27 @@
     /// locally.
     pub(super) fn try_next_helper(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let part = &self.reqs[key].parts[index];
-        if part.sends < MAX_HELPERS_TRIED {
+        if part.delegations < MAX_HELPERS_TRIED {
             self.place(now, key, index);
         } else {
             self.on_no_server(now, key, index);
         }
     }
 
-    /// Sends a part to the next helper after the previous one may have sent its
-    /// sub-requests. Refused if a shard has more servers than the route's `max_attempts`,
-    /// since the two helpers together may send to all of them.
+    /// Sends a part to the next helper after the previous one may have sent it to servers.
+    /// Refused if a service has more servers than the route's `max_attempts`, since the two
+    /// helpers together may send to all of them.
     pub(super) fn retry_delegated(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let req = &self.reqs[key];
         let part = &req.parts[index];
         let max_attempts = req.route.route.max_attempts as usize;
-        let shards = part.delegated.iter().flat_map(|shards| shards.iter());
-        let mut servers =
-            shards.map(|shard| self.services[req.route.shards()[*shard]].servers.len());
-        let allowed = servers.all(|servers| servers <= max_attempts);
-        if allowed && part.sends < MAX_HELPERS_TRIED && now < req.deadline {
+        let services = self.services_of(key, index);
+        let servers = |service: &ServiceKey| self.services[*service].servers.len();
+        let allowed = req.route.may_repeat()
+            && services
+                .iter()
+                .all(|service| servers(service) <= max_attempts);
+        if allowed && part.delegations < MAX_HELPERS_TRIED && now < req.deadline {
             self.reqs[key].parts[index].repeat = true;
             self.place(now, key, index);
         } else {
@@ -416,19 +454,8 @@
     /// have certainly not run: otherwise the helper may have used up the attempts that
     /// the route allows.
     pub(super) fn handle_locally(&mut self, now: Timestamp, key: ReqKey, index: usize) {
-        let Some(req) = self.reqs.get_mut(key) else {
-            return;
-        };
-        let Some(shards) = req.parts[index].delegated.take() else {
-            return;
-        };
-        let part = &mut req.parts[index];
-        part.state = PartState::Missing("taken_over");
-        part.weight = 0;
-        let services: Vec<_> = shards
-            .iter()
-            .map(|shard| req.route.shards()[*shard])
-            .collect();
+        let services = self.services_of(key, index);
+        self.reqs[key].parts[index].hand_over();
         for service in services {
             let req = &mut self.reqs[key];
             let index = req.parts.len();
@@ -452,9 +479,14 @@
 
 /// Server entry that represents another daemon as a helper of a group.
 fn helper_entry(group: u32, peer: &Peer) -> Backend {
+    peer_entry(group_name(group), &group.to_string(), peer)
+}
+
+/// Server entry that represents another daemon in this role.
+pub(super) fn peer_entry(service: ServiceName, role: &str, peer: &Peer) -> Backend {
     Backend {
-        id: format!("daemon/{}/{group}", peer.instance).into(),
-        service: group_name(group),
+        id: format!("daemon/{}/{role}", peer.instance).into(),
+        service,
         address: peer.address,
         zone: peer.zone.clone(),
         slots: 1,
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -56,6 +56,9 @@
         tried: &[ServerKey],
         by: Timestamp,
     ) -> Vec<Candidate> {
+        if !self.is_service_reached(service) {
+            return Vec::new();
+        }
         let servers = self.services[service].servers.iter();
         let mut candidates: Vec<_> = servers
             .filter(|key| !tried.contains(key))
@@ -93,11 +96,18 @@
         by: Timestamp,
     ) -> bool {
         let mut servers = self.services[service].servers.iter();
-        servers.any(|key| {
-            let standing = self.servers[*key].standing(now, &self.settings);
-            let permit_in = self.permit_in(now, *key);
-            standing.is_some() && (permit_in.is_zero() || now + permit_in <= by)
-        })
+        self.is_service_reached(service)
+            && servers.any(|key| {
+                let standing = self.servers[*key].standing(now, &self.settings);
+                let permit_in = self.permit_in(now, *key);
+                standing.is_some() && (permit_in.is_zero() || now + permit_in <= by)
+            })
+    }
+
+    /// Whether this daemon may reach servers of a service at all. While it is out of contact
+    /// with all backend servers, requests go to other daemons only.
+    fn is_service_reached(&self, service: ServiceKey) -> bool {
+        !self.contact.is_lost() || self.services[service].is_helper_group
     }
 
     /// Time by which a part must be sent so that its response is in time.
@@ -126,6 +136,9 @@
     }
 
     fn service_available_in(&self, now: Timestamp, service: ServiceKey) -> Duration {
+        if !self.is_service_reached(service) {
+            return RETRY_AFTER_DEFAULT;
+        }
         let servers = self.services[service].servers.iter();
         let back = servers.filter_map(|key| {
             let wait = self.servers[*key].available_in(now, &self.settings)?;
@@ -177,11 +190,14 @@
         let part = &self.reqs[key].parts[index];
         if part.repeat && part.delegated.is_some() {
             self.mark_missing(key, index, "helper_lost");
+        } else if self.is_relayed(part) {
+            self.on_relay_refused(now, key, index);
+            self.mark_missing(key, index, "no_server");
         } else if part.delegated.is_some() {
             self.handle_locally(now, key, index);
         } else if self.is_held_by_limit(now, part.service) {
             self.mark_missing(key, index, LIMITED);
-        } else {
+        } else if !self.relay_part(now, key, index) {
             self.mark_missing(key, index, "no_server");
         }
     }
@@ -257,7 +273,10 @@
     fn send(&mut self, now: Timestamp, key: ReqKey, index: usize, conn: ConnKey) {
         let server_key = self.conns[conn].server;
         let delegation = self.delegation(now, &self.reqs[key], index);
-        let helper_timeouts = delegation.as_ref().map(Self::helper_timeouts);
+        let route = &self.reqs[key].route;
+        let helper_timeouts = delegation
+            .as_ref()
+            .map(|delegation| self.helper_timeouts(delegation, route));
         let delegated = helper_timeouts.is_some();
         self.use_permit(now, server_key, key, index);
         let req = &mut self.reqs[key];
@@ -281,6 +300,7 @@
         part.conns.push(conn);
         part.runs += 1;
         part.sends += 1;
+        part.delegations += u32::from(delegated);
         if part.sends > 1 {
             req.repeats += 1;
         }
@@ -321,7 +341,7 @@
     }
 
     /// Time after which a hedged send is considered.
-    fn hedge_delay(&self, route: &ActiveRoute) -> Duration {
+    pub(super) fn hedge_delay(&self, route: &ActiveRoute) -> Duration {
         let p90 = route.stats.latency.borrow().high();
         let max = route
             .objective()
@@ -368,7 +388,7 @@
             return;
         };
         let part = &req.parts[index];
-        let may_run_again = part.runs < req.route.route.max_attempts;
+        let may_run_again = part.runs < req.max_attempts && part.delegated.is_none();
         let may_hedge = !req.late && may_run_again && part.calls.len() <= 1;
         if !matches!(part.state, PartState::Sent) || !may_hedge {
             return;
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -57,11 +57,15 @@
             }
         }
         let not_run = reply.not_run || reply.wrong_server;
-        if !call.delegated {
-            self.apply_restrictions(now, call.server, &reply);
-            if !reply.wrong_server {
-                self.observe_limit(now, call.server, call.sent, reply.rate_limit);
+        match self.answering_server(&call, &reply) {
+            Some(server) if !reply.wrong_server => {
+                self.apply_restrictions(now, server, &reply);
+                self.observe_limit(now, server, call.sent, reply.rate_limit);
             }
+            _ => {}
+        }
+        if let Some(peer) = reply.peer.as_ref().filter(|_| call.delegated) {
+            self.newest_release = self.newest_release.max(peer.release);
         }
         if let Some(server) = self.servers.get_mut(call.server) {
             if reply.is_success() {
@@ -101,9 +105,15 @@
                 req.last_server = Some(server.backend.id.clone());
             }
         } else if call.delegated && not_run {
+            if let Some(RetryAfter::Wait(wait)) = reply.retry_after {
+                req.retry_after = req.retry_after.max(wait);
+            }
             self.try_next_helper(now, call.req, call.part);
+        } else if call.delegated && reply.stamp.is_some() {
+            part.failure = Some(reply);
+            self.mark_missing(call.req, call.part, "failed");
         } else if call.delegated {
-            self.mark_missing(call.req, call.part, "helper_failed");
+            self.retry_delegated(now, call.req, call.part);
         } else if not_run {
             self.retry(now, &call, "rejected");
         } else {
@@ -113,10 +123,19 @@
         self.settle(now, call.req);
     }
 
+    /// The backend server that wrote a response, also if another daemon forwards it.
+    fn answering_server(&self, call: &Call, reply: &Reply) -> Option<ServerKey> {
+        if !call.delegated {
+            return Some(call.server);
+        }
+        let id = reply.peer.as_ref()?.server.as_ref()?;
+        self.servers_by_id.get(id).copied()
+    }
+
     /// Applies the restrictions that a server states in its response: a stopping server
     /// gets no new requests, and one that sends `Retry-After` gets none until then.
     fn apply_restrictions(&mut self, now: Timestamp, key: ServerKey, reply: &Reply) {
-        let Some(server) = self.servers.get_mut(key).filter(|_| !reply.wrong_server) else {
+        let Some(server) = self.servers.get_mut(key) else {
             return;
         };
         if reply.leaving && server.set_stopping(now) {
@@ -174,11 +193,12 @@
     fn retry(&mut self, now: Timestamp, call: &Call, reason: &'static str) {
         let req = &mut self.reqs[call.req];
         let part = &req.parts[call.part];
-        if !part.calls.is_empty() || matches!(part.state, PartState::Waiting) {
+        let handed_over = part.delegated.is_some();
+        if handed_over || !part.calls.is_empty() || matches!(part.state, PartState::Waiting) {
             // Another call may still return the response.
             return;
         }
-        let max_attempts = req.route.route.max_attempts;
+        let max_attempts = req.max_attempts;
         let may_run_again = part.runs == 0 || (req.route.may_repeat() && part.runs < max_attempts);
         if !may_run_again || part.sends >= max_attempts + EXTRA_SENDS || now >= req.deadline {
             self.mark_missing(call.req, call.part, reason);
@@ -287,12 +307,16 @@
             return self.fail(now, key, ErrorKind::NoBackend);
         };
         if let PartState::Done(reply) = &part.state {
-            let answer = Answer::Forwarded(reply.clone());
+            let answer = Answer::Forwarded {
+                reply: reply.clone(),
+                server: self.reqs[key].last_server.clone(),
+            };
             return self.finish(now, key, Some(answer), Verdict::Served);
         }
         match part.failure.take().filter(may_forward) {
             Some(reply) => {
-                let answer = Answer::Forwarded(reply);
+                let server = self.reqs[key].last_server.clone();
+                let answer = Answer::Forwarded { reply, server };
                 self.finish(now, key, Some(answer), Verdict::ServerFailed);
             }
             None => self.fail(now, key, ErrorKind::Overloaded),
@@ -330,6 +354,7 @@
         let req = &self.reqs[key];
         if req.not_run() {
             let available_in = self.available_in(now, key);
+            let available_in = available_in.max(Millis::from(self.reqs[key].retry_after));
             let (kind, retry_after) = match kind {
                 ErrorKind::NoBackend => (self.unservable_kind(now, key), available_in),
                 _ => (kind, available_in.max(RETRY_WHEN_BUSY)),
@@ -383,6 +408,8 @@
                 .count();
             Some(format!("{}:{reason}:{usable}/{known}", service.name))
         };
+        let relayed = |part: &&Part| part.delegations > 0 && self.is_relayed(part);
+        let relayed = req.parts.iter().filter(relayed).count();
         let limited = |part: &&Part| matches!(part.state, PartState::Missing(LIMITED));
         let limited = req.parts.iter().filter(limited).count();
         let missing = match verdict {
@@ -400,6 +427,7 @@
             missing,
             limited: limited as u32,
             server: req.last_server,
+            relayed: relayed as u32,
         };
         self.actions.push_back(Action::Answer {
             req: key,
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -28,8 +28,8 @@
 pub use merge::{RECORD_BYTES, merge_top_k};
 pub use message::{
     Action, Answer, Arrival, Backend, BackendState, CallKey, ConnKey, DelegatedPart, Exchange,
-    LimitUsage, LostCall, Refusal, Reply, ReqKey, RetryAfter, ServerEvent, StatedLimit, Summary,
-    Verdict,
+    LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter, Scope, ServerEvent,
+    StatedLimit, Summary, Verdict,
 };
 pub use report::{RouteReport, ServerReport};
 pub use request::ActiveRoute;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -27,19 +27,31 @@
     pub route: Rc<ActiveRoute>,
     /// Time until the caller's deadline.
     pub time_left: Duration,
-    /// Set if another daemon delegates a part of its search to this one.
+    /// Set if another daemon delegates the request, or a part of it, to this one.
     pub delegated: Option<DelegatedPart>,
 }
 
-/// The part of a search that another daemon delegates to this one.
+/// What a daemon delegates to another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Scope {
+    /// Shards of a search, by their indexes in the route.
+    Shards(Vec<usize>),
+    /// A request to one server.
+    Whole,
+}
+
+/// A request, or a part of a search, that another daemon delegates to this one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DelegatedPart {
-    /// Indexes of the shards in the route.
-    pub shards: Vec<usize>,
-    /// Time after which the results received so far are returned.
+    /// What to handle.
+    pub scope: Scope,
+    /// Time after which the results of a search received so far are returned.
     pub answer_within: Duration,
-    /// Whether another daemon was asked first and may have sent the sub-requests.
+    /// Whether the request may have been sent to servers before.
     pub repeat: bool,
+    /// Maximum number of servers to which each part may be sent, if that is fewer than the
+    /// route allows.
+    pub max_attempts: u32,
 }
 
 /// State of a backend server according to its entry.
@@ -128,6 +140,15 @@
     Invalid,
 }
 
+/// What another daemon states about its answer.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct PeerReply {
+    /// Version of the release by which it routed the request.
+    pub release: ReleaseVersion,
+    /// Id of the server whose response it forwards.
+    pub server: Option<Arc<str>>,
+}
+
 /// Response of a backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
@@ -138,6 +159,8 @@
     pub stamp: Option<Bytes>,
     /// Number of shards that are missing from another daemon's answer.
     pub missing: usize,
+    /// Set if another daemon answers.
+    pub peer: Option<PeerReply>,
     /// Whether the server states that it has not run the request.
     pub not_run: bool,
     /// Whether a different server than the expected one answered.
@@ -196,7 +219,12 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
     /// Response of a backend server, forwarded unchanged.
-    Forwarded(Reply),
+    Forwarded {
+        /// The response.
+        reply: Reply,
+        /// Id of the server.
+        server: Option<Arc<str>>,
+    },
     /// The merged answer of a search.
     Merged {
         /// Signatures of the parts that the answer contains.
@@ -265,6 +293,8 @@
     pub limited: u32,
     /// Server whose response was forwarded, or that failed last.
     pub server: Option<Arc<str>>,
+    /// Parts that other daemons sent on, because this one reached no server.
+    pub relayed: u32,
 }
 
 /// Change in the state of a backend server as observed by the forwarder.
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -114,6 +114,15 @@
     Missing(&'static str),
 }
 
+/// What another daemon handles.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Delegated {
+    /// Shards of a search, by their indexes in the route.
+    Shards(Rc<[usize]>),
+    /// A request to one server of this service.
+    Whole(ServiceKey),
+}
+
 #[derive(Debug)]
 pub(crate) struct Part {
     pub(crate) service: ServiceKey,
@@ -128,8 +137,12 @@
     pub(crate) sends: u32,
     /// Error response to forward if no send succeeds.
     pub(crate) failure: Option<Reply>,
-    /// Indexes of the shards that are delegated to another daemon.
-    pub(crate) delegated: Option<Rc<[usize]>>,
+    /// What another daemon handles. The service is then one whose servers are daemons.
+    pub(crate) delegated: Option<Delegated>,
+    /// Number of other daemons to which the part was sent.
+    pub(crate) delegations: u32,
+    /// Maximum number of servers to which another daemon may send the part.
+    pub(crate) max_attempts: u32,
     /// Whether another daemon may already have sent the sub-requests.
     pub(crate) repeat: bool,
     /// Number of shards that the part covers.
@@ -148,20 +161,30 @@
             sends: 0,
             failure: None,
             delegated: None,
+            delegations: 0,
+            max_attempts: u32::MAX,
             repeat: false,
             weight: 1,
         }
     }
 
-    /// A part that is delegated to another daemon.
+    /// A part of a search that is delegated to another daemon.
     pub(crate) fn delegated(service: ServiceKey, shards: Rc<[usize]>) -> Self {
         Self {
             weight: shards.len(),
-            delegated: Some(shards),
+            delegated: Some(Delegated::Shards(shards)),
             ..Self::new(service)
         }
     }
 
+    /// A request for a service that another daemon sends on.
+    pub(crate) fn relayed(relays: ServiceKey, service: ServiceKey) -> Self {
+        Self {
+            delegated: Some(Delegated::Whole(service)),
+            ..Self::new(relays)
+        }
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         matches!(self.state, PartState::Waiting | PartState::Sent)
     }
@@ -183,6 +206,12 @@
     /// Whether `answer_by` has passed, after which a search is answered as soon as
     /// `min_shards` are done.
     pub(crate) past_answer_by: bool,
+    /// Whether another daemon sent it. It is not delegated again.
+    pub(crate) from_peer: bool,
+    /// Maximum number of servers to which each part may be sent.
+    pub(crate) max_attempts: u32,
+    /// `Retry-After` of another daemon that refused the request.
+    pub(crate) retry_after: Duration,
     pub(crate) parts: Vec<Part>,
     pub(crate) done: usize,
     pub(crate) missing: usize,
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -161,6 +161,11 @@
         })
     }
 
+    /// Whether there is a connection, or no failed attempt to open one is known.
+    pub(crate) fn may_be_reached(&self) -> bool {
+        self.reachability == Reachability::Up || self.conns.len() > self.opening as usize
+    }
+
     /// Time until the server can be tried with a request, zero if it is usable now, or
     /// `None` if unknown.
     pub(crate) fn available_in(
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use jasminepond_routes::ServiceName;
+use jasminepond_types::Timestamp;
 use slotmap::new_key_type;
 
 use crate::{RepeatBudget, message::ReqKey, server::ServerKey};
@@ -37,6 +38,11 @@
     pub(crate) group: Option<u32>,
     /// Whether the servers of the service are other daemons.
     pub(crate) is_helper_group: bool,
+    /// Whether these daemons send on requests of this one.
+    pub(crate) is_relays: bool,
+    /// Until when other daemons are not asked for this service, because they had no server
+    /// for it either.
+    pub(crate) relay_refused_until: Timestamp,
     waiting: VecDeque<Waiting>,
 }
 
@@ -51,6 +57,8 @@
             shard_index: None,
             group: None,
             is_helper_group: false,
+            is_relays: false,
+            relay_refused_until: Timestamp::ZERO,
             waiting: VecDeque::new(),
         }
     }
--- a/crates/jasminepond-forward/tests/delegation.rs
+++ b/crates/jasminepond-forward/tests/delegation.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use jasminepond_forward::{Answer, Arrival, DelegatedPart, ForwardSettings, Verdict};
+use jasminepond_forward::{Answer, Arrival, DelegatedPart, ForwardSettings, Scope, Verdict};
 use sim::{Behavior, MS, Sim, search};
 use test_case::test_case;
 
@@ -142,7 +142,8 @@
     }
     let route = sim.forwarder.route("localhost", "/search/x").unwrap();
     let delegated = Some(DelegatedPart {
-        shards: vec![1, 4, 7, 10],
+        scope: Scope::Shards(vec![1, 4, 7, 10]),
+        max_attempts: u32::MAX,
         answer_within: 60 * MS,
         repeat: false,
     });
--- a/crates/jasminepond-forward/tests/guarantees.rs
+++ b/crates/jasminepond-forward/tests/guarantees.rs
@@ -232,7 +232,7 @@
     let conn = sim.conn_of(key);
     sim.answer_with(conn, reply(status, "stamp"));
     match &sim.answers[0].answer {
-        Some(Answer::Forwarded(reply)) => assert!(passed && reply.status == status),
+        Some(Answer::Forwarded { reply, .. }) => assert!(passed && reply.status == status),
         Some(Answer::Refused(refusal)) => {
             assert!(!passed && refusal.kind == ErrorKind::OutcomeUnknown);
         }
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -577,7 +577,7 @@
         let answers: Vec<_> = self.answers.iter().filter(|a| a.at >= from).collect();
         let good = |a: &&&Answered| {
             let success = match &a.answer {
-                Some(Answer::Forwarded(reply)) => reply.is_success(),
+                Some(Answer::Forwarded { reply, .. }) => reply.is_success(),
                 Some(Answer::Merged { .. }) => true,
                 _ => false,
             };
@@ -592,6 +592,7 @@
         status,
         stamp: Some(Bytes::copy_from_slice(stamp.as_bytes())),
         missing: 0,
+        peer: None,
         not_run: false,
         wrong_server: false,
         leaving: false,
--- a/crates/jasminepond-gateway/src/backend.rs
+++ b/crates/jasminepond-gateway/src/backend.rs
@@ -7,6 +7,8 @@
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_forward::{ConnKey, Exchange, LostCall};
+use socket2::SockRef;
+use spdlog::debug;
 
 use crate::{
     HeaderNames,
@@ -69,6 +71,13 @@
     hub.connected(conn);
     match serve(&hub, conn, &socket, &mut rx).await {
         End::Released => {}
+        // Bytes that a partition holds back must not arrive once it ends: nobody waits for the
+        // response any more. A connection that is closed normally still delivers them.
+        End::Aborted => {
+            if let Err(err) = SockRef::from(socket.stream()).set_linger(Some(Duration::ZERO)) {
+                debug!("gateway: an aborted connection cannot be reset", kv: { error: = err });
+            }
+        }
         End::Failed(call, cause) => hub.closed(conn, call, &cause),
     }
 }
@@ -77,6 +86,8 @@
 enum End {
     /// The hub dropped the sender.
     Released,
+    /// The hub dropped the sender during a call.
+    Aborted,
     /// The connection failed. Holds the state of its call and the cause.
     Failed(LostCall, String),
 }
@@ -163,12 +174,14 @@
             select_biased! {
                 read = socket.read(&mut responses.buf).fuse() => break read,
                 next = rx.next() => {
-                    let Some(mut outgoing) = next else { return End::Released };
+                    let Some(mut outgoing) = next else {
+                        return if call.is_some() { End::Aborted } else { End::Released };
+                    };
                     let bytes = std::mem::take(&mut outgoing.bytes);
                     call = Some(outgoing);
                     match write(socket, bytes, rx).await {
                         Written::Complete => {}
-                        Written::Released => return End::Released,
+                        Written::Released => return End::Aborted,
                         Written::Failed(err) => return End::Failed(LostCall::MayHaveRun, err.to_string()),
                     }
                 }
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -11,14 +11,14 @@
     http::request::Parts,
 };
 use jasminepond_daemon::net::http::{BufferedRequest, BufferedResponse, Handler, error_response};
-use jasminepond_forward::{Answer, Refusal, Reply, ReqKey};
+use jasminepond_forward::{ActiveRoute, Answer, Refusal, Reply, ReqKey, Scope};
 use jasminepond_types::{ErrorKind, Millis};
 use spdlog::info;
 
 use crate::{
     hub::{Hub, Outbound},
     panics::catch_panic,
-    peers::{self, DelegatedSearch},
+    peers::{self, DelegatedRequest},
     response::ExpectedResponse,
 };
 
@@ -83,11 +83,11 @@
     }
 }
 
-/// Handles a request. `delegated` is set if another daemon requests a part of a search.
+/// Handles a request. `delegated` is set if another daemon delegates it, or a part of it.
 pub async fn respond(
     hub: &Rc<Hub>,
     req: BufferedRequest,
-    delegated: Option<DelegatedSearch>,
+    delegated: Option<DelegatedRequest>,
 ) -> BufferedResponse {
     let BufferedRequest { head, body } = req;
     let names = *hub.headers();
@@ -109,29 +109,25 @@
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let host = header("host").unwrap_or_default();
     let Some(route) = hub.read(|forwarder| forwarder.route(host, path)) else {
+        if delegated.is_some() {
+            let message = "this daemon does not know the route";
+            return refuse(hub, request_id, ErrorKind::NotReady, message, None);
+        }
         let message = format!("no route for {path} of host {host}");
         return refuse(hub, request_id, ErrorKind::NotFound, &message, None);
     };
-    if delegated
-        .as_ref()
-        .is_some_and(|delegated| delegated.shard_set != route.shard_set())
-    {
-        let message = "this daemon knows other shards of the route";
+    if let Some(message) = delegated.as_ref().and_then(|d| mismatch(d, &route)) {
         return refuse(hub, request_id, ErrorKind::NotReady, message, None);
     }
+    let version = route.version();
+    let from_peer = delegated.is_some();
     let timeout = route.route().timeout.duration();
     let time_left = header(names.time_left_ms).and_then(|text| text.trim().parse().ok());
     let time_left = time_left.map_or(timeout, Duration::from_millis);
-    let excluded = [
-        peers::REPEAT,
-        names.time_left_ms,
-        names.expected_server,
-        peers::SHARDS,
-        peers::SHARD_SET,
-        peers::ANSWER_WITHIN_MS,
-    ];
+    let own = [names.time_left_ms, names.expected_server];
+    let excluded = |name: &str| own.contains(&name) || peers::HEADERS.contains(&name);
     let outbound = Outbound {
-        head: render_head(&head, path, &body, &excluded),
+        head: render_head(&head, path, &body, excluded),
         request_id: Bytes::copy_from_slice(request_id.as_bytes()),
         expected: ExpectedResponse {
             keep_headers: !route.is_search(),
@@ -151,8 +147,14 @@
     };
     let answer = answer.await;
     cancel.req = None;
-    match answer {
-        Ok(Answer::Forwarded(reply)) => forwarded_response(hub, reply),
+    let mut res = match answer {
+        Ok(Answer::Forwarded { reply, server }) => {
+            let mut res = forwarded_response(hub, reply);
+            if from_peer && let Some(server) = server {
+                insert_header(&mut res, peers::SERVER, &server);
+            }
+            res
+        }
         Ok(Answer::Merged {
             stamps,
             missing,
@@ -163,6 +165,29 @@
             let message = "the request was dropped";
             error_response(ErrorKind::Internal, message, None)
         }
+    };
+    if from_peer {
+        insert_header(&mut res, peers::RELEASE, &version.to_string());
+    }
+    res
+}
+
+/// Why this daemon cannot handle a delegated request, if it cannot.
+fn mismatch(delegated: &DelegatedRequest, route: &ActiveRoute) -> Option<&'static str> {
+    let is_part = matches!(delegated.part.scope, Scope::Shards(_));
+    if delegated.shard_set != route.shard_set() || is_part != route.is_search() {
+        Some("this daemon knows other shards of the route")
+    } else if route.version() < delegated.release {
+        Some("this daemon knows an older release")
+    } else {
+        None
+    }
+}
+
+fn insert_header(res: &mut BufferedResponse, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        res.headers_mut()
+            .insert(HeaderName::from_static(name), value);
     }
 }
 
@@ -222,6 +247,7 @@
         let value = HeaderValue::from_bytes(value);
         if let (Ok(name), Ok(value)) = (name, value)
             && !NOT_FORWARDED.contains(&name.as_str())
+            && !peers::HEADERS.contains(&name.as_str())
         {
             res.headers_mut().append(name, value);
         }
@@ -256,7 +282,7 @@
 }
 
 /// Renders the request line and headers for backend servers, without the final empty line.
-fn render_head(head: &Parts, path: &str, body: &Bytes, excluded: &[&str]) -> Vec<u8> {
+fn render_head(head: &Parts, path: &str, body: &Bytes, excluded: impl Fn(&str) -> bool) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(512);
     bytes.extend_from_slice(head.method.as_str().as_bytes());
     bytes.push(b' ');
@@ -264,7 +290,7 @@
     bytes.extend_from_slice(b" HTTP/1.1\r\n");
     for (name, value) in &head.headers {
         let name = name.as_str();
-        if NOT_FORWARDED.contains(&name) || excluded.contains(&name) {
+        if NOT_FORWARDED.contains(&name) || excluded(name) {
             continue;
         }
         bytes.extend_from_slice(name.as_bytes());
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -169,6 +169,20 @@
     }
 }
 
+/// Room for the headers that daemons add to requests which they pass on.
+const PEER_HEADER_BYTES: usize = 16 << 10;
+
+/// Limits of requests of other daemons, which pass on those of their callers.
+fn peer_limits(release: &CallerLimits) -> Limits {
+    let own = Limits::default();
+    Limits {
+        max_connections: MAX_PEER_CONNECTIONS,
+        max_header_bytes: release.max_header_bytes + PEER_HEADER_BYTES,
+        max_body_bytes: release.max_body_bytes.max(own.max_body_bytes),
+        ..own
+    }
+}
+
 fn forward_settings(settings: &Settings) -> ForwardSettings {
     ForwardSettings {
         instance: settings.instance.as_str().into(),
@@ -365,6 +379,8 @@
     let settled = Rc::new(Cell::new(false));
     let relay = SharedRelay::new(clock.clone(), complete.clone());
     let updated = shared_limits.clone();
+    let shared_peer_limits = SharedLimits::new(peer_limits(&CallerLimits::default()).into());
+    let updated_peers = shared_peer_limits.clone();
     let store_task = StoreTask {
         http,
         timeout: settings.store.timeout_ms.duration(),
@@ -379,7 +395,10 @@
         hub: hub.clone(),
         clock: clock.clone(),
         complete: complete.clone(),
-        on_limits: Rc::new(move |release| *updated.borrow_mut() = caller_limits(release)),
+        on_limits: Rc::new(move |release| {
+            *updated.borrow_mut() = caller_limits(release);
+            *updated_peers.borrow_mut() = peer_limits(release);
+        }),
     };
     spawn_essential("store", store_task.run(), failed.clone());
     let (leave, leaving) = stop();
@@ -401,27 +420,22 @@
     };
     let log = Rc::new(log);
     compio::runtime::spawn(run_housekeeping(hup, path, log.clone())).detach();
-    for (listener, handler) in [
-        (readiness, Rc::new(probe) as Rc<dyn Handler>),
-        (operators, Rc::new(OperatorHandler { hub: hub.clone() })),
-        (
-            peers,
-            Rc::new(PeerHandler {
-                hub: hub.clone(),
-                relay,
-            }),
-        ),
+    let operator = Rc::new(OperatorHandler { hub: hub.clone() });
+    let peer = Rc::new(PeerHandler {
+        hub: hub.clone(),
+        relay,
+    });
+    let limits = Limits {
+        max_connections: MAX_PEER_CONNECTIONS,
+        ..Limits::default()
+    };
+    let limits = SharedLimits::new(limits.into());
+    for (listener, handler, limits) in [
+        (readiness, Rc::new(probe) as Rc<dyn Handler>, limits.clone()),
+        (operators, operator, limits),
+        (peers, peer, shared_peer_limits),
     ] {
-        let limits = Limits {
-            max_connections: MAX_PEER_CONNECTIONS,
-            ..Limits::default()
-        };
-        let serve = http::serve(
-            listener,
-            handler,
-            SharedLimits::new(limits.into()),
-            never_stop(),
-        );
+        let serve = http::serve(listener, handler, limits, never_stop());
         compio::runtime::spawn(serve).detach();
     }
     let handler = CallerHandler {
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -388,6 +388,7 @@
             repeats = summary.repeats,
             over_budget = summary.over_budget,
             server: = summary.server.as_deref().unwrap_or(""),
+            relayed = summary.relayed,
             missing: = summary.missing.join(" "),
         });
     }
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -49,6 +49,8 @@
     waiting: Gauge,
     datagrams_dropped: Counter,
     contact_losses: Counter,
+    relayed: Counter,
+    received: Counter,
     limited: Counter,
     store_down: Cell<bool>,
 }
@@ -76,6 +78,8 @@
             waiting: Gauge::default(),
             datagrams_dropped: Counter::default(),
             contact_losses: Counter::default(),
+            relayed: Counter::default(),
+            received: Counter::default(),
             limited: Counter::default(),
             store_down: Cell::new(false),
         };
@@ -133,6 +137,16 @@
                 "Times at which no backend server responded to this daemon any more",
                 &self.contact_losses,
             ),
+            (
+                "relayed",
+                "Requests sent to other daemons because this one reached no server for them",
+                &self.relayed,
+            ),
+            (
+                "received_from_daemons",
+                "Requests and parts of searches received from other daemons",
+                &self.received,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             (
                 "store_failures",
@@ -199,6 +213,7 @@
         self.over_budget.inc_by(summary.over_budget.into());
         self.missing.inc_by(summary.missing.len() as u64);
         self.limited.inc_by(summary.limited.into());
+        self.relayed.inc_by(u64::from(summary.relayed > 0));
     }
 
     /// Records a request that was refused before it was routed.
@@ -219,6 +234,11 @@
         self.connections_failed.inc();
     }
 
+    /// Records a request of another daemon.
+    pub fn received_from_daemon(&self) {
+        self.received.inc();
+    }
+
     /// Records that no backend server responds any more.
     pub fn contact_lost(&self) {
         self.contact_losses.inc();
--- a/crates/jasminepond-gateway/src/peers.rs
+++ b/crates/jasminepond-gateway/src/peers.rs
@@ -1,16 +1,22 @@
-//! Requests of other daemons: parts of searches and state read from the store.
+//! Requests of other daemons: parts of searches, requests to one server, and state read from
+//! the store.
 //!
-//! A part of a search is delegated to another daemon in the same way as a request is sent
-//! to a backend server: with the caller's request and three more headers, four for a
-//! repeated one. The response has the format of a response to a caller. One kind of
-//! connection, with the same limits and timeouts, therefore serves both.
+//! A request or a part of it is delegated to another daemon in the same way as a request is
+//! sent to a backend server: with the caller's request and a few more headers. The response
+//! has the format of a response to a caller. One kind of connection, with the same limits and
+//! timeouts, therefore serves both.
 
-use std::{fmt::Write, rc::Rc, time::Duration};
+use std::{
+    fmt::{Display, Write},
+    rc::Rc,
+    time::Duration,
+};
 
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use jasminepond_daemon::net::http::{BufferedRequest, BufferedResponse, Handler, error_response};
-use jasminepond_forward::{DelegatedPart, DelegationRequest};
+use jasminepond_forward::{DelegatedPart, DelegationRequest, Scope};
+use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::{ErrorKind, RunStatus};
 
 use crate::{
@@ -20,57 +26,111 @@
     store_relay::{self, SharedRelay},
 };
 
-/// Indexes of the requested shards, separated by commas.
+/// Indexes of the requested shards, separated by commas, or [`WHOLE`] for a request to one
+/// server.
 pub const SHARDS: &str = "x-jasminepond-shards";
 
+/// Value of [`SHARDS`] for a request to one server.
+const WHOLE: &str = "*";
+
 /// Hash of the names of all shards of the route.
 pub const SHARD_SET: &str = "x-jasminepond-shard-set";
 
 /// Milliseconds after which the shards collected so far are to be returned.
 pub const ANSWER_WITHIN_MS: &str = "x-jasminepond-answer-within";
 
-/// Present if the part was delegated to another daemon before, which may have sent the
-/// sub-requests.
+/// Present if the request may have been sent to servers before.
 pub const REPEAT: &str = "x-jasminepond-repeat";
 
-/// Part of a search that another daemon delegates to this one.
+/// Maximum number of servers to which each part may be sent, if that is fewer than the route
+/// allows.
+pub const MAX_ATTEMPTS: &str = "x-jasminepond-max-attempts";
+
+/// In a request to one server, the oldest release by which it may be routed. In the response,
+/// the release by which it was routed.
+pub const RELEASE: &str = "x-jasminepond-release";
+
+/// Id of the server whose response is forwarded.
+pub const SERVER: &str = "x-jasminepond-server";
+
+/// Headers that daemons add to each other's requests and responses.
+pub const HEADERS: [&str; 7] = [
+    SHARDS,
+    SHARD_SET,
+    ANSWER_WITHIN_MS,
+    REPEAT,
+    MAX_ATTEMPTS,
+    RELEASE,
+    SERVER,
+];
+
+/// Request, or part of a search, that another daemon delegates to this one.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DelegatedSearch {
-    /// The shards and when to return them.
+pub struct DelegatedRequest {
+    /// What to handle, and when to return the results of a search.
     pub part: DelegatedPart,
     /// Hash of the names of all shards that the other daemon knows for the route.
     pub shard_set: u64,
+    /// Oldest release by which a request to one server may be routed.
+    pub release: ReleaseVersion,
 }
 
-/// Appends the headers that delegate a part of a search to another daemon.
+/// Appends the headers that delegate a request or a part of a search to another daemon.
 pub fn write_headers(bytes: &mut Vec<u8>, delegation: &DelegationRequest) {
-    let mut shards = String::new();
-    for (at, shard) in delegation.shards.iter().enumerate() {
-        let comma = if at == 0 { "" } else { "," };
+    let mut text = String::new();
+    let mut header = |name: &str, value: &dyn Display| {
         // Writing to a string cannot fail.
-        let _ = write!(shards, "{comma}{shard}");
+        let _ = write!(text, "{name}: {value}\r\n");
+    };
+    match &delegation.shards {
+        Some(shards) => {
+            let shards: Vec<_> = shards.iter().map(ToString::to_string).collect();
+            header(SHARDS, &shards.join(","));
+        }
+        None => {
+            header(SHARDS, &WHOLE);
+            header(RELEASE, &delegation.release.0);
+        }
     }
-    let (set, within) = (delegation.shard_set, delegation.answer_within.0);
-    let headers =
-        format!("{SHARDS}: {shards}\r\n{SHARD_SET}: {set}\r\n{ANSWER_WITHIN_MS}: {within}\r\n");
-    bytes.extend_from_slice(headers.as_bytes());
+    header(SHARD_SET, &delegation.shard_set);
+    header(ANSWER_WITHIN_MS, &delegation.answer_within.0);
     if delegation.repeat {
-        bytes.extend_from_slice(format!("{REPEAT}: 1\r\n").as_bytes());
+        header(REPEAT, &1);
+    }
+    if delegation.max_attempts != u32::MAX {
+        header(MAX_ATTEMPTS, &delegation.max_attempts);
     }
+    bytes.extend_from_slice(text.as_bytes());
 }
 
 /// Parses the headers written by [`write_headers`], or returns `None` if one is missing or
 /// malformed.
-pub fn read_headers(headers: &HeaderMap) -> Option<DelegatedSearch> {
+pub fn read_headers(headers: &HeaderMap) -> Option<DelegatedRequest> {
     let text = |name: &str| headers.get(name)?.to_str().ok();
-    let shards = text(SHARDS)?.split(',').map(|shard| shard.parse().ok());
-    Some(DelegatedSearch {
+    let scope = match text(SHARDS)? {
+        WHOLE => Scope::Whole,
+        shards => {
+            let shards = shards.split(',').map(|shard| shard.parse().ok());
+            Scope::Shards(shards.collect::<Option<_>>()?)
+        }
+    };
+    let max_attempts = match headers.contains_key(MAX_ATTEMPTS) {
+        true => text(MAX_ATTEMPTS)?.parse().ok()?,
+        false => u32::MAX,
+    };
+    let release = match scope {
+        Scope::Shards(_) => ReleaseVersion::default(),
+        Scope::Whole => ReleaseVersion(text(RELEASE)?.parse().ok()?),
+    };
+    Some(DelegatedRequest {
         part: DelegatedPart {
-            shards: shards.collect::<Option<_>>()?,
+            scope,
             answer_within: Duration::from_millis(text(ANSWER_WITHIN_MS)?.parse().ok()?),
             repeat: headers.contains_key(REPEAT),
+            max_attempts,
         },
         shard_set: text(SHARD_SET)?.parse().ok()?,
+        release,
     })
 }
 
@@ -90,9 +150,12 @@
         }
         async move {
             let Some(delegated) = read_headers(&req.head.headers) else {
-                let message = "not a part of a search";
+                let message = "neither a part of a search nor a request to one server";
                 return error_response(ErrorKind::BadRequest, message, None);
             };
+            hub.metrics().received_from_daemon();
+            let id_name = HeaderName::from_static(hub.headers().request_id);
+            let id = req.head.headers.get(&id_name).cloned();
             let mut res = catch_panic(callers::respond(&hub, req, Some(delegated))).await;
             if callers::refusal_kind(&res)
                 .is_some_and(|kind| kind.response().run == RunStatus::NotRun)
@@ -101,6 +164,10 @@
                 res.headers_mut()
                     .insert(name, HeaderValue::from_static("1"));
             }
+            // All responses of a connection state the id, or none does.
+            if let Some(id) = id {
+                res.headers_mut().insert(id_name, id);
+            }
             res
         }
         .boxed_local()
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -3,12 +3,14 @@
 //! A faulty server may send arbitrary bytes without end. The parser therefore examines each
 //! byte at most twice, and limits everything that it stores.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use jasminepond_forward::{Reply, RetryAfter, StatedLimit};
 
-use crate::HeaderNames;
+use jasminepond_routes::ReleaseVersion;
+
+use crate::{HeaderNames, peers};
 
 /// Maximum number of headers in a response.
 const MAX_HEADERS: usize = 64;
@@ -279,6 +281,7 @@
                 status,
                 stamp: None,
                 missing: 0,
+                peer: None,
                 not_run: false,
                 wrong_server: status == MISDIRECTED,
                 leaving: false,
@@ -473,6 +476,13 @@
             message.reply.missing = missing.and_then(|m| m.trim().parse().ok()).unwrap_or(0);
         } else if is(names.stamp) || is(names.part_stamps) {
             message.reply.stamp = Some(Bytes::copy_from_slice(value));
+        } else if is(peers::RELEASE) {
+            let release = text(value).and_then(|text| text.parse().ok());
+            let peer = message.reply.peer.get_or_insert_default();
+            peer.release = release.map(ReleaseVersion).unwrap_or_default();
+        } else if is(peers::SERVER) {
+            let peer = message.reply.peer.get_or_insert_default();
+            peer.server = text(value).map(Arc::from);
         } else if is(names.not_run) {
             message.reply.not_run = true;
         } else if is(names.leaving) {
@@ -498,6 +508,10 @@
     Ok(framing)
 }
 
+fn text(value: &[u8]) -> Option<&str> {
+    std::str::from_utf8(value).ok().map(str::trim)
+}
+
 /// Records a `Retry-After` value. Of several values, the longest wait takes effect.
 fn merge_retry_after(reply: &mut Reply, value: &[u8]) {
     let stated = std::str::from_utf8(value).map_or(RetryAfter::Invalid, |text| {
