fix(gateway): wait for requests of other daemons at a planned stop

A daemon that stops waited for its callers and for the time in which it announces the stop. A request that another daemon sent through it, to a server that takes longer, was cut off: the caller got 502 although the work had run. The daemon now ends once no request is in progress, within the drain limit as before.

Stalled daemons are now used if there is no other.

Requests that must not be repeated now also show that servers are silent; a daemon that gets no others noticed a partition only at their deadline.

--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -326,10 +326,8 @@
             self.timers.set(now + abort_after, Timer::CallTimeout(call));
             return;
         }
-        if route.may_repeat() {
-            let delay = self.hedge_delay(&route);
-            self.timers.set(now + delay, Timer::Hedge(call));
-        }
+        let delay = self.hedge_delay(&route);
+        self.timers.set(now + delay, Timer::Hedge(call));
         let timeout = if route.is_search() {
             let objective = route.objective();
             let usual = objective.mul_f64(self.settings.call_timeout_objectives);
@@ -358,12 +356,15 @@
             return;
         };
         let (server, sent, unanswered) = (call.server, call.sent, now.since(call.sent));
-        let first = !call.repeated;
-        let newly_stalled = self.servers[server].set_stalled();
+        let (first, may_repeat) = (!call.repeated, call.route.may_repeat());
         if first {
             // A part is repeated while its servers are slow, which says nothing about others.
             self.observe_silence(now, server, sent);
         }
+        if !may_repeat {
+            return;
+        }
+        let newly_stalled = self.servers[server].set_stalled();
         self.hedge(now, key);
         if newly_stalled {
             self.log_server_event(server, ServerEvent::Stalled { unanswered });
--- a/crates/jasminepond-forward/src/forwarder/relay.rs
+++ b/crates/jasminepond-forward/src/forwarder/relay.rs
@@ -66,9 +66,10 @@
     pub(super) fn can_relay(&self, now: Timestamp, service: ServiceKey) -> bool {
         let refused = now < self.services[service].relay_refused_until;
         let relays = self.services_by_name.get(&ServiceName::from(RELAYS));
+        // A daemon may be slow because of the servers, so it is used if there is no other.
         let answers = |key: &crate::ServerKey| {
             let standing = self.servers[*key].standing(now, &self.settings);
-            standing.is_some_and(|standing| standing < Standing::Stalled)
+            standing.is_some_and(|standing| standing <= Standing::Stalled)
         };
         let mut relays = relays
             .into_iter()
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -1,5 +1,7 @@
 //! Simulation of several daemons that share backend servers, on a virtual clock.
 
+#![allow(dead_code, reason = "each test file uses a part of the simulation")]
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
@@ -9,12 +11,13 @@
 };
 
 use jasminepond_forward::{
-    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, Exchange, ForwardSettings,
-    Forwarder, Peer, Reply, ReqKey, StatedLimit, Summary,
+    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, DelegatedPart,
+    DelegationRequest, Exchange, ForwardSettings, Forwarder, Peer, Reply, ReqKey, Scope,
+    StatedLimit, Summary,
 };
 use jasminepond_ratelimit::{Message, RateLimit};
 use jasminepond_routes::{Release, ReleaseVersion, Route, ServiceSpec};
-use jasminepond_types::{Millis, Timestamp};
+use jasminepond_types::{Millis, RunStatus, Timestamp};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::sim::reply;
@@ -72,6 +75,22 @@
     Freeze,
     /// Datagrams from and to the daemon are lost.
     Cut,
+    /// The daemon is partitioned from all servers: new connections are not answered, and what
+    /// is sent on open ones arrives after the end, unless they are closed before.
+    Partition,
+}
+
+/// Time after which a connection attempt that is not answered fails.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Longest time until a daemon learns that another one has lost or regained its servers.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(150);
+
+/// The other end of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Target {
+    Server(usize),
+    Daemon(usize),
 }
 
 struct Daemon {
@@ -84,16 +103,30 @@
     frozen_until: Timestamp,
     /// Datagrams from and to the daemon are lost until then.
     cut_until: Timestamp,
+    /// The daemon is partitioned from all servers until then.
+    partitioned_until: Timestamp,
     excused_until: Timestamp,
     /// Which daemons it considers running.
     view: Vec<bool>,
+    /// Which daemons it considers in contact with servers.
+    reaching: Vec<bool>,
 }
 
+/// Origin of a request that another daemon sent: the daemon, its process and connection.
+type Origin = (usize, u32, ConnKey);
+
 #[derive(Debug, Clone, PartialEq)]
 enum Event {
     Opened(ConnKey),
-    Arrived(ConnKey, ReqKey, usize),
+    Unanswered(ConnKey),
+    /// A request of a caller with this number arrives at a server. If it was held back by a
+    /// partition, only if the connection is still open.
+    Arrived(ConnKey, u64, usize, bool),
     Replied(ConnKey, usize, Option<StatedLimit>, u16),
+    /// A delegated request arrives, with its number, path and time left.
+    Delegated(Origin, u64, &'static str, Duration, DelegatedPart),
+    DelegatedReply(ConnKey, Box<Reply>),
+    Reaches(usize, bool),
     Datagram(SocketAddr, Message),
     View(usize, bool),
     Start,
@@ -101,6 +134,10 @@
 
 /// An answered request.
 pub struct Answered {
+    /// Number of the caller's request.
+    pub number: u64,
+    /// The daemon that the caller asked.
+    pub daemon: usize,
     pub at: Timestamp,
     pub answer: Option<Answer>,
     pub summary: Summary,
@@ -116,7 +153,15 @@
     events: BinaryHeap<Reverse<(Timestamp, u64)>>,
     /// Event data by number: the daemon, its process and the event.
     pending: HashMap<u64, (usize, u32, Event)>,
-    conns: HashMap<(usize, ConnKey), usize>,
+    conns: HashMap<(usize, ConnKey), Target>,
+    /// Requests in progress: the number of the caller's request, its path, and its origin if
+    /// another daemon sent it.
+    reqs: HashMap<(usize, ReqKey), (u64, &'static str, Option<Origin>)>,
+    /// Servers that ran each caller's request.
+    pub ran: HashMap<u64, Vec<usize>>,
+    /// Number of requests that daemons sent to each other.
+    pub delegated: usize,
+    next_number: u64,
     next_event: u64,
     release: Release,
     rng: StdRng,
@@ -142,6 +187,10 @@
             events: BinaryHeap::new(),
             pending: HashMap::new(),
             conns: HashMap::new(),
+            reqs: HashMap::new(),
+            ran: HashMap::new(),
+            delegated: 0,
+            next_number: 0,
             next_event: 0,
             release: Release {
                 version: ReleaseVersion(1),
@@ -157,8 +206,10 @@
                 starts: 0,
                 frozen_until: Timestamp::ZERO,
                 cut_until: Timestamp::ZERO,
+                partitioned_until: Timestamp::ZERO,
                 excused_until: Timestamp::ZERO,
                 view: vec![true; daemons],
+                reaching: vec![true; daemons],
             });
         }
         for daemon in 0..daemons {
@@ -167,6 +218,11 @@
         world
     }
 
+    /// Adds routes, which daemons know from their next start on.
+    pub fn add_routes(&mut self, routes: impl IntoIterator<Item = Route>) {
+        self.release.routes.extend(routes);
+    }
+
     /// Starts a new process of a daemon, which knows the running daemons and all servers.
     pub fn restart(&mut self, daemon: usize) {
         let settings = ForwardSettings {
@@ -178,6 +234,7 @@
         state.starts += 1;
         state.forwarder = Forwarder::new(settings);
         self.conns.retain(|(owner, _), _| *owner != daemon);
+        self.reqs.retain(|(owner, _), _| *owner != daemon);
         for server in &mut self.servers {
             server.told.remove(&daemon);
         }
@@ -203,6 +260,7 @@
 
     fn apply_view(&mut self, daemon: usize) {
         let running = self.daemons[daemon].view.clone();
+        let reaching = self.daemons[daemon].reaching.clone();
         let peer = |other: usize| Peer {
             instance: name(other),
             address: daemon_address(other),
@@ -210,7 +268,7 @@
             processor: Default::default(),
             rank: other as u32,
             running: running[other],
-            reaches_servers: true,
+            reaches_servers: reaching[other],
         };
         let others = (0..running.len()).filter(|other| *other != daemon);
         let peers = others.map(peer).collect();
@@ -269,6 +327,7 @@
         match fault {
             Fault::Freeze => state.frozen_until = end,
             Fault::Cut => state.cut_until = end,
+            Fault::Partition => state.partitioned_until = end,
             Fault::Kill => {
                 state.down = true;
                 self.announce(daemon, false);
@@ -294,7 +353,7 @@
     }
 
     /// Submits a request at a daemon.
-    pub fn submit(&mut self, daemon: usize, path: &str, time_left: Duration) {
+    pub fn submit(&mut self, daemon: usize, path: &'static str, time_left: Duration) {
         let state = &mut self.daemons[daemon];
         if state.down || self.now < state.frozen_until {
             return;
@@ -305,13 +364,16 @@
             time_left,
             delegated: None,
         };
-        state.forwarder.submit(self.now, arrival);
+        let key = state.forwarder.submit(self.now, arrival);
+        self.next_number += 1;
+        self.reqs
+            .insert((daemon, key), (self.next_number, path, None));
         self.run_actions(daemon);
     }
 
     /// Submits requests as a Poisson process. The demand of the daemons differs by a
     /// factor of up to four.
-    pub fn load(&mut self, path: &str, per_s: f64, time: Duration, time_left: Duration) {
+    pub fn load(&mut self, path: &'static str, per_s: f64, time: Duration, time_left: Duration) {
         let end = self.now + time;
         let weights: Vec<f64> = (0..self.daemons.len())
             .map(|daemon| f64::from(1 + daemon as u32 % 4))
@@ -379,6 +441,12 @@
         };
         let frozen_until = self.daemons[daemon].frozen_until;
         let at_daemon = !matches!(event, Event::Arrived(..));
+        let partitioned_until = self.daemons[daemon].partitioned_until;
+        if matches!(event, Event::Replied(..)) && self.now < partitioned_until {
+            self.pending.insert(number, (daemon, starts, event));
+            self.events.push(Reverse((partitioned_until, number)));
+            return;
+        }
         if at_daemon && self.now < frozen_until {
             self.pending.insert(number, (daemon, starts, event));
             self.events.push(Reverse((frozen_until, number)));
@@ -389,7 +457,10 @@
             self.restart(daemon);
             return self.announce(daemon, true);
         }
-        let for_any_process = matches!(event, Event::Datagram(..) | Event::View(..));
+        let for_any_process = matches!(
+            event,
+            Event::Datagram(..) | Event::View(..) | Event::Reaches(..) | Event::Delegated(..)
+        );
         let ended = starts != self.daemons[daemon].starts && !for_any_process;
         if ended || self.daemons[daemon].down {
             return;
@@ -398,6 +469,23 @@
         let forwarder = &mut self.daemons[daemon].forwarder;
         match event {
             Event::Opened(conn) => forwarder.connected(now, conn),
+            Event::Unanswered(conn) => forwarder.connect_failed(now, conn),
+            Event::Reaches(other, reaches) => {
+                self.daemons[daemon].reaching[other] = reaches;
+                self.apply_view(daemon);
+            }
+            Event::Delegated(origin, number, path, time_left, part) => {
+                let route = forwarder.route("localhost", path).expect("a route");
+                let arrival = Arrival {
+                    route,
+                    time_left,
+                    delegated: Some(part),
+                };
+                let key = forwarder.submit(now, arrival);
+                self.reqs
+                    .insert((daemon, key), (number, path, Some(origin)));
+            }
+            Event::DelegatedReply(conn, reply) => forwarder.replied(now, conn, exchange(*reply)),
             Event::Datagram(from, message) => {
                 if now >= self.daemons[daemon].cut_until {
                     let forwarder = &mut self.daemons[daemon].forwarder;
@@ -409,7 +497,13 @@
                 self.apply_view(daemon);
             }
             Event::Start => {}
-            Event::Arrived(conn, _, index) => {
+            Event::Arrived(conn, number, index, held) => {
+                if held && !self.conns.contains_key(&(daemon, conn)) {
+                    return;
+                }
+                if self.servers[index].status != 503 {
+                    self.ran.entry(number).or_default().push(index);
+                }
                 let server = &mut self.servers[index];
                 server.arrived.push(Arrived {
                     at: now,
@@ -430,12 +524,7 @@
                     not_run: status == 503,
                     ..reply(status, &format!("{index}-{number}"))
                 };
-                let exchange = Exchange {
-                    reply,
-                    keep_alive: None,
-                    closes: false,
-                };
-                forwarder.replied(now, conn, exchange);
+                forwarder.replied(now, conn, exchange(reply));
             }
         }
         self.run_actions(daemon);
@@ -444,22 +533,19 @@
     fn run_actions(&mut self, daemon: usize) {
         while let Some(action) = self.daemons[daemon].forwarder.next_action() {
             match action {
-                Action::Open { conn, address } => {
-                    let index = usize::from(address.port() - 10_000);
-                    self.conns.insert((daemon, conn), index);
-                    self.push_event(2 * LATENCY, daemon, Event::Opened(conn));
-                }
-                Action::Send { conn, req, .. } => {
-                    let index = self.conns[&(daemon, conn)];
-                    self.push_event(LATENCY, daemon, Event::Arrived(conn, req, index));
-                }
+                Action::Open { conn, address } => self.open(daemon, conn, address),
+                Action::Send {
+                    conn,
+                    req,
+                    left,
+                    delegation,
+                    ..
+                } => self.send(daemon, conn, req, left, delegation),
                 Action::Answer {
-                    answer, summary, ..
-                } => self.answers.push(Answered {
-                    at: self.now,
+                    req,
                     answer,
                     summary,
-                }),
+                } => self.answer(daemon, req, answer, summary),
                 Action::SendDatagram { to, message } => {
                     let lost = self.rng.random_bool(self.loss);
                     if !lost && self.now >= self.daemons[daemon].cut_until {
@@ -468,11 +554,88 @@
                         self.push_event(LATENCY, other, event);
                     }
                 }
-                Action::Close { .. }
-                | Action::LogServerEvent { .. }
-                | Action::ContactChanged(_)
-                | Action::LogGroups { .. } => {}
+                Action::Close { conn } => _ = self.conns.remove(&(daemon, conn)),
+                Action::ContactChanged(event) => {
+                    let reaches = matches!(event, ContactEvent::Regained { .. });
+                    for other in (0..self.daemons.len()).filter(|other| *other != daemon) {
+                        let after = ANNOUNCEMENT_TIME.mul_f64(self.rng.random());
+                        self.push_event(after, other, Event::Reaches(daemon, reaches));
+                    }
+                }
+                Action::LogServerEvent { .. } | Action::LogGroups { .. } => {}
+            }
+        }
+    }
+
+    fn is_partitioned(&self, daemon: usize) -> bool {
+        self.now < self.daemons[daemon].partitioned_until
+    }
+
+    fn open(&mut self, daemon: usize, conn: ConnKey, address: SocketAddr) {
+        let target = match usize::from(address.port()) {
+            port @ 20_000.. => Target::Daemon(port - 20_000),
+            port => Target::Server(port - 10_000),
+        };
+        self.conns.insert((daemon, conn), target);
+        match target {
+            Target::Server(_) if self.is_partitioned(daemon) => {
+                self.push_event(CONNECT_TIMEOUT, daemon, Event::Unanswered(conn));
             }
+            _ => self.push_event(2 * LATENCY, daemon, Event::Opened(conn)),
+        }
+    }
+
+    fn send(
+        &mut self,
+        daemon: usize,
+        conn: ConnKey,
+        req: ReqKey,
+        left: Millis,
+        delegation: Option<DelegationRequest>,
+    ) {
+        let (number, path, origin) = self.reqs[&(daemon, req)];
+        match self.conns[&(daemon, conn)] {
+            Target::Server(index) => {
+                let held = self.is_partitioned(daemon);
+                let wait = self.daemons[daemon].partitioned_until.since(self.now);
+                let event = Event::Arrived(conn, number, index, held);
+                self.push_event(wait + LATENCY, daemon, event);
+            }
+            Target::Daemon(other) => {
+                assert_eq!(origin, None, "a delegated request is delegated again");
+                self.delegated += 1;
+                let delegation = delegation.expect("only delegated requests go to daemons");
+                let part = DelegatedPart {
+                    scope: match delegation.shards {
+                        Some(shards) => Scope::Shards(shards.to_vec()),
+                        None => Scope::Whole,
+                    },
+                    answer_within: delegation.answer_within.duration(),
+                    repeat: delegation.repeat,
+                    max_attempts: delegation.max_attempts,
+                };
+                let origin = (daemon, self.daemons[daemon].starts, conn);
+                let event = Event::Delegated(origin, number, path, left.duration(), part);
+                self.push_event(LATENCY, other, event);
+            }
+        }
+    }
+
+    fn answer(&mut self, daemon: usize, req: ReqKey, answer: Option<Answer>, summary: Summary) {
+        let (number, _, origin) = self.reqs.remove(&(daemon, req)).expect("a known request");
+        let Some((asking, starts, conn)) = origin else {
+            return self.answers.push(Answered {
+                number,
+                daemon,
+                at: self.now,
+                answer,
+                summary,
+            });
+        };
+        let answer = answer.expect("no daemon leaves before its answer");
+        if starts == self.daemons[asking].starts {
+            let reply = Box::new(delegated_reply(answer));
+            self.push_event(LATENCY, asking, Event::DelegatedReply(conn, reply));
         }
     }
 
@@ -503,3 +666,33 @@
 fn name(daemon: usize) -> Arc<str> {
     format!("d{daemon:04}").into()
 }
+
+fn exchange(reply: Reply) -> Exchange {
+    Exchange {
+        reply,
+        keep_alive: None,
+        closes: false,
+    }
+}
+
+/// The answer of a daemon as another one receives it.
+fn delegated_reply(answer: Answer) -> Reply {
+    match answer {
+        Answer::Forwarded { reply, .. } => reply,
+        Answer::Merged {
+            stamps, missing, ..
+        } => Reply {
+            missing,
+            ..reply(200, &format!("{} parts", stamps.len()))
+        },
+        Answer::Refused(refusal) => {
+            let response = refusal.kind.response();
+            let not_run = response.run == RunStatus::NotRun;
+            Reply {
+                stamp: None,
+                not_run,
+                ..reply(if not_run { 503 } else { 502 }, "")
+            }
+        }
+    }
+}
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -127,6 +127,9 @@
 /// daemons. Hundreds of daemons open several each.
 const MAX_PEER_CONNECTIONS: usize = 3_000;
 
+/// Interval at which a stopping daemon checks whether requests of other daemons are answered.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Interval at which log lines are written and SIGHUP is checked.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -455,6 +458,10 @@
         compio::time::sleep(settings.announce_ms.duration()).await;
         stop_callers.send();
         let _ = serving.await;
+        // What is left comes from other daemons.
+        while hub.read(|forwarder| forwarder.status().requests) > 0 {
+            compio::time::sleep(DRAIN_INTERVAL).await;
+        }
     };
     let outcome = match compio::time::timeout(settings.drain(), finish).await {
         _ if !is_signal => Outcome::TaskFailed,
