fix(forward): keep using open connections while new ones are refused

Cause: a refused connection counted as silence like one that is not answered. A refusal says nothing about connections that are open. Services whose connections are refused now count only if no connection to any server is open. The new test refused_connections_are_no_loss_of_contact_while_others_are_open fails without the distinction. Partial partitions are covered as well: services without a path are served through other daemons, and those that are down everywhere are asked of other daemons twice a second at most.

--- a/crates/jasminepond-forward/src/contact.rs
+++ b/crates/jasminepond-forward/src/contact.rs
@@ -5,10 +5,7 @@
 //! services do not stop responding at the same moment. Before contact counts as lost, servers
 //! of further services are therefore probed with new connections.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use jasminepond_types::Timestamp;
 
@@ -79,6 +76,15 @@
     Changed(ContactEvent),
 }
 
+/// How a server failed to respond.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Failure {
+    /// A new connection was refused, which does not concern those that are open.
+    Refused,
+    /// A call or a connection attempt was not answered.
+    Unanswered,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 enum State {
     #[default]
@@ -102,7 +108,7 @@
     /// When any server last responded or accepted a connection.
     heard: Timestamp,
     /// Services with a server that failed to respond since then.
-    silent: BTreeSet<ServiceKey>,
+    silent: BTreeMap<ServiceKey, Failure>,
     /// When contact was last regained, and for how long it stayed lost at least.
     regained: Option<(Timestamp, Duration)>,
     /// Number of services that have servers.
@@ -133,7 +139,7 @@
     pub(crate) fn is_known(&self, service: ServiceKey) -> bool {
         match &self.state {
             State::Lost { responses, .. } => responses.contains_key(&service),
-            State::InContact | State::Suspected { .. } => self.silent.contains(&service),
+            State::InContact | State::Suspected { .. } => self.silent.contains_key(&service),
         }
     }
 
@@ -166,11 +172,12 @@
         now: Timestamp,
         service: ServiceKey,
         since: Timestamp,
+        failure: Failure,
     ) -> ContactStep {
         if since < self.heard {
             return ContactStep::Keep;
         }
-        self.silent.insert(service);
+        self.silent.insert(service, failure);
         match self.state {
             State::InContact => self.suspect(now),
             State::Suspected { .. } | State::Lost { .. } => ContactStep::Keep,
@@ -194,19 +201,26 @@
     /// Records that servers of a service are probed.
     pub(crate) fn probed(&mut self, service: ServiceKey) {
         if let State::Suspected { .. } = self.state {
-            self.silent.insert(service);
+            self.silent.insert(service, Failure::Unanswered);
         }
     }
 
-    /// Handles the time that a step has set.
-    pub(crate) fn check(&mut self, now: Timestamp) -> ContactStep {
+    /// Handles the time that a step has set. `connected` states whether connections to servers
+    /// are open.
+    pub(crate) fn check(&mut self, now: Timestamp, connected: bool) -> ContactStep {
         match self.state {
             State::InContact if self.silent.is_empty() => ContactStep::Keep,
             State::InContact => self.suspect(now),
             State::Suspected { until } if now < until => ContactStep::CheckAt(until),
-            State::Suspected { .. } if self.silent.len() >= self.services.clamp(1, MIN_SILENT) => {
+            State::Suspected { .. } if self.silent_services(connected) >= self.needed() => {
                 self.lose(now)
             }
+            State::Suspected { .. } if self.silent.len() >= self.needed() => {
+                // New connections are refused, and those that are open may work.
+                self.state = State::InContact;
+                self.silent.clear();
+                ContactStep::Keep
+            }
             State::Suspected { .. } => {
                 let until = now + PROBE_TIMEOUT;
                 self.state = State::Suspected { until };
@@ -229,6 +243,16 @@
         }
     }
 
+    /// Number of services whose servers must be silent.
+    fn needed(&self) -> usize {
+        self.services.clamp(1, MIN_SILENT)
+    }
+
+    fn silent_services(&self, connected: bool) -> usize {
+        let counts = |failure: &&Failure| !connected || **failure == Failure::Unanswered;
+        self.silent.values().filter(counts).count()
+    }
+
     fn lose(&mut self, now: Timestamp) -> ContactStep {
         let hold = match self.regained {
             Some((at, hold)) if now.since(at) < FLAP_WINDOW => (hold * 2).clamp(HOLD_MIN, HOLD_MAX),
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -6,6 +6,7 @@
 
 use super::{Conn, ConnState, Forwarder, delegate::HELPER_CONNECTIONS};
 use crate::{
+    contact::Failure,
     message::{Action, ConnKey, Exchange, LostCall, ServerEvent},
     server::{Reachability, ServerKey},
     service::ServiceKey,
@@ -17,6 +18,9 @@
 /// between zones and the server's work on a new connection, with a margin.
 const REJECTED_WITHIN: Duration = Duration::from_millis(50);
 
+/// A connection attempt that fails within this time was refused. Others were not answered.
+const REFUSED_WITHIN: Duration = Duration::from_millis(50);
+
 /// Time after which an idle connection to another daemon is not used any more. Daemons close
 /// theirs after a minute, and a request that crosses the close may have run.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(45);
@@ -141,7 +145,11 @@
         let service = server.service;
         let until = server.on_connect_failed(now, &self.settings);
         self.timers.set(until, Timer::Server(key));
-        self.observe_silence(now, key, since);
+        let failure = match now.since(since) < REFUSED_WITHIN {
+            true => Failure::Refused,
+            false => Failure::Unanswered,
+        };
+        self.observe_silence(now, key, since, failure);
         let retry_in = until.since(now);
         self.log_server_event(key, ServerEvent::Unreachable { retry_in });
         self.place_waiting(now, service);
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -8,7 +8,7 @@
 
 use super::Forwarder;
 use crate::{
-    contact::{ContactEvent, ContactStep},
+    contact::{ContactEvent, ContactStep, Failure},
     message::Action,
     server::{Server, ServerKey},
     service::ServiceKey,
@@ -38,9 +38,15 @@
     }
 
     /// Records that a server does not respond to what began at `since`.
-    pub(super) fn observe_silence(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
+    pub(super) fn observe_silence(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        since: Timestamp,
+        failure: Failure,
+    ) {
         if let Some(service) = self.backend_service(key) {
-            let step = self.contact.unanswered(now, service, since);
+            let step = self.contact.unanswered(now, service, since, failure);
             self.perform_contact_step(now, step);
         }
     }
@@ -59,7 +65,10 @@
     }
 
     pub(super) fn on_contact_timer(&mut self, now: Timestamp) {
-        let step = self.contact.check(now);
+        let connected = self.servers.iter().any(|(key, server)| {
+            server.conns.len() > server.opening as usize && self.backend_service(key).is_some()
+        });
+        let step = self.contact.check(now, connected);
         self.perform_contact_step(now, step);
     }
 
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -7,6 +7,7 @@
 
 use super::{Call, ConnState, Forwarder, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN, limits::LIMITED};
 use crate::{
+    contact::Failure,
     message::{Action, CallKey, ConnKey, ReqKey, ServerEvent},
     request::{ActiveRoute, Part, PartState, Req},
     server::{ServerKey, Standing},
@@ -359,7 +360,7 @@
         let (first, may_repeat) = (!call.repeated, call.route.may_repeat());
         if first {
             // A part is repeated while its servers are slow, which says nothing about others.
-            self.observe_silence(now, server, sent);
+            self.observe_silence(now, server, sent, Failure::Unanswered);
         }
         if !may_repeat {
             return;
--- a/crates/jasminepond-forward/tests/contact.rs
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use jasminepond_forward::{ContactEvent, ForwardSettings, Peer};
-use sim::{Behavior, MS, Sim, search};
+use jasminepond_routes::Repeat;
+use sim::{Behavior, MS, Sim, search, single};
 use test_case::test_case;
 
 const SHARDS: usize = 12;
 
+const CALLER_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Time within which a loss of contact has to be noticed after the next request, so that
 /// most requests under way can still be served elsewhere.
 const NOTICE: Duration = Duration::from_millis(250);
@@ -121,3 +124,75 @@
     assert_eq!(without.iter().filter(|at| asked(at)).count(), 0);
     assert!((0..29).filter(asked).count() >= 3);
 }
+/// Guards against a daemon that reaches some servers and gives up the services of others.
+#[test_case(Behavior::Silent; "silent")]
+#[test_case(Behavior::Crashed; "refused")]
+fn services_without_a_path_are_served_through_other_daemons(behavior: Behavior) {
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
+    let one = sim.add("one-0", "one", 20 * MS);
+    sim.add("one-1", "one", 20 * MS);
+    let peers = sim.add_peers(5);
+    sim.put_release(1, vec![search(SHARDS, 150, 1.0), single(Repeat::Allowed)]);
+    let load = |sim: &mut Sim, time: Duration| {
+        let end = sim.now + time;
+        while sim.now < end {
+            sim.load("/search/x", 20.0, 100 * MS, CALLER_TIMEOUT);
+            sim.load("/one/x", 20.0, 100 * MS, CALLER_TIMEOUT);
+        }
+    };
+    load(&mut sim, Duration::from_secs(1));
+    for index in [0, 1, one, one + 1] {
+        sim.set_behavior(index, behavior);
+    }
+    load(&mut sim, Duration::from_secs(2));
+    let since = sim.now;
+    load(&mut sim, Duration::from_secs(4));
+    let share = sim.in_time(since + CALLER_TIMEOUT, CALLER_TIMEOUT);
+    assert_eq!(sim.contact, [], "contact is not lost");
+    assert!(share > 0.98, "{share} served");
+    assert!(
+        peers
+            .iter()
+            .any(|peer| !sim.servers[*peer].arrived.is_empty())
+    );
+}
+
+/// Guards against requests that burden other daemons although these reach no server of the
+/// service either.
+#[test]
+fn other_daemons_are_seldom_asked_for_services_that_are_down() {
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
+    let one = sim.add("one-0", "one", 20 * MS);
+    let peers = sim.add_peers(5);
+    sim.put_release(1, vec![search(SHARDS, 150, 1.0), single(Repeat::Allowed)]);
+    sim.run_for(Duration::from_secs(1));
+    sim.set_behavior(one, Behavior::Crashed);
+    for peer in &peers {
+        sim.set_behavior(*peer, Behavior::Full);
+    }
+    let seconds = 5;
+    sim.load("/one/x", 40.0, Duration::from_secs(seconds), CALLER_TIMEOUT);
+    let asked = peers.iter().map(|peer| sim.servers[*peer].arrived.len());
+    // Two daemons a second, and some while the first ones are asked.
+    assert!(asked.sum::<usize>() <= 3 * seconds as usize);
+    for answered in &sim.answers {
+        assert!(answered.summary.took <= 20 * MS, "{:?}", answered.summary);
+    }
+}
+
+/// Guards against a daemon that stops using its open connections because new ones are
+/// refused.
+#[test]
+fn refused_connections_are_no_loss_of_contact_while_others_are_open() {
+    let mut sim = started();
+    sim.refuse_new = true;
+    // The daemon connects again to the server that closes its connections.
+    sim.run_for(100 * MS);
+    sim.set_behavior(0, Behavior::Crashed);
+    sim.load("/search/x", 4.0, Duration::from_secs(5), CALLER_TIMEOUT);
+    assert_eq!(losses(&sim), 0, "{:?}", sim.contact);
+    let share = sim.in_time(sim.now - Duration::from_secs(4), CALLER_TIMEOUT);
+    assert!(share > 0.98, "{share} served");
+}
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -95,6 +95,8 @@
     pub sent_time_left: Vec<(ReqKey, Millis)>,
     /// Changes of the contact with servers.
     pub contact: Vec<(Timestamp, ContactEvent)>,
+    /// Whether servers refuse new connections.
+    pub refuse_new: bool,
     pub closed: usize,
     pub opened: usize,
     /// Connection limit of the servers in the next release.
@@ -123,6 +125,7 @@
             answers: Vec::new(),
             sent_time_left: Vec::new(),
             contact: Vec::new(),
+            refuse_new: false,
             closed: 0,
             opened: 0,
             max_connections: 25,
@@ -507,6 +510,7 @@
         let index = usize::from(address.port() - 10_000);
         self.conns.insert(conn, index);
         let (after, event) = match self.servers[index].behavior {
+            _ if self.refuse_new => (ROUND_TRIP, Event::Refused(conn)),
             Behavior::Crashed => (ROUND_TRIP, Event::Refused(conn)),
             Behavior::Silent => (Duration::from_millis(600), Event::Refused(conn)),
             _ => (ROUND_TRIP + HANDSHAKE, Event::Opened(conn)),
