fix(forward): ask no other daemon for servers that want no requests

Other daemons, which had not been told, would have sent them the requests. The new test servers_that_want_no_requests_get_none_through_other_ daemons fails without the change: five daemons are asked for a server that wants nothing for ten seconds.

A service now goes through others only if a server that takes requests cannot be reached. Besides, a loss of contact that others announce leads to probes once a second at most: a single daemon whose links come and go would otherwise make all quiet daemons connect to three servers each time.

--- a/crates/jasminepond-forward/src/contact.rs
+++ b/crates/jasminepond-forward/src/contact.rs
@@ -32,6 +32,9 @@
 /// of too few services are silent.
 const PROBED_AGAIN: usize = 8;
 
+/// Shortest time between probes that are sent because other daemons have lost contact.
+const PEER_LOSS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval of the probes while contact is lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -113,6 +116,8 @@
     regained: Option<(Timestamp, Duration)>,
     /// Number of services that have servers.
     services: usize,
+    /// When probes were last sent because of a suspicion.
+    probed_at: Timestamp,
 }
 
 impl Contact {
@@ -184,17 +189,24 @@
         }
     }
 
-    /// Checks contact after another daemon has lost it, or after a server failed to respond:
-    /// partitions usually affect several daemons.
-    pub(crate) fn suspect(&mut self, now: Timestamp) -> ContactStep {
-        if self.state != State::InContact {
-            return ContactStep::Keep;
+    /// Handles that another daemon has lost contact. Partitions usually affect several daemons.
+    pub(crate) fn on_peer_lost(&mut self, now: Timestamp) -> ContactStep {
+        let recently = now.since(self.probed_at) < PEER_LOSS_INTERVAL;
+        match self.state {
+            State::InContact if !recently && now.since(self.heard) >= MIN_SILENCE => {
+                self.suspect(now)
+            }
+            _ => ContactStep::Keep,
         }
+    }
+
+    fn suspect(&mut self, now: Timestamp) -> ContactStep {
         if now.since(self.heard) < MIN_SILENCE {
             return ContactStep::CheckAt(self.heard + MIN_SILENCE);
         }
         let until = now + PROBE_TIMEOUT;
         self.state = State::Suspected { until };
+        self.probed_at = now;
         probe(PROBED, until)
     }
 
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -36,11 +36,7 @@
     pub(super) fn preconnect(&mut self, now: Timestamp, key: ServerKey) {
         let server = &self.servers[key];
         let routed = self.services[server.service].routed;
-        let wanted = routed
-            && server.assigned
-            && server.leaving_since.is_none()
-            && !server.address_taken
-            && server.back_off_left(now).is_zero();
+        let wanted = routed && server.assigned && server.wants_requests(now);
         let reachable = !self.contact.is_lost() || self.services[server.service].is_helper_group;
         if wanted && reachable && server.conns.is_empty() && self.cluster.is_some() {
             self.open_conn(now, key);
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -10,7 +10,7 @@
 use crate::{
     contact::{ContactEvent, ContactStep, Failure},
     message::Action,
-    server::{Server, ServerKey},
+    server::ServerKey,
     service::ServiceKey,
     timers::Timer,
 };
@@ -53,7 +53,7 @@
 
     /// Checks contact because another daemon has lost it.
     pub(super) fn suspect_contact(&mut self, now: Timestamp) {
-        let step = self.contact.suspect(now);
+        let step = self.contact.on_peer_lost(now);
         self.perform_contact_step(now, step);
     }
 
@@ -125,16 +125,11 @@
         if state.is_helper_group || !state.routed {
             return None;
         }
-        let usable = |server: &Server| {
-            server.leaving_since.is_none()
-                && !server.address_taken
-                && server.back_off_left(now).is_zero()
-        };
         let remote = |key: &&ServerKey| self.servers[**key].backend.zone != self.settings.zone;
         let targets = state
             .servers
             .iter()
-            .filter(|key| usable(&self.servers[**key]));
+            .filter(|key| self.servers[**key].wants_requests(now));
         targets.min_by_key(remote).copied()
     }
 
--- a/crates/jasminepond-forward/src/forwarder/relay.rs
+++ b/crates/jasminepond-forward/src/forwarder/relay.rs
@@ -13,7 +13,7 @@
 use crate::{
     message::{Backend, ReqKey},
     request::{Delegated, Part, PartState, Req},
-    server::Standing,
+    server::{Server, Standing},
     service::ServiceKey,
 };
 
@@ -52,14 +52,18 @@
     }
 
     /// Whether another daemon should be asked for a service, since this one reaches none of
-    /// its servers.
+    /// its servers. Servers that stop or want no requests for a time get none through other
+    /// daemons either.
     pub(super) fn needs_relay(&self, now: Timestamp, service: ServiceKey) -> bool {
-        let mut servers = self.services[service].servers.iter();
-        let reached = |key| {
-            let server = &self.servers[key];
-            server.standing(now, &self.settings).is_some() && server.may_be_reached()
-        };
-        self.contact.is_lost() || !servers.any(|key| reached(*key))
+        if self.contact.is_lost() {
+            return true;
+        }
+        let servers = &self.services[service].servers;
+        let mut servers = servers.iter().map(|key| &self.servers[*key]);
+        let used = |server: &Server| server.standing(now, &self.settings).is_some();
+        let reached = |server: &Server| used(server) && server.may_be_reached();
+        let wanted = |server: &Server| server.wants_requests(now) && !server.may_be_reached();
+        !servers.clone().any(reached) && servers.any(wanted)
     }
 
     /// Whether another daemon can be asked for a service.
@@ -84,7 +88,8 @@
         let Some(attempts) = self.attempts_left(req, part) else {
             return false;
         };
-        if req.from_peer || !self.can_relay(now, part.service) || now >= req.deadline {
+        let wanted = self.needs_relay(now, part.service) && self.can_relay(now, part.service);
+        if req.from_peer || !wanted || now >= req.deadline {
             return false;
         }
         let Some(delegated) = as_delegated(req, part) else {
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -161,6 +161,11 @@
         })
     }
 
+    /// Whether the server takes new requests as far as its own statements tell.
+    pub(crate) fn wants_requests(&self, now: Timestamp) -> bool {
+        self.leaving_since.is_none() && !self.address_taken && self.back_off_left(now).is_zero()
+    }
+
     /// Whether there is a connection, or no failed attempt to open one is known.
     pub(crate) fn may_be_reached(&self) -> bool {
         self.reachability == Reachability::Up || self.conns.len() > self.opening as usize
--- a/crates/jasminepond-forward/tests/contact.rs
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -196,3 +196,21 @@
     let share = sim.in_time(sim.now - Duration::from_secs(4), CALLER_TIMEOUT);
     assert!(share > 0.98, "{share} served");
 }
+
+/// Guards against requests that reach a server through other daemons although it has asked
+/// for none.
+#[test]
+fn servers_that_want_no_requests_get_none_through_other_daemons() {
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
+    let one = sim.add("one-0", "one", 20 * MS);
+    let peers = sim.add_peers(5);
+    sim.put_release(1, vec![search(SHARDS, 150, 1.0), single(Repeat::Allowed)]);
+    sim.run_for(Duration::from_secs(1));
+    sim.reject_next(one, Duration::from_secs(10));
+    sim.load("/one/x", 40.0, Duration::from_secs(5), CALLER_TIMEOUT);
+    let asked = peers
+        .iter()
+        .filter(|peer| !sim.servers[**peer].arrived.is_empty());
+    assert_eq!((asked.count(), sim.servers[one].arrived.len()), (0, 1));
+}
