fix(forward): open connections at once when contact returns

The rest were a fault: 1 ms after contact was regained, the attempt to connect to a server that had begun during the partition still took its place under the connection limit until it failed 600 ms after its begin, and requests for that server were refused after 100 ms. Attempts that should be open by now are closed when contact returns.

At the beginning of a partition other daemons do not know yet that they are partitioned too. One that receives a relayed request while it has not heard from a server for 50 ms now probes at once, and without contact up to four daemons are tried in turn (two before).

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -443,6 +443,10 @@
             .observe(arrival.time_left);
         let late = spent >= objective;
         let delegated = arrival.delegated.as_ref();
+        if delegated.is_some_and(|delegated| self.is_relayed_here(delegated)) {
+            // The asking daemon may be one of several that are partitioned.
+            self.suspect_contact(now);
+        }
         let repeat = delegated.is_some_and(|delegated| delegated.repeat);
         let only = delegated.and_then(|delegated| match &delegated.scope {
             Scope::Shards(shards) => Some((&shards[..], delegated.answer_within)),
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -115,6 +115,10 @@
             return;
         };
         state.opened = now;
+        state.state = ConnState::Idle {
+            since: now,
+            until: None,
+        };
         let server = &mut self.servers[state.server];
         server.opening = server.opening.saturating_sub(1);
         server.on_connected();
@@ -293,6 +297,19 @@
         }
     }
 
+    /// Closes the connections to backend servers that should be open by now. Their attempts
+    /// began during a partition and would block new ones until they fail.
+    pub(super) fn close_unanswered(&mut self, now: Timestamp) {
+        let unanswered = |conn: &Conn| {
+            conn.state == ConnState::Opening && now.since(conn.opened) >= REFUSED_WITHIN
+        };
+        let conns = self.conns.iter().filter(|(_, conn)| unanswered(conn));
+        let conns: Vec<_> = conns.map(|(key, _)| key).collect();
+        for conn in conns {
+            self.close_conn(conn);
+        }
+    }
+
     fn is_known(&self, key: ServerKey) -> bool {
         let id = self.servers.get(key).map(|server| &server.backend.id);
         id.is_some_and(|id| self.servers_by_id.get(id) == Some(&key))
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -140,6 +140,7 @@
     }
 
     fn on_contact_regained(&mut self, now: Timestamp) {
+        self.close_unanswered(now);
         let backends: Vec<_> = self.servers.keys().collect();
         for key in backends {
             if self.backend_service(key).is_some() {
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -25,7 +25,7 @@
 const CONNECTED_HELPERS: usize = 3;
 
 /// Maximum number of daemons that are tried in turn for one part of a search.
-const MAX_HELPERS_TRIED: u32 = 2;
+pub(super) const MAX_HELPERS_TRIED: u32 = 2;
 
 /// Connections to one other daemon, which is the number of concurrent searches there.
 pub(super) const HELPER_CONNECTIONS: usize = 4;
@@ -422,7 +422,7 @@
     /// locally.
     pub(super) fn try_next_helper(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let part = &self.reqs[key].parts[index];
-        if part.delegations < MAX_HELPERS_TRIED {
+        if part.delegations < self.max_tried(part) {
             self.place(now, key, index);
         } else {
             self.on_no_server(now, key, index);
@@ -442,7 +442,7 @@
             && services
                 .iter()
                 .all(|service| servers(service) <= max_attempts);
-        if allowed && part.delegations < MAX_HELPERS_TRIED && now < req.deadline {
+        if allowed && part.delegations < self.max_tried(part) && now < req.deadline {
             self.reqs[key].parts[index].repeat = true;
             self.place(now, key, index);
         } else {
--- a/crates/jasminepond-forward/src/forwarder/relay.rs
+++ b/crates/jasminepond-forward/src/forwarder/relay.rs
@@ -9,9 +9,12 @@
 use jasminepond_types::Timestamp;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::{Forwarder, Peer, delegate::peer_entry};
+use super::{
+    Forwarder, Peer,
+    delegate::{MAX_HELPERS_TRIED, peer_entry},
+};
 use crate::{
-    message::{Backend, ReqKey},
+    message::{Backend, DelegatedPart, ReqKey, Scope},
     request::{Delegated, Part, PartState, Req},
     server::{Server, Standing},
     service::ServiceKey,
@@ -25,6 +28,10 @@
 /// availability zone.
 const MAX_RELAYS: usize = 8;
 
+/// Maximum number of daemons that are tried in turn for one request without contact. When a
+/// partition begins, some of them do not know yet that they are partitioned as well.
+const MAX_RELAYS_TRIED: u32 = 4;
+
 /// Time for which a service is not relayed again after other daemons had no server for it.
 const REFUSED_TIME: Duration = Duration::from_secs(1);
 
@@ -181,6 +188,20 @@
         }
     }
 
+    /// Whether a request comes from a daemon that reaches no server for it, and not from one
+    /// that divides its searches.
+    pub(super) fn is_relayed_here(&self, delegated: &DelegatedPart) -> bool {
+        delegated.scope == Scope::Whole || !self.shard_groups.is_divided()
+    }
+
+    /// Maximum number of daemons that are tried in turn for a part.
+    pub(super) fn max_tried(&self, part: &Part) -> u32 {
+        match self.is_relayed(part) && self.contact.is_lost() {
+            true => MAX_RELAYS_TRIED,
+            false => MAX_HELPERS_TRIED,
+        }
+    }
+
     /// Remembers that another daemon had no server either for the services of a part.
     pub(super) fn on_relay_refused(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         if self.contact.is_lost() {
