--- a/crates/jasminepond-forward/tests/contact.rs
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -158,16 +158,22 @@
     );
 }
 
-/// Guards against requests that burden other daemons although these reach no server of the
-/// service either.
-#[test]
-fn other_daemons_are_seldom_asked_for_services_that_are_down() {
+/// Returns a daemon with five others, and the server of requests that are no searches.
+fn with_peers() -> (Sim, usize, Vec<usize>) {
     let mut sim = Sim::new(ForwardSettings::default(), 1);
     sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
     let one = sim.add("one-0", "one", 20 * MS);
     let peers = sim.add_peers(5);
     sim.put_release(1, vec![search(SHARDS, 150, 1.0), single(Repeat::Allowed)]);
     sim.run_for(Duration::from_secs(1));
+    (sim, one, peers)
+}
+
+/// Guards against requests that burden other daemons although these reach no server of the
+/// service either.
+#[test]
+fn other_daemons_are_seldom_asked_for_services_that_are_down() {
+    let (mut sim, one, peers) = with_peers();
     sim.set_behavior(one, Behavior::Crashed);
     for peer in &peers {
         sim.set_behavior(*peer, Behavior::Full);
@@ -201,12 +207,7 @@
 /// for none.
 #[test]
 fn servers_that_want_no_requests_get_none_through_other_daemons() {
-    let mut sim = Sim::new(ForwardSettings::default(), 1);
-    sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
-    let one = sim.add("one-0", "one", 20 * MS);
-    let peers = sim.add_peers(5);
-    sim.put_release(1, vec![search(SHARDS, 150, 1.0), single(Repeat::Allowed)]);
-    sim.run_for(Duration::from_secs(1));
+    let (mut sim, one, peers) = with_peers();
     sim.reject_next(one, Duration::from_secs(10));
     sim.load("/one/x", 40.0, Duration::from_secs(5), CALLER_TIMEOUT);
     let asked = peers
