feat(gateway): status says that requests go through other daemons

Without contact they are unusable, with the time since a server last responded, and jasminepond status prints a line above the routes.

--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -10,7 +10,7 @@
 use crate::{
     contact::{ContactEvent, ContactStep, Failure},
     message::Action,
-    server::ServerKey,
+    server::{Server, ServerKey},
     service::ServiceKey,
     timers::Timer,
 };
@@ -74,9 +74,13 @@
 
     /// Service of a backend server, or `None` for another daemon.
     fn backend_service(&self, key: ServerKey) -> Option<ServiceKey> {
-        let service = self.servers.get(key)?.service;
-        let state = &self.services[service];
-        (!state.is_helper_group).then_some(service)
+        let server = self.servers.get(key)?;
+        self.is_backend(server).then_some(server.service)
+    }
+
+    /// Whether this is a backend server, and not another daemon.
+    pub(crate) fn is_backend(&self, server: &Server) -> bool {
+        !self.services[server.service].is_helper_group
     }
 
     fn perform_contact_step(&mut self, now: Timestamp, step: ContactStep) {
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -64,12 +64,19 @@
     pub fn server_reports(&self, now: Timestamp) -> Vec<ServerReport> {
         let settings = self.settings();
         let report = |server: &crate::server::Server| {
-            let standing = server.standing(now, settings);
+            let lost = self
+                .contact_lost_for(now)
+                .filter(|_| self.is_backend(server));
+            let standing = server.standing(now, settings).filter(|_| lost.is_none());
+            let why = match lost {
+                Some(time) => format!("no server has responded for {} ms", time.as_millis()),
+                None => server.why(now, standing),
+            };
             ServerReport {
                 id: server.backend.id.clone(),
                 service: server.backend.service.clone(),
                 standing: name(standing),
-                why: server.why(now, standing),
+                why,
                 cost: server.cost(now, settings),
                 connections: server.conns.len(),
                 calls: server.calls.len(),
--- a/crates/jasminepond/src/status.rs
+++ b/crates/jasminepond/src/status.rs
@@ -92,6 +92,11 @@
         "release {}, in force for {} ms; {} requests in progress, {} parts waiting",
         state["release"], state["release_age_ms"], state["requests"], state["waiting"],
     );
+    if let Some(lost) = state["contact_lost_ms"].as_u64() {
+        println!(
+            "no backend server has responded for {lost} ms; requests go through other daemons"
+        );
+    }
     println!("routes:");
     for route in state["routes"].as_array().into_iter().flatten() {
         println!(
