fix(forward): keep one series of probes while contact is lost

Each time that a server responded for the first time in a while, and each check that was pending when contact was lost, started a further series of probes, each of which went on every 200 ms until contact returned: 700 attempts to connect in 20 s where 360 are expected, with 60 shards and one server that responds every second. With few services the attempts that are pending hide it. Only one check is pending now; a new one replaces it. The test probes_stay_few_while_contact_is_lost fails without the change (700).

Besides, the choice of a service leaves submit, and the time for which contact stays lost is a field of its own.

--- a/crates/jasminepond-forward/src/contact.rs
+++ b/crates/jasminepond-forward/src/contact.rs
@@ -112,8 +112,10 @@
     heard: Timestamp,
     /// Services with a server that failed to respond since then.
     silent: BTreeMap<ServiceKey, Failure>,
-    /// When contact was last regained, and for how long it stayed lost at least.
-    regained: Option<(Timestamp, Duration)>,
+    /// When contact was last regained.
+    regained_at: Option<Timestamp>,
+    /// Shortest time for which contact stayed lost when it was lost last.
+    hold: Duration,
     /// Number of services that have servers.
     services: usize,
     /// When probes were last sent because of a suspicion.
@@ -266,14 +268,13 @@
     }
 
     fn lose(&mut self, now: Timestamp) -> ContactStep {
-        let hold = match self.regained {
-            Some((at, hold)) if now.since(at) < FLAP_WINDOW => (hold * 2).clamp(HOLD_MIN, HOLD_MAX),
+        self.hold = match self.regained_at {
+            Some(at) if now.since(at) < FLAP_WINDOW => (self.hold * 2).clamp(HOLD_MIN, HOLD_MAX),
             _ => Duration::ZERO,
         };
-        self.regained = Some((now, hold));
         self.state = State::Lost {
             since: self.heard,
-            hold_until: now + hold,
+            hold_until: now + self.hold,
             responses: BTreeMap::new(),
         };
         ContactStep::Changed(ContactEvent::Lost {
@@ -297,8 +298,7 @@
             return ContactStep::Keep;
         }
         let lost_for = now.since(*since);
-        let hold = self.regained.map_or(Duration::ZERO, |(_, hold)| hold);
-        self.regained = Some((now, hold));
+        self.regained_at = Some(now);
         self.state = State::InContact;
         self.silent.clear();
         ContactStep::Changed(ContactEvent::Regained { lost_for })
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -149,6 +149,8 @@
     limiter: RateLimiter,
     departed: DepartedServers,
     contact: Contact,
+    /// When contact is checked next.
+    contact_check: Option<Timestamp>,
     /// Number of rounds of probes.
     probe_round: u64,
     conns: SlotMap<ConnKey, Conn>,
@@ -453,18 +455,14 @@
             Scope::Whole => None,
         });
         let parts = match &route.destination {
-            Destination::Service(service) => {
-                vec![self.single_part(now, *service, delegated.is_some())]
+            Destination::Search { shards, .. } => {
+                self.search_parts(now, shards, only.map(|(shards, _)| shards))
             }
-            Destination::Split(services, chooser) => {
-                let chosen = chooser.borrow_mut().choose().unwrap_or(0);
-                let service = services.get(chosen).copied();
+            single => {
+                let service = single.choose_service();
                 let part = |service| self.single_part(now, service, delegated.is_some());
                 service.map(part).into_iter().collect()
             }
-            Destination::Search { shards, .. } => {
-                self.search_parts(now, shards, only.map(|(shards, _)| shards))
-            }
         };
         let answer_by = match only {
             Some((_, answer_within)) => answer_within,
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -19,11 +19,6 @@
 const PAUSE: Duration = Duration::from_millis(25);
 
 impl Forwarder {
-    /// Whether contact with all backend servers is lost.
-    pub fn is_contact_lost(&self) -> bool {
-        self.contact.is_lost()
-    }
-
     /// Time for which no backend server has responded, if contact with all of them is lost.
     pub fn contact_lost_for(&self, now: Timestamp) -> Option<Duration> {
         self.contact.lost_for(now)
@@ -64,7 +59,17 @@
         }
     }
 
+    /// Sets when contact is checked next, instead of the time set before.
+    fn set_contact_check(&mut self, at: Timestamp) {
+        self.contact_check = Some(at);
+        self.timers.set(at, Timer::Contact);
+    }
+
     pub(super) fn on_contact_timer(&mut self, now: Timestamp) {
+        if self.contact_check.is_none_or(|at| now < at) {
+            return;
+        }
+        self.contact_check = None;
         let connected = self.servers.iter().any(|(key, server)| {
             server.conns.len() > server.opening as usize && self.backend_service(key).is_some()
         });
@@ -86,10 +91,10 @@
     fn perform_contact_step(&mut self, now: Timestamp, step: ContactStep) {
         match step {
             ContactStep::Keep => {}
-            ContactStep::CheckAt(at) => self.timers.set(at, Timer::Contact),
+            ContactStep::CheckAt(at) => self.set_contact_check(at),
             ContactStep::Probe { services, until } => {
                 self.probe_servers(now, services);
-                self.timers.set(until, Timer::Contact);
+                self.set_contact_check(until);
             }
             ContactStep::Changed(event) => {
                 self.actions.push_back(Action::ContactChanged(event));
@@ -140,7 +145,7 @@
     fn on_contact_lost(&mut self, now: Timestamp) {
         self.regroup(now);
         self.relay_requests(now);
-        self.timers.set(now, Timer::Contact);
+        self.set_contact_check(now);
     }
 
     fn on_contact_regained(&mut self, now: Timestamp) {
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -50,7 +50,7 @@
 pub struct Peer {
     /// Instance on which the daemon runs.
     pub instance: Arc<str>,
-    /// Address on which the daemon accepts parts of searches and datagrams.
+    /// Address on which the daemon accepts requests of other daemons and datagrams.
     pub address: SocketAddr,
     /// Availability zone of the daemon.
     pub zone: String,
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -25,6 +25,20 @@
     },
 }
 
+impl Destination {
+    /// The service of the next request that is not a search.
+    pub(crate) fn choose_service(&self) -> Option<ServiceKey> {
+        match self {
+            Self::Service(service) => Some(*service),
+            Self::Split(services, chooser) => {
+                let chosen = chooser.borrow_mut().choose().unwrap_or(0);
+                services.get(chosen).copied()
+            }
+            Self::Search { .. } => None,
+        }
+    }
+}
+
 /// Statistics of the requests of a route, kept across releases.
 #[derive(Debug)]
 pub(crate) struct RouteStats {
--- a/crates/jasminepond-forward/tests/contact.rs
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -21,15 +21,19 @@
 const RETURN: Duration = Duration::from_millis(500);
 
 fn started() -> Sim {
+    with_shards(SHARDS)
+}
+
+fn with_shards(shards: usize) -> Sim {
     let mut sim = Sim::new(ForwardSettings::default(), 1);
-    sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
-    sim.put_release(1, vec![search(SHARDS, 150, 0.8)]);
+    sim.add_shards(shards, 10 * MS, Duration::ZERO, Duration::ZERO);
+    sim.put_release(1, vec![search(shards, 150, 0.8)]);
     sim.load("/search/x", 20.0, Duration::from_secs(1), 800 * MS);
     sim
 }
 
 fn set_all(sim: &mut Sim, behavior: Behavior) {
-    for index in 0..2 * SHARDS {
+    for index in 0..sim.servers.len() {
         sim.set_behavior(index, behavior);
     }
 }
@@ -215,3 +219,23 @@
         .filter(|peer| !sim.servers[**peer].arrived.is_empty());
     assert_eq!((asked.count(), sim.servers[one].arrived.len()), (0, 1));
 }
+
+/// Guards against probes that multiply while a server responds now and then.
+#[test]
+fn probes_stay_few_while_contact_is_lost() {
+    let mut sim = with_shards(60);
+    set_all(&mut sim, Behavior::Silent);
+    sim.load("/search/x", 20.0, Duration::from_secs(1), CALLER_TIMEOUT);
+    let before = sim.attempts;
+    let seconds = 20;
+    for _ in 0..seconds {
+        for behavior in [Behavior::Healthy, Behavior::Silent] {
+            sim.set_behavior(0, behavior);
+            sim.load("/search/x", 20.0, 500 * MS, CALLER_TIMEOUT);
+        }
+    }
+    assert_eq!((sim.contact.len(), losses(&sim)), (1, 1));
+    // Three services five times a second, and three more when a server responds.
+    let attempts = sim.attempts - before;
+    assert!(attempts <= seconds * (15 + 3), "{attempts}");
+}
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -99,6 +99,8 @@
     pub refuse_new: bool,
     pub closed: usize,
     pub opened: usize,
+    /// Attempts to open a connection.
+    pub attempts: usize,
     /// Connection limit of the servers in the next release.
     pub max_connections: u32,
     sent: HashMap<ReqKey, ConnKey>,
@@ -128,6 +130,7 @@
             refuse_new: false,
             closed: 0,
             opened: 0,
+            attempts: 0,
             max_connections: 25,
             sent: HashMap::new(),
             conns: HashMap::new(),
@@ -509,6 +512,7 @@
     fn open(&mut self, conn: ConnKey, address: SocketAddr) {
         let index = usize::from(address.port() - 10_000);
         self.conns.insert(conn, index);
+        self.attempts += 1;
         let (after, event) = match self.servers[index].behavior {
             _ if self.refuse_new => (ROUND_TRIP, Event::Refused(conn)),
             Behavior::Crashed => (ROUND_TRIP, Event::Refused(conn)),
