fix(forward): let the daemon in between wait for the coverage of a search

Cause: of 774 requests at the partitioned daemons 484 failed with an unknown outcome after 128 ms. A daemon with own links goes on until the share is reached. Ruled out: room at the other daemons, which served their own callers late or in part, and refused seven to nine each.

A daemon that sends a search on now says how many shards it needs; the other one returns fewer at the objective only if they suffice, and refuses at once if it cannot reach them.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -481,10 +481,9 @@
             past_answer_by: false,
             shards,
             // The delegating daemon checks the coverage.
-            min_shards: if only.is_some() {
-                1
-            } else {
-                route.min_shards()
+            min_shards: match (only, delegated) {
+                (Some(_), Some(delegated)) => delegated.min_shards.max(1),
+                _ => route.min_shards(),
             },
             from_peer: delegated.is_some(),
             max_attempts: delegated
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -75,6 +75,9 @@
     pub release: ReleaseVersion,
     /// Time after which the other daemon returns the results of a search received so far.
     pub answer_within: Millis,
+    /// Number of shards below which the results are of no use, so that the other daemon goes
+    /// on after that time.
+    pub min_shards: usize,
     /// Whether the request may have been sent to servers before.
     pub repeat: bool,
     /// Maximum number of servers to which each part may be sent, if that is fewer than the
@@ -395,22 +398,39 @@
             shard_set: req.route.shard_set,
             release: req.route.version.max(self.newest_release),
             answer_within: Millis((left.as_millis() as u64).max(1)),
+            min_shards: self.shards_needed(req, index),
             repeat: part.repeat,
             max_attempts: part.max_attempts,
         })
     }
 
+    /// Number of shards of a part without which a search cannot reach its coverage. Helpers of
+    /// groups return what they have, since others return more.
+    fn shards_needed(&self, req: &Req, index: usize) -> usize {
+        if !self.is_relayed(&req.parts[index]) {
+            return 1;
+        }
+        let others = req.parts.iter().enumerate();
+        let others = others.filter(|(at, part)| *at != index && part.is_open());
+        let others: usize = others.map(|(_, part)| part.weight).sum();
+        req.min_shards.saturating_sub(req.done + others).max(1)
+    }
+
     /// Times after which a helper is marked as stalled and after which its call is
     /// aborted.
     pub(super) fn helper_timeouts(
         &self,
         delegation: &DelegationRequest,
         route: &ActiveRoute,
+        left: Duration,
     ) -> (Duration, Duration) {
         let answer = delegation.answer_within.duration();
         if delegation.shards.is_none() {
             // The other daemon hedges after the same time.
-            return (self.hedge_delay(route) * 2 + HELPER_OVERDUE, answer);
+            return (self.hedge_delay(route) * 2 + HELPER_OVERDUE, left);
+        }
+        if delegation.min_shards > 1 {
+            return (answer * 2 + HELPER_OVERDUE, left);
         }
         (
             answer + HELPER_OVERDUE,
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -274,15 +274,14 @@
     fn send(&mut self, now: Timestamp, key: ReqKey, index: usize, conn: ConnKey) {
         let server_key = self.conns[conn].server;
         let delegation = self.delegation(now, &self.reqs[key], index);
-        let route = &self.reqs[key].route;
-        let helper_timeouts = delegation
-            .as_ref()
-            .map(|delegation| self.helper_timeouts(delegation, route));
+        let req = &self.reqs[key];
+        let left = req.deadline.since(now);
+        let timeouts = |delegation| self.helper_timeouts(delegation, &req.route, left);
+        let helper_timeouts = delegation.as_ref().map(timeouts);
         let delegated = helper_timeouts.is_some();
         self.use_permit(now, server_key, key, index);
         let req = &mut self.reqs[key];
         let route = req.route.clone();
-        let left = req.deadline.since(now);
         let call = self.calls.insert(Call {
             req: key,
             part: index,
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -47,6 +47,8 @@
     pub scope: Scope,
     /// Time after which the results of a search received so far are returned.
     pub answer_within: Duration,
+    /// Number of shards without which the results are of no use to the asking daemon.
+    pub min_shards: usize,
     /// Whether the request may have been sent to servers before.
     pub repeat: bool,
     /// Maximum number of servers to which each part may be sent, if that is fewer than the
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -611,6 +611,7 @@
                         None => Scope::Whole,
                     },
                     answer_within: delegation.answer_within.duration(),
+                    min_shards: delegation.min_shards,
                     repeat: delegation.repeat,
                     max_attempts: delegation.max_attempts,
                 };
--- a/crates/jasminepond-forward/tests/delegation.rs
+++ b/crates/jasminepond-forward/tests/delegation.rs
@@ -143,6 +143,7 @@
     let route = sim.forwarder.route("localhost", "/search/x").unwrap();
     let delegated = Some(DelegatedPart {
         scope: Scope::Shards(vec![1, 4, 7, 10]),
+        min_shards: 1,
         max_attempts: u32::MAX,
         answer_within: 60 * MS,
         repeat: false,
--- a/crates/jasminepond-forward/tests/relay.rs
+++ b/crates/jasminepond-forward/tests/relay.rs
@@ -206,3 +206,23 @@
         assert_runs_are_allowed(&world);
     }
 }
+
+/// Guards against searches that fail only because another daemon returns too few shards at the
+/// objective, where a daemon with own links waits for more.
+#[test]
+fn late_searches_are_served_through_other_daemons_too() {
+    let mut world = world(11);
+    world.inject(0, Fault::Partition, 3 * CONTACT);
+    load_all(&mut world, Duration::from_secs(1));
+    for server in &mut world.servers {
+        server.work = 160 * MS;
+    }
+    let slow = world.now + CALLER_TIMEOUT;
+    load_all(&mut world, CONTACT);
+    let (partitioned, others) = (served(&world, 0..1, slow), served(&world, 1..DAEMONS, slow));
+    assert!(others > 0.9, "{others} at the others");
+    assert!(
+        partitioned >= others - 0.02,
+        "{partitioned}, {others} at the others"
+    );
+}
--- a/crates/jasminepond-gateway/src/peers.rs
+++ b/crates/jasminepond-gateway/src/peers.rs
@@ -39,6 +39,9 @@
 /// Milliseconds after which the shards collected so far are to be returned.
 pub const ANSWER_WITHIN_MS: &str = "x-jasminepond-answer-within";
 
+/// Number of shards without which the results are of no use, if more than one.
+pub const MIN_SHARDS: &str = "x-jasminepond-min-shards";
+
 /// Present if the request may have been sent to servers before.
 pub const REPEAT: &str = "x-jasminepond-repeat";
 
@@ -54,10 +57,11 @@
 pub const SERVER: &str = "x-jasminepond-server";
 
 /// Headers that daemons add to each other's requests and responses.
-pub const HEADERS: [&str; 7] = [
+pub const HEADERS: [&str; 8] = [
     SHARDS,
     SHARD_SET,
     ANSWER_WITHIN_MS,
+    MIN_SHARDS,
     REPEAT,
     MAX_ATTEMPTS,
     RELEASE,
@@ -94,6 +98,9 @@
     }
     header(SHARD_SET, &delegation.shard_set);
     header(ANSWER_WITHIN_MS, &delegation.answer_within.0);
+    if delegation.min_shards > 1 {
+        header(MIN_SHARDS, &delegation.min_shards);
+    }
     if delegation.repeat {
         header(REPEAT, &1);
     }
@@ -114,9 +121,10 @@
             Scope::Shards(shards.collect::<Option<_>>()?)
         }
     };
-    let max_attempts = match headers.contains_key(MAX_ATTEMPTS) {
-        true => text(MAX_ATTEMPTS)?.parse().ok()?,
-        false => u32::MAX,
+    // `None` if the header is malformed.
+    let number = |name: &str, default: u32| match headers.contains_key(name) {
+        true => text(name)?.parse().ok(),
+        false => Some(default),
     };
     let release = match scope {
         Scope::Shards(_) => ReleaseVersion::default(),
@@ -126,8 +134,9 @@
         part: DelegatedPart {
             scope,
             answer_within: Duration::from_millis(text(ANSWER_WITHIN_MS)?.parse().ok()?),
+            min_shards: number(MIN_SHARDS, 1)? as usize,
             repeat: headers.contains_key(REPEAT),
-            max_attempts,
+            max_attempts: number(MAX_ATTEMPTS, u32::MAX)?,
         },
         shard_set: text(SHARD_SET)?.parse().ok()?,
         release,
