fix(forward): open first connections in an order that the instance fixes

They are now opened in an order that depends on the instance and the ids of the servers. It differs between daemons: with one order for all, they would connect to the same server at the same moment when all start.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -14,7 +14,7 @@
 };
 use jasminepond_types::Timestamp;
 use slotmap::SlotMap;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     Demand, RepeatBudget, ShardGroups,
@@ -262,7 +262,12 @@
     }
 
     fn preconnect_all(&mut self, now: Timestamp) {
-        let servers: Vec<_> = self.servers_by_id.values().copied().collect();
+        // Daemons connect in different orders, which spreads the work of new connections.
+        let seed = xxh3_64(self.settings.instance.as_bytes());
+        let place = |(id, _): &(&Arc<str>, &ServerKey)| xxh3_64_with_seed(id.as_bytes(), seed);
+        let mut servers: Vec<_> = self.servers_by_id.iter().collect();
+        servers.sort_by_key(place);
+        let servers: Vec<_> = servers.into_iter().map(|(_, key)| *key).collect();
         for server in servers {
             self.preconnect(now, server);
         }
