feat(gateway): log which request was in progress when a connection ended

Cause: the line of a connection that ends during a call named the server only, so the logs could not tell whether one request ended many servers or many requests were cut by servers that ended by themselves, and two arrivals of one request look like two requests. Change: requests have a fingerprint of method, host, path, caller and body; the line states the request's id and fingerprint, the time it was unanswered and the number of its parts that were answered. No logic is changed.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -24,6 +24,7 @@
         Action, Arrival, Backend, BackendState, CallKey, ConnKey, ReqKey, Scope, ServerEvent,
         Verdict,
     },
+    report::CallReport,
     request::{ActiveRoute, Destination, Part, Req, RouteStats},
     server::{Reachability, Server, ServerKey},
     service::{Service, ServiceKey},
@@ -437,6 +438,21 @@
         Some(server.backend.id.clone())
     }
 
+    /// The call in progress on a connection, for logs.
+    pub fn call_on(&self, now: Timestamp, conn: ConnKey) -> Option<CallReport> {
+        let ConnState::Busy(call) = self.conns.get(conn)?.state else {
+            return None;
+        };
+        let call = self.calls.get(call)?;
+        let req = self.reqs.get(call.req);
+        Some(CallReport {
+            req: call.req,
+            fingerprint: req.map(|req| req.fingerprint),
+            unanswered: now.since(call.sent),
+            parts_done: req.map_or(0, |req| req.done),
+        })
+    }
+
     /// Accepts a complete request of a caller.
     pub fn submit(&mut self, now: Timestamp, arrival: Arrival) -> ReqKey {
         let route = arrival.route;
@@ -479,6 +495,7 @@
         let shards = parts.iter().map(|part| part.weight).sum();
         let parts_len = parts.len();
         let key = self.reqs.insert(Req {
+            fingerprint: arrival.fingerprint,
             arrived: now,
             deadline,
             late,
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -31,7 +31,7 @@
     LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter, Scope, ServerEvent,
     StatedLimit, Summary, Verdict,
 };
-pub use report::{RouteReport, ServerReport};
+pub use report::{CallReport, RouteReport, ServerReport};
 pub use request::ActiveRoute;
 pub use server::ServerKey;
 pub use service::ServiceKey;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, str::FromStr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use jasminepond_quarantine::Fingerprint;
 use jasminepond_ratelimit::RateLimit;
 use jasminepond_routes::{ReleaseVersion, ServiceName};
 use jasminepond_types::{ErrorKind, Millis};
@@ -27,6 +28,8 @@
     pub route: Rc<ActiveRoute>,
     /// Time until the caller's deadline.
     pub time_left: Duration,
+    /// Identifies requests that are equal to it.
+    pub fingerprint: Fingerprint,
     /// Set if another daemon delegates the request, or a part of it, to this one.
     pub delegated: Option<DelegatedPart>,
 }
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use jasminepond_quarantine::Fingerprint;
 use jasminepond_ratelimit::LimitReport;
 use jasminepond_routes::{Route, ServiceName, Target};
 use jasminepond_types::Timestamp;
 
 use crate::{
-    Forwarder,
+    Forwarder, ReqKey,
     server::{Reachability, Standing},
 };
 
@@ -46,6 +47,19 @@
     pub limit: Option<LimitReport>,
 }
 
+/// A call in progress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallReport {
+    /// The request.
+    pub req: ReqKey,
+    /// Identifies equal requests, or `None` if the request has ended.
+    pub fingerprint: Option<Fingerprint>,
+    /// Time since the call was sent.
+    pub unanswered: Duration,
+    /// Number of parts of the request that are answered.
+    pub parts_done: usize,
+}
+
 impl Forwarder {
     /// The routes in force, by host and prefix.
     pub fn route_reports(&self) -> Vec<RouteReport> {
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
+use jasminepond_quarantine::Fingerprint;
 use jasminepond_routes::{ReleaseVersion, Repeat, Route, WeightedRoundRobin};
 use jasminepond_types::Timestamp;
 
@@ -207,6 +208,7 @@
 #[derive(Debug)]
 pub(crate) struct Req {
     pub(crate) route: Rc<ActiveRoute>,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
     /// Whether the objective had passed at arrival, counting earlier attempts.
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -20,7 +20,7 @@
 use jasminepond_types::{Millis, RunStatus, Timestamp};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use crate::sim::reply;
+use crate::sim::{fingerprint, reply};
 
 /// Delay of requests, responses and datagrams.
 const LATENCY: Duration = Duration::from_millis(2);
@@ -359,13 +359,14 @@
             return;
         }
         let route = state.forwarder.route("localhost", path).expect("a route");
+        self.next_number += 1;
         let arrival = Arrival {
             route,
             time_left,
+            fingerprint: fingerprint(path, self.next_number),
             delegated: None,
         };
         let key = state.forwarder.submit(self.now, arrival);
-        self.next_number += 1;
         self.reqs
             .insert((daemon, key), (self.next_number, path, None));
         self.run_actions(daemon);
@@ -479,6 +480,7 @@
                 let arrival = Arrival {
                     route,
                     time_left,
+                    fingerprint: fingerprint(path, number),
                     delegated: Some(part),
                 };
                 let key = forwarder.submit(now, arrival);
--- a/crates/jasminepond-forward/tests/delegation.rs
+++ b/crates/jasminepond-forward/tests/delegation.rs
@@ -151,6 +151,7 @@
     let arrival = Arrival {
         route,
         time_left: CALLER_TIMEOUT,
+        fingerprint: Default::default(),
         delegated,
     };
     sim.forwarder.submit(sim.now, arrival);
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -16,6 +16,7 @@
     Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, Exchange,
     ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
 };
+use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_routes::{
     Release, ReleaseVersion, Route, Search, ServiceName, ServiceSpec, Target,
 };
@@ -103,6 +104,7 @@
     pub attempts: usize,
     /// Connection limit of the servers in the next release.
     pub max_connections: u32,
+    submitted: u64,
     sent: HashMap<ReqKey, ConnKey>,
     conns: HashMap<ConnKey, usize>,
     events: BinaryHeap<Reverse<(Timestamp, Event)>>,
@@ -132,6 +134,7 @@
             opened: 0,
             attempts: 0,
             max_connections: 25,
+            submitted: 0,
             sent: HashMap::new(),
             conns: HashMap::new(),
             events: BinaryHeap::new(),
@@ -281,11 +284,13 @@
 
     pub fn submit(&mut self, path: &str, time_left: Duration) -> ReqKey {
         let route = self.forwarder.route("localhost", path).expect("a route");
+        self.submitted += 1;
         let key = self.forwarder.submit(
             self.now,
             Arrival {
                 route,
                 time_left,
+                fingerprint: fingerprint(path, self.submitted),
                 delegated: None,
             },
         );
@@ -595,6 +600,16 @@
     }
 }
 
+/// Fingerprint of a request that differs from those with other numbers.
+pub fn fingerprint(path: &str, number: u64) -> Fingerprint {
+    let body = &number.to_le_bytes();
+    Fingerprint::new(&RequestParts {
+        path,
+        body,
+        ..RequestParts::default()
+    })
+}
+
 pub fn reply(status: u16, stamp: &str) -> Reply {
     Reply {
         status,
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -12,6 +12,7 @@
 };
 use jasminepond_daemon::net::http::{BufferedRequest, BufferedResponse, Handler, error_response};
 use jasminepond_forward::{ActiveRoute, Answer, Refusal, Reply, ReqKey, Scope};
+use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_types::{ErrorKind, Millis};
 use spdlog::info;
 
@@ -126,6 +127,16 @@
     let time_left = time_left.map_or(timeout, Duration::from_millis);
     let own = [names.time_left_ms, names.expected_server];
     let excluded = |name: &str| own.contains(&name) || peers::HEADERS.contains(&name);
+    let fingerprint = Fingerprint::new(&RequestParts {
+        method: head.method.as_str(),
+        host,
+        path,
+        caller: head
+            .headers
+            .get("authorization")
+            .map_or(&[], |value| value.as_bytes()),
+        body: &body,
+    });
     let outbound = Outbound {
         head: render_head(&head, path, &body, excluded),
         request_id: Bytes::copy_from_slice(request_id.as_bytes()),
@@ -138,6 +149,7 @@
     let (key, answer) = hub.submit(
         route,
         time_left,
+        fingerprint,
         delegated.map(|delegated| delegated.part),
         outbound,
     );
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -16,6 +16,7 @@
     Action, ActiveRoute, Answer, Arrival, ConnKey, ContactEvent, DelegatedPart, DelegationRequest,
     Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
 };
+use jasminepond_quarantine::Fingerprint;
 use jasminepond_types::{Millis, Timestamp};
 use slotmap::SecondaryMap;
 use spdlog::{info, warn};
@@ -159,6 +160,7 @@
         self: &Rc<Self>,
         route: Rc<ActiveRoute>,
         time_left: Duration,
+        fingerprint: Fingerprint,
         delegated: Option<DelegatedPart>,
         outbound: Outbound,
     ) -> (ReqKey, oneshot::Receiver<Answer>) {
@@ -167,6 +169,7 @@
         let arrival = Arrival {
             route,
             time_left,
+            fingerprint,
             delegated,
         };
         let key = self.forwarder.borrow_mut().submit(now, arrival);
@@ -199,13 +202,33 @@
     /// Handles the end of a connection.
     pub fn closed(self: &Rc<Self>, conn: ConnKey, lost: LostCall, cause: &str) {
         if lost == LostCall::MayHaveRun {
-            let server = self.read(|forwarder| forwarder.server_of(conn));
-            info!("gateway: a connection ended during a call", kv: { server: = server.as_deref().unwrap_or("?"), cause });
+            self.log_lost_call(conn, cause);
         }
         self.change(|forwarder, now| forwarder.closed(now, conn, lost));
         self.conns.borrow_mut().remove(conn);
     }
 
+    /// Logs which request was in progress on a connection that ended.
+    fn log_lost_call(&self, conn: ConnKey, cause: &str) {
+        let now = self.clock.now();
+        let (server, call) = self.read(|forwarder| {
+            let call = forwarder.call_on(now, conn);
+            (forwarder.server_of(conn), call)
+        });
+        let callers = self.callers.borrow();
+        let caller = call.and_then(|call| callers.get(call.req));
+        let id = caller.map_or(&b""[..], |caller| &caller.outbound.request_id);
+        let fingerprint = call.and_then(|call| call.fingerprint);
+        info!("gateway: a connection ended during a call", kv: {
+            server: = server.as_deref().unwrap_or("?"),
+            cause,
+            id: = String::from_utf8_lossy(id),
+            fingerprint: = fingerprint.map_or_else(String::new, |fingerprint| fingerprint.to_string()),
+            unanswered_us = call.map_or(0, |call| call.unanswered.as_micros() as u64),
+            parts_done = call.map_or(0, |call| call.parts_done),
+        });
+    }
+
     /// Handles a rate limit in the headers of a response that broke off.
     pub fn limit_stated(self: &Rc<Self>, conn: ConnKey, limit: StatedLimit) {
         self.change(|forwarder, now| forwarder.limit_stated(now, conn, limit));
