test(forward): a request that ends the servers that run it

Simulated servers had no faults of their own in the simulation of several daemons, and no test sent equal requests. Change: servers end, close their connections, refuse new ones and return as new processes; requests with the deadly path end the servers that run them within 60 ms, unless the connection is closed before. The test bounds the runs later than 4 s after the third server has ended (3) and the innocent requests that are served (0.98), for searches on 6 daemons, divided searches on 12, and requests to one server of both kinds.

--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
+    collections::{BinaryHeap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -12,9 +12,10 @@
 
 use jasminepond_forward::{
     Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, DelegatedPart,
-    DelegationRequest, Exchange, ForwardSettings, Forwarder, Peer, Reply, ReqKey, Scope,
+    DelegationRequest, Exchange, ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, Scope,
     StatedLimit, Summary,
 };
+use jasminepond_quarantine::Fingerprint;
 use jasminepond_ratelimit::{Message, RateLimit};
 use jasminepond_routes::{Release, ReleaseVersion, Route, ServiceSpec};
 use jasminepond_types::{Millis, RunStatus, Timestamp};
@@ -56,6 +57,23 @@
     arrived: Vec<Arrived>,
     /// When each process of a daemon first received a limit from the server.
     told: HashMap<usize, Timestamp>,
+    /// The process has ended, and the next one starts at this time.
+    down_until: Timestamp,
+}
+
+/// Time that a server needs to return after its process has ended.
+pub const SERVER_START_TIME: Duration = Duration::from_millis(3_200);
+
+/// Longest time that a deadly request runs before the server ends.
+const DEADLY_TIME: Duration = Duration::from_millis(60);
+
+/// A run of a deadly request on a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DeadlyRun {
+    pub at: Timestamp,
+    pub server: usize,
+    /// When the server ended, unless the run was aborted before.
+    pub ended: Option<Timestamp>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -126,6 +144,15 @@
     /// A delegated request arrives, with its number, path and time left.
     Delegated(Origin, u64, &'static str, Duration, DelegatedPart),
     DelegatedReply(ConnKey, Box<Reply>),
+    /// A connection was refused.
+    Refused(ConnKey),
+    /// The server closed a connection.
+    Closed(ConnKey),
+    /// A run of a deadly request, by its index, ends the process of its server that started at
+    /// this time, unless the connection is closed before.
+    ServerEnds(ConnKey, usize, Option<u64>),
+    /// A server by its index starts again.
+    ServerStarts(usize),
     Reaches(usize, bool),
     Datagram(SocketAddr, Message),
     View(usize, bool),
@@ -159,6 +186,15 @@
     reqs: HashMap<(usize, ReqKey), (u64, &'static str, Option<Origin>)>,
     /// Servers that ran each caller's request.
     pub ran: HashMap<u64, Vec<usize>>,
+    /// Path whose requests end the servers that run them. They are equal.
+    pub deadly: Option<&'static str>,
+    pub deadly_runs: Vec<DeadlyRun>,
+    /// Paths whose requests are equal.
+    pub equal: Vec<&'static str>,
+    /// Calls in progress by daemon and connection.
+    busy: HashSet<(usize, ConnKey)>,
+    /// Numbers of the deadly requests.
+    deadly_numbers: HashSet<u64>,
     /// Number of requests that daemons sent to each other.
     pub delegated: usize,
     next_number: u64,
@@ -189,6 +225,11 @@
             conns: HashMap::new(),
             reqs: HashMap::new(),
             ran: HashMap::new(),
+            deadly: None,
+            deadly_runs: Vec::new(),
+            equal: Vec::new(),
+            busy: HashSet::new(),
+            deadly_numbers: HashSet::new(),
             delegated: 0,
             next_number: 0,
             next_event: 0,
@@ -306,6 +347,7 @@
             status: 200,
             arrived: Vec::new(),
             told: HashMap::new(),
+            down_until: Timestamp::ZERO,
         });
         for daemon in 0..self.daemons.len() {
             self.daemons[daemon]
@@ -363,12 +405,15 @@
         let arrival = Arrival {
             route,
             time_left,
-            fingerprint: fingerprint(path, self.next_number),
+            fingerprint: self.fingerprint(path, self.next_number),
             delegated: None,
         };
-        let key = state.forwarder.submit(self.now, arrival);
+        let key = self.daemons[daemon].forwarder.submit(self.now, arrival);
         self.reqs
             .insert((daemon, key), (self.next_number, path, None));
+        if self.deadly == Some(path) {
+            self.deadly_numbers.insert(self.next_number);
+        }
         self.run_actions(daemon);
     }
 
@@ -453,6 +498,19 @@
             self.events.push(Reverse((frozen_until, number)));
             return;
         }
+        match event {
+            Event::ServerEnds(conn, run, started) => {
+                let server = self.deadly_runs[run].server;
+                let is_open = self.conns.contains_key(&(daemon, conn));
+                if is_open && self.servers[server].entry.started == started {
+                    self.deadly_runs[run].ended = Some(self.now);
+                    self.end_server(server);
+                }
+                return;
+            }
+            Event::ServerStarts(server) => return self.start_server(server),
+            _ => {}
+        }
         if event == Event::Start {
             self.daemons[daemon].down = false;
             self.restart(daemon);
@@ -470,17 +528,27 @@
         let forwarder = &mut self.daemons[daemon].forwarder;
         match event {
             Event::Opened(conn) => forwarder.connected(now, conn),
-            Event::Unanswered(conn) => forwarder.connect_failed(now, conn),
+            Event::Unanswered(conn) | Event::Refused(conn) => forwarder.connect_failed(now, conn),
+            Event::Closed(conn) => {
+                let lost = match self.busy.remove(&(daemon, conn)) {
+                    true => LostCall::MayHaveRun,
+                    false => LostCall::NotSent,
+                };
+                forwarder.closed(now, conn, lost);
+            }
+            Event::ServerEnds(..) | Event::ServerStarts(_) => {}
             Event::Reaches(other, reaches) => {
                 self.daemons[daemon].reaching[other] = reaches;
                 self.apply_view(daemon);
             }
             Event::Delegated(origin, number, path, time_left, part) => {
+                let fingerprint = self.fingerprint(path, number);
+                let forwarder = &mut self.daemons[daemon].forwarder;
                 let route = forwarder.route("localhost", path).expect("a route");
                 let arrival = Arrival {
                     route,
                     time_left,
-                    fingerprint: fingerprint(path, number),
+                    fingerprint,
                     delegated: Some(part),
                 };
                 let key = forwarder.submit(now, arrival);
@@ -500,12 +568,15 @@
             }
             Event::Start => {}
             Event::Arrived(conn, number, index, held) => {
-                if held && !self.conns.contains_key(&(daemon, conn)) {
+                if !self.conns.contains_key(&(daemon, conn)) && (held || self.deadly.is_some()) {
                     return;
                 }
                 if self.servers[index].status != 503 {
                     self.ran.entry(number).or_default().push(index);
                 }
+                if self.deadly_numbers.contains(&number) {
+                    return self.run_deadly(daemon, conn, index);
+                }
                 let server = &mut self.servers[index];
                 server.arrived.push(Arrived {
                     at: now,
@@ -518,6 +589,10 @@
                 return self.push_event(work + LATENCY, daemon, event);
             }
             Event::Replied(conn, index, limit, status) => {
+                if self.deadly.is_some() && !self.busy.contains(&(daemon, conn)) {
+                    return;
+                }
+                self.busy.remove(&(daemon, conn));
                 if matches!(limit, Some(StatedLimit::Limit(_))) {
                     self.servers[index].told.entry(daemon).or_insert(now);
                 }
@@ -556,7 +631,10 @@
                         self.push_event(LATENCY, other, event);
                     }
                 }
-                Action::Close { conn } => _ = self.conns.remove(&(daemon, conn)),
+                Action::Close { conn } => {
+                    self.conns.remove(&(daemon, conn));
+                    self.busy.remove(&(daemon, conn));
+                }
                 Action::ContactChanged(event) => {
                     let reaches = matches!(event, ContactEvent::Regained { .. });
                     for other in (0..self.daemons.len()).filter(|other| *other != daemon) {
@@ -569,6 +647,60 @@
         }
     }
 
+    /// Fingerprint of a request. Those of some paths are equal.
+    fn fingerprint(&self, path: &'static str, number: u64) -> Fingerprint {
+        let is_equal = self.deadly == Some(path) || self.equal.contains(&path);
+        fingerprint(path, if is_equal { 0 } else { number })
+    }
+
+    /// Whether a caller's request ends the servers that run it.
+    pub fn is_deadly(&self, number: u64) -> bool {
+        self.deadly_numbers.contains(&number)
+    }
+
+    fn run_deadly(&mut self, daemon: usize, conn: ConnKey, server: usize) {
+        let run = self.deadly_runs.len();
+        self.deadly_runs.push(DeadlyRun {
+            at: self.now,
+            server,
+            ended: None,
+        });
+        let started = self.servers[server].entry.started;
+        let after = DEADLY_TIME.mul_f64(self.rng.random());
+        self.push_event(after, daemon, Event::ServerEnds(conn, run, started));
+    }
+
+    /// Ends the process of a server, whose connections are closed. It returns as a new one.
+    pub fn end_server(&mut self, index: usize) {
+        if self.now < self.servers[index].down_until {
+            return;
+        }
+        self.servers[index].down_until = self.now + SERVER_START_TIME;
+        let of_server =
+            |(_, target): &(&(usize, ConnKey), &Target)| **target == Target::Server(index);
+        let conns = self.conns.iter().filter(of_server);
+        let mut conns: Vec<_> = conns.map(|(conn, _)| *conn).collect();
+        conns.sort_unstable();
+        for (daemon, conn) in conns {
+            self.conns.remove(&(daemon, conn));
+            self.push_event(LATENCY, daemon, Event::Closed(conn));
+        }
+        self.push_event(SERVER_START_TIME, 0, Event::ServerStarts(index));
+    }
+
+    fn start_server(&mut self, index: usize) {
+        let entry = &mut self.servers[index].entry;
+        entry.started = entry.started.map(|started| started + 1);
+        let entry = entry.clone();
+        for daemon in 0..self.daemons.len() {
+            if !self.daemons[daemon].down {
+                let forwarder = &mut self.daemons[daemon].forwarder;
+                forwarder.put_backend(self.now, entry.clone());
+                self.run_actions(daemon);
+            }
+        }
+    }
+
     fn is_partitioned(&self, daemon: usize) -> bool {
         self.now < self.daemons[daemon].partitioned_until
     }
@@ -583,6 +715,9 @@
             Target::Server(_) if self.is_partitioned(daemon) => {
                 self.push_event(CONNECT_TIMEOUT, daemon, Event::Unanswered(conn));
             }
+            Target::Server(server) if self.now < self.servers[server].down_until => {
+                self.push_event(2 * LATENCY, daemon, Event::Refused(conn));
+            }
             _ => self.push_event(2 * LATENCY, daemon, Event::Opened(conn)),
         }
     }
@@ -596,8 +731,14 @@
         delegation: Option<DelegationRequest>,
     ) {
         let (number, path, origin) = self.reqs[&(daemon, req)];
-        match self.conns[&(daemon, conn)] {
+        let Some(target) = self.conns.get(&(daemon, conn)).copied() else {
+            // The server has closed the connection, and the daemon does not know it yet.
+            self.busy.insert((daemon, conn));
+            return;
+        };
+        match target {
             Target::Server(index) => {
+                self.busy.insert((daemon, conn));
                 let held = self.is_partitioned(daemon);
                 let wait = self.daemons[daemon].partitioned_until.since(self.now);
                 let event = Event::Arrived(conn, number, index, held);
--- /dev/null
+++ b/crates/jasminepond-forward/tests/deadly_requests.rs
@@ -0,0 +1,142 @@
+//! Requests that end the servers that run them, in a simulation of several daemons.
+
+mod cluster;
+mod sim;
+
+use std::time::Duration;
+
+use cluster::{Answered, World};
+use jasminepond_forward::Verdict;
+use jasminepond_routes::{Repeat, Route};
+use jasminepond_types::Timestamp;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use sim::{MS, search, single};
+use test_case::test_case;
+
+const CALLER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time after which daemons in touch have to act on what one of them has observed.
+const CONTACT: Duration = Duration::from_secs(4);
+
+/// Runs that a request may have from then on, once it has ended [`NOTICED_ENDS`] servers.
+const MAX_RUNS: usize = 3;
+const NOTICED_ENDS: usize = 3;
+
+/// Share of the innocent requests that have to be served.
+const SERVED: f64 = 0.98;
+
+/// Interval at which a deadly request comes.
+const DEADLY_INTERVAL: Duration = Duration::from_millis(400);
+
+const SEARCH: &str = "/search/x";
+const ONE: &str = "/one/x";
+
+/// Requests of other callers, with the same servers.
+const INNOCENT: [&str; 2] = ["/search/y", "/one/y"];
+
+/// Daemons with two servers for each shard, and eight for other requests.
+fn world(daemons: usize, shards: usize, repeat: Repeat, seed: u64) -> World {
+    let mut searches = search(shards, 150, 0.85);
+    searches.max_attempts = 2;
+    let one = Route {
+        max_attempts: 2,
+        ..single(repeat)
+    };
+    let mut world = World::new(daemons, searches, seed);
+    world.add_routes([one]);
+    for server in 0..2 * shards {
+        world.add_server(&format!("s{}", server / 2), 15 * MS);
+    }
+    for _ in 0..8 {
+        world.add_server("one", 30 * MS);
+    }
+    world.restart_all();
+    load(&mut world, Duration::from_secs(1));
+    world
+}
+
+/// Lets callers send innocent requests for a time.
+fn load(world: &mut World, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        for path in INNOCENT {
+            world.load(path, 40.0, 50 * MS, CALLER_TIMEOUT);
+        }
+    }
+}
+
+fn is_served(answered: &&Answered) -> bool {
+    matches!(answered.summary.verdict, Verdict::Served | Verdict::Partial)
+}
+
+/// Sends the deadly request to random daemons for a time. A caller that gets no answer comes
+/// again at once.
+fn send_deadly(world: &mut World, daemons: usize, time: Duration, rng: &mut StdRng) {
+    let end = world.now + time;
+    let path = world.deadly.expect("a deadly path");
+    while world.now < end {
+        for _ in 0..2 {
+            world.submit(rng.random_range(0..daemons), path, CALLER_TIMEOUT);
+            load(world, DEADLY_INTERVAL / 2);
+        }
+    }
+}
+
+/// Runs later than [`CONTACT`] after the request has ended [`NOTICED_ENDS`] servers.
+fn late_runs(world: &World) -> usize {
+    let mut ends: Vec<_> = world
+        .deadly_runs
+        .iter()
+        .filter_map(|run| run.ended)
+        .collect();
+    ends.sort_unstable();
+    let Some(noticed) = ends.get(NOTICED_ENDS - 1).map(|end| *end + CONTACT) else {
+        return 0;
+    };
+    let runs = world.deadly_runs.iter();
+    runs.filter(|run| run.at > noticed).count()
+}
+
+/// Guards against sending a request to server after server that it ends: at the first time, at
+/// other daemons, and after a while.
+#[test_case(SEARCH, Repeat::Allowed, 6, 20; "a search")]
+#[test_case(SEARCH, Repeat::Allowed, 12, 48; "a search that is divided among daemons")]
+#[test_case(ONE, Repeat::Allowed, 6, 20; "a request to one server")]
+#[test_case(ONE, Repeat::Never, 6, 20; "a request that may run once only")]
+fn a_request_that_ends_servers_is_held(
+    path: &'static str,
+    repeat: Repeat,
+    daemons: usize,
+    shards: usize,
+) {
+    for seed in 0..4 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = world(daemons, shards, repeat, seed);
+        world.deadly = Some(path);
+        let from = world.now;
+        send_deadly(&mut world, daemons, Duration::from_secs(20), &mut rng);
+        load(&mut world, Duration::from_secs(1));
+        let ended = world
+            .deadly_runs
+            .iter()
+            .filter(|run| run.ended.is_some())
+            .count();
+        let (late, served) = (late_runs(&world), served(&world, from));
+        assert!(ended > 0, "seed {seed}: the request has not run");
+        assert!(
+            late <= MAX_RUNS,
+            "seed {seed}: {late} late runs, {ended} servers ended"
+        );
+        assert!(
+            served >= SERVED,
+            "seed {seed}: {served:.3} served, {ended} servers ended"
+        );
+    }
+}
+
+/// Share of the innocent requests that were served since `from`.
+fn served(world: &World, from: Timestamp) -> f64 {
+    let innocent = |a: &&Answered| a.at >= from && !world.is_deadly(a.number);
+    let all = world.answers.iter().filter(innocent);
+    all.clone().filter(is_served).count() as f64 / all.count().max(1) as f64
+}
