test(daemon): reserve the address that refuses connections

Cause: an_execute_that_no_server_accepts_is_not_run failed once in a run of the whole workspace: "the backend server failed with 405". The address came from a listener that was closed at once, so another test of the process could get the same port, and its daemon answered with 405. Ruled out: a change of the daemon; the path of serve is untouched since. Change: the port stays bound without listening, so that it refuses connections and is given to nobody else. The check is the same.

--- a/crates/jasminepond-daemon/tests/contract/support/backend.rs
+++ b/crates/jasminepond-daemon/tests/contract/support/backend.rs
@@ -8,6 +8,7 @@
 };
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 use super::http::{ConnectionAction, Request, response_bytes, serve};
 
@@ -86,8 +87,13 @@
 
     /// An address that refuses connections.
     pub fn refusing_address() -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        listener.local_addr().expect("a bound listener")
+        // Bound and not listening, so that no other test gets the port.
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).expect("a free port");
+        let address = socket.local_addr().expect("a bound socket");
+        std::mem::forget(socket);
+        address.as_socket().expect("an IP address")
     }
 
     fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
