--- a/crates/jasminepond-forward/src/contact.rs
+++ b/crates/jasminepond-forward/src/contact.rs
@@ -133,6 +133,11 @@
         matches!(self.state, State::Lost { .. })
     }
 
+    /// Whether a server has responded after `at`.
+    pub(crate) fn heard_since(&self, at: Timestamp) -> bool {
+        self.heard > at
+    }
+
     /// Time for which no server has responded, if contact is lost.
     pub(crate) fn lost_for(&self, now: Timestamp) -> Option<Duration> {
         match self.state {
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use jasminepond_quarantine::{Fingerprint, Quarantine};
 use jasminepond_ratelimit::{LimitReport, ProcessId, RateLimiter};
 use jasminepond_routes::{
     Release, ReleaseVersion, Route, RouteTable, ServiceName, Target, WeightedRoundRobin,
@@ -39,8 +40,10 @@
 mod place;
 mod relay;
 mod settle;
+mod suspects;
 
 pub use delegate::{DelegationRequest, Peer};
+use suspects::CutCall;
 
 /// Connection limit per server for services that the release does not specify.
 const DEFAULT_MAX_CONNECTIONS: u32 = 16;
@@ -60,6 +63,11 @@
     /// Whether the server is another daemon.
     delegated: bool,
     route: Rc<ActiveRoute>,
+    fingerprint: Fingerprint,
+    /// Whether this is the only send of a suspected request.
+    in_trial: bool,
+    /// Whether a server has answered another part of the request.
+    innocent: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -158,6 +166,11 @@
     calls: SlotMap<CallKey, Call>,
     reqs: SlotMap<ReqKey, Req>,
     stats: HashMap<Arc<str>, Rc<RouteStats>>,
+    quarantine: Quarantine,
+    /// When messages about suspected requests are sent next.
+    quarantine_tick: Option<Timestamp>,
+    /// Calls whose connections ended, until it is known whether their servers have.
+    cut_calls: Vec<CutCall>,
     timers: Timers,
     actions: VecDeque<Action>,
 }
@@ -167,6 +180,10 @@
     pub fn new(settings: ForwardSettings) -> Self {
         Self {
             limiter: RateLimiter::new(settings.instance.clone()),
+            quarantine: Quarantine::new(
+                settings.quarantine.clone(),
+                xxh3_64(settings.instance.as_bytes()),
+            ),
             settings,
             ..Self::default()
         }
@@ -493,7 +510,6 @@
             }
         };
         let shards = parts.iter().map(|part| part.weight).sum();
-        let parts_len = parts.len();
         let key = self.reqs.insert(Req {
             fingerprint: arrival.fingerprint,
             arrived: now,
@@ -518,11 +534,18 @@
             repeats: 0,
             over_budget: 0,
             last_server: None,
+            answered: false,
+            cut: 0,
+            ended: 0,
+            trial: None,
+            admitted: delegated.is_some_and(|delegated| delegated.admitted),
+            given_up: false,
             route: route.clone(),
         });
-        if self.refuse_unservable(now, key) {
+        if self.refuse_unservable(now, key) || self.refuse_suspect(now, key) {
             return key;
         }
+        let parts_len = self.reqs[key].parts.len();
         // A repeated request was counted by the daemon that was asked first.
         let counted = |part: &&Part| part.delegated.is_none() && !repeat;
         for part in self.reqs[key].parts.iter().filter(counted) {
@@ -578,7 +601,9 @@
         let calls: Vec<_> = req.parts.iter().flat_map(|p| p.calls.clone()).collect();
         // A request that must not be repeated runs to completion: aborting it would
         // leave its effect unknown.
-        if req.route.may_repeat() {
+        if req.is_restrained() {
+            self.abort_calls(now, key);
+        } else if req.route.may_repeat() {
             for call in calls {
                 // A helper applies the same grace to its own calls.
                 let helper = self.calls.get(call).is_some_and(|call| call.delegated);
@@ -611,6 +636,9 @@
                 Timer::Permit(server) => self.on_permit_timer(now, server),
                 Timer::LimitUsage(server) => self.report_limit_usage(now, server),
                 Timer::Contact => self.on_contact_timer(now),
+                Timer::Verdict(req) => self.settle(now, req),
+                Timer::Cut => self.expire_cut_calls(now),
+                Timer::Quarantine => self.tell_others(now),
             }
         }
     }
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    fn start_connection(&mut self, now: Timestamp, key: ServerKey) {
+    pub(super) fn start_connection(&mut self, now: Timestamp, key: ServerKey) {
         let server = &mut self.servers[key];
         let conn = self.conns.insert(Conn {
             server: key,
@@ -114,7 +114,7 @@
         let Some(state) = self.conns.get_mut(conn) else {
             return;
         };
-        state.opened = now;
+        let began = std::mem::replace(&mut state.opened, now);
         state.state = ConnState::Idle {
             since: now,
             until: None,
@@ -124,9 +124,11 @@
         server.on_connected();
         let key = state.server;
         self.observe_contact(now, key);
+        self.on_server_runs(now, key, began);
         if self.conns.contains_key(conn) {
             self.on_idle(now, conn, None);
         }
+        self.confirm_ended_servers(now);
     }
 
     /// Handles a connection that could not be opened.
@@ -136,11 +138,15 @@
         };
         let (server, opened) = (state.server, state.opened);
         self.forget_conn(conn);
-        self.on_connect_failure(now, server, opened);
+        let failure = self.on_connect_failure(now, server, opened);
+        match failure {
+            Failure::Refused => self.on_server_refuses(now, server, opened),
+            Failure::Unanswered => self.on_server_runs(now, server, opened),
+        }
         self.drop_retired(server);
     }
 
-    fn on_connect_failure(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
+    fn on_connect_failure(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) -> Failure {
         let server = &mut self.servers[key];
         let service = server.service;
         let until = server.on_connect_failed(now, &self.settings);
@@ -153,6 +159,7 @@
         let retry_in = until.since(now);
         self.log_server_event(key, ServerEvent::Unreachable { retry_in });
         self.place_waiting(now, service);
+        failure
     }
 
     /// Handles the end of a connection. `lost` states whether the call on it may have
@@ -169,7 +176,14 @@
         };
         self.forget_conn(conn);
         if let Some(call) = busy {
+            let req = self.calls.get(call).map(|call| call.req);
+            if lost == LostCall::MayHaveRun {
+                self.observe_cut_call(now, call);
+            }
             self.call_lost(now, call, lost);
+            if let Some(req) = req {
+                self.review_request(now, req);
+            }
         } else if rejected {
             self.on_connect_failure(now, server, opened);
         } else {
@@ -212,6 +226,8 @@
             self.place_waiting(now, server.service);
         }
         self.drop_retired(server);
+        // After the response is recorded, which may clear its request.
+        self.confirm_ended_servers(now);
     }
 
     /// Marks a connection as idle, unless it already carries another call.
@@ -310,7 +326,7 @@
         }
     }
 
-    fn is_known(&self, key: ServerKey) -> bool {
+    pub(super) fn is_known(&self, key: ServerKey) -> bool {
         let id = self.servers.get(key).map(|server| &server.backend.id);
         id.is_some_and(|id| self.servers_by_id.get(id) == Some(&key))
     }
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -143,6 +143,7 @@
     }
 
     fn on_contact_lost(&mut self, now: Timestamp) {
+        self.forget_cut_calls();
         self.regroup(now);
         self.relay_requests(now);
         self.set_contact_check(now);
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -83,6 +83,9 @@
     /// Maximum number of servers to which each part may be sent, if that is fewer than the
     /// route allows.
     pub max_attempts: u32,
+    /// Whether this daemon has checked that the request may be sent although it is suspected
+    /// of ending servers.
+    pub admitted: bool,
 }
 
 impl Forwarder {
@@ -98,6 +101,7 @@
     pub(super) fn regroup(&mut self, now: Timestamp) {
         let cluster = self.cluster.unwrap_or_default();
         self.set_limiter_daemons(now);
+        self.set_quarantine_peers();
         self.demand = self.demand();
         let groups = ShardGroups::new(&self.daemons(cluster), &self.demand);
         self.log_groups(&groups, cluster.rank);
@@ -401,6 +405,7 @@
             min_shards: self.shards_needed(req, index),
             repeat: part.repeat,
             max_attempts: part.max_attempts,
+            admitted: req.trial.is_some() || req.admitted,
         })
     }
 
--- a/crates/jasminepond-forward/src/forwarder/limits.rs
+++ b/crates/jasminepond-forward/src/forwarder/limits.rs
@@ -241,7 +241,7 @@
         let limited = |part: &Part| match part.state {
             PartState::Missing(reason) => reason == LIMITED,
             PartState::Waiting => self.is_held_by_limit(now, part.service),
-            PartState::Sent | PartState::Done(_) => false,
+            PartState::Sent | PartState::Held | PartState::Done(_) => false,
         };
         match self.reqs[key].parts.iter().any(limited) {
             true => ErrorKind::Overloaded,
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -18,6 +18,10 @@
 /// Delay before hedging is attempted again if no other server is healthy.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(5);
 
+/// Number of parts from which one of them is compared with the others: with so many, it is
+/// unlikely that the servers of all are slow.
+const MIN_COMPARED_PARTS: usize = 4;
+
 /// Wait for a permit that is preferred to another server that does not answer.
 const SHORT_PERMIT_WAIT: Duration = Duration::from_millis(20);
 
@@ -152,6 +156,10 @@
     /// handles the lack of usable servers.
     pub(super) fn place(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let req = &self.reqs[key];
+        if !req.may_send(index) {
+            self.reqs[key].parts[index].state = PartState::Held;
+            return;
+        }
         let (service, priority) = (req.parts[index].service, req.route.route.priority);
         let late = req.late;
         match self.placement(now, key, index, Attempt::First) {
@@ -283,6 +291,9 @@
         let req = &mut self.reqs[key];
         let route = req.route.clone();
         let call = self.calls.insert(Call {
+            fingerprint: req.fingerprint,
+            in_trial: req.in_trial(),
+            innocent: false,
             req: key,
             part: index,
             server: server_key,
@@ -365,7 +376,10 @@
             return;
         }
         let newly_stalled = self.servers[server].set_stalled();
-        self.hedge(now, key);
+        match self.is_slow_itself(key) {
+            true => self.hedge_later(now, key),
+            false => self.hedge(now, key),
+        }
         if newly_stalled {
             self.log_server_event(server, ServerEvent::Stalled { unanswered });
             // Other calls on the server are delayed by the same pause.
@@ -377,6 +391,20 @@
         }
     }
 
+    /// Whether no part of the request is answered although others should be: the request, and
+    /// not this server, is slow. It may end all of the servers that run it.
+    fn is_slow_itself(&self, key: CallKey) -> bool {
+        let req = self.calls.get(key).and_then(|call| self.reqs.get(call.req));
+        req.is_some_and(|req| !req.answered && req.parts.len() >= MIN_COMPARED_PARTS)
+    }
+
+    fn hedge_later(&mut self, now: Timestamp, key: CallKey) {
+        let req = self.calls.get(key).and_then(|call| self.reqs.get(call.req));
+        if req.is_some_and(|req| now + HEDGE_RETRY_DELAY < req.deadline) {
+            self.timers.set(now + HEDGE_RETRY_DELAY, Timer::Hedge(key));
+        }
+    }
+
     fn hedge(&mut self, now: Timestamp, key: CallKey) {
         let Some(call) = self.calls.get(key) else {
             return;
@@ -394,15 +422,18 @@
         if !matches!(part.state, PartState::Sent) || !may_hedge {
             return;
         }
-        let (service, deadline) = (part.service, req.deadline);
+        if req.is_restrained() {
+            return self.hedge_later(now, key);
+        }
+        let service = part.service;
         let by = self.send_by(req, part);
         let mut candidates = self.candidates(now, service, &part.tried, by);
         let untried = !candidates.is_empty();
         candidates.retain(|candidate| candidate.standing <= Standing::Remote);
         let Some(conn) = self.free_conn(now, &candidates, Attempt::Again) else {
             self.request_permits(now, service, &without_permit(&candidates), by);
-            if untried && now + HEDGE_RETRY_DELAY < deadline {
-                self.timers.set(now + HEDGE_RETRY_DELAY, Timer::Hedge(key));
+            if untried {
+                self.hedge_later(now, key);
             }
             return;
         };
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -30,7 +30,7 @@
 
 impl Forwarder {
     /// Removes a call from its server and its request.
-    fn take_call(&mut self, key: CallKey) -> Option<Call> {
+    pub(super) fn take_call(&mut self, key: CallKey) -> Option<Call> {
         let call = self.calls.remove(key)?;
         if let Some(server) = self.servers.get_mut(call.server) {
             server.calls.retain(|other| *other != key);
@@ -96,7 +96,10 @@
         if !part.is_open() {
             return;
         }
-        if reply.is_success() {
+        let suspects = reply.peer.as_ref().is_some_and(|peer| peer.suspects);
+        if suspects && !reply.is_success() {
+            self.on_peer_suspects(now, call.req, call.part, &reply);
+        } else if reply.is_success() {
             let missing = reply.missing.min(part.weight);
             req.done += part.weight - missing;
             req.missing += missing;
@@ -104,6 +107,7 @@
             if let Some(server) = self.servers.get(call.server) {
                 req.last_server = Some(server.backend.id.clone());
             }
+            self.on_part_answered(now, call.req);
         } else if call.delegated && not_run {
             if let Some(RetryAfter::Wait(wait)) = reply.retry_after {
                 req.retry_after = req.retry_after.max(wait);
@@ -121,6 +125,7 @@
             self.retry(now, &call, "failed");
         }
         self.settle(now, call.req);
+        self.review_request(now, call.req);
     }
 
     /// The backend server that wrote a response, also if another daemon forwards it.
@@ -198,14 +203,27 @@
             // Another call may still return the response.
             return;
         }
+        self.retry_part(now, call.req, call.part, reason);
+    }
+
+    /// Sends a part again that is not in progress, if the limits allow it.
+    pub(super) fn retry_part(
+        &mut self,
+        now: Timestamp,
+        key: ReqKey,
+        index: usize,
+        reason: &'static str,
+    ) {
+        let req = &mut self.reqs[key];
+        let part = &req.parts[index];
         let max_attempts = req.max_attempts;
         let may_run_again = part.runs == 0 || (req.route.may_repeat() && part.runs < max_attempts);
         if !may_run_again || part.sends >= max_attempts + EXTRA_SENDS || now >= req.deadline {
-            self.mark_missing(call.req, call.part, reason);
-            return;
-        }
-        if self.take_token(now, call.req, call.part) {
-            self.place(now, call.req, call.part);
+            self.mark_missing(key, index, reason);
+        } else if !req.may_send(index) {
+            req.parts[index].state = PartState::Held;
+        } else if self.take_token(now, key, index) {
+            self.place(now, key, index);
         }
     }
 
@@ -251,7 +269,9 @@
             self.force_reconnect(now, server);
         }
         let service = self.servers[server].service;
+        let req = self.calls[key].req;
         self.call_lost(now, key, LostCall::MayHaveRun);
+        self.review_request(now, req);
         self.place_waiting(now, service);
     }
 
@@ -291,6 +311,9 @@
         };
         let (shards, min_shards) = (req.shards, req.min_shards);
         let open = shards - req.done - req.missing;
+        if self.awaits_verdict(now, req) {
+            return;
+        }
         if !req.route.is_search() {
             if open == 0 {
                 self.answer_single(now, key);
@@ -352,7 +375,9 @@
     /// run, and reports an unknown outcome otherwise.
     fn fail(&mut self, now: Timestamp, key: ReqKey, kind: ErrorKind) {
         let req = &self.reqs[key];
-        if req.not_run() {
+        if req.not_run() && req.given_up {
+            self.refuse_given_up(now, key);
+        } else if req.not_run() {
             let available_in = self.available_in(now, key);
             let available_in = available_in.max(Millis::from(self.reqs[key].retry_after));
             let (kind, retry_after) = match kind {
@@ -364,6 +389,7 @@
             let refusal = Refusal {
                 kind: ErrorKind::OutcomeUnknown,
                 retry_after: None,
+                suspected: req.given_up,
             };
             self.finish(now, key, Some(Answer::Refused(refusal)), Verdict::Failed);
         }
@@ -376,7 +402,11 @@
         kind: ErrorKind,
         retry_after: Option<Millis>,
     ) {
-        let refusal = Refusal { kind, retry_after };
+        let refusal = Refusal {
+            kind,
+            retry_after,
+            suspected: kind == ErrorKind::Quarantined,
+        };
         self.finish(now, key, Some(Answer::Refused(refusal)), Verdict::Refused);
     }
 
@@ -392,6 +422,7 @@
         let Some(req) = self.reqs.remove(key) else {
             return;
         };
+        self.keep_innocence(&req);
         let missing_reason = |part: &Part| {
             let reason = match &part.state {
                 PartState::Done(_) => return None,
@@ -399,6 +430,7 @@
                 PartState::Missing(reason) => reason,
                 PartState::Waiting => "not_sent",
                 PartState::Sent => "late",
+                PartState::Held => "held",
             };
             let service = &self.services[part.service];
             let known = service.servers.len();
--- /dev/null
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -0,0 +1,550 @@
+//! Requests that are suspected of ending the servers that run them.
+//!
+//! A connection that ends during a call may be that of a server that was ended by the request,
+//! that failed by itself, or that runs and has closed one connection. A new connection tells
+//! whether the server runs. Until then, and as long as no other server has answered, the request
+//! is sent to no further server. An answer of any server clears it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jasminepond_quarantine::{Admission, Change, Fingerprint, Message, Report, State};
+use jasminepond_ratelimit::ProcessId;
+use jasminepond_types::{ErrorKind, Millis, Timestamp};
+
+use super::{ConnState, Forwarder, RETRY_AFTER_DEFAULT};
+use crate::{
+    message::{Action, CallKey, EvidenceSource, Reply, ReqKey, RetryAfter},
+    request::{Delegated, Part, PartState, Req, Trial},
+    server::ServerKey,
+    timers::Timer,
+};
+
+/// Time after which a server whose connections ended counts as running if it is still not known
+/// whether it does. Longer than an attempt to connect takes.
+const CUT_MEMORY: Duration = Duration::from_secs(1);
+
+/// Longest time by which the answer to a request without success is delayed until it is known
+/// whether its servers have ended. Covers a round trip to another region. The caller may come
+/// back at once, and other daemons should know by then.
+const VERDICT_WAIT: Duration = Duration::from_millis(20);
+
+/// Number of servers that must remain for a service when one of them gets a trial.
+const SPARE_SERVERS: usize = 1;
+
+/// Share of the parts of a request whose servers have ended from which its calls in progress are
+/// aborted. With fewer, an answer that shows its innocence may be on its way.
+const ABORT_SHARE: f64 = 0.5;
+
+/// Smallest number of ended servers from which calls in progress are aborted.
+const ABORT_ENDS: u32 = 3;
+
+/// Reason for a missing part of a request that was given up.
+const SUSPECTED: &str = "suspected";
+
+/// A call whose connection ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CutCall {
+    server: ServerKey,
+    process: ProcessId,
+    fingerprint: Fingerprint,
+    req: ReqKey,
+    in_trial: bool,
+    at: Timestamp,
+    /// Whether the server refuses new connections.
+    refused: bool,
+}
+
+/// What to do with a request that is sent to no further server.
+enum NextStep {
+    /// Its calls in progress, or whether servers run, decide.
+    Wait,
+    /// Send its parts as usual.
+    Resume,
+    /// Send this part only.
+    Try(usize),
+    /// Answer the caller without success.
+    GiveUp,
+}
+
+impl Forwarder {
+    /// Refuses a request that is held, and arranges a trial of one that is suspected.
+    pub(super) fn refuse_suspect(&mut self, now: Timestamp, key: ReqKey) -> bool {
+        let req = &self.reqs[key];
+        if self.quarantine.is_empty() || req.admitted {
+            return false;
+        }
+        let fingerprint = req.fingerprint;
+        let retry_in = match self.quarantine.admission(now, fingerprint) {
+            Admission::Free => return false,
+            Admission::Trial => match self.trial_part(now, key) {
+                Some(part) => {
+                    self.begin_trial(now, key, part);
+                    return false;
+                }
+                None => RETRY_AFTER_DEFAULT,
+            },
+            Admission::Held { retry_in } => retry_in,
+        };
+        self.quarantine.refused(fingerprint);
+        self.reqs[key].given_up = true;
+        let retry_after = Some(Millis::from(retry_in));
+        self.refuse(now, key, ErrorKind::Quarantined, retry_after);
+        true
+    }
+
+    /// Refuses a request that was given up without having run.
+    pub(super) fn refuse_given_up(&mut self, now: Timestamp, key: ReqKey) {
+        let req = &self.reqs[key];
+        let retry_in = match self.quarantine.admission(now, req.fingerprint) {
+            Admission::Held { retry_in } => retry_in,
+            Admission::Free | Admission::Trial => RETRY_AFTER_DEFAULT,
+        };
+        let retry_after = Some(Millis::from(retry_in.max(req.retry_after)));
+        self.refuse(now, key, ErrorKind::Quarantined, retry_after);
+    }
+
+    /// Part of a request for a trial: one whose service has the most usable servers, and has
+    /// others left if this one ends.
+    fn trial_part(&mut self, now: Timestamp, key: ReqKey) -> Option<usize> {
+        let req = &self.reqs[key];
+        let sendable = |part: &Part| {
+            part.is_open()
+                && (part.runs == 0 || req.route.may_repeat() && part.runs < req.max_attempts)
+        };
+        let usable = |(index, part): (usize, &Part)| {
+            let servers = &self.services[part.service].servers;
+            // A server that has received the request may still end.
+            let untried = servers.iter().filter(|key| !part.tried.contains(key));
+            let usable = untried
+                .filter(|key| self.servers[**key].standing(now, &self.settings).is_some())
+                .count();
+            let needed = (SPARE_SERVERS + 1).min(servers.len()).max(1);
+            (usable >= needed).then_some((usable, index))
+        };
+        let parts = req.parts.iter().enumerate();
+        let parts = parts.filter(|(_, part)| sendable(part));
+        let (local, delegated): (Vec<_>, Vec<_>) =
+            parts.partition(|(_, part)| part.delegated.is_none());
+        // The first one of equals.
+        let best = local.into_iter().filter_map(usable);
+        let best = best.max_by_key(|(usable, index)| (*usable, std::cmp::Reverse(*index)));
+        if let Some((_, index)) = best {
+            return Some(index);
+        }
+        let unsent = delegated
+            .into_iter()
+            .find(|(_, part)| part.delegations == 0);
+        let index = unsent.map(|(index, _)| index)?;
+        Some(self.split_off_shard(key, index))
+    }
+
+    /// Divides a delegated part of a search that was not sent, so that one part has one shard.
+    /// Returns its index.
+    fn split_off_shard(&mut self, key: ReqKey, index: usize) -> usize {
+        let parts = &mut self.reqs[key].parts;
+        let part = &mut parts[index];
+        let service = part.service;
+        match &part.delegated {
+            Some(Delegated::Shards(shards)) if shards.len() > 1 => {
+                let (first, rest) = (shards[0], shards[1..].into());
+                *part = Part::delegated(service, rest);
+                parts.push(Part::delegated(service, [first].into()));
+                parts.len() - 1
+            }
+            _ => index,
+        }
+    }
+
+    fn begin_trial(&mut self, now: Timestamp, key: ReqKey, part: usize) {
+        let req = &mut self.reqs[key];
+        (req.cut, req.ended) = (0, 0);
+        req.trial = Some(Trial {
+            part,
+            runs_before: req.parts[part].runs,
+        });
+        let change = self.quarantine.begin_trial(now, req.fingerprint);
+        self.on_suspect_change(now, change, EvidenceSource::Own);
+    }
+
+    /// Handles the end of a connection during a call, before the call is settled.
+    pub(super) fn observe_cut_call(&mut self, now: Timestamp, key: CallKey) {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        let (req, key) = (call.req, call.server);
+        let answered = self.reqs.get(req).is_some_and(|req| req.answered);
+        // A server that stops as announced closes its connections at the end.
+        let stopping = |key: ServerKey| self.servers[key].leaving_since.is_some();
+        if call.delegated || call.innocent || answered || !self.is_known(key) || stopping(key) {
+            return;
+        }
+        self.cut_calls.push(CutCall {
+            server: key,
+            process: self.servers[key].process,
+            fingerprint: call.fingerprint,
+            req,
+            in_trial: call.in_trial,
+            at: now,
+            refused: false,
+        });
+        self.timers.set(now + CUT_MEMORY, Timer::Cut);
+        self.timers.set(now + VERDICT_WAIT, Timer::Verdict(req));
+        if let Some(req) = self.reqs.get_mut(req) {
+            req.cut += 1;
+            let waiting = req.parts.iter_mut();
+            for part in waiting.filter(|part| matches!(part.state, PartState::Waiting)) {
+                part.state = PartState::Held;
+            }
+        }
+        let probed = self.servers[key].conns.iter().any(|conn| {
+            let conn = &self.conns[*conn];
+            conn.state == ConnState::Opening && conn.opened >= now
+        });
+        if !probed {
+            self.start_connection(now, key);
+        }
+    }
+
+    /// Handles that a server accepts a connection that was begun at `since`, or does not refuse
+    /// it: the calls whose connections ended before say nothing about their requests.
+    pub(super) fn on_server_runs(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
+        self.settle_cut_calls(now, |cut| {
+            cut.server == key && cut.at <= since && !cut.refused
+        });
+    }
+
+    /// Whether the answer to a request waits for whether its servers have ended.
+    pub(super) fn awaits_verdict(&self, now: Timestamp, req: &Req) -> bool {
+        let is_recent =
+            |cut: &CutCall| cut.fingerprint == req.fingerprint && now.since(cut.at) < VERDICT_WAIT;
+        let waits = !req.answered && req.cut > req.ended && now < req.deadline;
+        waits && self.cut_calls.iter().any(is_recent)
+    }
+
+    /// Gives up waiting for whether servers have ended.
+    pub(super) fn expire_cut_calls(&mut self, now: Timestamp) {
+        self.settle_cut_calls(now, |cut| now.since(cut.at) >= CUT_MEMORY);
+    }
+
+    fn settle_cut_calls(&mut self, now: Timestamp, settled: impl Fn(&CutCall) -> bool) {
+        let (settled, rest) = self.cut_calls.iter().copied().partition(settled);
+        self.cut_calls = rest;
+        let settled: Vec<CutCall> = settled;
+        for cut in settled {
+            if let Some(req) = self.reqs.get_mut(cut.req) {
+                req.cut = req.cut.saturating_sub(1);
+                match req.is_restrained() {
+                    true => self.review_request(now, cut.req),
+                    false => {
+                        self.resume(now, cut.req);
+                        self.settle(now, cut.req);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Handles that a server refuses a connection that was begun at `since`.
+    pub(super) fn on_server_refuses(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
+        for cut in &mut self.cut_calls {
+            cut.refused |= cut.server == key && cut.at <= since;
+        }
+        self.confirm_ended_servers(now);
+    }
+
+    /// Records the servers that have ended, once another server shows that it is not this daemon
+    /// that has lost its links.
+    pub(super) fn confirm_ended_servers(&mut self, now: Timestamp) {
+        if self.cut_calls.is_empty() {
+            return;
+        }
+        let confirmed = |cut: &CutCall| cut.refused && self.reaches_servers_since(cut.at);
+        let (confirmed, rest): (Vec<_>, Vec<_>) =
+            self.cut_calls.iter().partition(|cut| confirmed(cut));
+        self.cut_calls = rest;
+        for cut in confirmed {
+            if let Some(req) = self.reqs.get_mut(cut.req) {
+                req.ended += 1;
+            }
+            let process = cut.process.hash();
+            let change = self
+                .quarantine
+                .server_ended(now, cut.fingerprint, process, cut.in_trial);
+            self.on_suspect_change(now, change, EvidenceSource::Own);
+            self.review_request(now, cut.req);
+        }
+    }
+
+    /// Whether a server has responded after `at`, or connections that were open then still are.
+    fn reaches_servers_since(&self, at: Timestamp) -> bool {
+        let survives = |conn: &super::Conn| {
+            let is_open = conn.state != ConnState::Opening && conn.opened < at;
+            is_open && self.is_backend(&self.servers[conn.server])
+        };
+        !self.contact.is_lost()
+            && (self.contact.heard_since(at) || self.conns.values().any(survives))
+    }
+
+    /// Forgets the connections that ended, because this daemon has lost its links.
+    pub(super) fn forget_cut_calls(&mut self) {
+        for cut in std::mem::take(&mut self.cut_calls) {
+            if let Some(req) = self.reqs.get_mut(cut.req) {
+                (req.cut, req.ended) = (0, 0);
+            }
+        }
+    }
+
+    /// Handles the answer of a server to a part.
+    pub(super) fn on_part_answered(&mut self, now: Timestamp, key: ReqKey) {
+        let req = &mut self.reqs[key];
+        let restrained = req.is_restrained();
+        req.admitted |= restrained;
+        req.answered = true;
+        (req.cut, req.ended) = (0, 0);
+        let fingerprint = req.fingerprint;
+        self.cut_calls.retain(|cut| cut.req != key);
+        let change = self.quarantine.answered(now, fingerprint);
+        self.on_suspect_change(now, change, EvidenceSource::Own);
+        if restrained {
+            self.resume(now, key);
+        }
+    }
+
+    /// Keeps in the calls of a request that ends whether it was answered.
+    pub(super) fn keep_innocence(&mut self, req: &Req) {
+        for call in req.parts.iter().flat_map(|part| &part.calls) {
+            if let Some(call) = self.calls.get_mut(*call) {
+                call.innocent = req.answered;
+            }
+        }
+    }
+
+    /// Sends the parts of a request that were held.
+    fn resume(&mut self, now: Timestamp, key: ReqKey) {
+        for index in 0..self.reqs[key].parts.len() {
+            let part = &self.reqs[key].parts[index];
+            if !matches!(part.state, PartState::Held) {
+                continue;
+            }
+            match (&part.delegated, part.sends) {
+                (_, 0) => self.place(now, key, index),
+                (Some(_), _) => self.retry_delegated(now, key, index),
+                (None, _) => self.retry_part(now, key, index, "connection_lost"),
+            }
+        }
+    }
+
+    /// Decides about a request that is sent to no further server.
+    pub(super) fn review_request(&mut self, now: Timestamp, key: ReqKey) {
+        let next_step = match self.reqs.get(key) {
+            Some(req) if req.is_restrained() => self.next_step(now, key),
+            _ => return,
+        };
+        match next_step {
+            NextStep::Wait => {}
+            NextStep::Resume => {
+                let req = &mut self.reqs[key];
+                (req.cut, req.ended) = (0, 0);
+                self.resume(now, key);
+            }
+            NextStep::Try(part) => {
+                self.begin_trial(now, key, part);
+                if self.take_token(now, key, part) {
+                    self.place(now, key, part);
+                }
+            }
+            NextStep::GiveUp => self.give_up(now, key),
+        }
+        self.settle(now, key);
+    }
+
+    fn next_step(&mut self, now: Timestamp, key: ReqKey) -> NextStep {
+        if self.reqs[key].has_ended_most() {
+            self.abort_calls(now, key);
+        }
+        let req = &self.reqs[key];
+        let in_progress = |part: &Part| matches!(part.state, PartState::Waiting | PartState::Sent);
+        if req.cut > req.ended || req.parts.iter().any(in_progress) {
+            return NextStep::Wait;
+        }
+        if req.trial.is_some() {
+            return NextStep::GiveUp;
+        }
+        match self.quarantine.admission(now, req.fingerprint) {
+            Admission::Free => NextStep::Resume,
+            // The daemon that was asked first may know of answers to other parts.
+            Admission::Trial if req.from_peer => NextStep::GiveUp,
+            Admission::Trial => match self.trial_part(now, key) {
+                Some(part) => NextStep::Try(part),
+                None => NextStep::GiveUp,
+            },
+            Admission::Held { .. } => NextStep::GiveUp,
+        }
+    }
+
+    fn give_up(&mut self, now: Timestamp, key: ReqKey) {
+        self.abort_calls(now, key);
+        let req = &mut self.reqs[key];
+        req.given_up = true;
+        self.quarantine.refused(req.fingerprint);
+        for index in 0..self.reqs[key].parts.len() {
+            self.mark_missing(key, index, SUSPECTED);
+        }
+    }
+
+    /// Aborts the calls of a request, so that servers which have not ended yet stop their work.
+    pub(super) fn abort_calls(&mut self, now: Timestamp, key: ReqKey) {
+        let parts = &self.reqs[key].parts;
+        let calls: Vec<_> = parts.iter().flat_map(|part| part.calls.clone()).collect();
+        for call in calls {
+            let Some(call) = self.take_call(call) else {
+                continue;
+            };
+            self.close_conn(call.conn);
+            let part = &mut self.reqs[key].parts[call.part];
+            if part.is_open() {
+                part.state = PartState::Held;
+            }
+            if self.is_known(call.server) {
+                self.preconnect(now, call.server);
+            }
+        }
+    }
+
+    /// Handles what has changed about a request: aborts its calls if it is held.
+    fn on_suspect_change(
+        &mut self,
+        now: Timestamp,
+        change: Option<Change>,
+        source: EvidenceSource,
+    ) {
+        if let Some(change) = change {
+            if change.from.max(change.to) >= State::Suspected {
+                self.actions
+                    .push_back(Action::LogSuspect { change, source });
+            }
+            self.stop_suspect(now, change);
+        }
+        self.tell_others(now);
+    }
+
+    /// Aborts the calls in progress of a request that is held and that no server has answered.
+    fn stop_suspect(&mut self, now: Timestamp, change: Change) {
+        if change.to != State::Held {
+            return;
+        }
+        let stopped =
+            |req: &Req| req.fingerprint == change.fingerprint && !req.answered && !req.in_trial();
+        let reqs = self.reqs.iter().filter(|(_, req)| stopped(req));
+        let reqs: Vec<_> = reqs.map(|(key, _)| key).collect();
+        for key in reqs {
+            self.stop(now, key);
+        }
+    }
+
+    fn stop(&mut self, now: Timestamp, key: ReqKey) {
+        self.abort_calls(now, key);
+        let req = &mut self.reqs[key];
+        // A request that was stopped because of other daemons has ended no server itself.
+        if req.cut == 0 {
+            (req.cut, req.ended) = (1, 1);
+        }
+        let may_repeat = req.route.may_repeat();
+        for index in 0..req.parts.len() {
+            let part = &mut self.reqs[key].parts[index];
+            if matches!(part.state, PartState::Waiting) {
+                part.state = PartState::Held;
+            }
+            if !may_repeat && part.runs > 0 {
+                self.mark_missing(key, index, SUSPECTED);
+            }
+        }
+        self.review_request(now, key);
+    }
+
+    /// Handles that another daemon presumes of a part that it ends servers.
+    pub(super) fn on_peer_suspects(
+        &mut self,
+        now: Timestamp,
+        key: ReqKey,
+        index: usize,
+        reply: &Reply,
+    ) {
+        let req = &mut self.reqs[key];
+        if let Some(RetryAfter::Wait(wait)) = reply.retry_after {
+            req.retry_after = req.retry_after.max(wait);
+        }
+        if req.answered {
+            req.admitted = true;
+            return self.retry_delegated(now, key, index);
+        }
+        req.cut += 1;
+        req.ended += 1;
+        req.parts[index].state = PartState::Held;
+    }
+
+    /// Sends the messages about suspected requests that are due.
+    pub(super) fn tell_others(&mut self, now: Timestamp) {
+        if self.quarantine_tick.is_some_and(|at| at <= now) {
+            self.quarantine_tick = None;
+        }
+        if self.quarantine.next_tick().is_some_and(|at| at <= now) {
+            for (to, message) in self.quarantine.tick(now) {
+                self.actions.push_back(Action::SendEvidence { to, message });
+            }
+        }
+        if let Some(next) = self.quarantine.next_tick()
+            && self.quarantine_tick.is_none_or(|at| next < at)
+        {
+            self.quarantine_tick = Some(next);
+            self.timers.set(next, Timer::Quarantine);
+        }
+    }
+
+    /// Passes the running daemons on to the quarantine.
+    pub(super) fn set_quarantine_peers(&mut self) {
+        let running = self.peers.iter().filter(|peer| peer.running);
+        let peers = running.map(|peer| peer.address).collect();
+        self.quarantine.set_peers(peers);
+    }
+
+    /// Handles a message about suspected requests from another daemon.
+    pub fn receive_evidence(&mut self, now: Timestamp, from: SocketAddr, message: &Message) {
+        for change in self.quarantine.receive(now, from, message) {
+            self.on_suspect_change(now, Some(change), EvidenceSource::Peer(from));
+        }
+        self.tell_others(now);
+    }
+
+    /// The requests that are suspected of ending servers, for operators.
+    pub fn suspect_reports(&self, now: Timestamp) -> Vec<Report> {
+        self.quarantine.reports(now)
+    }
+
+    /// Numbers of requests that are suspected, and of those that are held.
+    pub fn suspect_counts(&self, now: Timestamp) -> (usize, usize) {
+        let count = |state| self.quarantine.count(now, state);
+        (count(State::Suspected), count(State::Held))
+    }
+
+    /// Lets a suspected request be sent again, at all daemons. Returns whether it was known.
+    pub fn release_request(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+        let change = self.quarantine.release(now, fingerprint);
+        self.on_suspect_change(now, change, EvidenceSource::Operator);
+        change.is_some()
+    }
+
+    /// Holds a request at all daemons.
+    pub fn forbid_request(&mut self, now: Timestamp, fingerprint: Fingerprint) {
+        let change = self.quarantine.forbid(now, fingerprint);
+        self.on_suspect_change(now, change, EvidenceSource::Operator);
+    }
+}
+
+impl Req {
+    /// Whether so many servers have ended that no answer is expected of the others.
+    fn has_ended_most(&self) -> bool {
+        let sent = self.parts.iter().filter(|part| part.sends > 0).count();
+        self.ended >= ABORT_ENDS && f64::from(self.ended) >= ABORT_SHARE * sent as f64
+    }
+}
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -27,9 +27,9 @@
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, merge_top_k};
 pub use message::{
-    Action, Answer, Arrival, Backend, BackendState, CallKey, ConnKey, DelegatedPart, Exchange,
-    LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter, Scope, ServerEvent,
-    StatedLimit, Summary, Verdict,
+    Action, Answer, Arrival, Backend, BackendState, CallKey, ConnKey, DelegatedPart,
+    EvidenceSource, Exchange, LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter,
+    Scope, ServerEvent, StatedLimit, Summary, Verdict,
 };
 pub use report::{CallReport, RouteReport, ServerReport};
 pub use request::ActiveRoute;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -1,9 +1,11 @@
 //! Inputs and outputs of the forwarder.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, str::FromStr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, fmt, net::SocketAddr, rc::Rc, str::FromStr, sync::Arc, time::Duration,
+};
 
 use bytes::Bytes;
-use jasminepond_quarantine::Fingerprint;
+use jasminepond_quarantine::{Change, Fingerprint};
 use jasminepond_ratelimit::RateLimit;
 use jasminepond_routes::{ReleaseVersion, ServiceName};
 use jasminepond_types::{ErrorKind, Millis};
@@ -57,6 +59,9 @@
     /// Maximum number of servers to which each part may be sent, if that is fewer than the
     /// route allows.
     pub max_attempts: u32,
+    /// Whether the asking daemon has checked that the request may be sent although it is
+    /// suspected of ending servers.
+    pub admitted: bool,
 }
 
 /// State of a backend server according to its entry.
@@ -152,6 +157,8 @@
     pub release: ReleaseVersion,
     /// Id of the server whose response it forwards.
     pub server: Option<Arc<str>>,
+    /// Whether it presumes that the request ends the servers that run it.
+    pub suspects: bool,
 }
 
 /// Response of a backend server.
@@ -218,6 +225,8 @@
     pub kind: ErrorKind,
     /// Time after which the caller should retry.
     pub retry_after: Option<Millis>,
+    /// Whether the request is presumed to end the servers that run it.
+    pub suspected: bool,
 }
 
 /// Answer to a caller.
@@ -359,6 +368,27 @@
     pub held_back: u32,
 }
 
+/// Who has observed something about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvidenceSource {
+    /// This daemon.
+    Own,
+    /// Another daemon.
+    Peer(SocketAddr),
+    /// An operator.
+    Operator,
+}
+
+impl fmt::Display for EvidenceSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Own => f.write_str("own"),
+            Self::Peer(address) => address.fmt(f),
+            Self::Operator => f.write_str("operator"),
+        }
+    }
+}
+
 /// An action for the caller of the forwarder to carry out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -396,6 +426,20 @@
         /// The datagram.
         message: jasminepond_ratelimit::Message,
     },
+    /// Send a datagram about suspected requests to another daemon.
+    SendEvidence {
+        /// Address of the other daemon.
+        to: SocketAddr,
+        /// The datagram.
+        message: jasminepond_quarantine::Message,
+    },
+    /// Log what is presumed of a request.
+    LogSuspect {
+        /// What has changed.
+        change: Change,
+        /// Who has observed it.
+        source: EvidenceSource,
+    },
     /// Log a change in the state of a backend server.
     LogServerEvent {
         /// Id of the server.
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -123,6 +123,8 @@
     Waiting,
     /// Sent; at least one call is in progress.
     Sent,
+    /// Not sent while the request is suspected of ending servers.
+    Held,
     /// Answered successfully.
     Done(Reply),
     /// Failed for this reason.
@@ -201,10 +203,21 @@
     }
 
     pub(crate) fn is_open(&self) -> bool {
-        matches!(self.state, PartState::Waiting | PartState::Sent)
+        matches!(
+            self.state,
+            PartState::Waiting | PartState::Sent | PartState::Held
+        )
     }
 }
 
+/// The only part of a suspected request that is sent, until it is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Trial {
+    pub(crate) part: usize,
+    /// Number of its sends before that may have run.
+    pub(crate) runs_before: u32,
+}
+
 #[derive(Debug)]
 pub(crate) struct Req {
     pub(crate) route: Rc<ActiveRoute>,
@@ -234,9 +247,38 @@
     pub(crate) repeats: u32,
     pub(crate) over_budget: u32,
     pub(crate) last_server: Option<Arc<str>>,
+    /// Whether a server has answered any part of it.
+    pub(crate) answered: bool,
+    /// Number of calls whose connections ended, while no part is answered. Zero again once the
+    /// servers turn out to run.
+    pub(crate) cut: u32,
+    /// Those of them whose servers have ended.
+    pub(crate) ended: u32,
+    pub(crate) trial: Option<Trial>,
+    /// Whether another daemon has checked that it may be sent although it is suspected.
+    pub(crate) admitted: bool,
+    /// Whether it was given up because it is suspected.
+    pub(crate) given_up: bool,
 }
 
 impl Req {
+    /// Whether it is sent to no further server for now, but for a trial.
+    pub(crate) fn is_restrained(&self) -> bool {
+        !self.answered && (self.cut > 0 || self.trial.is_some())
+    }
+
+    /// Whether a part may be sent now.
+    pub(crate) fn may_send(&self, index: usize) -> bool {
+        let in_trial =
+            |trial: Trial| trial.part == index && self.parts[index].runs == trial.runs_before;
+        !self.is_restrained() || self.trial.is_some_and(in_trial)
+    }
+
+    /// Whether its sends are trials: a single server runs it at a time.
+    pub(crate) fn in_trial(&self) -> bool {
+        !self.answered && (self.trial.is_some() || self.admitted && self.parts.len() == 1)
+    }
+
     /// Whether the request has certainly not run.
     pub(crate) fn not_run(&self) -> bool {
         self.parts.iter().all(|part| part.runs == 0)
--- a/crates/jasminepond-forward/src/settings.rs
+++ b/crates/jasminepond-forward/src/settings.rs
@@ -105,6 +105,8 @@
     /// Time for which a server that rejected a request because its queue was full is
     /// ranked behind others: about the time in which a full queue of 12 requests drains.
     pub rejection_penalty: Duration,
+    /// Settings for requests that end the servers that run them.
+    pub quarantine: jasminepond_quarantine::Settings,
 }
 
 impl Default for ForwardSettings {
@@ -133,6 +135,7 @@
             drain_bound: Duration::from_millis(3_000),
             remote_idle_timeout: Duration::from_millis(1_000),
             rejection_penalty: Duration::from_millis(60),
+            quarantine: jasminepond_quarantine::Settings::default(),
         }
     }
 }
--- a/crates/jasminepond-forward/src/timers.rs
+++ b/crates/jasminepond-forward/src/timers.rs
@@ -36,6 +36,12 @@
     LimitUsage(ServerKey),
     /// Check the contact with backend servers.
     Contact,
+    /// Give up waiting for whether servers have ended whose connections did.
+    Cut,
+    /// Answer a request although that is not known.
+    Verdict(ReqKey),
+    /// Send messages about suspected requests.
+    Quarantine,
 }
 
 #[derive(Debug, Default)]
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -12,10 +12,10 @@
 
 use jasminepond_forward::{
     Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, DelegatedPart,
-    DelegationRequest, Exchange, ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, Scope,
-    StatedLimit, Summary,
+    DelegationRequest, Exchange, ForwardSettings, Forwarder, LostCall, Peer, PeerReply, Reply,
+    ReqKey, Scope, StatedLimit, Summary,
 };
-use jasminepond_quarantine::Fingerprint;
+use jasminepond_quarantine::{Fingerprint, Message as Evidence};
 use jasminepond_ratelimit::{Message, RateLimit};
 use jasminepond_routes::{Release, ReleaseVersion, Route, ServiceSpec};
 use jasminepond_types::{Millis, RunStatus, Timestamp};
@@ -155,6 +155,7 @@
     ServerStarts(usize),
     Reaches(usize, bool),
     Datagram(SocketAddr, Message),
+    Evidence(SocketAddr, Evidence),
     View(usize, bool),
     Start,
 }
@@ -518,7 +519,11 @@
         }
         let for_any_process = matches!(
             event,
-            Event::Datagram(..) | Event::View(..) | Event::Reaches(..) | Event::Delegated(..)
+            Event::Datagram(..)
+                | Event::Evidence(..)
+                | Event::View(..)
+                | Event::Reaches(..)
+                | Event::Delegated(..)
         );
         let ended = starts != self.daemons[daemon].starts && !for_any_process;
         if ended || self.daemons[daemon].down {
@@ -562,6 +567,12 @@
                     forwarder.receive_limit_message(now, from, message);
                 }
             }
+            Event::Evidence(from, message) => {
+                if now >= self.daemons[daemon].cut_until {
+                    let forwarder = &mut self.daemons[daemon].forwarder;
+                    forwarder.receive_evidence(now, from, &message);
+                }
+            }
             Event::View(other, running) => {
                 self.daemons[daemon].view[other] = running;
                 self.apply_view(daemon);
@@ -642,7 +653,17 @@
                         self.push_event(after, other, Event::Reaches(daemon, reaches));
                     }
                 }
-                Action::LogServerEvent { .. } | Action::LogGroups { .. } => {}
+                Action::SendEvidence { to, message } => {
+                    let lost = self.rng.random_bool(self.loss);
+                    if !lost && self.now >= self.daemons[daemon].cut_until {
+                        let other = usize::from(to.port() - 20_000);
+                        let event = Event::Evidence(daemon_address(daemon), message);
+                        self.push_event(LATENCY, other, event);
+                    }
+                }
+                Action::LogServerEvent { .. }
+                | Action::LogSuspect { .. }
+                | Action::LogGroups { .. } => {}
             }
         }
     }
@@ -757,6 +778,7 @@
                     min_shards: delegation.min_shards,
                     repeat: delegation.repeat,
                     max_attempts: delegation.max_attempts,
+                    admitted: delegation.admitted,
                 };
                 let origin = (daemon, self.daemons[daemon].starts, conn);
                 let event = Event::Delegated(origin, number, path, left.duration(), part);
@@ -835,6 +857,10 @@
             Reply {
                 stamp: None,
                 not_run,
+                peer: refusal.suspected.then(|| PeerReply {
+                    suspects: true,
+                    ..PeerReply::default()
+                }),
                 ..reply(if not_run { 503 } else { 502 }, "")
             }
         }
--- a/crates/jasminepond-forward/tests/delegation.rs
+++ b/crates/jasminepond-forward/tests/delegation.rs
@@ -147,6 +147,7 @@
         max_attempts: u32::MAX,
         answer_within: 60 * MS,
         repeat: false,
+        admitted: false,
     });
     let arrival = Arrival {
         route,
--- a/crates/jasminepond-forward/tests/drain_and_retry_after.rs
+++ b/crates/jasminepond-forward/tests/drain_and_retry_after.rs
@@ -217,6 +217,7 @@
     let Some(Answer::Refused(Refusal {
         kind: ErrorKind::NoBackend,
         retry_after: Some(Millis(wait)),
+        ..
     })) = last.answer
     else {
         panic!("{last:?}");
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -483,6 +483,8 @@
                 Action::Open { conn, address } => self.open(conn, address),
                 Action::ContactChanged(event) => self.contact.push((self.now, event)),
                 Action::SendDatagram { .. }
+                | Action::SendEvidence { .. }
+                | Action::LogSuspect { .. }
                 | Action::LogServerEvent { .. }
                 | Action::LogGroups { .. } => {}
                 Action::Close { conn } => {
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -172,7 +172,13 @@
             missing,
             body,
         }) => merged_response(hub, &stamps, missing, body),
-        Ok(Answer::Refused(refusal)) => refusal_response(refusal),
+        Ok(Answer::Refused(refusal)) => {
+            let mut res = refusal_response(refusal);
+            if from_peer && refusal.suspected {
+                insert_header(&mut res, peers::SUSPECTED, "1");
+            }
+            res
+        }
         Err(_) => {
             let message = "the request was dropped";
             error_response(ErrorKind::Internal, message, None)
@@ -235,6 +241,7 @@
     let message = match refusal.kind {
         ErrorKind::NoBackend => "too few backend servers can be reached",
         ErrorKind::Overloaded => "no backend server had room in time",
+        ErrorKind::Quarantined => "backend servers ended while they ran this request",
         _ => "the request was sent and has no usable response",
     };
     error_with_kind(refusal.kind, message, refusal.retry_after)
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
+use jasminepond_quarantine::{Fingerprint, Report};
 use jasminepond_ratelimit::LimitReport;
 use jasminepond_routes::CallerLimits;
 use jasminepond_types::ErrorKind;
@@ -273,6 +274,8 @@
                 "limit": server.limit.map(limit_status),
             })
         };
+        let suspects = forwarder.suspect_reports(now).into_iter();
+        let suspects = suspects.map(suspect_status);
         let routes = forwarder.route_reports().into_iter().map(route);
         let servers = forwarder.server_reports(now).into_iter().map(server);
         json!({
@@ -286,11 +289,69 @@
             "connections": status.connections,
             "waiting": status.waiting,
             "routes": routes.collect::<Vec<_>>(),
+            "suspects": suspects.collect::<Vec<_>>(),
             "backend_servers": servers.collect::<Vec<_>>(),
         })
     })
 }
 
+/// What an operator orders about a request that ends servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SuspectOrder {
+    /// It may be sent again.
+    Release,
+    /// It must not be sent.
+    Forbid,
+}
+
+impl SuspectOrder {
+    fn from_path(path: &str) -> Option<Self> {
+        match path {
+            "/suspects/release" => Some(Self::Release),
+            "/suspects/forbid" => Some(Self::Forbid),
+            _ => None,
+        }
+    }
+}
+
+/// Carries out an order about the request whose fingerprint is the body.
+fn carry_out(hub: &Rc<Hub>, order: SuspectOrder, body: &[u8]) -> BufferedResponse {
+    let text = String::from_utf8_lossy(body);
+    let fingerprint: Fingerprint = match text.trim().parse() {
+        Ok(fingerprint) => fingerprint,
+        Err(err) => return error_response(ErrorKind::BadRequest, &format!("{err}"), None),
+    };
+    let known = hub.change(|forwarder, now| match order {
+        SuspectOrder::Release => forwarder.release_request(now, fingerprint),
+        SuspectOrder::Forbid => {
+            forwarder.forbid_request(now, fingerprint);
+            true
+        }
+    });
+    match known {
+        true => json_response(StatusCode::OK, &json!({ "fingerprint": text.trim() })),
+        false => {
+            let message = "no server ended while it ran a request with this fingerprint";
+            error_response(ErrorKind::NotFound, message, None)
+        }
+    }
+}
+
+fn suspect_status(suspect: Report) -> serde_json::Value {
+    let millis = |time: Duration| time.as_millis() as u64;
+    json!({
+        "fingerprint": suspect.fingerprint.to_string(),
+        "state": suspect.state.as_str(),
+        "servers_ended": suspect.ends,
+        "known_ms": millis(suspect.age),
+        "last_end_ms": millis(suspect.ended_age),
+        "failed_trials": suspect.failed_trials,
+        "retry_ms": millis(suspect.retry_in),
+        "refused": suspect.refused,
+        "forbidden": suspect.forbidden,
+    })
+}
+
 /// Handles HTTP requests of operators.
 struct OperatorHandler {
     hub: Rc<Hub>,
@@ -301,14 +362,24 @@
         let hub = self.hub.clone();
         async move {
             let path = req.head.uri.path();
-            if req.head.method != Method::GET {
-                let message = format!("{path} takes GET");
+            let order = SuspectOrder::from_path(path);
+            let method = match order {
+                Some(_) => Method::POST,
+                None => Method::GET,
+            };
+            if req.head.method != method {
+                let message = format!("{path} takes {method}");
                 return error_response(ErrorKind::MethodNotAllowed, &message, None);
             }
-            let status = hub.read(|forwarder| forwarder.status());
+            if let Some(order) = order {
+                return carry_out(&hub, order, &req.body);
+            }
             match path {
                 "/metrics" => {
-                    let text = hub.metrics().render(status);
+                    let now = hub.clock().now();
+                    let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
+                    let (status, suspects) = hub.read(read);
+                    let text = hub.metrics().render(status, suspects);
                     text_response(StatusCode::OK, METRICS_MEDIA_TYPE, text)
                 }
                 "/status" => json_response(StatusCode::OK, &status_page(&hub)),
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -14,9 +14,9 @@
 use jasminepond_daemon::clock::Clock;
 use jasminepond_forward::{
     Action, ActiveRoute, Answer, Arrival, ConnKey, ContactEvent, DelegatedPart, DelegationRequest,
-    Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
+    EvidenceSource, Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
 };
-use jasminepond_quarantine::Fingerprint;
+use jasminepond_quarantine::{Change, Fingerprint, State};
 use jasminepond_types::{Millis, Timestamp};
 use slotmap::SecondaryMap;
 use spdlog::{info, warn};
@@ -303,6 +303,8 @@
                 ..
             } => self.send(conn, req, &server, left, delegation),
             Action::SendDatagram { to, message } => self.send_datagram(to, message.encode()),
+            Action::SendEvidence { to, message } => self.send_datagram(to, message.encode()),
+            Action::LogSuspect { change, source } => self.log_suspect(change, source),
             Action::LogServerEvent { server, event } => log_server_event(&server, event),
             Action::ContactChanged(event) => self.on_contact_changed(event),
             Action::LogGroups { own, groups } => {
@@ -395,6 +397,20 @@
         }
     }
 
+    fn log_suspect(&self, change: Change, source: EvidenceSource) {
+        if change.to == State::Held {
+            self.metrics.request_held();
+        }
+        warn!("gateway: a request is presumed to end backend servers", kv: {
+            fingerprint: = change.fingerprint,
+            from = change.from.as_str(),
+            to = change.to.as_str(),
+            ended = change.ends,
+            retry_ms = change.retry_in.as_millis() as u64,
+            source: = source,
+        });
+    }
+
     fn log_answer(&self, id: &[u8], answer: Option<&Answer>, summary: &Summary) {
         let refusal = match answer {
             Some(Answer::Refused(refusal)) => refusal.kind.as_str(),
--- a/crates/jasminepond-gateway/src/members.rs
+++ b/crates/jasminepond-gateway/src/members.rs
@@ -17,6 +17,7 @@
 use jasminepond_daemon::{clock::Clock, stop::Stop};
 use jasminepond_forward::{Cluster, Peer};
 use jasminepond_membership::{LocalMember, Membership, Message, Output, Settings};
+use jasminepond_quarantine::Message as Evidence;
 use jasminepond_ratelimit::Message as LimitMessage;
 use jasminepond_types::{InstanceId, Timestamp};
 use spdlog::{debug, info};
@@ -209,6 +210,9 @@
         if LimitMessage::is_encoded(bytes) {
             return self.receive_limit(from, bytes);
         }
+        if Evidence::is_encoded(bytes) {
+            return self.receive_evidence(from, bytes);
+        }
         match Message::decode(bytes) {
             Ok(message) => {
                 let outputs = self.membership.receive(now, from, message);
@@ -227,6 +231,15 @@
         }
     }
 
+    fn receive_evidence(&self, from: SocketAddr, bytes: &[u8]) {
+        match Evidence::decode(bytes) {
+            Ok(message) => self
+                .hub
+                .change(|forwarder, now| forwarder.receive_evidence(now, from, &message)),
+            Err(err) => debug!("suspects: datagram refused", kv: { from:, error: = err }),
+        }
+    }
+
     async fn perform(&mut self, outputs: Vec<Output>) {
         for output in outputs {
             match output {
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -52,6 +52,9 @@
     relayed: Counter,
     received: Counter,
     limited: Counter,
+    holds: Counter,
+    suspected: Gauge,
+    held: Gauge,
     store_down: Cell<bool>,
 }
 
@@ -81,6 +84,9 @@
             relayed: Counter::default(),
             received: Counter::default(),
             limited: Counter::default(),
+            holds: Counter::default(),
+            suspected: Gauge::default(),
+            held: Gauge::default(),
             store_down: Cell::new(false),
         };
         let mut registry = Registry::with_prefix("jasminepond_gateway");
@@ -147,6 +153,11 @@
                 "Requests and parts of searches received from other daemons",
                 &self.received,
             ),
+            (
+                "holds",
+                "Times at which a request was held because it ended backend servers",
+                &self.holds,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             (
                 "store_failures",
@@ -175,6 +186,16 @@
                 "Backend servers that state a rate limit",
                 &self.servers_limited,
             ),
+            (
+                "requests_suspected",
+                "Distinct requests that are presumed to end backend servers",
+                &self.suspected,
+            ),
+            (
+                "requests_held",
+                "Those of them that are refused for now",
+                &self.held,
+            ),
             (
                 "waiting",
                 "Parts of requests that wait for a connection",
@@ -186,8 +207,11 @@
         }
     }
 
-    /// Returns the metrics in text format, with the current values of `status`.
-    pub fn render(&self, status: Status) -> String {
+    /// Returns the metrics in text format, with the current values of `status` and the numbers
+    /// of suspected and of held requests.
+    pub fn render(&self, status: Status, (suspected, held): (usize, usize)) -> String {
+        self.suspected.set(suspected as i64);
+        self.held.set(held as i64);
         self.servers.set(status.servers as i64);
         self.servers_down.set(status.down as i64);
         self.servers_limited.set(status.limited as i64);
@@ -244,6 +268,11 @@
         self.contact_losses.inc();
     }
 
+    /// Records that a request is held from now on.
+    pub fn request_held(&self) {
+        self.holds.inc();
+    }
+
     /// Records a datagram to another daemon that was dropped.
     pub fn datagram_dropped(&self) {
         self.datagrams_dropped.inc();
--- a/crates/jasminepond-gateway/src/peers.rs
+++ b/crates/jasminepond-gateway/src/peers.rs
@@ -49,6 +49,13 @@
 /// allows.
 pub const MAX_ATTEMPTS: &str = "x-jasminepond-max-attempts";
 
+/// Present if the asking daemon has checked that the request may be sent although it is suspected
+/// of ending servers.
+pub const ADMITTED: &str = "x-jasminepond-admitted";
+
+/// Present in a response without success if the request is presumed to end servers.
+pub const SUSPECTED: &str = "x-jasminepond-suspected";
+
 /// In a request to one server, the oldest release by which it may be routed. In the response,
 /// the release by which it was routed.
 pub const RELEASE: &str = "x-jasminepond-release";
@@ -57,13 +64,15 @@
 pub const SERVER: &str = "x-jasminepond-server";
 
 /// Headers that daemons add to each other's requests and responses.
-pub const HEADERS: [&str; 8] = [
+pub const HEADERS: [&str; 10] = [
     SHARDS,
     SHARD_SET,
     ANSWER_WITHIN_MS,
     MIN_SHARDS,
     REPEAT,
     MAX_ATTEMPTS,
+    ADMITTED,
+    SUSPECTED,
     RELEASE,
     SERVER,
 ];
@@ -107,6 +116,9 @@
     if delegation.max_attempts != u32::MAX {
         header(MAX_ATTEMPTS, &delegation.max_attempts);
     }
+    if delegation.admitted {
+        header(ADMITTED, &1);
+    }
     bytes.extend_from_slice(text.as_bytes());
 }
 
@@ -137,6 +149,7 @@
             min_shards: number(MIN_SHARDS, 1)? as usize,
             repeat: headers.contains_key(REPEAT),
             max_attempts: number(MAX_ATTEMPTS, u32::MAX)?,
+            admitted: headers.contains_key(ADMITTED),
         },
         shard_set: text(SHARD_SET)?.parse().ok()?,
         release,
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -483,6 +483,8 @@
         } else if is(peers::SERVER) {
             let peer = message.reply.peer.get_or_insert_default();
             peer.server = text(value).map(Arc::from);
+        } else if is(peers::SUSPECTED) {
+            message.reply.peer.get_or_insert_default().suspects = true;
         } else if is(names.not_run) {
             message.reply.not_run = true;
         } else if is(names.leaving) {
--- a/crates/jasminepond-ratelimit/src/process.rs
+++ b/crates/jasminepond-ratelimit/src/process.rs
@@ -23,4 +23,9 @@
     pub fn new(id: &str, started: Option<u64>, address: SocketAddr) -> Self {
         Self(xxh3_64(format!("{id}\n{started:?}\n{address}").as_bytes()))
     }
+
+    /// Hash that all daemons agree on.
+    pub fn hash(self) -> u64 {
+        self.0
+    }
 }
--- a/crates/jasminepond-types/src/error_kind.rs
+++ b/crates/jasminepond-types/src/error_kind.rs
@@ -108,6 +108,8 @@
     Draining = "draining", 503, NotRun, Stated;
     /// The daemon has no configuration yet or has just resumed from a pause.
     NotReady = "not_ready", 503, NotRun, Stated;
+    /// The request is presumed to end the backend servers that run it.
+    Quarantined = "quarantined", 503, NotRun, Stated;
     /// No backend server can take the request.
     NoBackend = "no_backend", 503, NotRun, Stated;
     /// The deadline passed before the request was sent to a backend server.
