fix(forward): blame no request for links that this daemon has lost

Cause: an ended server counted as soon as a connection of before was still open. A partition that resets connections does so when they are used, so idle ones seem open. Change: it counts once another server has responded to a call or an attempt to connect that began after the end; two servers are probed if nothing else does. Without that for 40 ms the request goes on as usual. A request with one part is sent to a second server at once, as before: it is suspected from the second end on. Tests: a_daemon_without_links_suspects_no_request fails before the change.

--- a/crates/jasminepond-forward/src/contact.rs
+++ b/crates/jasminepond-forward/src/contact.rs
@@ -110,6 +110,8 @@
     state: State,
     /// When any server last responded or accepted a connection.
     heard: Timestamp,
+    /// When the newest call or attempt to connect began that a server has responded to.
+    answered_from: Timestamp,
     /// Services with a server that failed to respond since then.
     silent: BTreeMap<ServiceKey, Failure>,
     /// When contact was last regained.
@@ -133,9 +135,9 @@
         matches!(self.state, State::Lost { .. })
     }
 
-    /// Whether a server has responded after `at`.
-    pub(crate) fn heard_since(&self, at: Timestamp) -> bool {
-        self.heard > at
+    /// Whether a server has responded to what began after `at`.
+    pub(crate) fn reaches_since(&self, at: Timestamp) -> bool {
+        self.answered_from > at
     }
 
     /// Time for which no server has responded, if contact is lost.
@@ -155,9 +157,15 @@
         }
     }
 
-    /// Records that a server responded or accepted a connection.
-    pub(crate) fn heard(&mut self, now: Timestamp, service: ServiceKey) -> ContactStep {
+    /// Records that a server responded or accepted a connection, to what began at `began`.
+    pub(crate) fn heard(
+        &mut self,
+        now: Timestamp,
+        service: ServiceKey,
+        began: Timestamp,
+    ) -> ContactStep {
         self.heard = now;
+        self.answered_from = self.answered_from.max(began);
         self.silent.clear();
         match &mut self.state {
             State::InContact => ContactStep::Keep,
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -171,6 +171,8 @@
     quarantine_tick: Option<Timestamp>,
     /// Calls whose connections ended, until it is known whether their servers have.
     cut_calls: Vec<CutCall>,
+    /// When servers were last probed because of such calls.
+    links_probed_at: Timestamp,
     timers: Timers,
     actions: VecDeque<Action>,
 }
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -123,7 +123,7 @@
         server.opening = server.opening.saturating_sub(1);
         server.on_connected();
         let key = state.server;
-        self.observe_contact(now, key);
+        self.observe_contact(now, key, began);
         self.on_server_runs(now, key, began);
         if self.conns.contains_key(conn) {
             self.on_idle(now, conn, None);
@@ -205,7 +205,8 @@
             return;
         };
         let server = state.server;
-        self.observe_contact(now, server);
+        let sent = self.calls.get(call).map_or(state.opened, |call| call.sent);
+        self.observe_contact(now, server, sent);
         let Some(state) = self.conns.get_mut(conn) else {
             return;
         };
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -24,10 +24,10 @@
         self.contact.lost_for(now)
     }
 
-    /// Records that a server responded or accepted a connection.
-    pub(super) fn observe_contact(&mut self, now: Timestamp, key: ServerKey) {
+    /// Records that a server responded or accepted a connection, to what began at `began`.
+    pub(super) fn observe_contact(&mut self, now: Timestamp, key: ServerKey, began: Timestamp) {
         if let Some(service) = self.backend_service(key) {
-            let step = self.contact.heard(now, service);
+            let step = self.contact.heard(now, service, began);
             self.perform_contact_step(now, step);
         }
     }
@@ -109,7 +109,7 @@
     /// Opens a connection to one server each of several services, first of those that are not
     /// known to respond or to be silent. Each round takes them in another order, so that the
     /// servers of some services, such as one index, do not stand for all.
-    fn probe_servers(&mut self, now: Timestamp, count: usize) {
+    pub(super) fn probe_servers(&mut self, now: Timestamp, count: usize) {
         let services = self.services.keys();
         let target = |service| Some((service, self.probe_target(now, service)?));
         let mut targets: Vec<_> = services.filter_map(target).collect();
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -23,6 +23,16 @@
 /// whether it does. Longer than an attempt to connect takes.
 const CUT_MEMORY: Duration = Duration::from_secs(1);
 
+/// Time after which servers that refuse connections do not count as ended if no other server has
+/// responded to what began later: this daemon has probably lost its links. Covers a probe.
+const LINKS_WAIT: Duration = Duration::from_millis(40);
+
+/// Number of servers that are probed to find out whether this daemon has lost its links.
+const LINK_PROBES: usize = 2;
+
+/// Shortest time between two such probes.
+const LINK_PROBE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Longest time by which the answer to a request without success is delayed until it is known
 /// whether its servers have ended. Covers a round trip to another region. The caller may come
 /// back at once, and other daemons should know by then.
@@ -50,6 +60,8 @@
     req: ReqKey,
     in_trial: bool,
     at: Timestamp,
+    /// Whether the request is sent to no further server because of it.
+    restrains: bool,
     /// Whether the server refuses new connections.
     refused: bool,
 }
@@ -171,25 +183,29 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        let (req, key) = (call.req, call.server);
+        let (req, key, fingerprint) = (call.req, call.server, call.fingerprint);
         let answered = self.reqs.get(req).is_some_and(|req| req.answered);
         // A server that stops as announced closes its connections at the end.
         let stopping = |key: ServerKey| self.servers[key].leaving_since.is_some();
         if call.delegated || call.innocent || answered || !self.is_known(key) || stopping(key) {
             return;
         }
+        let in_trial = call.in_trial;
+        let restrains = self.restrains(fingerprint, req);
         self.cut_calls.push(CutCall {
             server: key,
             process: self.servers[key].process,
-            fingerprint: call.fingerprint,
+            fingerprint,
             req,
-            in_trial: call.in_trial,
+            in_trial,
             at: now,
+            restrains,
             refused: false,
         });
         self.timers.set(now + CUT_MEMORY, Timer::Cut);
+        self.timers.set(now + LINKS_WAIT, Timer::Cut);
         self.timers.set(now + VERDICT_WAIT, Timer::Verdict(req));
-        if let Some(req) = self.reqs.get_mut(req) {
+        if let Some(req) = self.reqs.get_mut(req).filter(|_| restrains) {
             req.cut += 1;
             let waiting = req.parts.iter_mut();
             for part in waiting.filter(|part| matches!(part.state, PartState::Waiting)) {
@@ -205,6 +221,15 @@
         }
     }
 
+    /// Whether a request is sent to no further server after a connection has ended. One with a
+    /// single part may be sent once more: it is suspected from the second end on.
+    fn restrains(&self, fingerprint: Fingerprint, key: ReqKey) -> bool {
+        let equal = |cut: &CutCall| cut.fingerprint == fingerprint;
+        let is_first = !self.quarantine.is_known(fingerprint) && !self.cut_calls.iter().any(equal);
+        let req = self.reqs.get(key);
+        req.is_none_or(|req| req.parts.len() > 1 || req.trial.is_some()) || !is_first
+    }
+
     /// Handles that a server accepts a connection that was begun at `since`, or does not refuse
     /// it: the calls whose connections ended before say nothing about their requests.
     pub(super) fn on_server_runs(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
@@ -221,9 +246,11 @@
         waits && self.cut_calls.iter().any(is_recent)
     }
 
-    /// Gives up waiting for whether servers have ended.
+    /// Gives up waiting for whether servers have ended, and for whether this daemon reaches
+    /// others.
     pub(super) fn expire_cut_calls(&mut self, now: Timestamp) {
-        self.settle_cut_calls(now, |cut| now.since(cut.at) >= CUT_MEMORY);
+        let wait = |cut: &CutCall| if cut.refused { LINKS_WAIT } else { CUT_MEMORY };
+        self.settle_cut_calls(now, |cut| now.since(cut.at) >= wait(cut));
     }
 
     fn settle_cut_calls(&mut self, now: Timestamp, settled: impl Fn(&CutCall) -> bool) {
@@ -231,7 +258,7 @@
         self.cut_calls = rest;
         let settled: Vec<CutCall> = settled;
         for cut in settled {
-            if let Some(req) = self.reqs.get_mut(cut.req) {
+            if let Some(req) = self.reqs.get_mut(cut.req).filter(|_| cut.restrains) {
                 req.cut = req.cut.saturating_sub(1);
                 match req.is_restrained() {
                     true => self.review_request(now, cut.req),
@@ -250,20 +277,25 @@
             cut.refused |= cut.server == key && cut.at <= since;
         }
         self.confirm_ended_servers(now);
+        let unconfirmed = self.cut_calls.iter().any(|cut| cut.refused);
+        if unconfirmed && now.since(self.links_probed_at) >= LINK_PROBE_INTERVAL {
+            self.links_probed_at = now;
+            self.probe_servers(now, LINK_PROBES);
+        }
     }
 
     /// Records the servers that have ended, once another server shows that it is not this daemon
     /// that has lost its links.
     pub(super) fn confirm_ended_servers(&mut self, now: Timestamp) {
-        if self.cut_calls.is_empty() {
+        if self.cut_calls.is_empty() || self.contact.is_lost() {
             return;
         }
-        let confirmed = |cut: &CutCall| cut.refused && self.reaches_servers_since(cut.at);
+        let confirmed = |cut: &CutCall| cut.refused && self.contact.reaches_since(cut.at);
         let (confirmed, rest): (Vec<_>, Vec<_>) =
             self.cut_calls.iter().partition(|cut| confirmed(cut));
         self.cut_calls = rest;
         for cut in confirmed {
-            if let Some(req) = self.reqs.get_mut(cut.req) {
+            if let Some(req) = self.reqs.get_mut(cut.req).filter(|_| cut.restrains) {
                 req.ended += 1;
             }
             let process = cut.process.hash();
@@ -275,16 +307,6 @@
         }
     }
 
-    /// Whether a server has responded after `at`, or connections that were open then still are.
-    fn reaches_servers_since(&self, at: Timestamp) -> bool {
-        let survives = |conn: &super::Conn| {
-            let is_open = conn.state != ConnState::Opening && conn.opened < at;
-            is_open && self.is_backend(&self.servers[conn.server])
-        };
-        !self.contact.is_lost()
-            && (self.contact.heard_since(at) || self.conns.values().any(survives))
-    }
-
     /// Forgets the connections that ended, because this daemon has lost its links.
     pub(super) fn forget_cut_calls(&mut self) {
         for cut in std::mem::take(&mut self.cut_calls) {
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -674,6 +674,16 @@
         fingerprint(path, if is_equal { 0 } else { number })
     }
 
+    /// Lets servers end although no request is deadly.
+    pub fn watch_ends(&mut self) {
+        self.deadly = Some("");
+    }
+
+    /// Number of requests that a daemon holds.
+    pub fn held(&self, daemon: usize) -> usize {
+        self.daemons[daemon].forwarder.suspect_counts(self.now).1
+    }
+
     /// Whether a caller's request ends the servers that run it.
     pub fn is_deadly(&self, number: u64) -> bool {
         self.deadly_numbers.contains(&number)
--- a/crates/jasminepond-forward/tests/contact.rs
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -82,6 +82,29 @@
     assert_eq!(losses(&sim), 0, "{:?}", sim.contact);
 }
 
+/// Guards against holding requests because connections end that a partition resets, while
+/// others stay open until they are used.
+#[test]
+fn a_daemon_without_links_suspects_no_request() {
+    let mut sim = started();
+    set_all(&mut sim, Behavior::DropsAnswers);
+    sim.refuse_new = true;
+    for _ in 0..40 {
+        sim.load("/search/x", 40.0, 50 * MS, 800 * MS);
+        assert_eq!(sim.forwarder.suspect_counts(sim.now), (0, 0));
+    }
+    assert_eq!(losses(&sim), 1, "{:?}", sim.contact);
+}
+
+/// Guards against holding requests because servers close connections during calls and go on.
+#[test]
+fn servers_that_close_connections_and_run_are_not_ended_by_requests() {
+    let mut sim = started();
+    set_all(&mut sim, Behavior::DropsAnswers);
+    sim.load("/search/x", 40.0, Duration::from_secs(2), 800 * MS);
+    assert_eq!(sim.forwarder.suspect_counts(sim.now), (0, 0));
+}
+
 /// Guards against a process that resumes after a pause and takes its own silence for that of
 /// the servers.
 #[test]
--- a/crates/jasminepond-forward/tests/deadly_requests.rs
+++ b/crates/jasminepond-forward/tests/deadly_requests.rs
@@ -134,6 +134,35 @@
     }
 }
 
+/// Guards against holding a request that is asked often, since it is in progress when servers end
+/// by themselves, again and again.
+#[test_case(6, 20; "searches")]
+#[test_case(12, 48; "searches that are divided among daemons")]
+fn a_request_in_progress_at_many_ends_is_still_served(daemons: usize, shards: usize) {
+    for seed in 0..4 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = world(daemons, shards, Repeat::Allowed, seed);
+        world.watch_ends();
+        world.equal = vec![SEARCH, ONE];
+        let from = world.now;
+        for _ in 0..60 {
+            for path in [SEARCH, ONE] {
+                world.submit(rng.random_range(0..daemons), path, CALLER_TIMEOUT);
+            }
+            let server = rng.random_range(0..world.servers.len());
+            load(&mut world, rng.random_range(0..30) * MS);
+            world.end_server(server);
+            load(&mut world, 500 * MS);
+        }
+        load(&mut world, Duration::from_secs(1));
+        let served = served(&world, from);
+        assert!(served >= SERVED, "seed {seed}: {served:.3} served");
+        for daemon in 0..daemons {
+            assert_eq!(world.held(daemon), 0, "seed {seed}");
+        }
+    }
+}
+
 /// Share of the innocent requests that were served since `from`.
 fn served(world: &World, from: Timestamp) -> f64 {
     let innocent = |a: &&Answered| a.at >= from && !world.is_deadly(a.number);
--- a/crates/jasminepond-quarantine/src/quarantine.rs
+++ b/crates/jasminepond-quarantine/src/quarantine.rs
@@ -69,6 +69,12 @@
         self.records.is_empty()
     }
 
+    /// Whether a server has ended while it ran the request, and none has answered it since.
+    pub fn is_known(&self, fingerprint: Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.ends() > 0 || record.is_forbidden())
+    }
+
     /// How a request may be sent.
     pub fn admission(&self, now: Timestamp, fingerprint: Fingerprint) -> Admission {
         let record = self.records.get(&fingerprint);
