--- a/crates/jasminepond-gateway/src/lib.rs
+++ b/crates/jasminepond-gateway/src/lib.rs
@@ -27,5 +27,6 @@
 pub use gateway::{Options, Outcome, StartError, run};
 pub use log::Log;
 pub use panics::catch_panic;
+pub use peers::{DelegatedRequest, read_headers, write_headers};
 pub use response::{ExpectedResponse, Message, ParseError, Parsed, ResponseReader};
 pub use settings::{RepeatBounds, Settings, SettingsError, StoreSettings};
