fix(forward): leave out a part that ends the servers of one shard

What callers would see: a search that ends the servers of one shard only is answered by the others, which clears it, so it ended both servers of that shard at each arrival. Change: once a search is answered in part, what ended counts against the part for that service, under a fingerprint of its own. A suspected part is sent once, without a second send; a held one is left out, and the search is answered with the other shards.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -539,6 +539,7 @@
             answered: false,
             cut: 0,
             ended: 0,
+            ends: Vec::new(),
             trial: None,
             admitted: delegated.is_some_and(|delegated| delegated.admitted),
             given_up: false,
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -5,7 +5,10 @@
 use jasminepond_ratelimit::Availability;
 use jasminepond_types::{Millis, Timestamp};
 
-use super::{Call, ConnState, Forwarder, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN, limits::LIMITED};
+use super::{
+    Call, ConnState, Forwarder, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN, limits::LIMITED,
+    suspects::SUSPECTED,
+};
 use crate::{
     contact::Failure,
     message::{Action, CallKey, ConnKey, ReqKey, ServerEvent},
@@ -160,6 +163,10 @@
             self.reqs[key].parts[index].state = PartState::Held;
             return;
         }
+        if !self.admit_part(now, key, index) {
+            return self.mark_missing(key, index, SUSPECTED);
+        }
+        let req = &self.reqs[key];
         let (service, priority) = (req.parts[index].service, req.route.route.priority);
         let late = req.late;
         match self.placement(now, key, index, Attempt::First) {
@@ -292,7 +299,7 @@
         let route = req.route.clone();
         let call = self.calls.insert(Call {
             fingerprint: req.fingerprint,
-            in_trial: req.in_trial(),
+            in_trial: req.in_trial() || req.parts[index].in_trial,
             innocent: false,
             req: key,
             part: index,
@@ -422,7 +429,7 @@
         if !matches!(part.state, PartState::Sent) || !may_hedge {
             return;
         }
-        if req.is_restrained() {
+        if req.is_restrained() || part.in_trial {
             return self.hedge_later(now, key);
         }
         let service = part.service;
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -2,7 +2,7 @@
 
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 
-use super::{Call, Forwarder, limits::LIMITED};
+use super::{Call, Forwarder, limits::LIMITED, suspects::SUSPECTED};
 use crate::{
     merge::merge_top_k,
     message::{
@@ -107,7 +107,7 @@
             if let Some(server) = self.servers.get(call.server) {
                 req.last_server = Some(server.backend.id.clone());
             }
-            self.on_part_answered(now, call.req);
+            self.on_part_answered(now, call.req, call.part);
         } else if call.delegated && not_run {
             if let Some(RetryAfter::Wait(wait)) = reply.retry_after {
                 req.retry_after = req.retry_after.max(wait);
@@ -218,7 +218,10 @@
         let part = &req.parts[index];
         let max_attempts = req.max_attempts;
         let may_run_again = part.runs == 0 || (req.route.may_repeat() && part.runs < max_attempts);
-        if !may_run_again || part.sends >= max_attempts + EXTRA_SENDS || now >= req.deadline {
+        if part.in_trial && part.runs > 0 {
+            self.mark_missing(key, index, SUSPECTED);
+        } else if !may_run_again || part.sends >= max_attempts + EXTRA_SENDS || now >= req.deadline
+        {
             self.mark_missing(key, index, reason);
         } else if !req.may_send(index) {
             req.parts[index].state = PartState::Held;
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -4,6 +4,9 @@
 //! that failed by itself, or that runs and has closed one connection. A new connection tells
 //! whether the server runs. Until then, and as long as no other server has answered, the request
 //! is sent to no further server. An answer of any server clears it.
+//!
+//! A search that is answered by some shards may still end the servers of another one. Its part
+//! for that shard is then suspected on its own, and left out if it has to be.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -49,7 +52,7 @@
 const ABORT_ENDS: u32 = 3;
 
 /// Reason for a missing part of a request that was given up.
-const SUSPECTED: &str = "suspected";
+pub(super) const SUSPECTED: &str = "suspected";
 
 /// A call whose connection ended.
 #[derive(Debug, Clone, Copy)]
@@ -124,14 +127,8 @@
                 && (part.runs == 0 || req.route.may_repeat() && part.runs < req.max_attempts)
         };
         let usable = |(index, part): (usize, &Part)| {
-            let servers = &self.services[part.service].servers;
-            // A server that has received the request may still end.
-            let untried = servers.iter().filter(|key| !part.tried.contains(key));
-            let usable = untried
-                .filter(|key| self.servers[**key].standing(now, &self.settings).is_some())
-                .count();
-            let needed = (SPARE_SERVERS + 1).min(servers.len()).max(1);
-            (usable >= needed).then_some((usable, index))
+            let usable = self.untried_servers(now, part);
+            self.has_spare_server(now, part).then_some((usable, index))
         };
         let parts = req.parts.iter().enumerate();
         let parts = parts.filter(|(_, part)| sendable(part));
@@ -183,15 +180,21 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        let (req, key, fingerprint) = (call.req, call.server, call.fingerprint);
-        let answered = self.reqs.get(req).is_some_and(|req| req.answered);
+        let (req, key, in_trial) = (call.req, call.server, call.in_trial);
+        let answered = call.innocent || self.reqs.get(req).is_some_and(|req| req.answered);
         // A server that stops as announced closes its connections at the end.
         let stopping = |key: ServerKey| self.servers[key].leaving_since.is_some();
-        if call.delegated || call.innocent || answered || !self.is_known(key) || stopping(key) {
+        if call.delegated || !self.is_known(key) || stopping(key) {
             return;
         }
-        let in_trial = call.in_trial;
-        let restrains = self.restrains(fingerprint, req);
+        let is_search = call.route.is_search();
+        let of_part = |req: &Req| req.parts[call.part].in_trial;
+        let of_part = is_search && (answered || self.reqs.get(req).is_some_and(of_part));
+        let (fingerprint, restrains) = match of_part {
+            _ if answered && !is_search => return,
+            true => (self.part_fingerprint(call.fingerprint, key), false),
+            false => (call.fingerprint, self.restrains(call.fingerprint, req)),
+        };
         self.cut_calls.push(CutCall {
             server: key,
             process: self.servers[key].process,
@@ -216,7 +219,8 @@
             let conn = &self.conns[*conn];
             conn.state == ConnState::Opening && conn.opened >= now
         });
-        if !probed {
+        // The next request finds out otherwise.
+        if !probed && !of_part {
             self.start_connection(now, key);
         }
     }
@@ -295,10 +299,12 @@
             self.cut_calls.iter().partition(|cut| confirmed(cut));
         self.cut_calls = rest;
         for cut in confirmed {
+            let process = cut.process.hash();
+            let of_part = self.part_fingerprint(cut.fingerprint, cut.server);
             if let Some(req) = self.reqs.get_mut(cut.req).filter(|_| cut.restrains) {
                 req.ended += 1;
+                req.ends.push((of_part, process));
             }
-            let process = cut.process.hash();
             let change = self
                 .quarantine
                 .server_ended(now, cut.fingerprint, process, cut.in_trial);
@@ -316,15 +322,91 @@
         }
     }
 
+    /// Fingerprint of the part of a request that a server runs.
+    fn part_fingerprint(&self, fingerprint: Fingerprint, server: ServerKey) -> Fingerprint {
+        let service = self.servers.get(server).map(|server| server.service);
+        service.map_or(fingerprint, |service| {
+            fingerprint.of_part(self.services[service].name.as_str())
+        })
+    }
+
+    /// Whether a part of a search may be sent to the servers of its service.
+    pub(super) fn admit_part(&mut self, now: Timestamp, key: ReqKey, index: usize) -> bool {
+        let req = &self.reqs[key];
+        let part = &req.parts[index];
+        let is_own = part.delegated.is_none() && req.route.is_search();
+        if self.quarantine.is_empty() || !is_own || part.in_trial {
+            return true;
+        }
+        let service = &self.services[part.service];
+        let fingerprint = req.fingerprint.of_part(service.name.as_str());
+        match self.quarantine.admission(now, fingerprint) {
+            Admission::Free => true,
+            Admission::Held { .. } => false,
+            Admission::Trial if !self.has_spare_server(now, part) => false,
+            Admission::Trial => {
+                self.reqs[key].parts[index].in_trial = true;
+                let change = self.quarantine.begin_trial(now, fingerprint);
+                self.on_suspect_change(now, change, EvidenceSource::Own);
+                true
+            }
+        }
+    }
+
+    /// Whether the service of a part has a server left if one of its servers ends.
+    fn has_spare_server(&self, now: Timestamp, part: &Part) -> bool {
+        let servers = self.services[part.service].servers.len();
+        self.untried_servers(now, part) >= (SPARE_SERVERS + 1).min(servers).max(1)
+    }
+
+    /// Number of usable servers that have not received a part. One that has may still end.
+    fn untried_servers(&self, now: Timestamp, part: &Part) -> usize {
+        let servers = self.services[part.service].servers.iter();
+        let untried = servers.filter(|key| !part.tried.contains(key));
+        let usable =
+            untried.filter(|key| self.servers[**key].standing(now, &self.settings).is_some());
+        usable.count()
+    }
+
+    /// Takes what ended for the fault of single parts, since another part is answered.
+    fn blame_parts(&mut self, now: Timestamp, key: ReqKey) {
+        let req = &mut self.reqs[key];
+        if !req.route.is_search() {
+            return self.cut_calls.retain(|cut| cut.req != key);
+        }
+        for (fingerprint, process) in std::mem::take(&mut req.ends) {
+            let change = self
+                .quarantine
+                .server_ended(now, fingerprint, process, false);
+            self.on_suspect_change(now, change, EvidenceSource::Own);
+        }
+        for at in 0..self.cut_calls.len() {
+            let cut = self.cut_calls[at];
+            if cut.req == key && cut.restrains {
+                let fingerprint = self.part_fingerprint(cut.fingerprint, cut.server);
+                let cut = &mut self.cut_calls[at];
+                (cut.fingerprint, cut.restrains) = (fingerprint, false);
+            }
+        }
+    }
+
     /// Handles the answer of a server to a part.
-    pub(super) fn on_part_answered(&mut self, now: Timestamp, key: ReqKey) {
+    pub(super) fn on_part_answered(&mut self, now: Timestamp, key: ReqKey, index: usize) {
+        if !self.quarantine.is_empty() {
+            let req = &self.reqs[key];
+            let part = &req.parts[index];
+            let name = &self.services[part.service].name;
+            let fingerprint = req.fingerprint.of_part(name.as_str());
+            let change = self.quarantine.answered(now, fingerprint);
+            self.on_suspect_change(now, change, EvidenceSource::Own);
+        }
+        self.blame_parts(now, key);
         let req = &mut self.reqs[key];
         let restrained = req.is_restrained();
         req.admitted |= restrained;
         req.answered = true;
         (req.cut, req.ended) = (0, 0);
         let fingerprint = req.fingerprint;
-        self.cut_calls.retain(|cut| cut.req != key);
         let change = self.quarantine.answered(now, fingerprint);
         self.on_suspect_change(now, change, EvidenceSource::Own);
         if restrained {
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -164,6 +164,9 @@
     pub(crate) repeat: bool,
     /// Number of shards that the part covers.
     pub(crate) weight: usize,
+    /// Whether it is sent once only, because it is suspected of ending the servers of its
+    /// service.
+    pub(crate) in_trial: bool,
 }
 
 impl Part {
@@ -182,6 +185,7 @@
             max_attempts: u32::MAX,
             repeat: false,
             weight: 1,
+            in_trial: false,
         }
     }
 
@@ -254,6 +258,8 @@
     pub(crate) cut: u32,
     /// Those of them whose servers have ended.
     pub(crate) ended: u32,
+    /// Fingerprints of their parts, and hashes of the processes that ended.
+    pub(crate) ends: Vec<(Fingerprint, u64)>,
     pub(crate) trial: Option<Trial>,
     /// Whether another daemon has checked that it may be sent although it is suspected.
     pub(crate) admitted: bool,
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -189,6 +189,8 @@
     pub ran: HashMap<u64, Vec<usize>>,
     /// Path whose requests end the servers that run them. They are equal.
     pub deadly: Option<&'static str>,
+    /// Service whose servers they end, if not all.
+    pub deadly_service: Option<&'static str>,
     pub deadly_runs: Vec<DeadlyRun>,
     /// Paths whose requests are equal.
     pub equal: Vec<&'static str>,
@@ -227,6 +229,7 @@
             reqs: HashMap::new(),
             ran: HashMap::new(),
             deadly: None,
+            deadly_service: None,
             deadly_runs: Vec::new(),
             equal: Vec::new(),
             busy: HashSet::new(),
@@ -585,7 +588,9 @@
                 if self.servers[index].status != 503 {
                     self.ran.entry(number).or_default().push(index);
                 }
-                if self.deadly_numbers.contains(&number) {
+                let service = self.servers[index].entry.service.as_str();
+                let is_ended = self.deadly_service.is_none_or(|ended| ended == service);
+                if is_ended && self.deadly_numbers.contains(&number) {
                     return self.run_deadly(daemon, conn, index);
                 }
                 let server = &mut self.servers[index];
--- a/crates/jasminepond-forward/tests/deadly_requests.rs
+++ b/crates/jasminepond-forward/tests/deadly_requests.rs
@@ -134,6 +134,31 @@
     }
 }
 
+/// Guards against a search that ends the servers of one shard again and again, since the others
+/// answer it.
+#[test_case(6, 20; "searches")]
+#[test_case(12, 48; "searches that are divided among daemons")]
+fn a_part_that_ends_servers_is_left_out(daemons: usize, shards: usize) {
+    for seed in 0..4 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = world(daemons, shards, Repeat::Allowed, seed);
+        world.deadly = Some(SEARCH);
+        world.deadly_service = Some("s7");
+        let from = world.now;
+        send_deadly(&mut world, daemons, Duration::from_secs(30), &mut rng);
+        load(&mut world, Duration::from_secs(1));
+        let (late, served) = (late_runs(&world), served(&world, from));
+        assert!(late <= MAX_RUNS, "seed {seed}: {late} late runs");
+        assert!(served >= SERVED, "seed {seed}: {served:.3} served");
+        let deadly = world.answers.iter().filter(|a| world.is_deadly(a.number));
+        let answered = deadly.clone().filter(is_served).count();
+        assert!(
+            answered * 10 >= deadly.count() * 9,
+            "seed {seed}: {answered} answered"
+        );
+    }
+}
+
 /// Guards against holding a request that is asked often, since it is in progress when servers end
 /// by themselves, again and again.
 #[test_case(6, 20; "searches")]
--- a/crates/jasminepond-quarantine/src/fingerprint.rs
+++ b/crates/jasminepond-quarantine/src/fingerprint.rs
@@ -52,6 +52,18 @@
             hasher.update(part);
         }
         hasher.update(body);
+        Self::truncate(&hasher)
+    }
+
+    /// Fingerprint of the part of a request that goes to one service.
+    pub fn of_part(self, service: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.0);
+        hasher.update(service.as_bytes());
+        Self::truncate(&hasher)
+    }
+
+    fn truncate(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; LEN];
         bytes.copy_from_slice(&hasher.finalize().as_bytes()[..LEN]);
         Self(bytes)
