refactor(types): one decoder of datagrams for limits and suspected requests

Change: DecodeError, get_millis and expect_end move to jasminepond-types. The formats are the same: recorded messages of both are still understood. The status command prints the suspected requests of a gateway.

--- a/crates/jasminepond-quarantine/src/lib.rs
+++ b/crates/jasminepond-quarantine/src/lib.rs
@@ -19,7 +19,8 @@
 mod settings;
 
 pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestParts};
-pub use message::{DecodeError, Evidence, Message};
+pub use jasminepond_types::DecodeError;
+pub use message::{Evidence, Message};
 pub use quarantine::Quarantine;
 pub use record::{Admission, Change, Report, State};
 pub use settings::Settings;
--- a/crates/jasminepond-quarantine/src/message.rs
+++ b/crates/jasminepond-quarantine/src/message.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use bytes::{Buf, BufMut};
+use bytes::{Buf, BufMut, TryGetError};
+use jasminepond_types::{DecodeError, expect_end, get_millis};
 
 use crate::{Fingerprint, record::MAX_ENDS};
 
@@ -64,20 +65,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Message(pub Vec<Evidence>);
 
-/// A datagram is malformed or of another version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum DecodeError {
-    /// The message ends early or has extra bytes.
-    #[error("wrong length")]
-    Length,
-    /// The version is unknown.
-    #[error("unknown version")]
-    Unknown,
-    /// There are too many records or ended processes.
-    #[error("value out of range")]
-    Range,
-}
-
 impl Message {
     /// Whether a datagram is a message of this crate, by its first byte.
     pub fn is_encoded(bytes: &[u8]) -> bool {
@@ -102,20 +89,18 @@
     /// The bytes are malformed or of another version.
     pub fn decode(mut bytes: &[u8]) -> Result<Self, DecodeError> {
         let buf = &mut bytes;
-        let (magic, version) = (get(buf, Buf::try_get_u8)?, get(buf, Buf::try_get_u8)?);
+        let (magic, version) = (buf.try_get_u8()?, buf.try_get_u8()?);
         if (magic, version) != (MAGIC, VERSION) {
             return Err(DecodeError::Unknown);
         }
-        let count = usize::from(get(buf, Buf::try_get_u8)?);
+        let count = usize::from(buf.try_get_u8()?);
         if count > MAX_RECORDS {
             return Err(DecodeError::Range);
         }
         let records = (0..count).map(|_| Evidence::get(buf));
-        let records = records.collect::<Result<_, _>>()?;
-        match buf.is_empty() {
-            true => Ok(Self(records)),
-            false => Err(DecodeError::Length),
-        }
+        let records = records.collect::<Result<_, DecodeError>>()?;
+        expect_end(buf)?;
+        Ok(Self(records))
     }
 }
 
@@ -140,19 +125,18 @@
 
     fn get(buf: &mut &[u8]) -> Result<Self, DecodeError> {
         let mut fingerprint = Fingerprint::default();
-        let read = buf.try_copy_to_slice(&mut fingerprint.0);
-        read.map_err(|_| DecodeError::Length)?;
-        let flags = get(buf, Buf::try_get_u8)?;
-        let failed_trials = get(buf, Buf::try_get_u8)?;
-        let ends = usize::from(get(buf, Buf::try_get_u8)?);
+        buf.try_copy_to_slice(&mut fingerprint.0)?;
+        let flags = buf.try_get_u8()?;
+        let failed_trials = buf.try_get_u8()?;
+        let ends = usize::from(buf.try_get_u8()?);
         if ends > MAX_ENDS {
             return Err(DecodeError::Range);
         }
-        let ends = (0..ends).map(|_| get(buf, Buf::try_get_u64));
-        let ends = ends.collect::<Result<_, _>>()?;
+        let ends = (0..ends).map(|_| buf.try_get_u64());
+        let ends = ends.collect::<Result<_, TryGetError>>()?;
         let mut age = |flag: u8| match flags & flag {
             0 => Ok(None),
-            _ => get(buf, Buf::try_get_u32).map(|ms| Some(Duration::from_millis(ms.into()))),
+            _ => get_millis(buf).map(Some),
         };
         Ok(Self {
             fingerprint,
@@ -165,10 +149,3 @@
         })
     }
 }
-
-fn get<'a, T>(
-    buf: &mut &'a [u8],
-    read: impl FnOnce(&mut &'a [u8]) -> Result<T, bytes::TryGetError>,
-) -> Result<T, DecodeError> {
-    read(buf).map_err(|_| DecodeError::Length)
-}
--- a/crates/jasminepond-ratelimit/src/lib.rs
+++ b/crates/jasminepond-ratelimit/src/lib.rs
@@ -26,7 +26,8 @@
 mod rate;
 
 pub use coordinators::Daemon;
+pub use jasminepond_types::DecodeError;
 pub use limiter::{Availability, LimitChange, LimitReport, RateLimiter, Received};
-pub use message::{Ask, DecodeError, Grant, Message, Notice, Statement};
+pub use message::{Ask, Grant, Message, Notice, Statement};
 pub use process::ProcessId;
 pub use rate::{ParseRateLimitError, RateLimit};
--- a/crates/jasminepond-ratelimit/src/message.rs
+++ b/crates/jasminepond-ratelimit/src/message.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BufMut};
+use jasminepond_types::{DecodeError, expect_end, get_millis};
 
 use crate::{ProcessId, RateLimit};
 
@@ -100,20 +101,6 @@
     Notice(Notice),
 }
 
-/// A datagram is malformed or of another version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum DecodeError {
-    /// The message ends early or has extra bytes.
-    #[error("wrong length")]
-    Length,
-    /// The version or the kind is unknown.
-    #[error("unknown version or kind")]
-    Unknown,
-    /// The limit is not a rate, or there are too many permits.
-    #[error("value out of range")]
-    Range,
-}
-
 impl Message {
     /// Whether a datagram is a message of this crate, by its first byte.
     pub fn is_encoded(bytes: &[u8]) -> bool {
@@ -161,14 +148,10 @@
     /// The bytes are malformed or of another version.
     pub fn decode(mut bytes: &[u8]) -> Result<Self, DecodeError> {
         let buf = &mut bytes;
-        let header = [
-            get(buf, Buf::try_get_u8)?,
-            get(buf, Buf::try_get_u8)?,
-            get(buf, Buf::try_get_u8)?,
-        ];
-        let process = ProcessId(get(buf, Buf::try_get_u64)?);
-        let id = get(buf, Buf::try_get_u32)?;
-        let per_second = get(buf, Buf::try_get_f64)?;
+        let header = [buf.try_get_u8()?, buf.try_get_u8()?, buf.try_get_u8()?];
+        let process = ProcessId(buf.try_get_u64()?);
+        let id = buf.try_get_u32()?;
+        let per_second = buf.try_get_f64()?;
         let limit = match per_second {
             none if none < 0.0 => None,
             some => Some(RateLimit::new(some).ok_or(DecodeError::Range)?),
@@ -180,53 +163,39 @@
                 process,
                 id,
                 statement,
-                count: get(buf, Buf::try_get_u16)?,
+                count: buf.try_get_u16()?,
                 wait: get_millis(buf)?,
             }),
             [MAGIC, VERSION, KIND_GRANT] => {
                 let next_in = get_millis(buf)?;
-                let count = get(buf, Buf::try_get_u16)?;
+                let count = buf.try_get_u16()?;
                 if count > MAX_PERMITS {
                     return Err(DecodeError::Range);
                 }
                 let delays = (0..count).map(|_| {
-                    let millis = get(buf, Buf::try_get_u16)?;
+                    let millis = buf.try_get_u16()?;
                     Ok(Duration::from_millis(millis.into()))
                 });
                 Self::Grant(Grant {
                     process,
                     id,
                     statement,
-                    delays: delays.collect::<Result<_, _>>()?,
+                    delays: delays.collect::<Result<_, DecodeError>>()?,
                     next_in,
                 })
             }
             [MAGIC, VERSION, KIND_NOTICE] => Self::Notice(Notice {
                 process,
                 statement,
-                range: (get(buf, Buf::try_get_u64)?, get(buf, Buf::try_get_u64)?),
+                range: (buf.try_get_u64()?, buf.try_get_u64()?),
             }),
             _ => return Err(DecodeError::Unknown),
         };
-        match buf.is_empty() {
-            true => Ok(message),
-            false => Err(DecodeError::Length),
-        }
+        expect_end(buf)?;
+        Ok(message)
     }
 }
 
 fn put_millis(buf: &mut Vec<u8>, time: Duration) {
     buf.put_u32(u32::try_from(time.as_millis()).unwrap_or(u32::MAX));
 }
-
-fn get_millis(buf: &mut &[u8]) -> Result<Duration, DecodeError> {
-    let millis = get(buf, Buf::try_get_u32)?;
-    Ok(Duration::from_millis(millis.into()))
-}
-
-fn get<'a, T>(
-    buf: &mut &'a [u8],
-    read: impl FnOnce(&mut &'a [u8]) -> Result<T, bytes::TryGetError>,
-) -> Result<T, DecodeError> {
-    read(buf).map_err(|_| DecodeError::Length)
-}
--- a/crates/jasminepond/src/status.rs
+++ b/crates/jasminepond/src/status.rs
@@ -97,6 +97,18 @@
             "no backend server has responded for {lost} ms; requests go through other daemons"
         );
     }
+    for suspect in state["suspects"].as_array().into_iter().flatten() {
+        println!(
+            "request {} {}: {} servers ended while they ran it, the last {} ms ago; {} failed trials, {} refused here, tried again in {} ms",
+            text(&suspect["fingerprint"]),
+            text(&suspect["state"]),
+            suspect["servers_ended"],
+            suspect["last_end_ms"],
+            suspect["failed_trials"],
+            suspect["refused"],
+            suspect["retry_ms"],
+        );
+    }
     println!("routes:");
     for route in state["routes"].as_array().into_iter().flatten() {
         println!(
