fix(forward): abort no request that may run once only while an equal one is held

What callers would see: an order in progress is aborted, its effect unknown, because an equal one is held, by a trial or by an operator. Cause: requests that are held were aborted whatever their kind, also when the caller of a suspected one had left. Found by reading. Change: only requests that may be repeated are aborted. Test: an_unrepeatable_request_in_progress_is_not_aborted_when_it_is_held fails before.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -604,7 +604,7 @@
         let calls: Vec<_> = req.parts.iter().flat_map(|p| p.calls.clone()).collect();
         // A request that must not be repeated runs to completion: aborting it would
         // leave its effect unknown.
-        if req.is_restrained() {
+        if req.route.may_repeat() && req.is_restrained() {
             self.abort_calls(now, key);
         } else if req.route.may_repeat() {
             for call in calls {
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -537,8 +537,11 @@
         if change.to != State::Held {
             return;
         }
-        let stopped =
-            |req: &Req| req.fingerprint == change.fingerprint && !req.answered && !req.in_trial();
+        let stopped = |req: &Req| {
+            // Aborting a request that may run once only would leave its effect unknown.
+            let is_it = req.fingerprint == change.fingerprint && req.route.may_repeat();
+            is_it && !req.answered && !req.in_trial()
+        };
         let reqs = self.reqs.iter().filter(|(_, req)| stopped(req));
         let reqs: Vec<_> = reqs.map(|(key, _)| key).collect();
         for key in reqs {
@@ -553,15 +556,9 @@
         if req.cut == 0 {
             (req.cut, req.ended) = (1, 1);
         }
-        let may_repeat = req.route.may_repeat();
-        for index in 0..req.parts.len() {
-            let part = &mut self.reqs[key].parts[index];
-            if matches!(part.state, PartState::Waiting) {
-                part.state = PartState::Held;
-            }
-            if !may_repeat && part.runs > 0 {
-                self.mark_missing(key, index, SUSPECTED);
-            }
+        let waiting = req.parts.iter_mut();
+        for part in waiting.filter(|part| matches!(part.state, PartState::Waiting)) {
+            part.state = PartState::Held;
         }
         self.review_request(now, key);
     }
--- a/crates/jasminepond-forward/tests/guarantees.rs
+++ b/crates/jasminepond-forward/tests/guarantees.rs
@@ -8,7 +8,7 @@
 use jasminepond_routes::Repeat;
 use jasminepond_types::{ErrorKind, RunStatus};
 use proptest::prelude::*;
-use sim::{Behavior, MS, Sim, reply, search, single};
+use sim::{Behavior, MS, Sim, fingerprint, reply, search, single};
 use test_case::test_case;
 
 const CALLER_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -22,6 +22,22 @@
     sim
 }
 
+/// Guards against aborting a request that may run once only, whose effect would be unknown, while
+/// an equal one is held.
+#[test]
+fn an_unrepeatable_request_in_progress_is_not_aborted_when_it_is_held() {
+    let mut sim = two_servers(Repeat::Never);
+    let closed = sim.closed;
+    sim.submit("/one/x", CALLER_TIMEOUT);
+    sim.run_for(5 * MS);
+    sim.forwarder
+        .forbid_request(sim.now, fingerprint("/one/x", 1));
+    sim.run_actions();
+    sim.run_for(CALLER_TIMEOUT);
+    assert_eq!(sim.closed, closed);
+    assert_eq!(sim.answers[0].summary.verdict, Verdict::Served);
+}
+
 fn behavior() -> impl Strategy<Value = Behavior> {
     prop_oneof![
         3 => Just(Behavior::Healthy),
