fix(forward): lose contact although idle connections seem open

Cause: contact counts refused connections only if no connection is open, since open ones may work. A partition that resets connections leaves idle ones open until they are used. Change: a connection that ends during a call to a server that then refuses counts as no response, like one that is not answered. Test: contact_is_lost_although_idle_connections_seem_open fails before. Beside it: names and comments without figures of speech.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -67,7 +67,7 @@
     /// Whether this is the only send of a suspected request.
     in_trial: bool,
     /// Whether a server has answered another part of the request.
-    innocent: bool,
+    request_answered: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -300,7 +300,7 @@
         let call = self.calls.insert(Call {
             fingerprint: req.fingerprint,
             in_trial: req.in_trial() || req.parts[index].in_trial,
-            innocent: false,
+            request_answered: false,
             req: key,
             part: index,
             server: server_key,
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -425,7 +425,7 @@
         let Some(req) = self.reqs.remove(key) else {
             return;
         };
-        self.keep_innocence(&req);
+        self.keep_request_answered(&req);
         let missing_reason = |part: &Part| {
             let reason = match &part.state {
                 PartState::Done(_) => return None,
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -16,6 +16,7 @@
 
 use super::{ConnState, Forwarder, RETRY_AFTER_DEFAULT};
 use crate::{
+    contact::Failure,
     message::{Action, CallKey, EvidenceSource, Reply, ReqKey, RetryAfter},
     request::{Delegated, Part, PartState, Req, Trial},
     server::ServerKey,
@@ -45,7 +46,7 @@
 const SPARE_SERVERS: usize = 1;
 
 /// Share of the parts of a request whose servers have ended from which its calls in progress are
-/// aborted. With fewer, an answer that shows its innocence may be on its way.
+/// aborted. With fewer, an answer that clears it may be on its way.
 const ABORT_SHARE: f64 = 0.5;
 
 /// Smallest number of ended servers from which calls in progress are aborted.
@@ -181,7 +182,7 @@
             return;
         };
         let (req, key, in_trial) = (call.req, call.server, call.in_trial);
-        let answered = call.innocent || self.reqs.get(req).is_some_and(|req| req.answered);
+        let answered = call.request_answered || self.reqs.get(req).is_some_and(|req| req.answered);
         // A server that stops as announced closes its connections at the end.
         let stopping = |key: ServerKey| self.servers[key].leaving_since.is_some();
         if call.delegated || !self.is_known(key) || stopping(key) {
@@ -277,8 +278,16 @@
 
     /// Handles that a server refuses a connection that was begun at `since`.
     pub(super) fn on_server_refuses(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
+        let mut ended = None;
         for cut in &mut self.cut_calls {
-            cut.refused |= cut.server == key && cut.at <= since;
+            if cut.server == key && cut.at <= since && !cut.refused {
+                cut.refused = true;
+                ended = ended.max(Some(cut.at));
+            }
+        }
+        if let Some(at) = ended {
+            // Connections that are still open may be reset as well once they are used.
+            self.observe_silence(now, key, at, Failure::Unanswered);
         }
         self.confirm_ended_servers(now);
         let unconfirmed = self.cut_calls.iter().any(|cut| cut.refused);
@@ -369,7 +378,7 @@
     }
 
     /// Takes what ended for the fault of single parts, since another part is answered.
-    fn blame_parts(&mut self, now: Timestamp, key: ReqKey) {
+    fn attribute_to_parts(&mut self, now: Timestamp, key: ReqKey) {
         let req = &mut self.reqs[key];
         if !req.route.is_search() {
             return self.cut_calls.retain(|cut| cut.req != key);
@@ -400,7 +409,7 @@
             let change = self.quarantine.answered(now, fingerprint);
             self.on_suspect_change(now, change, EvidenceSource::Own);
         }
-        self.blame_parts(now, key);
+        self.attribute_to_parts(now, key);
         let req = &mut self.reqs[key];
         let restrained = req.is_restrained();
         req.admitted |= restrained;
@@ -415,10 +424,10 @@
     }
 
     /// Keeps in the calls of a request that ends whether it was answered.
-    pub(super) fn keep_innocence(&mut self, req: &Req) {
+    pub(super) fn keep_request_answered(&mut self, req: &Req) {
         for call in req.parts.iter().flat_map(|part| &part.calls) {
             if let Some(call) = self.calls.get_mut(*call) {
-                call.innocent = req.answered;
+                call.request_answered = req.answered;
             }
         }
     }
--- a/crates/jasminepond-forward/tests/contact.rs
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -96,6 +96,28 @@
     assert_eq!(losses(&sim), 1, "{:?}", sim.contact);
 }
 
+/// Guards against a daemon that keeps contact for as long as idle connections seem open, while
+/// those that are used are reset and new ones are refused.
+#[test]
+fn contact_is_lost_although_idle_connections_seem_open() {
+    let mut sim = started();
+    for n in 0..5 {
+        sim.add(&format!("one-{n}"), "one", 10 * MS);
+    }
+    sim.put_release(2, vec![search(SHARDS, 150, 0.8), single(Repeat::Allowed)]);
+    sim.load("/search/x", 20.0, Duration::from_secs(1), 800 * MS);
+    set_all(&mut sim, Behavior::DropsAnswers);
+    sim.refuse_new = true;
+    let since = sim.now;
+    sim.load("/search/x", 20.0, Duration::from_secs(2), 800 * MS);
+    let lost = sim.contact.first().expect("contact is lost");
+    assert!(
+        lost.0.since(since) < 100 * MS + NOTICE,
+        "{:?}",
+        lost.0.since(since)
+    );
+}
+
 /// Guards against holding requests because servers close connections during calls and go on.
 #[test]
 fn servers_that_close_connections_and_run_are_not_ended_by_requests() {
--- a/crates/jasminepond-forward/tests/deadly_requests.rs
+++ b/crates/jasminepond-forward/tests/deadly_requests.rs
@@ -22,7 +22,7 @@
 const MAX_RUNS: usize = 3;
 const NOTICED_ENDS: usize = 3;
 
-/// Share of the innocent requests that have to be served.
+/// Share of the ordinary requests that have to be served.
 const SERVED: f64 = 0.98;
 
 /// Interval at which a deadly request comes.
@@ -32,7 +32,7 @@
 const ONE: &str = "/one/x";
 
 /// Requests of other callers, with the same servers.
-const INNOCENT: [&str; 2] = ["/search/y", "/one/y"];
+const ORDINARY: [&str; 2] = ["/search/y", "/one/y"];
 
 /// Daemons with two servers for each shard, and eight for other requests.
 fn world(daemons: usize, shards: usize, repeat: Repeat, seed: u64) -> World {
@@ -55,11 +55,11 @@
     world
 }
 
-/// Lets callers send innocent requests for a time.
+/// Lets callers send ordinary requests for a time.
 fn load(world: &mut World, time: Duration) {
     let end = world.now + time;
     while world.now < end {
-        for path in INNOCENT {
+        for path in ORDINARY {
             world.load(path, 40.0, 50 * MS, CALLER_TIMEOUT);
         }
     }
@@ -188,9 +188,9 @@
     }
 }
 
-/// Share of the innocent requests that were served since `from`.
+/// Share of the ordinary requests that were served since `from`.
 fn served(world: &World, from: Timestamp) -> f64 {
-    let innocent = |a: &&Answered| a.at >= from && !world.is_deadly(a.number);
-    let all = world.answers.iter().filter(innocent);
+    let ordinary = |a: &&Answered| a.at >= from && !world.is_deadly(a.number);
+    let all = world.answers.iter().filter(ordinary);
     all.clone().filter(is_served).count() as f64 / all.count().max(1) as f64
 }
