fix(forward): probe other servers for each server that ends

By a trace the second end came 1.4 ms after a probe, within the interval of 10 ms, and nothing probed again. Change: servers are probed unless a probe has begun since the last end.

--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -138,15 +138,12 @@
         };
         let (server, opened) = (state.server, state.opened);
         self.forget_conn(conn);
-        let failure = self.on_connect_failure(now, server, opened);
-        match failure {
-            Failure::Refused => self.on_server_refuses(now, server, opened),
-            Failure::Unanswered => self.on_server_runs(now, server, opened),
-        }
+        self.on_connect_failure(now, server, opened);
+        self.on_server_refuses(now, server, opened);
         self.drop_retired(server);
     }
 
-    fn on_connect_failure(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) -> Failure {
+    fn on_connect_failure(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
         let server = &mut self.servers[key];
         let service = server.service;
         let until = server.on_connect_failed(now, &self.settings);
@@ -159,7 +156,6 @@
         let retry_in = until.since(now);
         self.log_server_event(key, ServerEvent::Unreachable { retry_in });
         self.place_waiting(now, service);
-        failure
     }
 
     /// Handles the end of a connection. `lost` states whether the call on it may have
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -34,9 +34,6 @@
 /// Number of servers that are probed to find out whether this daemon has lost its links.
 const LINK_PROBES: usize = 2;
 
-/// Shortest time between two such probes.
-const LINK_PROBE_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Longest time by which the answer to a request without success is delayed until it is known
 /// whether its servers have ended. Covers a round trip to another region. The caller may come
 /// back at once, and other daemons should know by then.
@@ -66,7 +63,7 @@
     at: Timestamp,
     /// Whether the request is sent to no further server because of it.
     restrains: bool,
-    /// Whether the server refuses new connections.
+    /// Whether the server accepts no new connection.
     refused: bool,
 }
 
@@ -235,8 +232,8 @@
         req.is_none_or(|req| req.parts.len() > 1 || req.trial.is_some()) || !is_first
     }
 
-    /// Handles that a server accepts a connection that was begun at `since`, or does not refuse
-    /// it: the calls whose connections ended before say nothing about their requests.
+    /// Handles that a server accepts a connection that was begun at `since`: the calls whose
+    /// connections ended before say nothing about their requests.
     pub(super) fn on_server_runs(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
         self.settle_cut_calls(now, |cut| {
             cut.server == key && cut.at <= since && !cut.refused
@@ -276,7 +273,7 @@
         }
     }
 
-    /// Handles that a server refuses a connection that was begun at `since`.
+    /// Handles that a server refuses a connection that was begun at `since`, or does not respond.
     pub(super) fn on_server_refuses(&mut self, now: Timestamp, key: ServerKey, since: Timestamp) {
         let mut ended = None;
         for cut in &mut self.cut_calls {
@@ -290,8 +287,9 @@
             self.observe_silence(now, key, at, Failure::Unanswered);
         }
         self.confirm_ended_servers(now);
-        let unconfirmed = self.cut_calls.iter().any(|cut| cut.refused);
-        if unconfirmed && now.since(self.links_probed_at) >= LINK_PROBE_INTERVAL {
+        let unconfirmed = self.cut_calls.iter().filter(|cut| cut.refused);
+        let newest = unconfirmed.map(|cut| cut.at).max();
+        if newest.is_some_and(|at| self.links_probed_at <= at) {
             self.links_probed_at = now;
             self.probe_servers(now, LINK_PROBES);
         }
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -684,6 +684,11 @@
         self.deadly = Some("");
     }
 
+    /// Number of requests that a daemon suspects.
+    pub fn suspected(&self, daemon: usize) -> usize {
+        self.daemons[daemon].forwarder.suspect_counts(self.now).0
+    }
+
     /// Number of requests that a daemon holds.
     pub fn held(&self, daemon: usize) -> usize {
         self.daemons[daemon].forwarder.suspect_counts(self.now).1
--- a/crates/jasminepond-forward/tests/contact.rs
+++ b/crates/jasminepond-forward/tests/contact.rs
@@ -118,6 +118,24 @@
     );
 }
 
+/// Guards against a request that ends servers with their hosts, so that new connections are not
+/// even refused.
+#[test]
+fn servers_that_end_and_do_not_respond_any_more_are_ended_by_requests() {
+    let mut sim = started();
+    for n in 0..2 {
+        sim.add(&format!("one-{n}"), "one", 10 * MS);
+    }
+    sim.put_release(2, vec![search(SHARDS, 150, 0.8), single(Repeat::Allowed)]);
+    sim.load("/search/x", 20.0, Duration::from_secs(1), 800 * MS);
+    for server in sim.servers.len() - 2..sim.servers.len() {
+        sim.set_behavior(server, Behavior::Vanishes);
+    }
+    sim.submit("/one/x", 800 * MS);
+    sim.load("/search/x", 20.0, Duration::from_secs(1), 800 * MS);
+    assert_eq!(sim.forwarder.suspect_counts(sim.now), (1, 0));
+}
+
 /// Guards against holding requests because servers close connections during calls and go on.
 #[test]
 fn servers_that_close_connections_and_run_are_not_ended_by_requests() {
--- a/crates/jasminepond-forward/tests/deadly_requests.rs
+++ b/crates/jasminepond-forward/tests/deadly_requests.rs
@@ -134,6 +134,24 @@
     }
 }
 
+/// Guards against waiting for a response of other servers when there are no other requests.
+#[test_case(SEARCH, 20; "a search")]
+#[test_case(ONE, 2; "a request to one server")]
+fn a_request_that_ends_servers_is_suspected_without_other_requests(path: &'static str, max: usize) {
+    for seed in 0..4 {
+        let mut world = world(6, 20, Repeat::Allowed, seed);
+        world.run_until(world.now + Duration::from_secs(2));
+        world.deadly = Some(path);
+        world.submit(0, path, CALLER_TIMEOUT);
+        world.run_until(world.now + Duration::from_secs(1));
+        let ended = world.deadly_runs.iter().filter(|run| run.ended.is_some());
+        assert!(ended.count() <= max, "seed {seed}");
+        for daemon in 0..6 {
+            assert_eq!(world.suspected(daemon), 1, "seed {seed}, daemon {daemon}");
+        }
+    }
+}
+
 /// Guards against a search that ends the servers of one shard again and again, since the others
 /// answer it.
 #[test_case(6, 20; "searches")]
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -32,6 +32,8 @@
     Healthy,
     /// Never answers on open connections, and new ones time out.
     Silent,
+    /// Closes the connection of a request, and new ones time out.
+    Vanishes,
     /// Refuses connections and has closed the open ones.
     Crashed,
     /// Works slower by this factor.
@@ -420,7 +422,7 @@
         }
         let failing = match self.servers[index].behavior {
             Behavior::Failing(share) => self.rng.random_bool(share),
-            Behavior::DropsAnswers => {
+            Behavior::DropsAnswers | Behavior::Vanishes => {
                 self.conns.remove(&conn);
                 return self.forwarder.closed(self.now, conn, LostCall::MayHaveRun);
             }
@@ -523,7 +525,9 @@
         let (after, event) = match self.servers[index].behavior {
             _ if self.refuse_new => (ROUND_TRIP, Event::Refused(conn)),
             Behavior::Crashed => (ROUND_TRIP, Event::Refused(conn)),
-            Behavior::Silent => (Duration::from_millis(600), Event::Refused(conn)),
+            Behavior::Silent | Behavior::Vanishes => {
+                (Duration::from_millis(600), Event::Refused(conn))
+            }
             _ => (ROUND_TRIP + HANDSHAKE, Event::Opened(conn)),
         };
         self.events.push(Reverse((self.now + after, event)));
