--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -139,7 +139,7 @@
 /// The store forgets its history just after a few backends have left; more than 16 daemons.
 fn gap(record: &Record, trouble: bool) -> Result<bool, String> {
     const DAEMONS: usize = 20;
-    const SERVERS: usize = 12;
+    const SERVERS: usize = 13;
     const LEAVING: usize = 2;
     // Bounds of the site.
     const DRAIN_S: f64 = 5.0;
