--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -10,8 +10,6 @@
 mod source;
 
 pub use item::{Era, Event, Item, Page, Position, PositionError, Record, WatchResult};
-pub use reader::{
-    Change, EraCheck, Failure, Reader, ReaderSettings, StaleSnapshot, Step, settle_time,
-};
-pub use relay::{Changes, Relay, RelayError, Snapshot};
-pub use source::{Source, choose_source, reads_directly};
+pub use reader::{Change, EraCheck, Reader, ReaderSettings, StaleSnapshot, Step, settle_time};
+pub use relay::{Accept, Changes, Confirmation, Relay, RelayError, Snapshot};
+pub use source::{Fleet, Plan, Source, SourceFailure, SourceSettings, Sources, reads_directly};
--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -22,12 +22,8 @@
     /// Pause after a watch that returned changes, so that a burst of changes takes few
     /// calls.
     pub watch_pause: Duration,
-    /// Pause after the first failed call. It doubles with each further one, up to
-    /// `retry_max`.
-    pub retry_min: Duration,
-    /// Longest pause after a failed call. Below half a second, so that the state is current
-    /// within a second after the store is available again.
-    pub retry_max: Duration,
+    /// Pause before a release is read again that has not been published yet.
+    pub release_pause: Duration,
     /// Time after the store was restored from a backup within which live servers write their
     /// entries again and the entries of servers that have left expire.
     pub settle: Duration,
@@ -38,8 +34,7 @@
         Self {
             watch_wait: Duration::from_millis(2_000),
             watch_pause: Duration::from_millis(120),
-            retry_min: Duration::from_millis(30),
-            retry_max: Duration::from_millis(400),
+            release_pause: Duration::from_millis(400),
             settle: settle_time(Duration::from_millis(1_200)),
         }
     }
@@ -90,19 +85,6 @@
     }
 }
 
-/// Why a call failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Failure {
-    /// No usable response.
-    Unreachable,
-    /// The store refused the call because of its rate limit.
-    Busy,
-    /// The store no longer has the changes after the requested position.
-    HistoryGone,
-    /// The response is from before the store was restored from a backup.
-    OldEra,
-}
-
 /// Result of comparing the era of a response with the known one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EraCheck {
@@ -193,7 +175,6 @@
     version: Option<ReleaseVersion>,
     complete: bool,
     pause_until: Timestamp,
-    failures: u32,
 }
 
 impl Reader {
@@ -212,7 +193,6 @@
             version: None,
             complete: false,
             pause_until: Timestamp::ZERO,
-            failures: 0,
         }
     }
 
@@ -237,11 +217,6 @@
         self.settled_at
     }
 
-    /// Returns the number of consecutive failed calls.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
-
     /// Returns the next call to make, or a pause.
     pub fn next(&self, now: Timestamp) -> Step {
         if now < self.pause_until {
@@ -295,7 +270,6 @@
         self.position = Position::new(era, 0);
         self.state = State::Release;
         self.allow_stale = false;
-        self.failures = 0;
         self.start_settling(now, self.settings.settle);
         EraCheck::Restored { before }
     }
@@ -317,10 +291,9 @@
         item: Option<Item>,
         position: Position,
     ) -> Vec<Change> {
-        self.failures = 0;
         if item.is_none() && self.version.is_none() {
             // The operator has not published a release yet.
-            self.pause_until = now + self.settings.retry_max;
+            self.pause_until = now + self.settings.release_pause;
             return Vec::new();
         }
         if !self.allow_stale && position < self.position {
@@ -340,7 +313,6 @@
 
     /// Handles a page of the listing.
     pub fn on_page(&mut self, now: Timestamp, page: Page) -> Vec<Change> {
-        self.failures = 0;
         if self.state == State::Watching {
             // First page of the listing that is repeated after a restore.
             self.listed.clear();
@@ -394,6 +366,7 @@
             release,
             backends,
             settles_in,
+            confirmation: _,
         } = snapshot;
         if position < self.position {
             return Err(StaleSnapshot {
@@ -481,7 +454,6 @@
 
     /// Handles the response to a watch.
     pub fn on_watch(&mut self, now: Timestamp, watched: WatchResult) -> Vec<Change> {
-        self.failures = 0;
         self.position = self.position.max(watched.position);
         self.on_confirmed();
         if !watched.events.is_empty() {
@@ -516,18 +488,11 @@
         self.on_watch(now, WatchResult { events, position })
     }
 
-    /// Handles a failed call. Returns the pause before the next one.
-    pub fn on_failure(&mut self, now: Timestamp, failure: Failure) -> Duration {
-        if failure == Failure::HistoryGone {
-            self.state = State::Release;
-            self.allow_stale = false;
-            return Duration::ZERO;
-        }
-        self.failures = self.failures.saturating_add(1);
-        let doubled = self.settings.retry_min * 2_u32.pow(self.failures.min(6) - 1);
-        let pause = doubled.min(self.settings.retry_max);
-        self.pause_until = now + pause;
-        pause
+    /// Handles lost history: the source no longer has the changes after the position, and
+    /// everything is read again.
+    pub fn on_history_gone(&mut self) {
+        self.state = State::Release;
+        self.allow_stale = false;
     }
 
     fn apply(
--- a/crates/jasminepond-discovery/tests/reader.rs
+++ b/crates/jasminepond-discovery/tests/reader.rs
@@ -6,7 +6,7 @@
 
 use common::{at, backend};
 use jasminepond_discovery::{
-    Change, Event, Failure, Item, Page, Reader, ReaderSettings, Record, Snapshot, Step, WatchResult,
+    Change, Event, Item, Page, Reader, ReaderSettings, Record, Snapshot, Step, WatchResult,
 };
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::{Millis, Timestamp};
@@ -109,8 +109,9 @@
         release: None,
         backends: vec![backend("a"), backend("left")],
         settles_in: Millis(0),
+        confirmation: None,
     };
-    reader.on_failure(NOW, Failure::HistoryGone);
+    reader.on_history_gone();
     assert!(reader.on_snapshot(NOW, snapshot(20)).is_err());
     let later = NOW + Duration::from_secs(1);
     assert_eq!(reader.next(later), Step::ReadRelease { stale: false });
@@ -124,7 +125,7 @@
 #[test]
 fn listing_after_lost_history_is_current_and_removes_missing_servers() {
     let mut reader = loaded(&["a", "b"], 10);
-    reader.on_failure(NOW, Failure::HistoryGone);
+    reader.on_history_gone();
     assert_eq!(reader.next(NOW), Step::ReadRelease { stale: false });
     reader.on_release(NOW, Some(release(3)), at(40));
     let changes = reader.on_page(NOW, page(&["b"], false, 40));
@@ -162,22 +163,6 @@
     assert_eq!(removed(&reader.on_watch(NOW, watched)), ["a"]);
 }
 
-/// An unavailable store must not be called in a tight loop, and must be read again soon
-/// after it is available.
-#[test]
-fn pause_after_failures_is_bounded() {
-    let settings = ReaderSettings::default();
-    let mut reader = loaded(&["a"], 10);
-    for _ in 0..100 {
-        let pause = reader.on_failure(NOW, Failure::Unreachable);
-        assert!(pause >= settings.retry_min && pause <= settings.retry_max);
-        assert!(matches!(reader.next(NOW), Step::Pause(until) if until == NOW + pause));
-    }
-    let later = NOW + Duration::from_secs(1);
-    assert!(matches!(reader.next(later), Step::Watch { after, .. } if after == at(10)));
-    assert!(reader.is_complete());
-}
-
 /// A daemon that starts before the operator has published a release must wait for it.
 #[test]
 fn missing_release_is_read_again() {
--- a/crates/jasminepond-discovery/tests/relay.rs
+++ b/crates/jasminepond-discovery/tests/relay.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{at, backend};
-use jasminepond_discovery::{Change, Relay, RelayError, Source, choose_source};
+use jasminepond_discovery::{Accept, Change, Relay, RelayError};
 use jasminepond_types::Timestamp;
 
 const NOW: Timestamp = Timestamp::from_millis(1);
@@ -29,7 +29,7 @@
     relay.record(NOW, at(12), &[put("c")]);
     relay.record(NOW, at(15), &[removed("a")]);
     let ids: Vec<_> = relay
-        .snapshot(NOW)
+        .snapshot(NOW, Accept::Current)
         .unwrap()
         .backends
         .into_iter()
@@ -37,12 +37,15 @@
         .collect();
     assert_eq!(ids, ["b", "c"]);
     assert_eq!(
-        relay.changes(NOW, at(10)).unwrap().changes,
+        relay.changes(NOW, at(10), Accept::Current).unwrap().changes,
         [put("c"), removed("a")]
     );
-    let last = relay.changes(NOW, at(12)).unwrap();
+    let last = relay.changes(NOW, at(12), Accept::Current).unwrap();
     assert_eq!((last.position, last.changes), (at(15), vec![removed("a")]));
-    assert_eq!(relay.changes(NOW, at(15)).unwrap().changes, []);
+    assert_eq!(
+        relay.changes(NOW, at(15), Accept::Current).unwrap().changes,
+        []
+    );
 }
 
 /// A follower whose position is older than the kept history must read everything again.
@@ -50,7 +53,10 @@
 fn changes_before_the_kept_history_are_refused() {
     let mut relay = Relay::default();
     relay.record(NOW, at(10), &[put("a")]);
-    assert_eq!(relay.changes(NOW, at(9)), Err(RelayError::HistoryGone));
+    assert_eq!(
+        relay.changes(NOW, at(9), Accept::Current),
+        Err(RelayError::HistoryGone)
+    );
 }
 
 /// A reader that is cut off from the store must not serve an outdated state.
@@ -59,33 +65,13 @@
     let mut relay = Relay::default();
     relay.record(NOW, at(10), &[]);
     let later = NOW + Duration::from_secs(3);
-    assert_eq!(relay.changes(later, at(10)), Err(RelayError::NotCurrent));
-    relay.record_relayed(at(11), &[]);
-    assert_eq!(relay.snapshot(NOW), Err(RelayError::NotCurrent));
-}
-
-/// If all readers fail, each daemon must reach the store at some point, but not with every
-/// call.
-#[test]
-fn failing_readers_are_skipped() {
-    let running = vec![true; 91];
-    for rank in 0..91 {
-        let sources: Vec<_> = (0..4)
-            .map(|failures| choose_source(&running, rank, failures))
-            .collect();
-        let store = sources
-            .iter()
-            .filter(|source| **source == Source::Store)
-            .count();
-        let reads = [0, 30, 60].contains(&rank);
-        assert_eq!(store, if reads { 4 } else { 1 }, "rank {rank}: {sources:?}");
-    }
-}
-
-#[test]
-fn a_dead_reader_is_replaced_by_the_next_daemon() {
-    let mut running = vec![true; 91];
-    running[30] = false;
-    assert_eq!(choose_source(&running, 31, 0), Source::Store);
-    assert_eq!(choose_source(&running, 34, 0), Source::Daemon(31));
+    assert_eq!(
+        relay.changes(later, at(10), Accept::Current),
+        Err(RelayError::NotCurrent)
+    );
+    relay.record_relayed(NOW, at(11), &[]);
+    assert_eq!(
+        relay.snapshot(NOW, Accept::Current),
+        Err(RelayError::NotCurrent)
+    );
 }
--- a/crates/jasminepond-discovery/tests/restored.rs
+++ b/crates/jasminepond-discovery/tests/restored.rs
@@ -7,8 +7,8 @@
 
 use common::backend;
 use jasminepond_discovery::{
-    Change, Era, EraCheck, Event, Item, Page, Position, Reader, ReaderSettings, Record, Relay,
-    Snapshot, Step, WatchResult,
+    Accept, Change, Era, EraCheck, Event, Item, Page, Position, Reader, ReaderSettings, Record,
+    Relay, Snapshot, Step, WatchResult,
 };
 use jasminepond_forward::{Backend, BackendState};
 use jasminepond_routes::{Release, ReleaseVersion};
@@ -233,6 +233,7 @@
         release: None,
         backends: vec![entry("a", 1)],
         settles_in: Millis(0),
+        confirmation: None,
     };
     assert!(reader.on_snapshot(NOW, snapshot(OLD_ERA, 900)).is_err());
     assert!(reader.on_snapshot(NOW, snapshot(NEW_ERA, 480)).is_ok());
@@ -247,9 +248,13 @@
         Position::new(NEW_ERA, 480),
         &[Change::Backend(entry("b", 1))],
     );
-    let newer_changes = relay.changes(NOW, Position::new(OLD_ERA, 500)).unwrap();
+    let newer_changes = relay
+        .changes(NOW, Position::new(OLD_ERA, 500), Accept::Current)
+        .unwrap();
     assert_eq!(updated(&newer_changes.changes), ["b"]);
-    let known = relay.changes(NOW, Position::new(NEW_ERA, 480)).unwrap();
+    let known = relay
+        .changes(NOW, Position::new(NEW_ERA, 480), Accept::Current)
+        .unwrap();
     assert_eq!(known.changes, []);
 }
 
@@ -305,7 +310,7 @@
     reader.on_era(NOW, NEW_ERA);
     reader.on_release(NOW, Some(release(5)), Position::new(NEW_ERA, 482));
     reader.on_page(NOW, page(NEW_ERA, 482, &[entry("a", 1), entry("left", 1)]));
-    let snapshot = relay.snapshot(NOW).unwrap();
+    let snapshot = relay.snapshot(NOW, Accept::Current).unwrap();
     let changes = reader.merge_snapshot(NOW, snapshot).unwrap();
     assert!(matches!(&changes[0], Change::Release(release) if release.version.0 == 7));
     assert_eq!(updated(&changes), ["new"]);
@@ -338,7 +343,7 @@
     reader.on_release(NOW, Some(release(5)), Position::new(OLD_ERA, 482));
     reader.on_page(NOW, page(OLD_ERA, 482, &[entry("a", 1)]));
     assert_eq!(
-        reader.merge_snapshot(NOW, relay.snapshot(NOW).unwrap()),
+        reader.merge_snapshot(NOW, relay.snapshot(NOW, Accept::Current).unwrap()),
         Ok(vec![])
     );
 }
@@ -353,7 +358,7 @@
     reader.on_release(NOW, Some(release(5)), Position::new(NEW_ERA, 482));
     assert!(
         reader
-            .merge_snapshot(NOW, relay.snapshot(NOW).unwrap())
+            .merge_snapshot(NOW, relay.snapshot(NOW, Accept::Current).unwrap())
             .is_err()
     );
 }
@@ -362,7 +367,7 @@
 #[test]
 fn restore_without_a_new_era_is_detected() {
     let mut reader = loaded(&[entry("a", 1), entry("new", 1)]);
-    reader.on_failure(NOW, jasminepond_discovery::Failure::HistoryGone);
+    reader.on_history_gone();
     reader.on_release(NOW, Some(release(7)), Position::new(OLD_ERA, 400));
     let changes = reader.on_page(NOW, page(OLD_ERA, 400, &[entry("a", 1)]));
     assert_eq!(removed(&changes), [""; 0]);
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -253,6 +253,15 @@
     })
 }
 
+fn store_status(hub: &Hub) -> serde_json::Value {
+    let state = hub.store_state();
+    json!({
+        "source": state.source.to_string(),
+        "age_ms": hub.clock().now().since(state.confirmed_at).as_millis() as u64,
+        "position": state.position.to_string(),
+    })
+}
+
 /// Builds the status page: counts, the active routes, and the presumed state of each
 /// backend server.
 fn status_page(hub: &Hub) -> serde_json::Value {
@@ -280,6 +289,7 @@
         let servers = forwarder.server_reports(now).into_iter().map(server);
         json!({
             "release": status.version.0,
+            "store": store_status(hub),
             "release_age_ms": now.since(forwarder.released()).as_millis() as u64,
             "contact_lost_ms": forwarder.contact_lost_for(now).map(|time| time.as_millis() as u64),
             "servers_down": status.down,
@@ -379,7 +389,8 @@
                     let now = hub.clock().now();
                     let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
                     let (status, suspects) = hub.read(read);
-                    let text = hub.metrics().render(status, suspects);
+                    let state_age = now.since(hub.store_state().confirmed_at);
+                    let text = hub.metrics().render(status, suspects, state_age);
                     text_response(StatusCode::OK, METRICS_MEDIA_TYPE, text)
                 }
                 "/status" => json_response(StatusCode::OK, &status_page(&hub)),
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -12,6 +12,7 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::{FutureExt, future::poll_fn, select_biased, task::AtomicWaker};
 use jasminepond_daemon::clock::Clock;
+use jasminepond_discovery::{Position, Source};
 use jasminepond_forward::{
     Action, ActiveRoute, Answer, Arrival, ConnKey, ContactEvent, DelegatedPart, DelegationRequest,
     EvidenceSource, Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
@@ -72,6 +73,18 @@
     contact: RefCell<Option<mpsc::UnboundedSender<bool>>>,
     /// Set once a release and all backend servers have been read.
     complete: Rc<Cell<bool>>,
+    store_state: Cell<StoreState>,
+}
+
+/// How current the releases and entries are that this daemon uses.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreState {
+    /// Source that last confirmed the state.
+    pub source: Source,
+    /// Time for which the store last confirmed the state, or the start of the process.
+    pub confirmed_at: Timestamp,
+    /// Position up to which changes are known.
+    pub position: Position,
 }
 
 impl Hub {
@@ -98,9 +111,24 @@
             datagrams: RefCell::default(),
             contact: RefCell::default(),
             complete,
+            store_state: Cell::new(StoreState {
+                source: Source::Store,
+                confirmed_at: Timestamp::ZERO,
+                position: Position::default(),
+            }),
         })
     }
 
+    /// Returns how current the releases and entries are.
+    pub fn store_state(&self) -> StoreState {
+        self.store_state.get()
+    }
+
+    /// Notes how current the releases and entries are.
+    pub fn set_store_state(&self, state: StoreState) {
+        self.store_state.set(state);
+    }
+
     /// Sets the queue of datagrams to other daemons. Without one they are dropped.
     pub fn set_datagrams(&self, tx: mpsc::Sender<Datagram>) {
         *self.datagrams.borrow_mut() = Some(tx);
--- a/crates/jasminepond-gateway/src/members.rs
+++ b/crates/jasminepond-gateway/src/members.rs
@@ -15,8 +15,9 @@
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
 use jasminepond_daemon::{clock::Clock, stop::Stop};
+use jasminepond_discovery::Fleet;
 use jasminepond_forward::{Cluster, Peer};
-use jasminepond_membership::{LocalMember, Membership, Message, Output, Settings};
+use jasminepond_membership::{LocalMember, MemberState, Membership, Message, Output, Settings};
 use jasminepond_quarantine::Message as Evidence;
 use jasminepond_ratelimit::Message as LimitMessage;
 use jasminepond_types::{InstanceId, Timestamp};
@@ -47,6 +48,8 @@
     pub rank: usize,
     /// Whether each daemon is considered alive.
     pub running: Vec<bool>,
+    /// Whether each daemon is considered alive and is not suspected of having failed.
+    pub usable: Vec<bool>,
     /// Address of each daemon for calls of other daemons.
     pub addresses: Vec<SocketAddr>,
 }
@@ -114,6 +117,17 @@
     }
 }
 
+impl Members {
+    /// Returns the daemons for the selection of a source.
+    pub fn fleet(&self) -> Fleet<'_> {
+        Fleet {
+            addresses: &self.addresses,
+            usable: &self.usable,
+            rank: self.rank,
+        }
+    }
+}
+
 impl MembershipTask {
     /// Runs the protocol until the process ends.
     pub async fn run(mut self) {
@@ -270,6 +284,10 @@
         Members {
             rank: self.cluster().rank as usize,
             running: members.iter().map(|member| member.is_reachable()).collect(),
+            usable: members
+                .iter()
+                .map(|member| member.state == MemberState::Alive)
+                .collect(),
             addresses: members.iter().map(|member| member.peer_address).collect(),
         }
     }
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 //!
 //! Label values come from fixed sets, never from a request.
 
-use std::cell::Cell;
+use std::{cell::Cell, sync::atomic::AtomicU64, time::Duration};
 
 use jasminepond_forward::{Status, Summary};
 use jasminepond_routes::ReleaseVersion;
@@ -43,6 +43,7 @@
     store_calls: Counter,
     store_failures: Counter,
     release: Gauge,
+    state_age: Gauge<f64, AtomicU64>,
     servers: Gauge,
     servers_down: Gauge,
     servers_limited: Gauge,
@@ -75,6 +76,7 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             release: Gauge::default(),
+            state_age: Gauge::default(),
             servers: Gauge::default(),
             servers_down: Gauge::default(),
             servers_limited: Gauge::default(),
@@ -173,6 +175,12 @@
             "Requests refused before they were routed, by kind",
             self.refused.clone(),
         );
+        r.register_with_unit(
+            "store_state_age",
+            "Time since the store last confirmed the release and the entries in use",
+            Unit::Seconds,
+            self.state_age.clone(),
+        );
         let gauges = [
             ("release", "Version of the release in force", &self.release),
             ("servers", "Known backend servers", &self.servers),
@@ -207,9 +215,15 @@
         }
     }
 
-    /// Returns the metrics in text format, with the current values of `status` and the numbers
-    /// of suspected and of held requests.
-    pub fn render(&self, status: Status, (suspected, held): (usize, usize)) -> String {
+    /// Returns the metrics in text format, with the current values of `status`, the numbers
+    /// of suspected and of held requests, and the time since the store confirmed the state.
+    pub fn render(
+        &self,
+        status: Status,
+        (suspected, held): (usize, usize),
+        state_age: Duration,
+    ) -> String {
+        self.state_age.set(state_age.as_secs_f64());
         self.suspected.set(suspected as i64);
         self.held.set(held as i64);
         self.servers.set(status.servers as i64);
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -11,8 +11,8 @@
 use hyper::HeaderMap;
 use jasminepond_daemon::clock::Clock;
 use jasminepond_discovery::{
-    Change, Changes, Era, EraCheck, Failure, Reader, ReaderSettings, Snapshot, Source, Step,
-    choose_source, reads_directly,
+    Accept, Change, Changes, Confirmation, Era, EraCheck, Plan, Reader, ReaderSettings, Snapshot,
+    Source, SourceFailure, Sources, Step, reads_directly,
 };
 use jasminepond_platform::{HttpReader, HttpResponse, PlatformError};
 use jasminepond_routes::CallerLimits;
@@ -21,7 +21,7 @@
 
 use crate::{
     PlatformAdapter,
-    hub::Hub,
+    hub::{Hub, StoreState},
     members::Members,
     store_relay::{self, SharedRelay},
 };
@@ -68,85 +68,200 @@
 
 /// Result of a call to the store or to another daemon.
 enum CallResult {
-    Changes(Vec<Change>),
-    Failed(Failure, String),
+    /// These changes, with which the state is confirmed for this time.
+    Confirmed(Timestamp, Vec<Change>),
+    /// Changes of a state that has not been read completely.
+    Partial(Vec<Change>),
+    /// Changes of another daemon, whose state was last confirmed too long ago.
+    Stale(Timestamp, Vec<Change>),
+    /// The source no longer knows the changes after the position.
+    HistoryGone(String),
+    /// No usable response.
+    Failed(String),
+}
+
+/// What the task knows between two calls.
+struct Progress {
+    reader: Reader,
+    sources: Sources,
+    /// Source of the last call.
+    source: Source,
+    /// Source that last confirmed the state.
+    followed: Source,
+    /// Time for which the state was last confirmed, or the start of the process.
+    confirmed_at: Timestamp,
+    /// Client for the daemon that is followed.
+    peer: Option<(SocketAddr, HttpReader)>,
 }
 
 impl StoreTask {
     /// Reads and watches the store until the process ends.
     pub async fn run(self) {
         let started = self.clock.now();
-        let mut reader = Reader::new(self.reader.clone());
+        let mut progress = Progress {
+            reader: Reader::new(self.reader.clone()),
+            sources: Sources::default(),
+            source: Source::Store,
+            followed: Source::Store,
+            confirmed_at: started,
+            peer: None,
+        };
         let (snapshot, ()) = join!(
             self.fetch_peer_snapshot(started),
-            self.read_stale(&mut reader)
+            self.read_stale(&mut progress)
         );
-        self.merge_peer_snapshot(&mut reader, snapshot);
-        let mut peer: Option<(SocketAddr, HttpReader)> = None;
+        self.merge_peer_snapshot(&mut progress, snapshot);
         loop {
             let now = self.clock.now();
-            let result = match reader.next(now) {
-                Step::Pause(until) => {
-                    compio::time::sleep(until.since(now)).await;
-                    continue;
-                }
-                step => match self.select_peer(&mut peer, reader.failures()) {
-                    Some(http) => self.call_daemon(http, &mut reader, step).await,
-                    None => self.call_store(&mut reader, step).await,
-                },
-            };
-            self.handle_result(&mut reader, peer.is_none(), result);
+            match progress.reader.next(now) {
+                Step::Pause(until) => compio::time::sleep(until.since(now)).await,
+                step => self.execute(&mut progress, step).await,
+            }
         }
     }
 
+    /// Executes a step of the reader at the source that is chosen for it.
+    async fn execute(&self, progress: &mut Progress, step: Step) {
+        let now = self.clock.now();
+        let plan = {
+            let members = self.members.borrow();
+            let confirmed_at = progress.confirmed_at;
+            progress.sources.plan(now, confirmed_at, &members.fleet())
+        };
+        let result = match plan {
+            Plan::Pause(until) => return compio::time::sleep(until.since(now)).await,
+            Plan::CallStore { wait } => {
+                progress.source = Source::Store;
+                self.call_store(&mut progress.reader, step, wait).await
+            }
+            Plan::AskDaemon {
+                address,
+                wait,
+                timeout,
+            } => {
+                progress.source = Source::Daemon(address);
+                self.ask_daemon(progress, step, (wait, timeout)).await
+            }
+        };
+        self.handle_result(progress, result);
+        self.hub.set_store_state(StoreState {
+            source: progress.followed,
+            confirmed_at: progress.confirmed_at,
+            position: progress.reader.position(),
+        });
+    }
+
     /// Makes the initial reads that may return stale data. They cost the store little and
     /// run while the other daemons are being discovered.
-    async fn read_stale(&self, reader: &mut Reader) {
+    async fn read_stale(&self, progress: &mut Progress) {
         loop {
-            let step = reader.next(self.clock.now());
+            let step = progress.reader.next(self.clock.now());
             if !step.allows_stale() {
                 return;
             }
-            let result = self.call_store(reader, step).await;
-            self.handle_result(reader, true, result);
+            let result = self
+                .call_store(&mut progress.reader, step, Duration::ZERO)
+                .await;
+            let failed = matches!(result, CallResult::Failed(_));
+            self.handle_result(progress, result);
+            if failed {
+                return;
+            }
         }
     }
 
-    fn handle_result(&self, reader: &mut Reader, from_store: bool, result: CallResult) {
+    fn handle_result(&self, progress: &mut Progress, result: CallResult) {
+        let source = progress.source;
         match result {
-            CallResult::Changes(changes) => {
-                if self.hub.metrics().store_reached() {
-                    info!("store: reached", kv: { position: = reader.position() });
-                }
-                self.apply_changes(reader, from_store, changes);
+            CallResult::Confirmed(confirmed_at, changes) => {
+                progress.sources.on_success(source);
+                self.log_reached(progress);
+                self.log_followed(progress);
+                progress.confirmed_at = progress.confirmed_at.max(confirmed_at);
+                self.apply_changes(progress, changes);
             }
-            CallResult::Failed(failure, cause) => {
-                self.relay.failed();
-                let pause = reader.on_failure(self.clock.now(), failure);
-                if self.hub.metrics().store_failed() {
-                    warn!("store: not reached", kv: {
-                        cause,
-                        position: = reader.position(),
-                        retry_ms = pause.as_millis() as u64,
-                    });
-                }
+            CallResult::Partial(changes) => {
+                progress.sources.on_success(source);
+                self.log_reached(progress);
+                self.apply_changes(progress, changes);
+            }
+            CallResult::Stale(confirmed_at, changes) => {
+                progress.confirmed_at = progress.confirmed_at.max(confirmed_at);
+                self.apply_changes(progress, changes);
+                let cause = "the other daemon's state was not confirmed lately";
+                self.handle_failure(progress, SourceFailure::Stale, cause.to_owned());
+            }
+            CallResult::HistoryGone(cause) => {
+                info!("store: the whole state is read again", kv: { cause, source: = source });
+                progress.sources.on_success(source);
+                progress.reader.on_history_gone();
             }
+            CallResult::Failed(cause) => {
+                self.handle_failure(progress, SourceFailure::Unreachable, cause);
+            }
+        }
+    }
+
+    fn log_reached(&self, progress: &Progress) {
+        if self.hub.metrics().store_reached() {
+            info!("store: reached", kv: {
+                position: = progress.reader.position(),
+                source: = progress.source,
+            });
+        }
+    }
+
+    /// Logs that the state is confirmed by another source than before, after which time.
+    fn log_followed(&self, progress: &mut Progress) {
+        let source = progress.source;
+        if progress.followed != source {
+            progress.followed = source;
+            let age = self.clock.now().since(progress.confirmed_at);
+            info!("store: changes are learnt from", kv: {
+                source: = source,
+                position: = progress.reader.position(),
+                age_ms = age.as_millis() as u64,
+            });
+        }
+    }
+
+    fn handle_failure(&self, progress: &mut Progress, reason: SourceFailure, cause: String) {
+        self.relay.failed();
+        let now = self.clock.now();
+        let pause = {
+            let members = self.members.borrow();
+            let sources = &mut progress.sources;
+            sources.on_failure(now, progress.source, reason, &members.fleet())
+        };
+        if self.hub.metrics().store_failed() {
+            warn!("store: not reached", kv: {
+                cause,
+                source: = progress.source,
+                position: = progress.reader.position(),
+                age_ms = now.since(progress.confirmed_at).as_millis() as u64,
+                retry_ms = pause.as_millis() as u64,
+            });
         }
     }
 
     /// Applies changes to the forwarder and makes them available to other daemons.
-    fn apply_changes(&self, reader: &Reader, from_store: bool, changes: Vec<Change>) {
-        self.relay.record(from_store, reader.position(), &changes);
+    fn apply_changes(&self, progress: &Progress, changes: Vec<Change>) {
+        let reader = &progress.reader;
+        let from_store = progress.source == Source::Store;
+        self.relay.record(
+            from_store,
+            progress.confirmed_at,
+            reader.position(),
+            &changes,
+        );
         self.relay.set_settled_at(reader.settled_at());
-        let mut changed = !changes.is_empty();
         for change in changes {
             self.apply(change);
         }
         if reader.is_complete() && !self.complete.replace(true) {
             self.log_ready();
-            changed = true;
         }
-        self.relay.applied(changed);
+        self.relay.applied();
     }
 
     /// Fetches the snapshot of a running daemon once the daemons are known. A store that has
@@ -156,7 +271,7 @@
         let address = self.next_running_daemon()?;
         let timeout = PEER_SNAPSHOT_TIMEOUT;
         let http = HttpReader::new(jasminepond_platform::Options { address, timeout }).ok()?;
-        let path = store_relay::snapshot_path(Duration::ZERO);
+        let path = store_relay::snapshot_path(Duration::ZERO, Accept::Current);
         // The snapshot is optional: a daemon may be down or may not have read the store.
         let answer = http.get(&path, Duration::ZERO).await.ok()?;
         if answer.status != 200 {
@@ -171,14 +286,18 @@
         }
     }
 
-    fn merge_peer_snapshot(&self, reader: &mut Reader, snapshot: Option<(SocketAddr, Snapshot)>) {
+    fn merge_peer_snapshot(
+        &self,
+        progress: &mut Progress,
+        snapshot: Option<(SocketAddr, Snapshot)>,
+    ) {
         let Some((source, snapshot)) = snapshot else {
             return;
         };
-        match reader.merge_snapshot(self.clock.now(), snapshot) {
+        match progress.reader.merge_snapshot(self.clock.now(), snapshot) {
             Ok(changes) => {
                 info!("store: view of another daemon added", kv: { source: = source, changes = changes.len() });
-                self.apply_changes(reader, false, changes);
+                self.apply_changes(progress, changes);
             }
             Err(stale) => {
                 warn!("store: view of another daemon not added", kv: { source: = source, cause: = stale });
@@ -225,98 +344,100 @@
         }
     }
 
-    /// Returns the client for the daemon to read from, or `None` to read the store.
-    fn select_peer<'a>(
+    /// Executes a step of the reader with a call to the daemon that is the source. `limits`
+    /// are the longest wait there and the timeout of the call.
+    async fn ask_daemon(
         &self,
-        peer: &'a mut Option<(SocketAddr, HttpReader)>,
-        failures: u32,
-    ) -> Option<&'a HttpReader> {
-        let members = self.members.borrow();
-        let address = match choose_source(&members.running, members.rank, failures) {
-            Source::Store => None,
-            Source::Daemon(rank) => members.addresses.get(rank).copied(),
+        progress: &mut Progress,
+        step: Step,
+        limits: (Duration, Duration),
+    ) -> CallResult {
+        let Source::Daemon(address) = progress.source else {
+            return CallResult::Failed("no daemon is followed".to_owned());
         };
-        let current = peer.as_ref().map(|(address, _)| *address);
-        if address != current {
-            info!("store: changes are learnt from", kv: {
-                source: = address.map_or("the store".to_owned(), |address| address.to_string()),
-            });
-            *peer = address.and_then(|address| {
-                let timeout = self.timeout;
-                let options = jasminepond_platform::Options { address, timeout };
-                match HttpReader::new(options) {
-                    Ok(http) => Some((address, http)),
-                    Err(err) => {
-                        warn!("store: no client for another daemon", kv: { error: = err });
-                        None
-                    }
-                }
-            });
-        }
-        peer.as_ref().map(|(_, http)| http)
-    }
-
-    /// Executes a step of the reader with a call to another daemon.
-    async fn call_daemon(&self, http: &HttpReader, reader: &mut Reader, step: Step) -> CallResult {
-        let (path, extra) = match &step {
-            Step::Watch { after, wait } if reader.is_complete() => {
-                (store_relay::changes_path(*after, *wait), wait.duration())
-            }
-            _ => {
-                let wait = store_relay::SNAPSHOT_WAIT;
-                (store_relay::snapshot_path(wait), wait)
-            }
+        let called_at = self.clock.now();
+        let http = match self.client(&mut progress.peer, address) {
+            Ok(http) => http,
+            Err(err) => return unreachable(err),
         };
-        let HttpResponse { status, body, .. } = match http.get(&path, extra).await {
+        let reader = &mut progress.reader;
+        let (path, timeout) = peer_request(reader, &step, limits);
+        let HttpResponse { status, body, .. } = match http.get_within(&path, timeout).await {
             Ok(answer) => answer,
-            Err(err) => return CallResult::Failed(Failure::Unreachable, err.to_string()),
+            Err(err) => return unreachable(err),
         };
         let now = self.clock.now();
-        let malformed = |err: ciborium::de::Error<std::io::Error>| {
-            CallResult::Failed(Failure::Unreachable, err.to_string())
-        };
-        match (&step, status) {
-            (Step::Watch { .. }, 200) if reader.is_complete() => {
-                match ciborium::from_reader::<Changes, _>(&body[..]) {
-                    Ok(changes) => CallResult::Changes(reader.on_relayed(
-                        now,
-                        changes.position,
-                        changes.changes,
-                    )),
-                    Err(err) => malformed(err),
+        let follows = reader.is_complete() && matches!(step, Step::Watch { .. });
+        let (confirmation, changes) = match status {
+            200 if follows => match ciborium::from_reader::<Changes, _>(&body[..]) {
+                Ok(Changes {
+                    position,
+                    changes,
+                    confirmation,
+                }) => (confirmation, reader.on_relayed(now, position, changes)),
+                Err(err) => return unreachable(err),
+            },
+            200 => match ciborium::from_reader::<Snapshot, _>(&body[..]) {
+                Ok(snapshot) => {
+                    let confirmation = snapshot.confirmation;
+                    let confirmed_at = confirmed_at(confirmation, called_at, now);
+                    if !reader.is_complete() && progress.sources.is_stale(now, confirmed_at) {
+                        return unreachable("its state was not confirmed lately");
+                    }
+                    match reader.on_snapshot(now, snapshot) {
+                        Ok(changes) => (confirmation, changes),
+                        Err(stale) => return unreachable(stale),
+                    }
                 }
-            }
-            (Step::Watch { .. }, 410) => {
+                Err(err) => return unreachable(err),
+            },
+            410 => {
                 let cause = "the other daemon no longer knows the changes";
-                CallResult::Failed(Failure::HistoryGone, cause.to_owned())
+                return CallResult::HistoryGone(cause.to_owned());
             }
-            (_, 200) => match ciborium::from_reader::<Snapshot, _>(&body[..]) {
-                Ok(snapshot) => match reader.on_snapshot(now, snapshot) {
-                    Ok(changes) => {
-                        reader.on_confirmed();
-                        CallResult::Changes(changes)
-                    }
-                    Err(stale) => CallResult::Failed(Failure::Unreachable, stale.to_string()),
-                },
-                Err(err) => malformed(err),
-            },
-            (_, status) => CallResult::Failed(Failure::Unreachable, format!("status {status}")),
+            status => return unreachable(format!("status {status}")),
+        };
+        reader.on_confirmed();
+        let confirmed_at = confirmed_at(confirmation, called_at, now);
+        if progress.sources.is_stale(now, confirmed_at) {
+            return CallResult::Stale(confirmed_at, changes);
+        }
+        CallResult::Confirmed(confirmed_at, changes)
+    }
+
+    /// Returns the client for the daemon with this address.
+    fn client<'a>(
+        &self,
+        peer: &'a mut Option<(SocketAddr, HttpReader)>,
+        address: SocketAddr,
+    ) -> Result<&'a HttpReader, PlatformError> {
+        if !matches!(peer, Some((current, _)) if *current == address) {
+            let timeout = self.timeout;
+            let options = jasminepond_platform::Options { address, timeout };
+            *peer = Some((address, HttpReader::new(options)?));
+        }
+        match peer {
+            Some((_, http)) => Ok(http),
+            None => Err(PlatformError::NotFound),
         }
     }
 
-    /// Executes a step of the reader with a call to the store.
-    async fn call_store(&self, reader: &mut Reader, step: Step) -> CallResult {
+    /// Executes a step of the reader with a call to the store. A watch waits for at most
+    /// `wait`.
+    async fn call_store(&self, reader: &mut Reader, step: Step, wait: Duration) -> CallResult {
         self.hub.metrics().store_called();
+        let called_at = self.clock.now();
         let (path, extra) = match &step {
             Step::ReadRelease { stale } => (self.adapter.release_path(*stale), Duration::ZERO),
             Step::ListBackends { after, stale } => {
                 let path = self.adapter.backends_path(after.as_deref(), *stale);
                 (path, Duration::ZERO)
             }
-            Step::Watch { after, wait } => {
-                (self.adapter.watch_path(*after, *wait), wait.duration())
+            Step::Watch { after, wait: most } => {
+                let wait = wait.min(most.duration());
+                (self.adapter.watch_path(*after, wait.into()), wait)
             }
-            Step::Pause(_) => return CallResult::Changes(Vec::new()),
+            Step::Pause(_) => return CallResult::Partial(Vec::new()),
         };
         let HttpResponse {
             status,
@@ -324,10 +445,7 @@
             body,
         } = match self.http.get(&path, extra).await {
             Ok(answer) => answer,
-            Err(PlatformError::RateLimited) => {
-                return CallResult::Failed(Failure::Busy, "too many reads".to_owned());
-            }
-            Err(err) => return CallResult::Failed(Failure::Unreachable, err.to_string()),
+            Err(err) => return unreachable(err),
         };
         let now = self.clock.now();
         let era = self.stated_era(&headers).unwrap_or(reader.era());
@@ -335,12 +453,11 @@
             EraCheck::Same => {}
             EraCheck::Restored { before } => {
                 warn!("store: came back from a copy; everything is read again", kv: { before:, era: });
-                return CallResult::Changes(Vec::new());
+                return CallResult::Partial(Vec::new());
             }
             EraCheck::Old => {
                 let known = reader.era();
-                let cause = format!("an answer of era {era}, after one of era {known}");
-                return CallResult::Failed(Failure::OldEra, cause);
+                return unreachable(format!("an answer of era {era}, after one of era {known}"));
             }
         }
         let changes = match (&step, status) {
@@ -355,20 +472,26 @@
                 .map(|page| reader.on_page(now, page)),
             (Step::Watch { .. }, 200) => {
                 let watched = self.adapter.decode_watch(era, &body);
-                watched.map(|watched| reader.on_watch(now, watched))
+                return match watched {
+                    Ok(watched) => {
+                        let waited = if watched.events.is_empty() {
+                            extra
+                        } else {
+                            Duration::ZERO
+                        };
+                        let changes = reader.on_watch(now, watched);
+                        CallResult::Confirmed(now.min(called_at + waited), changes)
+                    }
+                    Err(err) => unreachable(err),
+                };
             }
             (Step::Watch { .. }, 410) => {
                 let cause = "the history after the position is gone";
-                return CallResult::Failed(Failure::HistoryGone, cause.to_owned());
-            }
-            (_, status) => {
-                return CallResult::Failed(Failure::Unreachable, format!("status {status}"));
+                return CallResult::HistoryGone(cause.to_owned());
             }
+            (_, status) => return unreachable(format!("status {status}")),
         };
-        match changes {
-            Ok(changes) => CallResult::Changes(changes),
-            Err(err) => CallResult::Failed(Failure::Unreachable, err.to_string()),
-        }
+        changes.map_or_else(unreachable, CallResult::Partial)
     }
 
     /// Returns the era stated in the headers, or `None` if it is missing or invalid.
@@ -413,3 +536,40 @@
         }
     }
 }
+
+/// Returns the path of a step's request to another daemon and its timeout, within the limits
+/// on the wait there and on the whole call.
+fn peer_request(
+    reader: &Reader,
+    step: &Step,
+    (wait, timeout): (Duration, Duration),
+) -> (String, Duration) {
+    let longest = match step {
+        Step::Watch { wait, .. } if reader.is_complete() => wait.duration(),
+        _ => store_relay::SNAPSHOT_WAIT,
+    };
+    let wait_there = wait.min(longest);
+    let timeout = timeout.saturating_sub(wait - wait_there);
+    let path = match step {
+        Step::Watch { after, .. } if reader.is_complete() => {
+            store_relay::changes_path(*after, wait_there, Accept::AnyAge)
+        }
+        _ => store_relay::snapshot_path(wait_there, Accept::AnyAge),
+    };
+    (path, timeout)
+}
+
+/// Returns the time for which another daemon's answer at `now` is confirmed. Earlier builds
+/// state no age, but serve only a state that was confirmed lately.
+fn confirmed_at(
+    confirmation: Option<Confirmation>,
+    called_at: Timestamp,
+    now: Timestamp,
+) -> Timestamp {
+    let stated = confirmation.map(|confirmation| confirmation.confirmed_at(called_at));
+    stated.map_or(now, |confirmed_at| confirmed_at.min(now))
+}
+
+fn unreachable(cause: impl ToString) -> CallResult {
+    CallResult::Failed(cause.to_string())
+}
--- a/crates/jasminepond-gateway/src/store_relay.rs
+++ b/crates/jasminepond-gateway/src/store_relay.rs
@@ -16,7 +16,7 @@
     clock::Clock,
     net::http::{BufferedRequest, BufferedResponse, error_response},
 };
-use jasminepond_discovery::{Change, Position, Relay, RelayError};
+use jasminepond_discovery::{Accept, Change, Confirmation, Position, Relay, RelayError};
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 use serde::Serialize;
 
@@ -32,15 +32,31 @@
 /// Limit on the wait of a snapshot request for the first complete read of the store.
 pub const SNAPSHOT_WAIT: Duration = Duration::from_millis(600);
 
+/// Value of the parameter `accept` for a state of any age. Earlier builds do not send the
+/// parameter and ignore it.
+const ANY_AGE: &str = "any_age";
+
 /// Returns the path and query of a snapshot request that waits up to `wait` for the first
 /// complete read.
-pub fn snapshot_path(wait: Duration) -> String {
-    format!("{SNAPSHOT}?wait_ms={}", wait.as_millis())
+pub fn snapshot_path(wait: Duration, accept: Accept) -> String {
+    let accept = accept_param(accept);
+    format!("{SNAPSHOT}?wait_ms={}{accept}", wait.as_millis())
 }
 
 /// Returns the path and query of a request that waits for changes after a position.
-pub fn changes_path(after: Position, wait: Millis) -> String {
-    format!("{CHANGES}?after={after}&wait_ms={}", wait.0)
+pub fn changes_path(after: Position, wait: Duration, accept: Accept) -> String {
+    let accept = accept_param(accept);
+    format!(
+        "{CHANGES}?after={after}&wait_ms={}{accept}",
+        wait.as_millis()
+    )
+}
+
+fn accept_param(accept: Accept) -> String {
+    match accept {
+        Accept::Current => String::new(),
+        Accept::AnyAge => format!("&accept={ANY_AGE}"),
+    }
 }
 
 /// Relay with the requests that wait for changes.
@@ -67,13 +83,20 @@
         })
     }
 
-    /// Records changes up to `position`, read from the store or from another daemon.
-    pub fn record(&self, from_store: bool, position: Position, changes: &[Change]) {
+    /// Records changes up to `position`, read from the store or from another daemon. The
+    /// store confirmed them at `confirmed_at`.
+    pub fn record(
+        &self,
+        from_store: bool,
+        confirmed_at: Timestamp,
+        position: Position,
+        changes: &[Change],
+    ) {
         let mut relay = self.relay.borrow_mut();
         if from_store {
-            relay.record(self.clock.now(), position, changes);
+            relay.record(confirmed_at, position, changes);
         } else {
-            relay.record_relayed(position, changes);
+            relay.record_relayed(confirmed_at, position, changes);
         }
     }
 
@@ -82,18 +105,17 @@
         self.relay.borrow_mut().set_settled_at(until);
     }
 
-    /// Notes that a read was applied. `changed` states whether it changed anything.
-    pub fn applied(&self, changed: bool) {
+    /// Notes that a read was applied. Requests that wait for changes are answered even if it
+    /// changed nothing, so that followers know how old their state is.
+    pub fn applied(&self) {
         self.failing.set(false);
-        if changed {
-            self.wake_waiters();
-        }
+        self.wake_waiters();
     }
 
-    /// Notes that a read failed. Requests that wait for the first read are answered at once.
+    /// Notes that a read failed. After the first failure, waiting requests are answered, so
+    /// that followers can turn to another daemon.
     pub fn failed(&self) {
-        self.failing.set(true);
-        if !self.complete.get() {
+        if !self.failing.replace(true) || !self.complete.get() {
             self.wake_waiters();
         }
     }
@@ -105,40 +127,64 @@
         }
     }
 
+    /// Waits for the next read, for at most `wait`.
+    async fn wait_for_news(&self, wait: Duration) {
+        let (tx, rx) = oneshot::channel();
+        {
+            let mut waiters = self.waiters.borrow_mut();
+            waiters.retain(|tx| !tx.is_canceled());
+            waiters.push(tx);
+        }
+        select_biased! {
+            _ = rx.fuse() => {}
+            _ = pin!(compio::time::sleep(wait).fuse()) => {}
+        }
+    }
+
     /// Returns a snapshot of the state, after waiting for the first complete read.
-    async fn snapshot(&self, wait: Duration) -> BufferedResponse {
+    async fn snapshot(&self, wait: Duration, accept: Accept) -> BufferedResponse {
+        let arrived = self.clock.now();
         let deadline = self.clock.now() + wait.min(SNAPSHOT_WAIT);
         while !self.complete.get() && !self.failing.get() {
             let left = deadline.since(self.clock.now());
             if left.is_zero() {
                 break;
             }
-            let (tx, rx) = oneshot::channel();
-            self.waiters.borrow_mut().push(tx);
-            select_biased! {
-                _ = rx.fuse() => {}
-                _ = pin!(compio::time::sleep(left).fuse()) => {}
-            }
+            self.wait_for_news(left).await;
         }
         if !self.complete.get() {
             return cbor_response(Err::<(), _>(RelayError::NotCurrent));
         }
-        cbor_response(self.relay.borrow().snapshot(self.clock.now()))
+        let snapshot = self.relay.borrow().snapshot(self.clock.now(), accept);
+        cbor_response(snapshot.map(|mut snapshot| {
+            self.set_held(&mut snapshot.confirmation, arrived);
+            snapshot
+        }))
+    }
+
+    fn set_held(&self, confirmation: &mut Option<Confirmation>, arrived: Timestamp) {
+        if let Some(confirmation) = confirmation {
+            let held = self.clock.now().since(arrived);
+            confirmation.held = Millis(held.as_millis() as u64);
+        }
     }
 
     /// Returns the changes after a position, after waiting for one if there is none.
-    async fn changes(&self, after: Position, wait: Duration) -> BufferedResponse {
-        let known = self.relay.borrow().changes(self.clock.now(), after);
+    async fn changes(&self, after: Position, wait: Duration, accept: Accept) -> BufferedResponse {
+        let arrived = self.clock.now();
+        if !self.complete.get() {
+            return cbor_response(Err::<(), _>(RelayError::NotCurrent));
+        }
+        let known = self.relay.borrow().changes(arrived, after, accept);
         let is_empty = known.as_ref().is_ok_and(|known| known.changes.is_empty());
         if is_empty {
-            let (tx, rx) = oneshot::channel();
-            self.waiters.borrow_mut().push(tx);
-            select_biased! {
-                _ = rx.fuse() => {}
-                _ = pin!(compio::time::sleep(wait.min(MAX_WAIT)).fuse()) => {}
-            }
+            self.wait_for_news(wait.min(MAX_WAIT)).await;
         }
-        cbor_response(self.relay.borrow().changes(self.clock.now(), after))
+        let changes = self.relay.borrow().changes(self.clock.now(), after, accept);
+        cbor_response(changes.map(|mut changes| {
+            self.set_held(&mut changes.confirmation, arrived);
+            changes
+        }))
     }
 }
 
@@ -154,10 +200,14 @@
         Some(pairs.find(|(n, _)| *n == name)?.1)
     };
     let wait = || Some(Duration::from_millis(param("wait_ms")?.parse().ok()?));
+    let accept = match param("accept") {
+        Some(ANY_AGE) => Accept::AnyAge,
+        _ => Accept::Current,
+    };
     match req.head.uri.path() {
-        SNAPSHOT => relay.snapshot(wait().unwrap_or_default()).await,
+        SNAPSHOT => relay.snapshot(wait().unwrap_or_default(), accept).await,
         CHANGES => match (param("after").and_then(|after| after.parse().ok()), wait()) {
-            (Some(after), Some(wait)) => relay.changes(after, wait).await,
+            (Some(after), Some(wait)) => relay.changes(after, wait, accept).await,
             _ => error_response(ErrorKind::BadRequest, "after or wait_ms is missing", None),
         },
         path => error_response(ErrorKind::NotFound, &format!("there is no {path}"), None),
--- a/crates/jasminepond-platform/src/http.rs
+++ b/crates/jasminepond-platform/src/http.rs
@@ -14,12 +14,17 @@
 /// 30,000 entries of 150 bytes each.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// Longest time for the body of a response, so that a source that sends it slowly is given
+/// up in the end.
+const MAX_BODY_TIME: Duration = Duration::from_secs(5);
+
 /// Settings of the client.
 #[derive(Debug, Clone)]
 pub struct Options {
     /// Address of the configuration service and instance list.
     pub address: SocketAddr,
-    /// Timeout of a read. A watch may take this much longer than the requested wait.
+    /// Timeout of a read, until the head of the response and then between parts of its
+    /// body. A watch may take this much longer than the requested wait.
     pub timeout: Duration,
 }
 
@@ -79,33 +84,35 @@
     }
 
     /// Sends a GET request for `path` and returns the response, whose status is below 500.
-    /// The request may take `extra` in addition to the configured timeout.
+    /// The head of the response may take `extra` in addition to the configured timeout.
     ///
     /// # Errors
     ///
     /// Fails if there is no response in time, on status 429, on a status of 500 or more,
     /// and if the body is too large.
     pub async fn get(&self, path: &str, extra: Duration) -> Result<HttpResponse, PlatformError> {
+        self.get_within(path, self.options.timeout + extra).await
+    }
+
+    /// Sends a GET request as [`HttpReader::get`] does. The head of the response may take
+    /// `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no response in time, on status 429, on a status of 500 or more,
+    /// and if the body is too large.
+    pub async fn get_within(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<HttpResponse, PlatformError> {
         let url = format!("http://{}{path}", self.options.address);
         let client = self.client.borrow().clone();
-        let read = async {
-            let res = client.get(url)?.send().await?;
-            let (status, headers) = (res.status().as_u16(), res.headers().clone());
-            Ok::<_, cyper::Error>((status, headers, read_body(res).await?))
-        };
-        let result = match compio::time::timeout(self.options.timeout + extra, read).await {
+        let head = async { client.get(url)?.send().await };
+        let result = match compio::time::timeout(timeout, head).await {
             Err(_) => Err(PlatformError::Unreachable("no response in time".to_owned())),
             Ok(Err(err)) => Err(PlatformError::Unreachable(err.to_string())),
-            Ok(Ok((_, _, None))) => Err(PlatformError::Malformed("body too large".to_owned())),
-            Ok(Ok((429, ..))) => Err(PlatformError::RateLimited),
-            Ok(Ok((status, ..))) if status >= 500 => {
-                Err(PlatformError::Unreachable(format!("status {status}")))
-            }
-            Ok(Ok((status, headers, Some(body)))) => Ok(HttpResponse {
-                status,
-                headers,
-                body,
-            }),
+            Ok(Ok(res)) => self.read_response(res).await,
         };
         if matches!(result, Err(PlatformError::Unreachable(_))) {
             // A pooled connection may be dead, so the next read opens a new one.
@@ -113,20 +120,42 @@
         }
         result
     }
+
+    async fn read_response(&self, res: cyper::Response) -> Result<HttpResponse, PlatformError> {
+        let (status, headers) = (res.status().as_u16(), res.headers().clone());
+        let body = read_body(res, self.options.timeout);
+        let body = compio::time::timeout(MAX_BODY_TIME, body).await;
+        let body =
+            body.map_err(|_| PlatformError::Unreachable("the body is slow".to_owned()))??;
+        match status {
+            429 => Err(PlatformError::RateLimited),
+            500.. => Err(PlatformError::Unreachable(format!("status {status}"))),
+            _ => Ok(HttpResponse {
+                status,
+                headers,
+                body,
+            }),
+        }
+    }
 }
 
-/// Reads the whole body. Returns `None` if it exceeds the limit.
-async fn read_body(res: cyper::Response) -> Result<Option<Vec<u8>>, cyper::Error> {
+/// Reads the whole body, of which each part has to arrive within `timeout`.
+async fn read_body(res: cyper::Response, timeout: Duration) -> Result<Vec<u8>, PlatformError> {
     let mut chunks = pin!(res.bytes_stream());
     let mut body = Vec::new();
-    while let Some(chunk) = chunks.next().await {
-        let chunk: bytes::Bytes = chunk?;
+    loop {
+        let chunk = match compio::time::timeout(timeout, chunks.next()).await {
+            Err(_) => return Err(PlatformError::Unreachable("the body broke off".to_owned())),
+            Ok(None) => return Ok(body),
+            Ok(Some(Err(err))) => return Err(PlatformError::Unreachable(err.to_string())),
+            Ok(Some(Ok(chunk))) => chunk,
+        };
+        let chunk: bytes::Bytes = chunk;
         body.extend_from_slice(&chunk);
         if body.len() > MAX_BODY_BYTES {
-            return Ok(None);
+            return Err(PlatformError::Malformed("body too large".to_owned()));
         }
     }
-    Ok(Some(body))
 }
 
 fn new_client() -> Result<Client, PlatformError> {
--- a/crates/jasminepond/src/status.rs
+++ b/crates/jasminepond/src/status.rs
@@ -92,6 +92,13 @@
         "release {}, in force for {} ms; {} requests in progress, {} parts waiting",
         state["release"], state["release_age_ms"], state["requests"], state["waiting"],
     );
+    let store = &state["store"];
+    println!(
+        "state of the store at position {}, confirmed {} ms ago, learnt from {}",
+        text(&store["position"]),
+        store["age_ms"],
+        text(&store["source"]),
+    );
     if let Some(lost) = state["contact_lost_ms"].as_u64() {
         println!(
             "no backend server has responded for {lost} ms; requests go through other daemons"
