fix(discovery): publish to followers only states of one position

Cause: nothing tied a state to the position under which it was passed on. A reader that reads everything again stamps each page, and the removals that come with the last one, with the position of the first read, and passes each on as it comes. The first page wakes the followers and takes them to that position; what follows is not newer than it, so they never get it.

Change, so that a published state is that of the store at its position: - `Reader::publication` gives a position only once a watch has reached the last page of a listing. Changes are staged until then and published together, without entries that did not change. Until then followers keep the state before, whose age they know. - Differences of two listings are marked, here and in messages. They are valid after the earlier position, and at the later one; a follower in between gets 410 and reads the whole state. A new era starts a new history. - A daemon whose state is not that of one position asks for the whole state. One whose source is behind does not take that for a confirmation. - `Changes` states the version of the release. The new fields are optional; builds before skip them, and what they send is understood.

--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -10,6 +10,8 @@
 mod source;
 
 pub use item::{Era, Event, Item, Page, Position, PositionError, Record, WatchResult};
-pub use reader::{Change, EraCheck, Reader, ReaderSettings, StaleSnapshot, Step, settle_time};
-pub use relay::{Accept, Changes, Confirmation, Relay, RelayError, Snapshot};
+pub use reader::{
+    Change, EraCheck, PeerRequest, Reader, ReaderSettings, Step, UnusableState, settle_time,
+};
+pub use relay::{Accept, Changes, Confirmation, Publication, Relay, RelayError, Snapshot};
 pub use source::{Fleet, Plan, Source, SourceFailure, SourceSettings, Sources, reads_directly};
--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Era, Event, Item, Page, Position, Record, Snapshot, WatchResult,
+    Changes, Era, Event, Item, Page, Position, Publication, Record, Snapshot, WatchResult,
     entries::{Entries, Observation},
 };
 
@@ -100,14 +100,30 @@
     Old,
 }
 
-/// The state of another daemon is older than the state of this one.
+/// Why the state of another daemon is not used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the other daemon is at position {theirs}, this one at {ours}")]
-pub struct StaleSnapshot {
-    /// Position of the other daemon.
-    pub theirs: Position,
-    /// Position of this daemon.
-    pub ours: Position,
+pub enum UnusableState {
+    /// It is older than the state of this one.
+    #[error("the other daemon is at position {theirs}, this one at {ours}")]
+    Behind {
+        /// Position of the other daemon.
+        theirs: Position,
+        /// Position of this daemon.
+        ours: Position,
+    },
+    /// The other daemon still waits for the store to settle after a restore, and this one
+    /// does not.
+    #[error("the other daemon waits until the restored store has settled")]
+    Unsettled,
+}
+
+/// What a daemon asks another one for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerRequest {
+    /// The changes after a position.
+    Changes(Position),
+    /// The whole state.
+    Snapshot,
 }
 
 /// A change that the daemon applies to its state.
@@ -164,6 +180,9 @@
     state: State,
     allow_stale: bool,
     position: Position,
+    /// Largest position of the pages of the last listing. The state may include changes up
+    /// to it, so it is that of the store at `position` only once `position` has reached it.
+    listed_to: Position,
     /// Last era reported by the store.
     era: Option<Era>,
     listed: HashSet<String>,
@@ -172,6 +191,9 @@
     settled_at: Timestamp,
     /// Whether the backend servers are listed again after `settled_at`.
     relist: bool,
+    /// Whether the state was listed, here or by the daemon that is followed, since the last
+    /// publication.
+    listed_since: bool,
     version: Option<ReleaseVersion>,
     complete: bool,
     pause_until: Timestamp,
@@ -185,11 +207,13 @@
             state: State::Release,
             allow_stale: true,
             position: Position::default(),
+            listed_to: Position::default(),
             era: None,
             listed: HashSet::new(),
             entries: Entries::default(),
             settled_at: Timestamp::ZERO,
             relist: false,
+            listed_since: false,
             version: None,
             complete: false,
             pause_until: Timestamp::ZERO,
@@ -211,10 +235,45 @@
         self.era.unwrap_or_default()
     }
 
-    /// Returns the time until which the store may lack entries after a restore. It lies in
-    /// the past when the store is up to date.
-    pub fn settled_at(&self) -> Timestamp {
-        self.settled_at
+    /// Returns what holds for the state if it is published, or `None` while it is a mixture
+    /// of several positions: while a listing is read, and until a watch has reached its last
+    /// page.
+    pub fn publication(
+        &mut self,
+        confirmed_at: Timestamp,
+        reads_store: bool,
+    ) -> Option<Publication> {
+        if !self.is_of_one_position() {
+            return None;
+        }
+        Some(Publication {
+            position: self.position,
+            confirmed_at,
+            reads_store,
+            listed: std::mem::take(&mut self.listed_since),
+            settles_at: (!self.is_settled()).then_some(self.settled_at),
+        })
+    }
+
+    fn is_of_one_position(&self) -> bool {
+        self.state == State::Watching && self.position >= self.listed_to
+    }
+
+    /// Whether the store lacks no entries because it was restored from a backup. Until then,
+    /// the state includes entries that only this daemon knows.
+    pub fn is_settled(&self) -> bool {
+        !self.relist
+    }
+
+    /// Returns what to ask another daemon for, if that is the source for a step. Its changes
+    /// can be applied only to the state of one position.
+    pub fn peer_request(&self, step: &Step) -> PeerRequest {
+        match step {
+            Step::Watch { after, .. } if self.complete && self.is_of_one_position() => {
+                PeerRequest::Changes(*after)
+            }
+            _ => PeerRequest::Snapshot,
+        }
     }
 
     /// Returns the next call to make, or a pause.
@@ -268,6 +327,7 @@
         }
         self.era = Some(era);
         self.position = Position::new(era, 0);
+        self.listed_to = self.position;
         self.state = State::Release;
         self.allow_stale = false;
         self.start_settling(now, self.settings.settle);
@@ -302,7 +362,7 @@
             self.start_settling(now, self.settings.settle);
         }
         self.position = position;
-        self.listed.clear();
+        self.start_listing(position);
         self.state = State::Listing { after: None };
         let mut changes = Vec::new();
         if let Some(item) = item {
@@ -311,16 +371,23 @@
         changes
     }
 
+    fn start_listing(&mut self, position: Position) {
+        self.listed.clear();
+        self.listed_to = position;
+        self.listed_since = true;
+    }
+
     /// Handles a page of the listing.
     pub fn on_page(&mut self, now: Timestamp, page: Page) -> Vec<Change> {
         if self.state == State::Watching {
             // First page of the listing that is repeated after a restore.
-            self.listed.clear();
+            self.start_listing(page.position);
             (self.relist, self.allow_stale) = (false, false);
         }
         // The watch starts at the oldest of all reads, so that no change between them is
         // missed.
         self.position = self.position.min(page.position);
+        self.listed_to = self.listed_to.max(page.position);
         let mut changes = Vec::new();
         let last = page.records.last().map(|record| record.key.clone());
         for Record { item, .. } in page.records {
@@ -360,7 +427,7 @@
         &mut self,
         now: Timestamp,
         snapshot: Snapshot,
-    ) -> Result<Vec<Change>, StaleSnapshot> {
+    ) -> Result<Vec<Change>, UnusableState> {
         let Snapshot {
             position,
             release,
@@ -369,7 +436,7 @@
             confirmation: _,
         } = snapshot;
         if position < self.position {
-            return Err(StaleSnapshot {
+            return Err(UnusableState::Behind {
                 theirs: position,
                 ours: self.position,
             });
@@ -407,9 +474,9 @@
         &mut self,
         now: Timestamp,
         snapshot: Snapshot,
-    ) -> Result<Vec<Change>, StaleSnapshot> {
+    ) -> Result<Vec<Change>, UnusableState> {
         if snapshot.position.era < self.position.era {
-            return Err(StaleSnapshot {
+            return Err(UnusableState::Behind {
                 theirs: snapshot.position,
                 ours: self.position,
             });
@@ -471,21 +538,51 @@
     }
 
     /// Handles changes that another daemon has read from the store.
-    pub fn on_relayed(
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other daemon's state is not at least as current. That may change with
+    /// its next read.
+    pub fn on_changes(
         &mut self,
         now: Timestamp,
-        position: Position,
-        relayed: Vec<Change>,
-    ) -> Vec<Change> {
+        relayed: Changes,
+    ) -> Result<Vec<Change>, UnusableState> {
+        let Changes {
+            position,
+            changes,
+            listed,
+            release,
+            settles_in,
+            confirmation: _,
+        } = relayed;
+        if position < self.position {
+            return Err(UnusableState::Behind {
+                theirs: position,
+                ours: self.position,
+            });
+        }
+        if settles_in > Millis(0) && self.is_settled() {
+            return Err(UnusableState::Unsettled);
+        }
+        if self.era.is_some_and(|era| era < position.era) {
+            // Only earlier builds relay changes across a restore.
+            self.start_settling(now, self.settings.settle);
+        }
+        self.era = self.era.max(Some(position.era));
+        self.listed_since |= listed;
         let event = |change| match change {
             Change::Release(release) => Event::Written(Item::Release(release)),
             Change::Backend(backend) => Event::Written(Item::Backend(backend)),
             Change::BackendRemoved { id, .. } => Event::BackendRemoved(id),
             Change::ReleaseRefused { reason } => Event::Written(Item::InvalidRelease { reason }),
         };
-        self.era = self.era.max(Some(position.era));
-        let events = relayed.into_iter().map(event).collect();
-        self.on_watch(now, WatchResult { events, position })
+        let events = changes.into_iter().map(event).collect();
+        let changes = self.on_watch(now, WatchResult { events, position });
+        if release > self.version {
+            self.on_history_gone();
+        }
+        Ok(changes)
     }
 
     /// Handles lost history: the source no longer has the changes after the position, and
--- a/crates/jasminepond-discovery/src/relay.rs
+++ b/crates/jasminepond-discovery/src/relay.rs
@@ -6,7 +6,7 @@
 };
 
 use jasminepond_forward::Backend;
-use jasminepond_routes::Release;
+use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::{Millis, Timestamp};
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,9 @@
 /// state that nobody has confirmed since.
 const MAX_AGE: Duration = Duration::from_millis(2_900);
 
+/// Shortest time after which a follower asks again whether the store has settled.
+const MIN_SETTLE_TIME: Duration = Duration::from_millis(100);
+
 /// How old a state is that a daemon serves to another one.
 ///
 /// ```
@@ -68,8 +71,8 @@
     pub release: Option<Box<Release>>,
     /// Entries of all backend servers.
     pub backends: Vec<Backend>,
-    /// Time for which the store may still lack some of this after it was restored from a
-    /// backup.
+    /// Time for which this may still include entries that the store lacks, or lack some,
+    /// after the store was restored from a backup.
     #[serde(default)]
     pub settles_in: Millis,
     /// Age of the state. Earlier builds do not state it.
@@ -84,6 +87,18 @@
     pub position: Position,
     /// Changes, in order.
     pub changes: Vec<Change>,
+    /// Whether some of them are the differences between two listings, which lack what was
+    /// written and removed in between.
+    #[serde(default)]
+    pub listed: bool,
+    /// Version of the release in the state. A daemon that knew a release before the store was
+    /// restored relays no change when the store gets it again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<ReleaseVersion>,
+    /// Time for which the state may still differ from that of the store after it was
+    /// restored from a backup.
+    #[serde(default)]
+    pub settles_in: Millis,
     /// Age of the state. Earlier builds do not state it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub confirmation: Option<Confirmation>,
@@ -98,110 +113,159 @@
     HistoryGone,
 }
 
+/// What holds for a state that is published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Publication {
+    /// Position of the last change that the state includes.
+    pub position: Position,
+    /// Time for which the store confirmed the state.
+    pub confirmed_at: Timestamp,
+    /// Whether this daemon reads the store itself.
+    pub reads_store: bool,
+    /// Whether the state was listed since the last publication. What was written and removed
+    /// in between is not known then.
+    pub listed: bool,
+    /// Time at which the servers are listed again after the store was restored from a
+    /// backup, if that is still to be done.
+    pub settles_at: Option<Timestamp>,
+}
+
 /// Keeps the state of the store and its latest changes for other daemons.
 ///
+/// A state is published only as a whole, when it is that of the store at its position. So
+/// all daemons at one position have the same state, and a follower that has all changes up
+/// to it can go on at any other daemon. Changes of a state that is still being read are
+/// staged until then.
+///
 /// ```
-/// use jasminepond_discovery::{Accept, Era, Position, Relay, RelayError};
+/// use jasminepond_discovery::{Accept, Change, Era, Position, Publication, Relay, RelayError};
 /// use jasminepond_types::Timestamp;
 ///
 /// let mut relay = Relay::default();
 /// let now = Timestamp::from_millis(5);
+/// relay.stage([Change::BackendRemoved { id: "a".to_owned(), reason: String::new() }]);
 /// assert_eq!(relay.snapshot(now, Accept::AnyAge), Err(RelayError::NotCurrent));
 /// let position = Position::new(Era(1), 3);
-/// relay.record(now, position, &[]);
+/// relay.publish(Publication {
+///     position,
+///     confirmed_at: now,
+///     reads_store: true,
+///     listed: true,
+///     settles_at: None,
+/// });
 /// assert_eq!(relay.snapshot(now, Accept::AnyAge).unwrap().position, position);
 /// ```
 #[derive(Debug, Default)]
 pub struct Relay {
     release: Option<Box<Release>>,
     backends: BTreeMap<String, Backend>,
+    staged: Vec<Change>,
     /// Position before the first batch of the history.
     history_start: Position,
-    position: Position,
     history: VecDeque<Batch>,
-    /// Time for which the store last confirmed the state.
-    confirmed_at: Option<Timestamp>,
-    /// Whether this daemon reads the store itself.
-    reads_store: bool,
-    settled_at: Timestamp,
+    published: Option<Publication>,
 }
 
-/// Changes that were recorded together.
+/// Changes between two published states.
 #[derive(Debug)]
 struct Batch {
+    /// Position of the earlier state.
+    after: Position,
+    /// Position of the later state.
     position: Position,
+    /// Whether these are the differences between the two states. They are not valid for a
+    /// state in between, which may have entries that neither of the two has.
+    listed: bool,
     changes: Vec<Change>,
 }
 
-impl Relay {
-    /// Records changes up to `position` that were read from the store, which confirmed the
-    /// state at `confirmed_at`.
-    pub fn record(&mut self, confirmed_at: Timestamp, position: Position, changes: &[Change]) {
-        self.confirmed_at = Some(confirmed_at);
-        self.reads_store = true;
-        self.apply(position, changes);
-    }
-
-    /// Records changes up to `position` that came from another daemon, whose state the store
-    /// confirmed at `confirmed_at`.
-    pub fn record_relayed(
-        &mut self,
-        confirmed_at: Timestamp,
-        position: Position,
-        changes: &[Change],
-    ) {
-        self.confirmed_at = Some(confirmed_at);
-        self.reads_store = false;
-        self.apply(position, changes);
+impl Batch {
+    fn is_valid_after(&self, position: Position) -> bool {
+        !self.listed || position <= self.after
     }
+}
 
-    /// Sets the time until which the store may lack some of the state.
-    pub fn set_settled_at(&mut self, until: Timestamp) {
-        self.settled_at = until;
+impl Relay {
+    /// Adds changes to those that are published next.
+    pub fn stage(&mut self, changes: impl IntoIterator<Item = Change>) {
+        self.staged.extend(changes);
     }
 
-    fn apply(&mut self, position: Position, changes: &[Change]) {
-        for change in changes {
-            match change {
-                Change::Release(release) => self.release = Some(release.clone()),
-                Change::Backend(backend) => {
-                    self.backends
-                        .insert(backend.id.to_string(), backend.clone());
-                }
-                Change::BackendRemoved { id, .. } => {
-                    self.backends.remove(id);
-                }
-                Change::ReleaseRefused { .. } => {}
+    /// Publishes the state with all staged changes.
+    pub fn publish(&mut self, publication: Publication) {
+        let staged = std::mem::take(&mut self.staged);
+        let changes: Vec<_> = staged
+            .into_iter()
+            .filter(|change| self.apply(change))
+            .collect();
+        let Publication {
+            position, listed, ..
+        } = publication;
+        if let Some(after) = self.followed_from(&publication) {
+            if !changes.is_empty() || listed {
+                self.history.push_back(Batch {
+                    after,
+                    position,
+                    listed,
+                    changes,
+                });
             }
-        }
-        if self.position == Position::default() || position < self.position {
-            // The whole state was read again, from an earlier position.
-            self.history.clear();
-            self.history_start = position;
-        } else if !changes.is_empty() {
-            self.history.push_back(Batch {
-                position,
-                changes: changes.to_vec(),
-            });
             while self.history.len() > MAX_HISTORY {
                 if let Some(dropped) = self.history.pop_front() {
                     self.history_start = dropped.position;
                 }
             }
+        } else {
+            self.history.clear();
+            self.history_start = position;
+        }
+        self.published = Some(publication);
+    }
+
+    /// Returns the position of the published state if followers can go on from it to the next
+    /// one. A restored store numbers its changes anew, and what this daemon knew beside the
+    /// store until it settled may not be known to its followers.
+    fn followed_from(&self, next: &Publication) -> Option<Position> {
+        let published = self.published?;
+        let follows = published.position.era == next.position.era
+            && published.position <= next.position
+            && published.settles_at.is_some() == next.settles_at.is_some();
+        follows.then_some(published.position)
+    }
+
+    /// Applies a change and returns whether it made a difference.
+    fn apply(&mut self, change: &Change) -> bool {
+        match change {
+            Change::Release(release) => {
+                let differs = self.release.as_ref() != Some(release);
+                self.release = Some(release.clone());
+                differs
+            }
+            Change::Backend(backend) => {
+                let id = backend.id.to_string();
+                self.backends.insert(id, backend.clone()).as_ref() != Some(backend)
+            }
+            Change::BackendRemoved { id, .. } => self.backends.remove(id).is_some(),
+            // Followers log it as well.
+            Change::ReleaseRefused { .. } => true,
         }
-        self.position = position;
     }
 
-    fn check(&self, now: Timestamp, accept: Accept) -> Result<Confirmation, RelayError> {
-        let confirmed_at = self.confirmed_at.ok_or(RelayError::NotCurrent)?;
-        let age = now.since(confirmed_at);
-        if accept == Accept::Current && (!self.reads_store || age > MAX_AGE) {
+    fn check(
+        &self,
+        now: Timestamp,
+        accept: Accept,
+    ) -> Result<(Publication, Confirmation), RelayError> {
+        let published = self.published.ok_or(RelayError::NotCurrent)?;
+        let age = now.since(published.confirmed_at);
+        if accept == Accept::Current && (!published.reads_store || age > MAX_AGE) {
             return Err(RelayError::NotCurrent);
         }
-        Ok(Confirmation {
+        let confirmation = Confirmation {
             age: age.into(),
             held: Millis(0),
-        })
+        };
+        Ok((published, confirmation))
     }
 
     /// Returns the whole state.
@@ -210,17 +274,18 @@
     ///
     /// Fails if the state of this daemon is not accepted.
     pub fn snapshot(&self, now: Timestamp, accept: Accept) -> Result<Snapshot, RelayError> {
-        let confirmation = self.check(now, accept)?;
+        let (published, confirmation) = self.check(now, accept)?;
         Ok(Snapshot {
-            position: self.position,
+            position: published.position,
             release: self.release.clone(),
             backends: self.backends.values().cloned().collect(),
-            settles_in: self.settled_at.since(now).into(),
+            settles_in: settles_in(now, &published),
             confirmation: Some(confirmation),
         })
     }
 
-    /// Returns the changes after a position, which may be none.
+    /// Returns the changes after a position, which may be none. Its own position is smaller
+    /// if this daemon does not know that position yet.
     ///
     /// # Errors
     ///
@@ -232,15 +297,41 @@
         after: Position,
         accept: Accept,
     ) -> Result<Changes, RelayError> {
-        let confirmation = self.check(now, accept)?;
+        let (published, confirmation) = self.check(now, accept)?;
         if after < self.history_start {
             return Err(RelayError::HistoryGone);
         }
-        let newer = self.history.iter().filter(|batch| batch.position > after);
+        let newer: Vec<_> = self
+            .history
+            .iter()
+            .filter(|batch| batch.position > after)
+            .collect();
+        if newer
+            .first()
+            .is_some_and(|batch| !batch.is_valid_after(after))
+        {
+            return Err(RelayError::HistoryGone);
+        }
+        let position = match accept {
+            Accept::AnyAge => published.position,
+            Accept::Current => published.position.max(after),
+        };
         Ok(Changes {
-            position: self.position.max(after),
-            changes: newer.flat_map(|batch| batch.changes.clone()).collect(),
+            position,
+            release: self.release.as_ref().map(|release| release.version),
+            listed: newer.iter().any(|batch| batch.listed),
+            changes: newer
+                .into_iter()
+                .flat_map(|batch| batch.changes.clone())
+                .collect(),
+            settles_in: settles_in(now, &published),
             confirmation: Some(confirmation),
         })
     }
 }
+
+/// Returns the time until a daemon has listed the servers of a store that was restored.
+fn settles_in(now: Timestamp, published: &Publication) -> Millis {
+    let settles_at = published.settles_at;
+    settles_at.map_or(Millis(0), |at| at.since(now).max(MIN_SETTLE_TIME).into())
+}
--- a/crates/jasminepond-discovery/tests/common/mod.rs
+++ b/crates/jasminepond-discovery/tests/common/mod.rs
@@ -2,11 +2,13 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
+pub mod fleet;
+
 use std::sync::Arc;
 
-use jasminepond_discovery::{Era, Position};
+use jasminepond_discovery::{Change, Era, Position, Publication, Relay};
 use jasminepond_forward::{Backend, BackendState};
-use jasminepond_types::Millis;
+use jasminepond_types::{Millis, Timestamp};
 
 /// Returns a position of the first era.
 pub fn at(change: u64) -> Position {
@@ -27,3 +29,15 @@
         writes: 1,
     }
 }
+
+/// Publishes a state that the store confirmed at `confirmed_at`, with these changes.
+pub fn publish(relay: &mut Relay, confirmed_at: Timestamp, position: Position, changes: &[Change]) {
+    relay.stage(changes.iter().cloned());
+    relay.publish(Publication {
+        position,
+        confirmed_at,
+        reads_store: true,
+        listed: false,
+        settles_at: None,
+    });
+}
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -11,8 +11,8 @@
 use hyper::HeaderMap;
 use jasminepond_daemon::clock::Clock;
 use jasminepond_discovery::{
-    Accept, Change, Changes, Confirmation, Era, EraCheck, Plan, Reader, ReaderSettings, Snapshot,
-    Source, SourceFailure, Sources, Step, reads_directly,
+    Accept, Change, Changes, Confirmation, Era, EraCheck, PeerRequest, Plan, Reader,
+    ReaderSettings, Snapshot, Source, SourceFailure, Sources, Step, UnusableState, reads_directly,
 };
 use jasminepond_platform::{HttpReader, HttpResponse, PlatformError};
 use jasminepond_routes::CallerLimits;
@@ -74,6 +74,8 @@
     Partial(Vec<Change>),
     /// Changes of another daemon, whose state was last confirmed too long ago.
     Stale(Timestamp, Vec<Change>),
+    /// Another daemon has no changes, since its state is older than that of this one.
+    Behind(UnusableState),
     /// The source no longer knows the changes after the position.
     HistoryGone(String),
     /// No usable response.
@@ -191,6 +193,15 @@
                 let cause = "the other daemon's state was not confirmed lately";
                 self.handle_failure(progress, SourceFailure::Stale, cause.to_owned());
             }
+            // Its next read may catch up. Until then the state grows older.
+            CallResult::Behind(behind) => {
+                if progress
+                    .sources
+                    .is_stale(self.clock.now(), progress.confirmed_at)
+                {
+                    self.handle_failure(progress, SourceFailure::Stale, behind.to_string());
+                }
+            }
             CallResult::HistoryGone(cause) => {
                 info!("store: the whole state is read again", kv: { cause, source: = source });
                 progress.sources.on_success(source);
@@ -245,20 +256,17 @@
     }
 
     /// Applies changes to the forwarder and makes them available to other daemons.
-    fn apply_changes(&self, progress: &Progress, changes: Vec<Change>) {
-        let reader = &progress.reader;
-        let from_store = progress.source == Source::Store;
-        self.relay.record(
-            from_store,
-            progress.confirmed_at,
-            reader.position(),
-            &changes,
-        );
-        self.relay.set_settled_at(reader.settled_at());
+    fn apply_changes(&self, progress: &mut Progress, changes: Vec<Change>) {
+        self.relay.stage(&changes);
+        let reads_store = progress.source == Source::Store;
+        let confirmed_at = progress.confirmed_at;
+        if let Some(publication) = progress.reader.publication(confirmed_at, reads_store) {
+            self.relay.publish(publication);
+        }
         for change in changes {
             self.apply(change);
         }
-        if reader.is_complete() && !self.complete.replace(true) {
+        if progress.reader.is_complete() && !self.complete.replace(true) {
             self.log_ready();
         }
         self.relay.applied();
@@ -361,41 +369,45 @@
             Err(err) => return unreachable(err),
         };
         let reader = &mut progress.reader;
-        let (path, timeout) = peer_request(reader, &step, limits);
+        let request = reader.peer_request(&step);
+        let (path, timeout) = peer_call(request, &step, limits);
         let HttpResponse { status, body, .. } = match http.get_within(&path, timeout).await {
             Ok(answer) => answer,
             Err(err) => return unreachable(err),
         };
         let now = self.clock.now();
-        let follows = reader.is_complete() && matches!(step, Step::Watch { .. });
-        let (confirmation, changes) = match status {
-            200 if follows => match ciborium::from_reader::<Changes, _>(&body[..]) {
-                Ok(Changes {
-                    position,
-                    changes,
-                    confirmation,
-                }) => (confirmation, reader.on_relayed(now, position, changes)),
-                Err(err) => return unreachable(err),
-            },
-            200 => match ciborium::from_reader::<Snapshot, _>(&body[..]) {
+        let (confirmation, changes) = match (status, request) {
+            (200, PeerRequest::Changes(_)) => {
+                match ciborium::from_reader::<Changes, _>(&body[..]) {
+                    Ok(changes) => (changes.confirmation, reader.on_changes(now, changes)),
+                    Err(err) => return unreachable(err),
+                }
+            }
+            (200, PeerRequest::Snapshot) => match ciborium::from_reader::<Snapshot, _>(&body[..]) {
                 Ok(snapshot) => {
                     let confirmation = snapshot.confirmation;
                     let confirmed_at = confirmed_at(confirmation, called_at, now);
                     if !reader.is_complete() && progress.sources.is_stale(now, confirmed_at) {
                         return unreachable("its state was not confirmed lately");
                     }
-                    match reader.on_snapshot(now, snapshot) {
-                        Ok(changes) => (confirmation, changes),
-                        Err(stale) => return unreachable(stale),
-                    }
+                    (confirmation, reader.on_snapshot(now, snapshot))
                 }
                 Err(err) => return unreachable(err),
             },
-            410 => {
+            (410, _) => {
                 let cause = "the other daemon no longer knows the changes";
                 return CallResult::HistoryGone(cause.to_owned());
             }
-            status => return unreachable(format!("status {status}")),
+            (status, _) => return unreachable(format!("status {status}")),
+        };
+        let changes = match changes {
+            Ok(changes) => changes,
+            Err(behind @ UnusableState::Behind { .. })
+                if matches!(request, PeerRequest::Changes(_)) =>
+            {
+                return CallResult::Behind(behind);
+            }
+            Err(unusable) => return unreachable(unusable),
         };
         reader.on_confirmed();
         let confirmed_at = confirmed_at(confirmation, called_at, now);
@@ -537,24 +549,22 @@
     }
 }
 
-/// Returns the path of a step's request to another daemon and its timeout, within the limits
-/// on the wait there and on the whole call.
-fn peer_request(
-    reader: &Reader,
+/// Returns the path of a request to another daemon and its timeout, within the limits on the
+/// wait there and on the whole call.
+fn peer_call(
+    request: PeerRequest,
     step: &Step,
     (wait, timeout): (Duration, Duration),
 ) -> (String, Duration) {
-    let longest = match step {
-        Step::Watch { wait, .. } if reader.is_complete() => wait.duration(),
+    let longest = match (request, step) {
+        (PeerRequest::Changes(_), Step::Watch { wait, .. }) => wait.duration(),
         _ => store_relay::SNAPSHOT_WAIT,
     };
     let wait_there = wait.min(longest);
     let timeout = timeout.saturating_sub(wait - wait_there);
-    let path = match step {
-        Step::Watch { after, .. } if reader.is_complete() => {
-            store_relay::changes_path(*after, wait_there, Accept::AnyAge)
-        }
-        _ => store_relay::snapshot_path(wait_there, Accept::AnyAge),
+    let path = match request {
+        PeerRequest::Changes(after) => store_relay::changes_path(after, wait_there, Accept::AnyAge),
+        PeerRequest::Snapshot => store_relay::snapshot_path(wait_there, Accept::AnyAge),
     };
     (path, timeout)
 }
--- a/crates/jasminepond-gateway/src/store_relay.rs
+++ b/crates/jasminepond-gateway/src/store_relay.rs
@@ -16,7 +16,9 @@
     clock::Clock,
     net::http::{BufferedRequest, BufferedResponse, error_response},
 };
-use jasminepond_discovery::{Accept, Change, Confirmation, Position, Relay, RelayError};
+use jasminepond_discovery::{
+    Accept, Change, Confirmation, Position, Publication, Relay, RelayError,
+};
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 use serde::Serialize;
 
@@ -83,26 +85,14 @@
         })
     }
 
-    /// Records changes up to `position`, read from the store or from another daemon. The
-    /// store confirmed them at `confirmed_at`.
-    pub fn record(
-        &self,
-        from_store: bool,
-        confirmed_at: Timestamp,
-        position: Position,
-        changes: &[Change],
-    ) {
-        let mut relay = self.relay.borrow_mut();
-        if from_store {
-            relay.record(confirmed_at, position, changes);
-        } else {
-            relay.record_relayed(confirmed_at, position, changes);
-        }
+    /// Adds changes to those that are published next.
+    pub fn stage(&self, changes: &[Change]) {
+        self.relay.borrow_mut().stage(changes.iter().cloned());
     }
 
-    /// Sets the time until which the store may return less than is known.
-    pub fn set_settled_at(&self, until: Timestamp) {
-        self.relay.borrow_mut().set_settled_at(until);
+    /// Publishes the state with all staged changes.
+    pub fn publish(&self, publication: Publication) {
+        self.relay.borrow_mut().publish(publication);
     }
 
     /// Notes that a read was applied. Requests that wait for changes are answered even if it
