fix(discovery): let followers come to rest after the store was restored

Cause: a daemon that has seen the restore lists the servers once more when the store has settled. Only a page that arrives in the state `Watching` ended that.

Change: - A reader counts as settled when a whole listing has been read after the store had time to settle, not when that time has passed.

Tests, failing before: followers_converge_to_the_store with restores ("daemon 2 does not come to rest", second case), follower_comes_to_rest_once_the_store_has_settled, settled_snapshot_of_a_new_era_is_complete.

--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -191,6 +191,8 @@
     settled_at: Timestamp,
     /// Whether the backend servers are listed again after `settled_at`.
     relist: bool,
+    /// Whether the store was settled when the current listing began.
+    listing_settled: bool,
     /// Whether the state was listed, here or by the daemon that is followed, since the last
     /// publication.
     listed_since: bool,
@@ -213,6 +215,7 @@
             entries: Entries::default(),
             settled_at: Timestamp::ZERO,
             relist: false,
+            listing_settled: false,
             listed_since: false,
             version: None,
             complete: false,
@@ -362,7 +365,7 @@
             self.start_settling(now, self.settings.settle);
         }
         self.position = position;
-        self.start_listing(position);
+        self.start_listing(now, position);
         self.state = State::Listing { after: None };
         let mut changes = Vec::new();
         if let Some(item) = item {
@@ -371,9 +374,10 @@
         changes
     }
 
-    fn start_listing(&mut self, position: Position) {
+    fn start_listing(&mut self, now: Timestamp, position: Position) {
         self.listed.clear();
         self.listed_to = position;
+        self.listing_settled = !self.is_settling(now);
         self.listed_since = true;
     }
 
@@ -381,8 +385,8 @@
     pub fn on_page(&mut self, now: Timestamp, page: Page) -> Vec<Change> {
         if self.state == State::Watching {
             // First page of the listing that is repeated after a restore.
-            self.start_listing(page.position);
-            (self.relist, self.allow_stale) = (false, false);
+            self.start_listing(now, page.position);
+            self.allow_stale = false;
         }
         // The watch starts at the oldest of all reads, so that no change between them is
         // missed.
@@ -403,7 +407,8 @@
         let listed = std::mem::take(&mut self.listed);
         // After a restore, an entry may be missing only because its server has not written it
         // again yet.
-        if !self.is_settling(now) {
+        if self.listing_settled && !self.is_settling(now) {
+            self.relist = false;
             for id in self.entries.missing(&listed) {
                 self.remove_backend(now, id, "not in the listing", &mut changes);
             }
@@ -433,7 +438,7 @@
             release,
             backends,
             settles_in,
-            confirmation: _,
+            confirmation,
         } = snapshot;
         if position < self.position {
             return Err(UnusableState::Behind {
@@ -441,13 +446,16 @@
                 ours: self.position,
             });
         }
-        if self.era.is_some_and(|era| era < position.era) {
-            self.start_settling(now, self.settings.settle);
-        }
-        self.era = Some(position.era);
         if settles_in > Millis(0) {
             self.start_settling(now, settles_in.duration());
+        } else if confirmation.is_some() {
+            // The other daemon has listed the servers since the store has settled.
+            self.settled_at = self.settled_at.min(now);
+        } else if self.era.is_some_and(|era| era < position.era) {
+            // Earlier builds do not say whether they have.
+            self.start_settling(now, self.settings.settle);
         }
+        self.era = Some(position.era);
         let mut changes = self.on_release(now, release.map(Item::Release), position);
         let record = |backend: Backend| Record {
             key: backend.id.to_string(),
--- a/crates/jasminepond-discovery/tests/convergence.rs
+++ b/crates/jasminepond-discovery/tests/convergence.rs
@@ -24,6 +24,8 @@
     Remove(usize),
     Publish,
     Compact(bool),
+    BackUp,
+    Restore,
     Step(usize),
     /// A daemon makes calls until it waits for changes.
     CatchUp(usize),
@@ -47,6 +49,8 @@
         3 => (0..SERVERS).prop_map(Action::Remove),
         1 => Just(Action::Publish),
         2 => any::<bool>().prop_map(Action::Compact),
+        1 => Just(Action::BackUp),
+        1 => Just(Action::Restore),
         8 => (0..DAEMONS).prop_map(Action::Step),
         6 => (0..DAEMONS).prop_map(Action::CatchUp),
         3 => (0..DAEMONS, source()).prop_map(|(daemon, source)| Action::Follow(daemon, source)),
@@ -71,6 +75,8 @@
         Action::Remove(server) => fleet.store.remove(server),
         Action::Publish => fleet.store.publish(),
         Action::Compact(counts) => fleet.store.compact(counts),
+        Action::BackUp => fleet.store.back_up(),
+        Action::Restore => fleet.store.restore(fleet.now),
         Action::Step(daemon) => {
             fleet.step(daemon);
         }
--- a/crates/jasminepond-discovery/tests/restored.rs
+++ b/crates/jasminepond-discovery/tests/restored.rs
@@ -383,3 +383,52 @@
     let changes = reader.on_page(settled(), page(OLD_ERA, 410, &[entry("a", 1)]));
     assert_eq!(removed(&changes), ["new"]);
 }
+
+/// A follower that fetched the state while the store settled must fetch it once more, and not
+/// without end. It must keep servers only until the other daemon has listed them again.
+#[test]
+fn follower_comes_to_rest_once_the_store_has_settled() {
+    let snapshot = |now, backends: &[Backend], settles_at| {
+        let mut relay = Relay::default();
+        relay.stage(backends.iter().cloned().map(Change::Backend));
+        relay.publish(Publication {
+            position: Position::new(NEW_ERA, 480),
+            confirmed_at: now,
+            reads_store: true,
+            listed: true,
+            settles_at,
+        });
+        relay.snapshot(now, Accept::AnyAge).unwrap()
+    };
+    let mut reader = loaded(&[entry("a", 1), entry("left", 1)]);
+    let settling = snapshot(NOW, &[entry("a", 1), entry("left", 1)], Some(settled()));
+    reader.on_snapshot(NOW, settling).unwrap();
+    assert!(matches!(reader.next(NOW), Step::Watch { .. }));
+    // The other daemon has not listed the servers again yet.
+    assert!(matches!(reader.next(settled()), Step::ListBackends { .. }));
+    let late = snapshot(
+        settled(),
+        &[entry("a", 1), entry("left", 1)],
+        Some(settled()),
+    );
+    reader.on_snapshot(settled(), late).unwrap();
+    assert!(matches!(reader.next(settled()), Step::Watch { wait, .. } if wait > Millis(0)));
+    let later = settled() + Duration::from_secs(1);
+    let changes = reader.on_snapshot(later, snapshot(later, &[entry("a", 1)], None));
+    assert_eq!(removed(&changes.unwrap()), ["left"]);
+    assert!(matches!(reader.next(later), Step::Watch { .. }));
+    assert!(reader.is_settled());
+}
+
+/// A daemon that missed the whole restore must not keep removed servers for the time in which
+/// the store settles.
+#[test]
+fn settled_snapshot_of_a_new_era_is_complete() {
+    let mut relay = Relay::default();
+    let position = Position::new(NEW_ERA, 480);
+    publish(&mut relay, NOW, position, &[Change::Backend(entry("a", 1))]);
+    let mut reader = loaded(&[entry("a", 1), entry("left", 1)]);
+    let snapshot = relay.snapshot(NOW, Accept::AnyAge).unwrap();
+    let changes = reader.on_snapshot(NOW, snapshot).unwrap();
+    assert_eq!(removed(&changes), ["left"]);
+}
