fix(discovery): keep only the newest release for followers

After 263 versions all seven processes passed 260 MB within 1.3 s of each other, were ended, and 19 to 34 requests lost their connections.

Cause: the history for followers is limited to 600 batches of changes, and each batch of a new release holds a copy of it. So the limit was about 570 MB. It is recorded at all daemons, also where none is followed.

Change: a batch notes only that the release changed; a follower gets the newest one, once, whatever it has missed, since it would replace the others in the same moment. Changes of entries are limited by their number as well, 20,000 (about 6 MB). Changes that wait for publication are kept once for each entry, so a store whose history is lost again and again doesn't make them grow.

The first form kept only the last change of an entry that waits. The property test, now with short histories, found what that loses: the removal of an entry that was written and removed since the last publication is not passed on by a follower that never had it, but another one behind it may. It is kept with the entry before it.

--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -13,5 +13,7 @@
 pub use reader::{
     Change, EraCheck, PeerRequest, Reader, ReaderSettings, Step, UnusableState, settle_time,
 };
-pub use relay::{Accept, Changes, Confirmation, Publication, Relay, RelayError, Snapshot};
+pub use relay::{
+    Accept, Changes, Confirmation, HistoryLimits, Publication, Relay, RelayError, Snapshot,
+};
 pub use source::{Fleet, Plan, Source, SourceFailure, SourceSettings, Sources, reads_directly};
--- a/crates/jasminepond-discovery/src/relay.rs
+++ b/crates/jasminepond-discovery/src/relay.rs
@@ -12,10 +12,6 @@
 
 use crate::{Change, Position};
 
-/// Batches of changes kept for followers. A batch is recorded at most every 120 ms, so
-/// this covers more than a minute.
-const MAX_HISTORY: usize = 600;
-
 /// Longest time since the last response of the store in which the state is served. A
 /// watch takes two seconds plus up to half a second, and a follower must not rely on a
 /// state that nobody has confirmed since.
@@ -130,6 +126,26 @@
     pub settles_at: Option<Timestamp>,
 }
 
+/// Limits on the changes that are kept for followers. One that needs older ones reads the
+/// whole state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HistoryLimits {
+    /// Largest number of published states to which the changes are kept.
+    pub states: usize,
+    /// Largest number of changed entries. An entry takes about 300 bytes.
+    pub entries: usize,
+}
+
+impl Default for HistoryLimits {
+    fn default() -> Self {
+        Self {
+            // At most one in 120 ms, so this covers more than a minute.
+            states: 600,
+            entries: 20_000,
+        }
+    }
+}
+
 /// Keeps the state of the store and its latest changes for other daemons.
 ///
 /// A state is published only as a whole, when it is that of the store at its position. So
@@ -159,13 +175,27 @@
 pub struct Relay {
     release: Option<Box<Release>>,
     backends: BTreeMap<String, Backend>,
-    staged: Vec<Change>,
+    staged: Staged,
+    limits: HistoryLimits,
     /// Position before the first batch of the history.
     history_start: Position,
     history: VecDeque<Batch>,
+    /// Number of changed entries in the history.
+    history_entries: usize,
     published: Option<Publication>,
 }
 
+/// Changes that are not published yet.
+#[derive(Debug, Default)]
+struct Staged {
+    /// The last changes of each entry, in order. A removal is kept with the entry before it:
+    /// a daemon that follows does not pass on the removal of an entry that it never had.
+    entries: BTreeMap<String, Vec<Change>>,
+    release: Option<Box<Release>>,
+    /// Why the last release was rejected, if it was.
+    refused: Option<String>,
+}
+
 /// Changes between two published states.
 #[derive(Debug)]
 struct Batch {
@@ -176,7 +206,11 @@
     /// Whether these are the differences between the two states. They are not valid for a
     /// state in between, which may have entries that neither of the two has.
     listed: bool,
-    changes: Vec<Change>,
+    /// Changes of entries.
+    entries: Vec<Change>,
+    /// Whether the release changed. Only the newest one is kept.
+    release: bool,
+    refused: Option<String>,
 }
 
 impl Batch {
@@ -186,42 +220,89 @@
 }
 
 impl Relay {
+    /// Creates a relay without state.
+    pub fn new(limits: HistoryLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
     /// Adds changes to those that are published next.
     pub fn stage(&mut self, changes: impl IntoIterator<Item = Change>) {
-        self.staged.extend(changes);
+        for change in changes {
+            match change {
+                Change::Release(release) => self.staged.release = Some(release),
+                Change::ReleaseRefused { reason } => self.staged.refused = Some(reason),
+                Change::Backend(ref backend) => {
+                    let id = backend.id.to_string();
+                    self.staged.entries.insert(id, vec![change]);
+                }
+                Change::BackendRemoved { ref id, .. } => {
+                    let changes = self.staged.entries.entry(id.clone()).or_default();
+                    changes.truncate(1);
+                    changes.push(change);
+                }
+            }
+        }
     }
 
     /// Publishes the state with all staged changes.
     pub fn publish(&mut self, publication: Publication) {
-        let staged = std::mem::take(&mut self.staged);
-        let changes: Vec<_> = staged
-            .into_iter()
-            .filter(|change| self.apply(change))
-            .collect();
+        let Staged {
+            entries,
+            release,
+            refused,
+        } = std::mem::take(&mut self.staged);
         let Publication {
             position, listed, ..
         } = publication;
-        if let Some(after) = self.followed_from(&publication) {
-            if !changes.is_empty() || listed {
-                self.history.push_back(Batch {
-                    after,
-                    position,
-                    listed,
-                    changes,
-                });
+        let mut changed = Vec::new();
+        for change in entries.into_values().flatten() {
+            let differs = self.apply(&change);
+            // A listing contains what has not changed as well.
+            if differs || !listed {
+                changed.push(change);
             }
-            while self.history.len() > MAX_HISTORY {
-                if let Some(dropped) = self.history.pop_front() {
-                    self.history_start = dropped.position;
-                }
+        }
+        let has_release = release.is_some();
+        self.release = release.or(self.release.take());
+        match self.followed_from(&publication) {
+            Some(after) => self.keep(Batch {
+                after,
+                position,
+                listed,
+                entries: changed,
+                release: has_release,
+                refused,
+            }),
+            None => {
+                self.history.clear();
+                self.history_entries = 0;
+                self.history_start = position;
             }
-        } else {
-            self.history.clear();
-            self.history_start = position;
         }
         self.published = Some(publication);
     }
 
+    /// Adds a batch to the history, and drops the oldest ones above the limits.
+    fn keep(&mut self, batch: Batch) {
+        let has_news = batch.release || batch.refused.is_some() || !batch.entries.is_empty();
+        if !has_news && !batch.listed {
+            return;
+        }
+        self.history_entries += batch.entries.len();
+        self.history.push_back(batch);
+        while self.history.len() > self.limits.states || self.history_entries > self.limits.entries
+        {
+            let Some(dropped) = self.history.pop_front() else {
+                return;
+            };
+            self.history_entries -= dropped.entries.len();
+            self.history_start = dropped.position;
+        }
+    }
+
     /// Returns the position of the published state if followers can go on from it to the next
     /// one. A restored store numbers its changes anew, and what this daemon knew beside the
     /// store until it settled may not be known to its followers.
@@ -233,22 +314,30 @@
         follows.then_some(published.position)
     }
 
-    /// Applies a change and returns whether it made a difference.
+    /// Applies a change of an entry and returns whether it made a difference.
     fn apply(&mut self, change: &Change) -> bool {
         match change {
-            Change::Release(release) => {
-                let differs = self.release.as_ref() != Some(release);
-                self.release = Some(release.clone());
-                differs
-            }
             Change::Backend(backend) => {
                 let id = backend.id.to_string();
                 self.backends.insert(id, backend.clone()).as_ref() != Some(backend)
             }
             Change::BackendRemoved { id, .. } => self.backends.remove(id).is_some(),
-            // Followers log it as well.
-            Change::ReleaseRefused { .. } => true,
+            Change::Release(_) | Change::ReleaseRefused { .. } => false,
+        }
+    }
+
+    /// Returns the changes of the batches, with only the newest release.
+    fn merge(&self, batches: &[&Batch]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if batches.iter().any(|batch| batch.release) {
+            changes.extend(self.release.clone().map(Change::Release));
+        }
+        let refused = batches.iter().rev().find_map(|batch| batch.refused.clone());
+        changes.extend(refused.map(|reason| Change::ReleaseRefused { reason }));
+        for batch in batches {
+            changes.extend(batch.entries.iter().cloned());
         }
+        changes
     }
 
     fn check(
@@ -320,10 +409,7 @@
             position,
             release: self.release.as_ref().map(|release| release.version),
             listed: newer.iter().any(|batch| batch.listed),
-            changes: newer
-                .into_iter()
-                .flat_map(|batch| batch.changes.clone())
-                .collect(),
+            changes: self.merge(&newer),
             settles_in: settles_in(now, &published),
             confirmation: Some(confirmation),
         })
--- a/crates/jasminepond-discovery/tests/common/fleet.rs
+++ b/crates/jasminepond-discovery/tests/common/fleet.rs
@@ -6,8 +6,8 @@
 };
 
 use jasminepond_discovery::{
-    Accept, Change, Era, EraCheck, Event, Item, Page, PeerRequest, Position, Publication, Reader,
-    ReaderSettings, Record, Relay, RelayError, Step, WatchResult,
+    Accept, Change, Era, EraCheck, Event, HistoryLimits, Item, Page, PeerRequest, Position,
+    Publication, Reader, ReaderSettings, Record, Relay, RelayError, Step, WatchResult,
 };
 use jasminepond_forward::{Backend, BackendState};
 use jasminepond_routes::{Release, ReleaseVersion};
@@ -273,7 +273,10 @@
     fn default() -> Self {
         Self {
             reader: Reader::new(ReaderSettings::default()),
-            relay: Relay::default(),
+            relay: Relay::new(HistoryLimits {
+                states: 3,
+                entries: 6,
+            }),
             source: ReadFrom::Store,
             published: None,
             view: State::default(),
