fix(gateway): read the newest release when the missed ones are too large

Cause: a watch returns all versions after a position, here 17 MB. The client gives up a body of more than 8 MB, and the reader took that for an unreachable store and asked for the same changes again, until the store had forgotten them.

Change: a response to a watch that is too large counts as lost history. The release and the entries are read as they are now, which are limited to 1 MB a value and page. The limit of 8 MB stays.

--- a/crates/jasminepond-daemon/src/control/platform.rs
+++ b/crates/jasminepond-daemon/src/control/platform.rs
@@ -60,7 +60,9 @@
     match err {
         PlatformError::RateLimited => ServiceFailure::Refused,
         PlatformError::NotFound => ServiceFailure::FileChanged,
-        PlatformError::Unreachable(_) | PlatformError::Malformed(_) => ServiceFailure::Unavailable,
+        PlatformError::Unreachable(_)
+        | PlatformError::Malformed(_)
+        | PlatformError::TooLarge { .. } => ServiceFailure::Unavailable,
     }
 }
 
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -457,6 +457,10 @@
             body,
         } = match self.http.get(&path, extra).await {
             Ok(answer) => answer,
+            // The changes after the position have become too many. The newest values have not.
+            Err(err @ PlatformError::TooLarge { .. }) if matches!(step, Step::Watch { .. }) => {
+                return CallResult::HistoryGone(err.to_string());
+            }
             Err(err) => return unreachable(err),
         };
         let now = self.clock.now();
--- a/crates/jasminepond-platform/src/http.rs
+++ b/crates/jasminepond-platform/src/http.rs
@@ -153,7 +153,9 @@
         let chunk: bytes::Bytes = chunk;
         body.extend_from_slice(&chunk);
         if body.len() > MAX_BODY_BYTES {
-            return Err(PlatformError::Malformed("body too large".to_owned()));
+            return Err(PlatformError::TooLarge {
+                limit: MAX_BODY_BYTES,
+            });
         }
     }
 }
--- a/crates/jasminepond-platform/src/lib.rs
+++ b/crates/jasminepond-platform/src/lib.rs
@@ -84,6 +84,12 @@
     /// The response violates the protocol.
     #[error("the service sent a malformed response: {0}")]
     Malformed(String),
+    /// The response is larger than the client accepts.
+    #[error("the response of the service has more than {limit} bytes")]
+    TooLarge {
+        /// Largest accepted size of a body in bytes.
+        limit: usize,
+    },
     /// There is no file with the requested name and digest.
     #[error("the file is not there with this digest")]
     NotFound,
