test(gateway): follow the store across two builds

Not covered, and the same as before: a follower of this build takes an answer of an earlier build as current when it arrives, up to 2.9 s after the store confirmed it, and removals that an earlier build loses after lost history are lost to its followers of this build.

--- a/crates/jasminepond-gateway/tests/build_before.rs
+++ b/crates/jasminepond-gateway/tests/build_before.rs
@@ -1,15 +1,17 @@
-//! Messages that daemons of the build before (b5f13ec) send and understand.
+//! Messages that daemons of the builds before (b5f13ec, 64d0a00) send and understand.
 
 use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use jasminepond_forward::{DelegatedPart, DelegationRequest, Scope};
+use jasminepond_discovery::{Change, Changes, Confirmation, Era, Position, Snapshot};
+use jasminepond_forward::{Backend, DelegatedPart, DelegationRequest, Scope};
 use jasminepond_gateway::{read_headers, write_headers};
 use jasminepond_membership::Message as MemberMessage;
 use jasminepond_quarantine::{Evidence, Fingerprint, Message};
 use jasminepond_ratelimit::Message as LimitMessage;
-use jasminepond_routes::ReleaseVersion;
+use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::Millis;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Headers of a part that b5f13ec delegated.
 const RECORDED: [(&str, &str); 4] = [
@@ -88,3 +90,78 @@
         assert!(bytes.len() <= 1_200);
     }
 }
+
+/// Changes of the store as 64d0a00 sends and reads them.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct ChangesBefore {
+    position: Position,
+    changes: Vec<Change>,
+}
+
+/// A state of the store as 64d0a00 sends and reads it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct SnapshotBefore {
+    position: Position,
+    release: Option<Box<Release>>,
+    backends: Vec<Backend>,
+    #[serde(default)]
+    settles_in: Millis,
+}
+
+fn recode<T: DeserializeOwned>(value: &impl Serialize) -> T {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).unwrap();
+    ciborium::from_reader(&bytes[..]).unwrap()
+}
+
+/// Guards against fields of states and changes that the other build refuses or needs.
+#[test]
+fn states_of_the_store_are_understood_both_ways() {
+    let position = Position::new(Era(1), 7);
+    let removed = Change::BackendRemoved {
+        id: "a".to_owned(),
+        reason: "removed".to_owned(),
+    };
+    let confirmation = Some(Confirmation {
+        age: Millis(20),
+        held: Millis(300),
+    });
+    let changes = Changes {
+        position,
+        changes: vec![removed],
+        listed: true,
+        release: Some(ReleaseVersion(3)),
+        settles_in: Millis(100),
+        confirmation,
+    };
+    let before: ChangesBefore = recode(&changes);
+    assert_eq!(
+        (before.position, &before.changes),
+        (position, &changes.changes)
+    );
+    let now: Changes = recode(&before);
+    let expected = Changes {
+        listed: false,
+        release: None,
+        settles_in: Millis(0),
+        confirmation: None,
+        ..changes
+    };
+    assert_eq!(now, expected);
+
+    let snapshot = Snapshot {
+        position,
+        release: Some(Box::new(Release::default())),
+        backends: Vec::new(),
+        settles_in: Millis(5),
+        confirmation,
+    };
+    let before: SnapshotBefore = recode(&snapshot);
+    assert_eq!((before.position, before.settles_in), (position, Millis(5)));
+    let now: Snapshot = recode(&before);
+    let expected = Snapshot {
+        confirmation: None,
+        ..snapshot
+    };
+    assert_eq!(now, expected);
+}
