fix(discovery): let the successors of readers call the store first

Change: - The daemon after a reader reads the store when its own source is silent for 1.9 s. The others ask a second reader and then this successor for 0.3 s each, and call the store at 2.5 s. Before, a second and a third reader came first and left no time for it. - If the other daemons answer and none is current, the store is probably away: followers then spread their first call over a second, and repeat it after 1 to 4 s instead of 0.5 to 2 s. They wait at a daemon that answers as soon as it is current. - Readers confirm their state every 1.4 s instead of 1.6 s, which pays for the longer sequence: 2.5 s and the timeout of the store are 3 s. - A source that is not followed is only tried; a long wait at a silent one kept a successor from confirming its state.

Tried and dropped: the last point without a difference between answers and confirmations.

--- a/crates/jasminepond-discovery/src/source.rs
+++ b/crates/jasminepond-discovery/src/source.rs
@@ -20,14 +20,32 @@
 /// Daemons per reader in a large fleet, so that a reader's work does not grow with it.
 const DAEMONS_PER_READER: usize = 65;
 
-/// Number of groups whose readers a daemon asks before it falls back to their successors.
-const GROUPS_ASKED: usize = 3;
+/// Index of the reader among the usable daemons of its group.
+const READER: usize = 0;
 
-/// Number of daemons of a group that may have to read the store: its reader and the one
-/// that takes over if the reader fails.
-const READERS_PER_GROUP: usize = 2;
+/// Index of the daemon that takes over if the reader fails.
+const SUCCESSOR: usize = 1;
+
+/// Daemons that others ask, in this order, as the distance from the preferred group and the
+/// index in the group. Only the first three are asked in time if none answers.
+const ASKED: [(usize, usize); 6] = [
+    (0, READER),
+    (1, READER),
+    (0, SUCCESSOR),
+    (2, READER),
+    (1, SUCCESSOR),
+    (2, SUCCESSOR),
+];
+
+/// Number of steps in which the followers of a fleet call the store, if they do.
+const SPREAD_STEPS: usize = 64;
 
 /// Settings of the selection.
+///
+/// A daemon whose sources are all silent gives up the one that it follows at the age
+/// `follow_age` plus `daemon_timeout`, asks two more for `daemon_timeout` each, and then
+/// calls the store. With the timeout of that call, this must be within the time in which a
+/// release must be in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SourceSettings {
     /// Age of the state up to which a reader waits for changes at the store.
@@ -35,12 +53,14 @@
     /// Age of the state up to which a daemon waits for changes at another one. Above
     /// `read_age`, so that readers confirm their state in the meantime.
     pub follow_age: Duration,
-    /// Age from which a daemon no longer uses a source's state.
+    /// Age from which a daemon no longer uses another one's state.
     pub stale_age: Duration,
-    /// Age of the state from which a daemon calls the store itself. This plus the timeout
-    /// of a call must be below the time within which a release must be in force.
+    /// Age of the state from which a daemon calls the store itself.
     pub store_age: Duration,
-    /// Shortest wait for another daemon's answer, so that a source that is slightly late is
+    /// Time over which these calls are spread if the other daemons answer but none has a
+    /// current state, since the store is probably unavailable.
+    pub store_spread: Duration,
+    /// Shortest wait at the daemon that is followed, so that one that is slightly late is
     /// not asked in a loop.
     pub min_wait: Duration,
     /// Time in which another daemon has to answer, in addition to the requested wait.
@@ -67,18 +87,19 @@
 impl Default for SourceSettings {
     fn default() -> Self {
         Self {
-            read_age: Duration::from_millis(1_600),
-            follow_age: Duration::from_millis(1_800),
-            stale_age: Duration::from_millis(2_000),
-            store_age: Duration::from_millis(2_400),
+            read_age: Duration::from_millis(1_400),
+            follow_age: Duration::from_millis(1_600),
+            stale_age: Duration::from_millis(1_800),
+            store_age: Duration::from_millis(2_500),
+            store_spread: Duration::from_millis(1_000),
             min_wait: Duration::from_millis(100),
             daemon_timeout: Duration::from_millis(300),
             daemon_pause_min: Duration::from_millis(1_000),
             daemon_pause_max: Duration::from_millis(8_000),
             reader_pause_min: Duration::from_millis(30),
             reader_pause_max: Duration::from_millis(400),
-            follower_pause_min: Duration::from_millis(500),
-            follower_pause_max: Duration::from_millis(2_000),
+            follower_pause_min: Duration::from_millis(1_000),
+            follower_pause_max: Duration::from_millis(4_000),
         }
     }
 }
@@ -162,11 +183,11 @@
 /// Chooses the source of a daemon's state.
 ///
 /// The daemons are divided into as many groups as there are readers, spread evenly over
-/// their order and thereby over zones. The first usable daemon of a group is its reader. A
-/// daemon follows a reader. If that fails, it tries the readers of two other groups, and
-/// then the daemons that take over for them, which come to the same conclusion by
-/// themselves. Only a daemon that finds none of them in time, because it is cut off from
-/// the others, calls the store.
+/// their order and thereby over zones. The first usable daemon of a group is its reader, and
+/// the next one its successor, which reads the store as soon as its own source fails. All
+/// others follow a reader. If that fails, they try the reader of another group, and then the
+/// successor of the one that failed. Only a daemon that finds none of them in time, because
+/// it is cut off from the others, calls the store.
 ///
 /// ```
 /// use std::net::SocketAddr;
@@ -187,15 +208,16 @@
 pub struct Sources {
     settings: SourceSettings,
     suspended: HashMap<Source, Suspension>,
+    /// Source that confirmed the state, until it fails.
+    followed: Option<Source>,
 }
 
 impl Sources {
     /// Creates a selection in which no source has failed yet.
     pub fn new(settings: SourceSettings) -> Self {
-        let suspended = HashMap::new();
         Self {
             settings,
-            suspended,
+            ..Self::default()
         }
     }
 
@@ -214,31 +236,66 @@
         let call_store = Plan::CallStore {
             wait: (confirmed_at + self.settings.read_age).since(now),
         };
-        if store && now.since(confirmed_at) >= self.settings.store_age {
+        let candidates = candidates(fleet);
+        let is_stale = candidates.iter().any(|source| self.was_stale(*source));
+        let store_due = confirmed_at + self.store_age(fleet, &candidates, is_stale);
+        if store && now >= store_due {
             return call_store;
         }
-        let candidates = candidates(fleet);
         let available = |source: &Source| self.is_available(now, *source);
         match candidates.iter().copied().find(available) {
-            Some(Source::Daemon(address)) => self.ask(now, confirmed_at, address),
+            Some(Source::Daemon(address)) => {
+                let limit = store.then_some(store_due);
+                self.ask(now, confirmed_at, address, limit)
+            }
             Some(Source::Store) => call_store,
-            None if store => call_store,
-            None => self.wait(now, &candidates),
+            // The other daemons do not answer.
+            None if store && !is_stale => call_store,
+            None => self.wait(now, &candidates, store.then_some(store_due)),
+        }
+    }
+
+    /// Returns the age of the state from which the store is called, whatever the other
+    /// sources are.
+    fn store_age(&self, fleet: &Fleet<'_>, candidates: &[Source], is_stale: bool) -> Duration {
+        let settings = &self.settings;
+        if candidates.contains(&Source::Store) {
+            // The others turn to this daemon when their sources fail.
+            return settings.follow_age + settings.daemon_timeout;
+        }
+        if is_stale {
+            let step = settings.store_spread / SPREAD_STEPS as u32;
+            return settings.store_age + step * (fleet.rank % SPREAD_STEPS) as u32;
         }
+        settings.store_age
     }
 
-    /// Returns a call to a daemon that ends in time for another one if it is not answered.
-    fn ask(&self, now: Timestamp, confirmed_at: Timestamp, address: SocketAddr) -> Plan {
+    /// Returns a call to a daemon that ends in time for another one if it is not answered,
+    /// and before `limit` at the latest.
+    fn ask(
+        &self,
+        now: Timestamp,
+        confirmed_at: Timestamp,
+        address: SocketAddr,
+        limit: Option<Timestamp>,
+    ) -> Plan {
         let settings = &self.settings;
+        let source = Source::Daemon(address);
         let until = |age: Duration| (confirmed_at + age).since(now);
-        let wait = match self.suspended.get(&Source::Daemon(address)) {
-            // It failed the last time, and is only tried.
-            Some(_) => settings.min_wait,
-            None => until(settings.follow_age).max(settings.min_wait),
+        let wait = until(settings.follow_age);
+        let wait = match self.followed {
+            Some(followed) if followed == source => wait.max(settings.min_wait),
+            // It is only tried while another one works, or if it has failed the last time.
+            Some(_) => Duration::ZERO,
+            None if self.suspended.contains_key(&source) => Duration::ZERO,
+            None => wait,
         };
         let mut timeout = wait + settings.daemon_timeout;
-        if self.is_available(now, Source::Store) {
-            timeout = timeout.min(until(settings.store_age));
+        if let Some(limit) = limit {
+            if self.followed == Some(source) {
+                timeout = timeout.min(until(settings.follow_age + settings.daemon_timeout));
+            }
+            timeout = timeout.min(limit.since(now));
         }
         Plan::AskDaemon {
             address,
@@ -248,17 +305,15 @@
     }
 
     /// Waits while no source is available, if possible at a daemon that answers as soon as
-    /// the store confirms its state again.
-    fn wait(&self, now: Timestamp, candidates: &[Source]) -> Plan {
-        let suspension = |source: &Source| self.suspended.get(source).copied();
-        let until = candidates.iter().filter_map(suspension);
-        let until = until.map(|suspension| suspension.until).min();
-        let store = suspension(&Source::Store).map(|suspension| suspension.until);
-        let until = until.into_iter().chain(store).min().unwrap_or(now);
-        let stale = |source: &&Source| {
-            suspension(source).is_some_and(|suspension| suspension.reason == SourceFailure::Stale)
-        };
-        match candidates.iter().find(stale) {
+    /// the store confirms its state again. The store is called at `store_due`, if that is
+    /// set, and otherwise when its suspension ends.
+    fn wait(&self, now: Timestamp, candidates: &[Source], store_due: Option<Timestamp>) -> Plan {
+        let sources = candidates.iter().chain([&Source::Store]);
+        let ends = sources.filter_map(|source| self.suspended.get(source));
+        let ends = ends.map(|suspension| suspension.until).chain(store_due);
+        let until = ends.filter(|end| *end > now).min();
+        let until = until.unwrap_or(now + self.settings.min_wait);
+        match candidates.iter().find(|source| self.was_stale(**source)) {
             Some(Source::Daemon(address)) => {
                 let wait = until.since(now).max(self.settings.min_wait);
                 Plan::AskDaemon {
@@ -271,6 +326,11 @@
         }
     }
 
+    fn was_stale(&self, source: Source) -> bool {
+        let suspension = self.suspended.get(&source);
+        suspension.is_some_and(|suspension| suspension.reason == SourceFailure::Stale)
+    }
+
     fn is_available(&self, now: Timestamp, source: Source) -> bool {
         let suspension = self.suspended.get(&source);
         suspension.is_none_or(|suspension| suspension.until <= now)
@@ -281,11 +341,17 @@
         now.since(confirmed_at) >= self.settings.stale_age
     }
 
-    /// Handles a successful call.
-    pub fn on_success(&mut self, source: Source) {
+    /// Handles an answer that does not confirm the state, such as a page of a listing.
+    pub fn on_answer(&mut self, source: Source) {
         self.suspended.remove(&source);
     }
 
+    /// Handles an answer that confirms the state.
+    pub fn on_confirmed(&mut self, source: Source) {
+        self.on_answer(source);
+        self.followed = Some(source);
+    }
+
     /// Handles a failed call. Returns the time for which the source is not used.
     pub fn on_failure(
         &mut self,
@@ -302,6 +368,9 @@
             Source::Store if reads => (settings.reader_pause_min, settings.reader_pause_max),
             Source::Store => (settings.follower_pause_min, settings.follower_pause_max),
         };
+        if self.followed == Some(source) {
+            self.followed = None;
+        }
         let suspension = self.suspended.get(&source);
         let failures = suspension.map_or(0, |suspension| suspension.failures) + 1;
         let pause = (min * 2_u32.pow(failures.min(8) - 1)).min(max);
@@ -320,24 +389,32 @@
     }
 }
 
-/// Returns the sources of a daemon, the preferred one first. A daemon that would read the
-/// store for others finds itself among them.
+/// Returns the sources of a daemon, the preferred one first. A reader and the successor of
+/// one find the store among them, in place of themselves.
 fn candidates(fleet: &Fleet<'_>) -> Vec<Source> {
     let daemons = fleet.usable.len();
     let groups = reader_count(daemons);
-    let usable = |group: usize| {
-        let group = group * daemons / groups..(group + 1) * daemons / groups;
-        group.filter(|rank| fleet.usable[*rank] || *rank == fleet.rank)
+    let source = |group: usize, depth: usize| {
+        let group = group % groups;
+        let members = group * daemons / groups..(group + 1) * daemons / groups;
+        let usable = |rank: &usize| fleet.usable[*rank] || *rank == fleet.rank;
+        match members.filter(usable).nth(depth)? {
+            rank if rank == fleet.rank => Some(Source::Store),
+            rank => Some(Source::Daemon(fleet.addresses[rank])),
+        }
     };
     let own = (0..groups).find(|group| fleet.rank < (group + 1) * daemons / groups);
+    let own = own.unwrap_or_default();
     let mut sources = Vec::new();
-    for depth in 0..READERS_PER_GROUP {
-        if own.is_some_and(|group| usable(group).nth(depth) == Some(fleet.rank)) {
+    if source(own, READER) == Some(Source::Store) {
+        sources.push(Source::Store);
+    }
+    let takes_over = source(own, SUCCESSOR) == Some(Source::Store);
+    for (distance, depth) in ASKED {
+        if takes_over && depth == SUCCESSOR && !sources.contains(&Source::Store) {
             sources.push(Source::Store);
         }
-        let asked = (0..GROUPS_ASKED).filter_map(|n| usable((fleet.rank + n) % groups).nth(depth));
-        let others = asked.filter(|rank| *rank != fleet.rank);
-        sources.extend(others.map(|rank| Source::Daemon(fleet.addresses[rank])));
+        sources.extend(source(fleet.rank + distance, depth));
     }
     sources
 }
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -176,14 +176,14 @@
         let source = progress.source;
         match result {
             CallResult::Confirmed(confirmed_at, changes) => {
-                progress.sources.on_success(source);
+                progress.sources.on_confirmed(source);
                 self.log_reached(progress);
                 self.log_followed(progress);
                 progress.confirmed_at = progress.confirmed_at.max(confirmed_at);
                 self.apply_changes(progress, changes);
             }
             CallResult::Partial(changes) => {
-                progress.sources.on_success(source);
+                progress.sources.on_answer(source);
                 self.log_reached(progress);
                 self.apply_changes(progress, changes);
             }
@@ -204,7 +204,7 @@
             }
             CallResult::HistoryGone(cause) => {
                 info!("store: the whole state is read again", kv: { cause, source: = source });
-                progress.sources.on_success(source);
+                progress.sources.on_answer(source);
                 progress.reader.on_history_gone();
             }
             CallResult::Failed(cause) => {
