fix(discovery): spread calls to the store only while all others are without news

Found by reading the change. One daemon that had answered with an old state, up to 16 s before, was enough to delay the own call to the store by up to a second, also when its readers were silent, which made 4.0 s of the 3.0 s that the bound allows. Now the delay needs an old answer of each daemon that is asked, not longer ago than a second after its pause. The simulation checks the calls within 100 ms.

Beside it, without a change of behaviour: the address of the daemon that is asked is passed on instead of read back, `client` has no error that can't happen, and `take_publication` says by its name that it resets what it returns.

Property test, freshness and source tests pass.

--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -238,10 +238,10 @@
         self.era.unwrap_or_default()
     }
 
-    /// Returns what holds for the state if it is published, or `None` while it is a mixture
-    /// of several positions: while a listing is read, and until a watch has reached its last
-    /// page.
-    pub fn publication(
+    /// Returns what holds for the state, which the caller publishes with all changes so far, or
+    /// `None` while it is a mixture of several positions: while a listing is read, and until a
+    /// watch has reached its last page.
+    pub fn take_publication(
         &mut self,
         confirmed_at: Timestamp,
         reads_store: bool,
--- a/crates/jasminepond-discovery/src/source.rs
+++ b/crates/jasminepond-discovery/src/source.rs
@@ -237,8 +237,7 @@
             wait: (confirmed_at + self.settings.read_age).since(now),
         };
         let candidates = candidates(fleet);
-        let is_stale = candidates.iter().any(|source| self.was_stale(*source));
-        let store_due = confirmed_at + self.store_age(fleet, &candidates, is_stale);
+        let store_due = confirmed_at + self.store_age(now, fleet, &candidates);
         if store && now >= store_due {
             return call_store;
         }
@@ -249,27 +248,33 @@
                 self.ask(now, confirmed_at, address, limit)
             }
             Some(Source::Store) => call_store,
-            // The other daemons do not answer.
-            None if store && !is_stale => call_store,
+            None if store && !self.any_stale(now, &candidates) => call_store,
             None => self.wait(now, &candidates, store.then_some(store_due)),
         }
     }
 
     /// Returns the age of the state from which the store is called, whatever the other
     /// sources are.
-    fn store_age(&self, fleet: &Fleet<'_>, candidates: &[Source], is_stale: bool) -> Duration {
+    fn store_age(&self, now: Timestamp, fleet: &Fleet<'_>, candidates: &[Source]) -> Duration {
         let settings = &self.settings;
         if candidates.contains(&Source::Store) {
             // The others turn to this daemon when their sources fail.
             return settings.follow_age + settings.daemon_timeout;
         }
-        if is_stale {
+        let all_stale = candidates.iter().all(|source| self.was_stale(now, *source));
+        if all_stale && !candidates.is_empty() {
             let step = settings.store_spread / SPREAD_STEPS as u32;
             return settings.store_age + step * (fleet.rank % SPREAD_STEPS) as u32;
         }
         settings.store_age
     }
 
+    /// Whether any daemon answered lately, but had no current state.
+    fn any_stale(&self, now: Timestamp, candidates: &[Source]) -> bool {
+        let mut sources = candidates.iter();
+        sources.any(|source| self.was_stale(now, *source))
+    }
+
     /// Returns a call to a daemon that ends in time for another one if it is not answered,
     /// and before `limit` at the latest.
     fn ask(
@@ -313,7 +318,8 @@
         let ends = ends.map(|suspension| suspension.until).chain(store_due);
         let until = ends.filter(|end| *end > now).min();
         let until = until.unwrap_or(now + self.settings.min_wait);
-        match candidates.iter().find(|source| self.was_stale(**source)) {
+        let is_stale = |source: &&Source| self.was_stale(now, **source);
+        match candidates.iter().find(is_stale) {
             Some(Source::Daemon(address)) => {
                 let wait = until.since(now).max(self.settings.min_wait);
                 Plan::AskDaemon {
@@ -326,9 +332,13 @@
         }
     }
 
-    fn was_stale(&self, source: Source) -> bool {
+    /// Whether a daemon answered lately, but had no current state.
+    fn was_stale(&self, now: Timestamp, source: Source) -> bool {
         let suspension = self.suspended.get(&source);
-        suspension.is_some_and(|suspension| suspension.reason == SourceFailure::Stale)
+        suspension.is_some_and(|suspension| {
+            let forgotten_at = suspension.until + self.settings.daemon_pause_min;
+            forgotten_at > now && suspension.reason == SourceFailure::Stale
+        })
     }
 
     fn is_available(&self, now: Timestamp, source: Source) -> bool {
--- a/crates/jasminepond-discovery/tests/common/fleet.rs
+++ b/crates/jasminepond-discovery/tests/common/fleet.rs
@@ -345,7 +345,7 @@
             daemon.view.apply(change);
         }
         let reads_store = daemon.source == ReadFrom::Store;
-        if let Some(publication) = daemon.reader.publication(now, reads_store) {
+        if let Some(publication) = daemon.reader.take_publication(now, reads_store) {
             daemon.relay.publish(publication);
             daemon.published = Some(publication);
         }
--- a/crates/jasminepond-discovery/tests/freshness.rs
+++ b/crates/jasminepond-discovery/tests/freshness.rs
@@ -12,6 +12,9 @@
 /// Time until the store answers a call that need not wait.
 const STORE_TIME: Duration = Duration::from_millis(10);
 
+/// Time within which few daemons may call the store.
+const BURST_TIME: Duration = Duration::from_millis(100);
+
 /// Timeout of a call to the store, in addition to its wait.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -52,6 +55,8 @@
     daemons: Vec<Daemon>,
     store_available: bool,
     store_calls: usize,
+    /// Most calls to the store within [`BURST_TIME`] of the last run.
+    burst: usize,
     /// Largest age at a daemon that the store answers.
     oldest: Duration,
 }
@@ -74,6 +79,7 @@
             daemons: (0..count).map(daemon).collect(),
             store_available: true,
             store_calls: 0,
+            burst: 0,
             oldest: Duration::ZERO,
         }
     }
@@ -104,8 +110,14 @@
     fn run(&mut self, time: Duration) -> usize {
         let before = self.store_calls;
         let end = self.now + time;
+        let (mut burst_ends, mut burst_began) = (self.now + BURST_TIME, before);
+        self.burst = 0;
         while self.now < end {
             self.now = self.now + TICK;
+            if self.now >= burst_ends {
+                self.burst = self.burst.max(self.store_calls - burst_began);
+                (burst_ends, burst_began) = (self.now + BURST_TIME, self.store_calls);
+            }
             for rank in 0..self.daemons.len() {
                 self.step(rank);
                 if self.answers(rank) {
@@ -215,10 +227,13 @@
             self.daemons[*rank].reaches_store = !from_store;
         }
         let calls = self.run(SUSPICION_TIME);
+        let burst = self.burst;
         for rank in ranks {
             self.usable[*rank] = false;
         }
-        calls + self.run(CUT - SUSPICION_TIME)
+        let calls = calls + self.run(CUT - SUSPICION_TIME);
+        self.burst = self.burst.max(burst);
+        calls
     }
 
     /// Ends all cuts and runs the fleet. Returns the number of calls to the store.
@@ -291,6 +306,7 @@
     let calls = fleet.cut(&fleet.readers(), true);
     let limit = calls_of(7, CUT);
     assert!(calls <= limit, "{calls} calls, {limit} allowed");
+    assert!(fleet.burst <= 6, "{} calls at once", fleet.burst);
     fleet.heal();
     assert!(fleet.oldest <= MAX_AGE, "{:?}", fleet.oldest);
 }
@@ -308,6 +324,11 @@
     let calls = fleet.run(CUT);
     let limit = calls_of(3, CUT) * 3 + 7 * daemons;
     assert!(calls <= limit, "{calls} calls, {limit} allowed");
+    assert!(
+        fleet.burst <= daemons.div_ceil(2),
+        "{} calls at once",
+        fleet.burst
+    );
     let back = fleet.now;
     fleet.store_available = true;
     fleet.oldest = Duration::ZERO;
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -92,7 +92,7 @@
     followed: Source,
     /// Time for which the state was last confirmed, or the start of the process.
     confirmed_at: Timestamp,
-    /// Client for the daemon that is followed.
+    /// Client for the daemon that was asked last.
     peer: Option<(SocketAddr, HttpReader)>,
 }
 
@@ -142,7 +142,8 @@
                 timeout,
             } => {
                 progress.source = Source::Daemon(address);
-                self.ask_daemon(progress, step, (wait, timeout)).await
+                self.ask_daemon(progress, address, step, (wait, timeout))
+                    .await
             }
         };
         self.handle_result(progress, result);
@@ -260,7 +261,7 @@
         self.relay.stage(&changes);
         let reads_store = progress.source == Source::Store;
         let confirmed_at = progress.confirmed_at;
-        if let Some(publication) = progress.reader.publication(confirmed_at, reads_store) {
+        if let Some(publication) = progress.reader.take_publication(confirmed_at, reads_store) {
             self.relay.publish(publication);
         }
         for change in changes {
@@ -352,17 +353,15 @@
         }
     }
 
-    /// Executes a step of the reader with a call to the daemon that is the source. `limits`
-    /// are the longest wait there and the timeout of the call.
+    /// Executes a step of the reader with a call to another daemon. `limits` are the longest
+    /// wait there and the timeout of the call.
     async fn ask_daemon(
         &self,
         progress: &mut Progress,
+        address: SocketAddr,
         step: Step,
         limits: (Duration, Duration),
     ) -> CallResult {
-        let Source::Daemon(address) = progress.source else {
-            return CallResult::Failed("no daemon is followed".to_owned());
-        };
         let called_at = self.clock.now();
         let http = match self.client(&mut progress.peer, address) {
             Ok(http) => http,
@@ -423,15 +422,21 @@
         peer: &'a mut Option<(SocketAddr, HttpReader)>,
         address: SocketAddr,
     ) -> Result<&'a HttpReader, PlatformError> {
-        if !matches!(peer, Some((current, _)) if *current == address) {
-            let timeout = self.timeout;
-            let options = jasminepond_platform::Options { address, timeout };
-            *peer = Some((address, HttpReader::new(options)?));
-        }
-        match peer {
-            Some((_, http)) => Ok(http),
-            None => Err(PlatformError::NotFound),
+        if peer
+            .as_ref()
+            .is_some_and(|(current, _)| *current != address)
+        {
+            *peer = None;
         }
+        let (_, http) = match peer {
+            Some(current) => current,
+            None => {
+                let timeout = self.timeout;
+                let options = jasminepond_platform::Options { address, timeout };
+                peer.insert((address, HttpReader::new(options)?))
+            }
+        };
+        Ok(http)
     }
 
     /// Executes a step of the reader with a call to the store. A watch waits for at most
