feat(forward): refuse searches that their shards cannot process in time

Change: the daemon that sends to the servers of a shard estimates how long one more part waits there, from its queue, its calls beyond the slots and the measured throughput, and reports it to the other daemons on responses that pass anyway. A search is admitted by a draw that is the same for all shards; an admitted one may leave out shards that are overloaded, within its coverage. Nothing is hedged where parts wait. If the parts that other daemons have returned do not reach the coverage, the rest is asked for at the same daemons, whose calls are in progress, until the deadline.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -13,7 +13,7 @@
 use jasminepond_routes::{
     Release, ReleaseVersion, Route, RouteTable, ServiceName, Target, WeightedRoundRobin,
 };
-use jasminepond_types::Timestamp;
+use jasminepond_types::{ErrorKind, Timestamp};
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -22,8 +22,8 @@
     contact::Contact,
     departed::{DepartedServers, Restriction},
     message::{
-        Action, Arrival, Backend, BackendState, CallKey, ConnKey, ReqKey, Scope, ServerEvent,
-        Verdict,
+        Action, Arrival, Backend, BackendState, CallKey, ConnKey, ReqKey, Scope, SearchId,
+        ServerEvent, Verdict,
     },
     report::CallReport,
     request::{ActiveRoute, Destination, Part, Req, RouteStats},
@@ -33,15 +33,19 @@
     timers::{Timer, Timers},
 };
 
+mod admit;
 mod connect;
 mod contact;
 mod delegate;
 mod limits;
 mod place;
 mod relay;
+mod resume;
 mod settle;
 mod suspects;
 
+pub use admit::AdmissionCounts;
+use admit::Admitted;
 pub use delegate::{DelegationRequest, Peer};
 use suspects::CutCall;
 
@@ -109,6 +113,10 @@
     pub connections: usize,
     /// Request parts that wait for a connection.
     pub waiting: usize,
+    /// Shards that cannot process all of the load, as far as this daemon knows.
+    pub overloaded_shards: usize,
+    /// Searches refused and shards left out because of that, since the start.
+    pub admission: AdmissionCounts,
 }
 
 /// Size of the set of daemons that share connections and the budget for repeated
@@ -173,6 +181,9 @@
     cut_calls: Vec<CutCall>,
     /// When servers were last probed because of such calls.
     links_probed_at: Timestamp,
+    admission: admit::Admission,
+    /// Searches that were answered in part.
+    parked: HashMap<SearchId, ReqKey>,
     timers: Timers,
     actions: VecDeque<Action>,
 }
@@ -244,6 +255,8 @@
             calls: self.calls.len(),
             connections: self.conns.len(),
             waiting: self.services.values().map(Service::waiting).sum(),
+            overloaded_shards: self.overloaded_shards(),
+            admission: self.admission.counts,
         }
     }
 
@@ -494,9 +507,23 @@
             Scope::Shards(shards) => Some((&shards[..], delegated.answer_within)),
             Scope::Whole => None,
         });
+        let mut refused = None;
         let parts = match &route.destination {
+            Destination::Search { shards, .. } if only.is_some() => {
+                self.search_parts(now, shards, only.map(|(shards, _)| shards), &[])
+            }
             Destination::Search { shards, .. } => {
-                self.search_parts(now, shards, only.map(|(shards, _)| shards))
+                match self.admit_search(now, &route, arrival.fingerprint, spent) {
+                    Admitted::Without(left_out) => {
+                        let mut parts = self.search_parts(now, shards, None, &left_out);
+                        parts.extend(self.left_out_parts(&route, &left_out));
+                        parts
+                    }
+                    Admitted::Refused(retry_after) => {
+                        refused = Some(retry_after);
+                        Vec::new()
+                    }
+                }
             }
             single => {
                 let service = single.choose_service();
@@ -530,9 +557,9 @@
                 .map_or(u32::MAX, |delegated| delegated.max_attempts)
                 .min(route.route.max_attempts),
             retry_after: Duration::ZERO,
+            missing: parts.iter().filter(|part| !part.is_open()).count(),
             parts,
             done: 0,
-            missing: 0,
             repeats: 0,
             over_budget: 0,
             last_server: None,
@@ -543,14 +570,25 @@
             trial: None,
             admitted: delegated.is_some_and(|delegated| delegated.admitted),
             given_up: false,
+            search: arrival.search,
+            resumable: only.is_some(),
+            parked: false,
             route: route.clone(),
         });
+        if delegated.is_some_and(|delegated| delegated.resumes) {
+            self.complete_parked(now, key);
+            return key;
+        }
+        if let Some(retry_after) = refused {
+            self.refuse(now, key, ErrorKind::Overloaded, Some(retry_after));
+            return key;
+        }
         if self.refuse_unservable(now, key) || self.refuse_suspect(now, key) {
             return key;
         }
         let parts_len = self.reqs[key].parts.len();
         // A repeated request was counted by the daemon that was asked first.
-        let counted = |part: &&Part| part.delegated.is_none() && !repeat;
+        let counted = |part: &&Part| part.delegated.is_none() && part.is_open() && !repeat;
         for part in self.reqs[key].parts.iter().filter(counted) {
             self.services[part.service].budget.earn();
         }
@@ -562,7 +600,7 @@
             self.timers.set(now + limit, Timer::WaitLimit(key));
         }
         for part in 0..parts_len {
-            if repeat && !self.take_token(now, key, part) {
+            if !self.reqs[key].parts[part].is_open() || repeat && !self.take_token(now, key, part) {
                 continue;
             }
             self.place(now, key, part);
@@ -583,7 +621,7 @@
     /// Refuses a request immediately if too many of its parts have no usable server.
     fn refuse_unservable(&mut self, now: Timestamp, key: ReqKey) -> bool {
         let req = &self.reqs[key];
-        let usable = req.parts.iter();
+        let usable = req.parts.iter().filter(|part| part.is_open());
         let usable = usable
             .filter(|part| self.has_usable_server(now, part.service, self.send_by(req, part)));
         let usable: usize = usable.map(|part| part.weight).sum();
@@ -642,6 +680,7 @@
                 Timer::Verdict(req) => self.settle(now, req),
                 Timer::Cut => self.expire_cut_calls(now),
                 Timer::Quarantine => self.tell_others(now),
+                Timer::Admission => self.measure_shards(now),
             }
         }
     }
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -86,6 +86,8 @@
     /// Whether this daemon has checked that the request may be sent although it is suspected
     /// of ending servers.
     pub admitted: bool,
+    /// Whether this asks for the rest of a search.
+    pub resumes: bool,
 }
 
 impl Forwarder {
@@ -328,12 +330,14 @@
     }
 
     /// Splits a search into one part for each shard that this daemon handles itself and
-    /// one part for each other group that has an available helper.
+    /// one part for each other group that has an available helper. `left_out` are the indexes
+    /// of shards that get no part.
     pub(super) fn search_parts(
         &mut self,
         now: Timestamp,
         shards: &[ServiceKey],
         only: Option<&[usize]>,
+        left_out: &[usize],
     ) -> Vec<Part> {
         if let Some(only) = only {
             let known = only.iter().filter_map(|index| shards.get(*index));
@@ -344,6 +348,9 @@
         let mut of_groups = vec![Vec::new(); groups];
         let mut local = Vec::new();
         for (index, shard) in shards.iter().enumerate() {
+            if left_out.contains(&index) {
+                continue;
+            }
             match self.services[*shard].group {
                 Some(group) if !self.helps_group(group) => of_groups[group as usize].push(index),
                 _ if self.needs_relay(now, *shard) && self.can_relay(now, *shard) => {
@@ -403,16 +410,18 @@
             release: req.route.version.max(self.newest_release),
             answer_within: Millis((left.as_millis() as u64).max(1)),
             min_shards: self.shards_needed(req, index),
-            repeat: part.repeat,
+            repeat: part.repeat && part.resumes.is_none(),
             max_attempts: part.max_attempts,
             admitted: req.trial.is_some() || req.admitted,
+            resumes: part.resumes.is_some(),
         })
     }
 
     /// Number of shards of a part without which a search cannot reach its coverage. Helpers of
     /// groups return what they have, since others return more.
     fn shards_needed(&self, req: &Req, index: usize) -> usize {
-        if !self.is_relayed(&req.parts[index]) {
+        let part = &req.parts[index];
+        if !self.is_relayed(part) && part.resumes.is_none() {
             return 1;
         }
         let others = req.parts.iter().enumerate();
@@ -434,6 +443,9 @@
             // The other daemon hedges after the same time.
             return (self.hedge_delay(route) * 2 + HELPER_OVERDUE, left);
         }
+        if delegation.resumes {
+            return (left, left);
+        }
         if delegation.min_shards > 1 {
             return (answer * 2 + HELPER_OVERDUE, left);
         }
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -180,6 +180,7 @@
                     part: index,
                 });
                 self.reqs[key].parts[index].state = PartState::Waiting;
+                self.arm_admission(now);
             }
         }
     }
@@ -229,7 +230,9 @@
         let part = &req.parts[index];
         let (service, by) = (part.service, self.send_by(req, part));
         let mut candidates = self.candidates(now, service, &part.tried, by);
-        if candidates.is_empty() && !part.tried.is_empty() {
+        if let Some(helper) = part.resumes {
+            candidates.retain(|candidate| candidate.server == helper);
+        } else if candidates.is_empty() && !part.tried.is_empty() {
             // All usable servers have been tried: try them again.
             candidates = self.candidates(now, service, &[], by);
             if !req.route.may_repeat() {
@@ -420,7 +423,7 @@
         if call.hedge_decided || !call.route.may_repeat() {
             return;
         }
-        let Some(req) = self.reqs.get(req_key) else {
+        let Some(req) = self.reqs.get(req_key).filter(|req| !req.parked) else {
             return;
         };
         let part = &req.parts[index];
@@ -433,6 +436,9 @@
             return self.hedge_later(now, key);
         }
         let service = part.service;
+        if self.services[service].waiting() > 0 {
+            return;
+        }
         let by = self.send_by(req, part);
         let mut candidates = self.candidates(now, service, &part.tried, by);
         let untried = !candidates.is_empty();
--- /dev/null
+++ b/crates/jasminepond-forward/src/forwarder/resume.rs
@@ -0,0 +1,151 @@
+//! Searches that other daemons answer in part first and complete later.
+//!
+//! A daemon that handles a part of a search answers shortly before the objective with what it
+//! has. If all parts together do not reach the coverage, the search is late, but its caller
+//! still waits: the rest is then asked for at the same daemon, whose calls are in progress.
+
+use std::time::Duration;
+
+use jasminepond_types::Timestamp;
+
+use super::Forwarder;
+use crate::{
+    message::{Action, Answer, ReqKey, Verdict},
+    request::{Part, PartState, Req},
+};
+
+/// Time before the deadline of a search within which the rest is not asked for.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+
+/// Maximum number of parts of one search that ask for a rest.
+const MAX_RESUMES: usize = 24;
+
+/// Maximum number of searches whose calls are kept for later. Each takes a few kilobytes.
+const MAX_PARKED: usize = 1_000;
+
+impl Forwarder {
+    /// Indexes of the shards that a search still waits for.
+    pub(super) fn unfinished_shards(&self, req: &Req) -> Vec<usize> {
+        if !req.resumable {
+            return Vec::new();
+        }
+        let index = |part: &Part| {
+            let mut shards = req.route.shards().iter();
+            shards.position(|shard| *shard == part.service)
+        };
+        let open = req.parts.iter().filter(|part| part.is_local_and_open());
+        open.filter_map(index).collect()
+    }
+
+    /// Answers a delegated search in part and keeps its calls in progress. Parts that were not
+    /// sent yet are withdrawn.
+    pub(super) fn park(&mut self, now: Timestamp, key: ReqKey, answer: Answer, verdict: Verdict) {
+        if self.parked.len() >= MAX_PARKED {
+            return self.finish(now, key, Some(answer), verdict);
+        }
+        let summary = self.summary(now, &self.reqs[key], verdict);
+        let req = &mut self.reqs[key];
+        req.parked = true;
+        for part in req.parts.iter_mut().filter(|part| part.is_waiting()) {
+            part.state = PartState::Held;
+        }
+        self.parked.insert(req.search, key);
+        self.actions.push_back(Action::Answer {
+            req: key,
+            answer: Some(answer),
+            summary,
+        });
+    }
+
+    /// Forgets a search that was answered in part.
+    pub(super) fn unpark(&mut self, key: ReqKey) {
+        if let Some(req) = self.reqs.remove(key) {
+            self.parked.remove(&req.search);
+            self.keep_request_answered(&req);
+        }
+    }
+
+    /// Continues a search that was answered in part, as a request for the shards of `key`.
+    /// Refuses it as not run if nothing is known of it.
+    pub(super) fn complete_parked(&mut self, now: Timestamp, key: ReqKey) {
+        let (search, fingerprint) = (self.reqs[key].search, self.reqs[key].fingerprint);
+        let parked = self.parked.remove(&search);
+        let parked = parked.and_then(|parked| self.reqs.remove(parked));
+        // A caller may use a request id twice at the same time.
+        let Some(parked) = parked.filter(|parked| parked.fingerprint == fingerprint) else {
+            return self.refuse(now, key, jasminepond_types::ErrorKind::NoBackend, None);
+        };
+        for mut part in parked.parts {
+            let req = &mut self.reqs[key];
+            let same = |other: &Part| other.service == part.service;
+            let Some(index) = req.parts.iter().position(same) else {
+                continue;
+            };
+            match &part.state {
+                PartState::Done(_) => req.done += part.weight,
+                PartState::Missing(_) => req.missing += part.weight,
+                PartState::Held if part.calls.is_empty() => part.state = PartState::Waiting,
+                _ => {}
+            }
+            for call in &part.calls {
+                if let Some(call) = self.calls.get_mut(*call) {
+                    (call.req, call.part) = (key, index);
+                }
+            }
+            req.parts[index] = part;
+        }
+        let req = &mut self.reqs[key];
+        (req.answered, req.past_answer_by) = (parked.answered, true);
+        // Searches that can still be in time go first.
+        req.late = true;
+        self.timers
+            .set(req.deadline, crate::timers::Timer::Deadline(key));
+        let waiting = |part: &Part| part.is_waiting() && part.calls.is_empty();
+        let unsent: Vec<_> = (0..req.parts.len())
+            .filter(|index| waiting(&req.parts[*index]))
+            .collect();
+        for index in unsent {
+            self.place(now, key, index);
+        }
+        self.settle(now, key);
+    }
+
+    /// Asks other daemons for the rest of a search that cannot reach its coverage with what
+    /// they have returned. Returns whether there is something to wait for.
+    pub(super) fn ask_for_rest(&mut self, now: Timestamp, key: ReqKey) -> bool {
+        let req = &mut self.reqs[key];
+        let asked = req.parts.iter().filter(|part| part.resumes.is_some());
+        if now + MIN_TIME_LEFT >= req.deadline || asked.count() >= MAX_RESUMES {
+            return false;
+        }
+        let mut rest = Vec::new();
+        for part in &mut req.parts {
+            let PartState::Done(reply) = &mut part.state else {
+                continue;
+            };
+            let unfinished = reply.peer.as_mut().map(|peer| &mut peer.unfinished);
+            let unfinished = unfinished.map(std::mem::take).unwrap_or_default();
+            let helper = part.tried.last().copied();
+            if let Some(helper) = helper.filter(|_| !unfinished.is_empty()) {
+                rest.push((part.service, helper, unfinished));
+            }
+        }
+        let found: usize = rest.iter().map(|(.., shards)| shards.len()).sum();
+        if req.shards - req.missing + found < req.min_shards || rest.is_empty() {
+            return false;
+        }
+        req.past_answer_by = true;
+        let first = req.parts.len();
+        for (service, helper, shards) in rest {
+            req.missing = req.missing.saturating_sub(shards.len());
+            let mut part = Part::delegated(service, shards.into());
+            part.resumes = Some(helper);
+            part.repeat = true;
+            req.parts.push(part);
+        }
+        for index in first..self.reqs[key].parts.len() {
+            self.place(now, key, index);
+        }
+        true
+    }
+}
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -1,5 +1,7 @@
 //! Handling of responses and failures, and completion of requests.
 
+use std::rc::Rc;
+
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 
 use super::{Call, Forwarder, limits::LIMITED, suspects::SUSPECTED};
@@ -9,7 +11,7 @@
         Action, Answer, CallKey, LostCall, Refusal, Reply, ReqKey, RetryAfter, ServerEvent,
         Summary, Verdict,
     },
-    request::{Destination, Part, PartState, Req},
+    request::{Delegated, Destination, Part, PartState, Req},
     server::{Reachability, ServerKey},
     timers::Timer,
 };
@@ -66,6 +68,10 @@
         }
         if let Some(peer) = reply.peer.as_ref().filter(|_| call.delegated) {
             self.newest_release = self.newest_release.max(peer.release);
+            if let Some(report) = &peer.load {
+                let asked = self.shards_asked(&call);
+                self.on_load_report(now, &call.route, &asked, report);
+            }
         }
         if let Some(server) = self.servers.get_mut(call.server) {
             if reply.is_success() {
@@ -90,6 +96,7 @@
             return;
         };
         let part = &mut req.parts[call.part];
+        let (service, is_search_part) = (part.service, !call.delegated && call.route.is_search());
         if not_run {
             part.runs = part.runs.saturating_sub(1);
         }
@@ -107,6 +114,9 @@
             if let Some(server) = self.servers.get(call.server) {
                 req.last_server = Some(server.backend.id.clone());
             }
+            if is_search_part {
+                self.services[service].load.on_answered();
+            }
             self.on_part_answered(now, call.req, call.part);
         } else if call.delegated && not_run {
             if let Some(RetryAfter::Wait(wait)) = reply.retry_after {
@@ -128,6 +138,16 @@
         self.review_request(now, call.req);
     }
 
+    /// Indexes of the shards that a call to another daemon covers.
+    fn shards_asked(&self, call: &Call) -> Rc<[usize]> {
+        let req = self.reqs.get(call.req);
+        let part = req.and_then(|req| req.parts[call.part].delegated.clone());
+        match part {
+            Some(Delegated::Shards(shards)) => shards,
+            _ => [].into(),
+        }
+    }
+
     /// The backend server that wrote a response, also if another daemon forwards it.
     fn answering_server(&self, call: &Call, reply: &Reply) -> Option<ServerKey> {
         if !call.delegated {
@@ -300,7 +320,9 @@
         let Some(req) = self.reqs.get(key) else {
             return;
         };
-        if req.route.is_search() && req.done >= req.min_shards {
+        if req.parked {
+            self.unpark(key);
+        } else if req.route.is_search() && req.done >= req.min_shards {
             self.answer_search(now, key);
         } else {
             self.fail(now, key, ErrorKind::Overloaded);
@@ -312,6 +334,9 @@
         let Some(req) = self.reqs.get(key) else {
             return;
         };
+        if req.parked {
+            return;
+        }
         let (shards, min_shards) = (req.shards, req.min_shards);
         let open = shards - req.done - req.missing;
         if self.awaits_verdict(now, req) {
@@ -323,7 +348,7 @@
             }
         } else if req.done >= min_shards && (open == 0 || req.past_answer_by) {
             self.answer_search(now, key);
-        } else if shards - req.missing < min_shards || open == 0 {
+        } else if (shards - req.missing < min_shards || open == 0) && !self.ask_for_rest(now, key) {
             self.fail(now, key, ErrorKind::NoBackend);
         }
     }
@@ -370,8 +395,13 @@
             stamps,
             missing,
             body,
+            unfinished: self.unfinished_shards(req),
         };
-        self.finish(now, key, Some(answer), verdict);
+        if req.resumable && req.done + req.missing < req.shards {
+            self.park(now, key, answer, verdict);
+        } else {
+            self.finish(now, key, Some(answer), verdict);
+        }
     }
 
     /// Ends a request without success: refuses it with `kind` if it has certainly not
@@ -426,6 +456,15 @@
             return;
         };
         self.keep_request_answered(&req);
+        let summary = self.summary(now, &req, verdict);
+        self.actions.push_back(Action::Answer {
+            req: key,
+            answer,
+            summary,
+        });
+    }
+
+    pub(super) fn summary(&self, now: Timestamp, req: &Req, verdict: Verdict) -> Summary {
         let missing_reason = |part: &Part| {
             let reason = match &part.state {
                 PartState::Done(_) => return None,
@@ -451,7 +490,7 @@
             Verdict::Served => Vec::new(),
             _ => req.parts.iter().filter_map(missing_reason).collect(),
         };
-        let summary = Summary {
+        Summary {
             verdict,
             route: req.route.route.name.clone(),
             version: req.route.version(),
@@ -461,14 +500,9 @@
             over_budget: req.over_budget,
             missing,
             limited: limited as u32,
-            server: req.last_server,
+            server: req.last_server.clone(),
             relayed: relayed as u32,
-        };
-        self.actions.push_back(Action::Answer {
-            req: key,
-            answer,
-            summary,
-        });
+        }
     }
 }
 
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Forwarder`] is a state machine that does no I/O and reads no clock. Each method
 //! takes the current time, and [`Forwarder::next_action`] returns what to do.
 
+mod admission;
 mod budget;
 mod caller_timeouts;
 mod contact;
@@ -21,15 +22,16 @@
 mod timers;
 mod window;
 
+pub use admission::{LoadReport, LoadReportError};
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
-pub use forwarder::{Cluster, DelegationRequest, Forwarder, Peer, Status};
+pub use forwarder::{AdmissionCounts, Cluster, DelegationRequest, Forwarder, Peer, Status};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, merge_top_k};
 pub use message::{
     Action, Answer, Arrival, Backend, BackendState, CallKey, ConnKey, DelegatedPart,
     EvidenceSource, Exchange, LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter,
-    Scope, ServerEvent, StatedLimit, Summary, Verdict,
+    Scope, SearchId, ServerEvent, StatedLimit, Summary, Verdict,
 };
 pub use report::{CallReport, RouteReport, ServerReport};
 pub use request::ActiveRoute;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -1,7 +1,8 @@
 //! Inputs and outputs of the forwarder.
 
 use std::{
-    convert::Infallible, fmt, net::SocketAddr, rc::Rc, str::FromStr, sync::Arc, time::Duration,
+    convert::Infallible, fmt, net::SocketAddr, num::ParseIntError, rc::Rc, str::FromStr, sync::Arc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -11,8 +12,12 @@
 use jasminepond_types::{ErrorKind, Millis};
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{contact::ContactEvent, forwarder::DelegationRequest, request::ActiveRoute};
+use crate::{
+    AdmissionCounts, LoadReport, contact::ContactEvent, forwarder::DelegationRequest,
+    request::ActiveRoute,
+};
 
 new_key_type! {
     /// A caller's request.
@@ -32,6 +37,8 @@
     pub time_left: Duration,
     /// Identifies requests that are equal to it.
     pub fingerprint: Fingerprint,
+    /// Identifies the attempt of the caller.
+    pub search: SearchId,
     /// Set if another daemon delegates the request, or a part of it, to this one.
     pub delegated: Option<DelegatedPart>,
 }
@@ -62,6 +69,40 @@
     /// Whether the asking daemon has checked that the request may be sent although it is
     /// suspected of ending servers.
     pub admitted: bool,
+    /// Whether it asks for the rest of a search of which it has received results before.
+    pub resumes: bool,
+}
+
+/// Identifies one attempt of a caller at all daemons that handle parts of it.
+///
+/// ```
+/// use jasminepond_forward::SearchId;
+///
+/// let id: SearchId = "00000000000000ff".parse().unwrap();
+/// assert_eq!(id.to_string(), "00000000000000ff");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct SearchId(pub u64);
+
+impl SearchId {
+    /// Derives the id from the request id that the caller has chosen for the attempt.
+    pub fn of_request(id: &[u8]) -> Self {
+        Self(xxh3_64(id))
+    }
+}
+
+impl fmt::Display for SearchId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for SearchId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text.trim(), 16).map(Self)
+    }
 }
 
 /// State of a backend server according to its entry.
@@ -151,7 +192,7 @@
 }
 
 /// What another daemon states about its answer.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct PeerReply {
     /// Version of the release by which it routed the request.
     pub release: ReleaseVersion,
@@ -159,6 +200,10 @@
     pub server: Option<Arc<str>>,
     /// Whether it presumes that the request ends the servers that run it.
     pub suspects: bool,
+    /// Shards that it sends requests to and that cannot process all of the load.
+    pub load: Option<LoadReport>,
+    /// Shards that its answer lacks and that it can still return results of, by their index.
+    pub unfinished: Vec<usize>,
 }
 
 /// Response of a backend server.
@@ -172,7 +217,7 @@
     /// Number of shards that are missing from another daemon's answer.
     pub missing: usize,
     /// Set if another daemon answers.
-    pub peer: Option<PeerReply>,
+    pub peer: Option<Box<PeerReply>>,
     /// Whether the server states that it has not run the request.
     pub not_run: bool,
     /// Whether a different server than the expected one answered.
@@ -247,6 +292,9 @@
         missing: usize,
         /// The merged records.
         body: Bytes,
+        /// Shards whose results can still be asked for, by their index, if the search was
+        /// delegated by another daemon.
+        unfinished: Vec<usize>,
     },
     /// The gateway refuses the request or reports its failure.
     Refused(Refusal),
@@ -457,6 +505,15 @@
         /// Number of all groups.
         groups: usize,
     },
+    /// Log for how many shards parts wait, and what that has cost.
+    LogShardLoad {
+        /// Shards for which parts of searches wait at this daemon.
+        overloaded: usize,
+        /// The longest wait of one more part, and the service of that shard.
+        longest: Option<(Duration, ServiceName)>,
+        /// Searches refused and shards left out since the start.
+        counts: AdmissionCounts,
+    },
     /// A request has ended: answer its caller.
     Answer {
         /// The request.
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -9,7 +9,7 @@
 use crate::{
     caller_timeouts::CallerTimeouts,
     latency::LatencyTracker,
-    message::{CallKey, ConnKey, Reply},
+    message::{CallKey, ConnKey, Reply, SearchId},
     server::ServerKey,
     service::ServiceKey,
 };
@@ -167,6 +167,9 @@
     /// Whether it is sent once only, because it is suspected of ending the servers of its
     /// service.
     pub(crate) in_trial: bool,
+    /// The other daemon that has the results of the rest of the search, for which this part
+    /// asks.
+    pub(crate) resumes: Option<ServerKey>,
 }
 
 impl Part {
@@ -186,6 +189,7 @@
             repeat: false,
             weight: 1,
             in_trial: false,
+            resumes: None,
         }
     }
 
@@ -206,6 +210,15 @@
         }
     }
 
+    /// Whether this daemon sends it to the servers of its shard, unless it has ended.
+    pub(crate) fn is_local_and_open(&self) -> bool {
+        self.delegated.is_none() && self.is_open()
+    }
+
+    pub(crate) fn is_waiting(&self) -> bool {
+        matches!(self.state, PartState::Waiting)
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         matches!(
             self.state,
@@ -265,6 +278,13 @@
     pub(crate) admitted: bool,
     /// Whether it was given up because it is suspected.
     pub(crate) given_up: bool,
+    /// Identifies the search at the daemon that the caller asked.
+    pub(crate) search: SearchId,
+    /// Whether another daemon that delegated the search may ask for the rest of it.
+    pub(crate) resumable: bool,
+    /// Whether the search was answered in part, and its calls in progress are kept in case the
+    /// other daemon asks for the rest.
+    pub(crate) parked: bool,
 }
 
 impl Req {
@@ -277,7 +297,7 @@
     pub(crate) fn may_send(&self, index: usize) -> bool {
         let in_trial =
             |trial: Trial| trial.part == index && self.parts[index].runs == trial.runs_before;
-        !self.is_restrained() || self.trial.is_some_and(in_trial)
+        !self.parked && (!self.is_restrained() || self.trial.is_some_and(in_trial))
     }
 
     /// Whether its sends are trials: a single server runs it at a time.
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -6,7 +6,12 @@
 use jasminepond_types::Timestamp;
 use slotmap::new_key_type;
 
-use crate::{RepeatBudget, message::ReqKey, server::ServerKey};
+use crate::{
+    RepeatBudget,
+    admission::{ReportedWait, ShardLoad},
+    message::ReqKey,
+    server::ServerKey,
+};
 
 new_key_type! {
     /// A service.
@@ -43,6 +48,10 @@
     /// Until when other daemons are not asked for this service, because they had no server
     /// for it either.
     pub(crate) relay_refused_until: Timestamp,
+    /// Load of the shard as this daemon measures it, if it sends the requests.
+    pub(crate) load: ShardLoad,
+    /// Load of the shard as the daemon that sends the requests has reported it.
+    pub(crate) reported: Option<ReportedWait>,
     waiting: VecDeque<Waiting>,
 }
 
@@ -59,6 +68,8 @@
             is_helper_group: false,
             is_relays: false,
             relay_refused_until: Timestamp::ZERO,
+            load: ShardLoad::default(),
+            reported: None,
             waiting: VecDeque::new(),
         }
     }
@@ -78,6 +89,12 @@
         std::mem::take(&mut self.waiting)
     }
 
+    /// Number of queued parts that go before a new one of this priority.
+    pub(crate) fn waiting_ahead(&self, priority: u32) -> usize {
+        let ahead = |part: &&Waiting| !part.late && part.priority <= priority;
+        self.waiting.iter().filter(ahead).count()
+    }
+
     pub(crate) fn waiting(&self) -> usize {
         self.waiting.len()
     }
--- a/crates/jasminepond-forward/src/timers.rs
+++ b/crates/jasminepond-forward/src/timers.rs
@@ -42,6 +42,8 @@
     Verdict(ReqKey),
     /// Send messages about suspected requests.
     Quarantine,
+    /// Measure the load of shards.
+    Admission,
 }
 
 #[derive(Debug, Default)]
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -13,7 +13,7 @@
 use jasminepond_forward::{
     Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, DelegatedPart,
     DelegationRequest, Exchange, ForwardSettings, Forwarder, LostCall, Peer, PeerReply, Reply,
-    ReqKey, Scope, StatedLimit, Summary,
+    ReqKey, Scope, SearchId, StatedLimit, Summary,
 };
 use jasminepond_quarantine::{Fingerprint, Message as Evidence};
 use jasminepond_ratelimit::{Message, RateLimit};
@@ -410,6 +410,7 @@
             route,
             time_left,
             fingerprint: self.fingerprint(path, self.next_number),
+            search: SearchId(self.next_number),
             delegated: None,
         };
         let key = self.daemons[daemon].forwarder.submit(self.now, arrival);
@@ -557,6 +558,7 @@
                     route,
                     time_left,
                     fingerprint,
+                    search: SearchId(number),
                     delegated: Some(part),
                 };
                 let key = forwarder.submit(now, arrival);
@@ -668,6 +670,7 @@
                 }
                 Action::LogServerEvent { .. }
                 | Action::LogSuspect { .. }
+                | Action::LogShardLoad { .. }
                 | Action::LogGroups { .. } => {}
             }
         }
@@ -799,6 +802,7 @@
                     repeat: delegation.repeat,
                     max_attempts: delegation.max_attempts,
                     admitted: delegation.admitted,
+                    resumes: delegation.resumes,
                 };
                 let origin = (daemon, self.daemons[daemon].starts, conn);
                 let event = Event::Delegated(origin, number, path, left.duration(), part);
@@ -877,9 +881,11 @@
             Reply {
                 stamp: None,
                 not_run,
-                peer: refusal.suspected.then(|| PeerReply {
-                    suspects: true,
-                    ..PeerReply::default()
+                peer: refusal.suspected.then(|| {
+                    Box::new(PeerReply {
+                        suspects: true,
+                        ..PeerReply::default()
+                    })
                 }),
                 ..reply(if not_run { 503 } else { 502 }, "")
             }
--- a/crates/jasminepond-forward/tests/delegation.rs
+++ b/crates/jasminepond-forward/tests/delegation.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use jasminepond_forward::{Answer, Arrival, DelegatedPart, ForwardSettings, Scope, Verdict};
+use jasminepond_forward::{
+    Answer, Arrival, DelegatedPart, ForwardSettings, Scope, SearchId, Verdict,
+};
 use sim::{Behavior, MS, Sim, search};
 use test_case::test_case;
 
@@ -148,11 +150,13 @@
         answer_within: 60 * MS,
         repeat: false,
         admitted: false,
+        resumes: false,
     });
     let arrival = Arrival {
         route,
         time_left: CALLER_TIMEOUT,
         fingerprint: Default::default(),
+        search: SearchId(1),
         delegated,
     };
     sim.forwarder.submit(sim.now, arrival);
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use jasminepond_forward::{
     Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, Exchange,
-    ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
+    ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, SearchId, Summary,
 };
 use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_routes::{
@@ -293,6 +293,7 @@
                 route,
                 time_left,
                 fingerprint: fingerprint(path, self.submitted),
+                search: SearchId(self.submitted),
                 delegated: None,
             },
         );
@@ -488,6 +489,7 @@
                 | Action::SendEvidence { .. }
                 | Action::LogSuspect { .. }
                 | Action::LogServerEvent { .. }
+                | Action::LogShardLoad { .. }
                 | Action::LogGroups { .. } => {}
                 Action::Close { conn } => {
                     self.closed += 1;
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -146,8 +146,9 @@
         },
         body,
     };
+    let is_part = delegated.as_ref().is_some_and(is_part);
     let (key, answer) = hub.submit(
-        route,
+        route.clone(),
         time_left,
         fingerprint,
         delegated.map(|delegated| delegated.part),
@@ -171,7 +172,15 @@
             stamps,
             missing,
             body,
-        }) => merged_response(hub, &stamps, missing, body),
+            unfinished,
+        }) => {
+            let mut res = merged_response(hub, &stamps, missing, body);
+            if from_peer && !unfinished.is_empty() {
+                let shards: Vec<_> = unfinished.iter().map(ToString::to_string).collect();
+                insert_header(&mut res, peers::UNFINISHED, &shards.join(","));
+            }
+            res
+        }
         Ok(Answer::Refused(refusal)) => {
             let mut res = refusal_response(refusal);
             if from_peer && refusal.suspected {
@@ -187,13 +196,20 @@
     if from_peer {
         insert_header(&mut res, peers::RELEASE, &version.to_string());
     }
+    if is_part {
+        let report = hub.read(|forwarder| forwarder.load_report(&route));
+        insert_header(&mut res, peers::LOAD, &report.to_string());
+    }
     res
 }
 
+fn is_part(delegated: &DelegatedRequest) -> bool {
+    matches!(delegated.part.scope, Scope::Shards(_))
+}
+
 /// Why this daemon cannot handle a delegated request, if it cannot.
 fn mismatch(delegated: &DelegatedRequest, route: &ActiveRoute) -> Option<&'static str> {
-    let is_part = matches!(delegated.part.scope, Scope::Shards(_));
-    if delegated.shard_set != route.shard_set() || is_part != route.is_search() {
+    if delegated.shard_set != route.shard_set() || is_part(delegated) != route.is_search() {
         Some("this daemon knows other shards of the route")
     } else if route.version() < delegated.release {
         Some("this daemon knows an older release")
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -298,6 +298,11 @@
             "calls": status.calls,
             "connections": status.connections,
             "waiting": status.waiting,
+            "overloaded_shards": status.overloaded_shards,
+            "admission": {
+                "refused": status.admission.refused,
+                "shards_left_out": status.admission.left_out,
+            },
             "routes": routes.collect::<Vec<_>>(),
             "suspects": suspects.collect::<Vec<_>>(),
             "backend_servers": servers.collect::<Vec<_>>(),
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -15,7 +15,8 @@
 use jasminepond_discovery::{Position, Source};
 use jasminepond_forward::{
     Action, ActiveRoute, Answer, Arrival, ConnKey, ContactEvent, DelegatedPart, DelegationRequest,
-    EvidenceSource, Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
+    EvidenceSource, Exchange, Forwarder, LostCall, ReqKey, SearchId, ServerEvent, StatedLimit,
+    Summary,
 };
 use jasminepond_quarantine::{Change, Fingerprint, State};
 use jasminepond_types::{Millis, Timestamp};
@@ -198,6 +199,7 @@
             route,
             time_left,
             fingerprint,
+            search: SearchId::of_request(&outbound.request_id),
             delegated,
         };
         let key = self.forwarder.borrow_mut().submit(now, arrival);
@@ -339,6 +341,20 @@
                 let own: Vec<_> = own.iter().map(ToString::to_string).collect();
                 info!("gateway: groups of shards that this daemon handles", kv: { own = own.join(" "), groups });
             }
+            Action::LogShardLoad {
+                overloaded,
+                longest,
+                counts,
+            } => {
+                let (wait, service) = longest.unzip();
+                info!("gateway: load that shards cannot process", kv: {
+                    overloaded,
+                    longest_wait_ms = wait.unwrap_or_default().as_millis() as u64,
+                    service: = service.as_ref().map_or("", |service| service.as_str()),
+                    refused = counts.refused,
+                    shards_left_out = counts.left_out,
+                });
+            }
             Action::Answer {
                 req,
                 answer,
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -48,6 +48,9 @@
     servers_down: Gauge,
     servers_limited: Gauge,
     waiting: Gauge,
+    overloaded_shards: Gauge,
+    admission_refused: Counter,
+    shards_left_out: Counter,
     datagrams_dropped: Counter,
     contact_losses: Counter,
     relayed: Counter,
@@ -81,6 +84,9 @@
             servers_down: Gauge::default(),
             servers_limited: Gauge::default(),
             waiting: Gauge::default(),
+            overloaded_shards: Gauge::default(),
+            admission_refused: Counter::default(),
+            shards_left_out: Counter::default(),
             datagrams_dropped: Counter::default(),
             contact_losses: Counter::default(),
             relayed: Counter::default(),
@@ -115,6 +121,16 @@
                 "Repeated sends that the budget refused",
                 &self.over_budget,
             ),
+            (
+                "admission_refused",
+                "Searches refused because their shards cannot process all of the load",
+                &self.admission_refused,
+            ),
+            (
+                "shards_left_out",
+                "Shards that searches left out because they cannot process all of the load",
+                &self.shards_left_out,
+            ),
             (
                 "missing_parts",
                 "Shards missing from answers",
@@ -209,6 +225,11 @@
                 "Parts of requests that wait for a connection",
                 &self.waiting,
             ),
+            (
+                "overloaded_shards",
+                "Shards that cannot process all of the load that this daemon sends them",
+                &self.overloaded_shards,
+            ),
         ];
         for (name, help, gauge) in gauges {
             r.register(name, help, gauge.clone());
@@ -230,6 +251,9 @@
         self.servers_down.set(status.down as i64);
         self.servers_limited.set(status.limited as i64);
         self.waiting.set(status.waiting as i64);
+        self.overloaded_shards.set(status.overloaded_shards as i64);
+        set_counter(&self.admission_refused, status.admission.refused);
+        set_counter(&self.shards_left_out, status.admission.left_out);
         let mut text = String::new();
         // Writing to a string cannot fail, but the encoding of a metric can.
         match encode(&mut text, &self.registry) {
@@ -313,3 +337,8 @@
         self.release.set(version.0 as i64);
     }
 }
+
+/// Raises a counter to the value that is counted elsewhere.
+fn set_counter(counter: &Counter, value: u64) {
+    counter.inc_by(value.saturating_sub(counter.get()));
+}
--- a/crates/jasminepond-gateway/src/peers.rs
+++ b/crates/jasminepond-gateway/src/peers.rs
@@ -63,8 +63,18 @@
 /// Id of the server whose response is forwarded.
 pub const SERVER: &str = "x-jasminepond-server";
 
+/// In the response to a part of a search, the shards that the daemon sends requests to and
+/// that cannot process all of the load.
+pub const LOAD: &str = "x-jasminepond-load";
+
+/// Present if the rest of a search is asked for.
+pub const RESUME: &str = "x-jasminepond-resume";
+
+/// In a response, indexes of the shards whose results can still be asked for.
+pub const UNFINISHED: &str = "x-jasminepond-unfinished";
+
 /// Headers that daemons add to each other's requests and responses.
-pub const HEADERS: [&str; 10] = [
+pub const HEADERS: [&str; 13] = [
     SHARDS,
     SHARD_SET,
     ANSWER_WITHIN_MS,
@@ -75,6 +85,9 @@
     SUSPECTED,
     RELEASE,
     SERVER,
+    LOAD,
+    RESUME,
+    UNFINISHED,
 ];
 
 /// Request, or part of a search, that another daemon delegates to this one.
@@ -119,6 +132,9 @@
     if delegation.admitted {
         header(ADMITTED, &1);
     }
+    if delegation.resumes {
+        header(RESUME, &1);
+    }
     bytes.extend_from_slice(text.as_bytes());
 }
 
@@ -150,6 +166,7 @@
             repeat: headers.contains_key(REPEAT),
             max_attempts: number(MAX_ATTEMPTS, u32::MAX)?,
             admitted: headers.contains_key(ADMITTED),
+            resumes: headers.contains_key(RESUME),
         },
         shard_set: text(SHARD_SET)?.parse().ok()?,
         release,
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -485,6 +485,13 @@
             peer.server = text(value).map(Arc::from);
         } else if is(peers::SUSPECTED) {
             message.reply.peer.get_or_insert_default().suspects = true;
+        } else if is(peers::LOAD) {
+            let peer = message.reply.peer.get_or_insert_default();
+            peer.load = text(value).and_then(|text| text.parse().ok());
+        } else if is(peers::UNFINISHED) {
+            let shards = text(value).unwrap_or_default().split(',');
+            let peer = message.reply.peer.get_or_insert_default();
+            peer.unfinished = shards.filter_map(|shard| shard.parse().ok()).collect();
         } else if is(names.not_run) {
             message.reply.not_run = true;
         } else if is(names.leaving) {
--- a/crates/jasminepond-gateway/tests/build_before.rs
+++ b/crates/jasminepond-gateway/tests/build_before.rs
@@ -42,6 +42,7 @@
         repeat: false,
         max_attempts: 2,
         admitted: false,
+        resumes: false,
     };
     assert_eq!(
         (read.part, read.shard_set),
@@ -61,6 +62,7 @@
         repeat: false,
         max_attempts: 2,
         admitted: false,
+        resumes: false,
     };
     let mut bytes = Vec::new();
     write_headers(&mut bytes, &delegation);
