fix(forward): take a shard for overloaded by its measured throughput only

Hedging stopped where a single part waited, which many_daemons_probe_slow_servers_less_often does not allow. Change: throughput is measured in intervals in which parts wait and holds for two seconds; before, slots over the latency without load. Hedging stops where a shard no longer takes all searches.

--- a/crates/jasminepond-forward/src/admission.rs
+++ b/crates/jasminepond-forward/src/admission.rs
@@ -18,6 +18,9 @@
 /// Weight of the newest interval in the throughput of a shard.
 const INTERVAL_WEIGHT: f64 = 0.3;
 
+/// Time for which a measured throughput holds. Servers recover within seconds.
+const THROUGHPUT_LIFETIME: Duration = Duration::from_secs(2);
+
 /// Lowest throughput that is assumed, in parts per second, so that a shard that has stopped
 /// for a moment is tried again.
 const MIN_THROUGHPUT: f64 = 10.0;
@@ -137,8 +140,8 @@
 /// Throughput of one shard, as measured by a daemon that sends requests to its servers.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) struct ShardLoad {
-    /// Parts answered per second while others waited; zero if unknown.
-    throughput: f64,
+    /// Parts answered per second while others waited, and when that was measured last.
+    throughput: Option<(f64, Timestamp)>,
     answered: u32,
 }
 
@@ -147,25 +150,26 @@
         self.answered = self.answered.saturating_add(1);
     }
 
-    /// Ends an interval of the measurement. `busy` states whether parts wait.
-    pub(crate) fn measure(&mut self, busy: bool) {
+    /// Ends an interval of the measurement. `busy` states whether parts wait: otherwise, the
+    /// servers may be able to process more.
+    pub(crate) fn measure(&mut self, now: Timestamp, busy: bool) {
         let rate = f64::from(std::mem::take(&mut self.answered)) / MEASURE_INTERVAL.as_secs_f64();
-        if busy && self.throughput > 0.0 {
-            self.throughput += (rate - self.throughput) * INTERVAL_WEIGHT;
-        } else {
-            // While no part waits, the servers may be able to process more.
-            self.throughput = self.throughput.max(rate);
+        if busy {
+            let known = self.known(now).unwrap_or(rate);
+            let throughput = known + (rate - known) * INTERVAL_WEIGHT;
+            self.throughput = Some((throughput, now));
         }
     }
 
+    fn known(&self, now: Timestamp) -> Option<f64> {
+        let (throughput, at) = self.throughput?;
+        (now.since(at) < THROUGHPUT_LIFETIME).then_some(throughput)
+    }
+
     /// Seconds for which one more part waits behind `queued` others. `nominal` is the
     /// throughput of the shard in parts per second that is assumed until one was measured.
-    pub(crate) fn wait(&self, queued: f64, nominal: f64) -> f64 {
-        let throughput = match self.throughput {
-            0.0 => nominal,
-            measured => measured,
-        };
-        queued / throughput.max(MIN_THROUGHPUT)
+    pub(crate) fn wait(&self, now: Timestamp, queued: f64, nominal: f64) -> f64 {
+        queued / self.known(now).unwrap_or(nominal).max(MIN_THROUGHPUT)
     }
 }
 
--- a/crates/jasminepond-forward/src/forwarder/admit.rs
+++ b/crates/jasminepond-forward/src/forwarder/admit.rs
@@ -35,9 +35,6 @@
 /// spread over this time.
 const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(400);
 
-/// Service time that is assumed until the throughput of a shard was measured.
-const NOMINAL_WORK: Duration = Duration::from_millis(20);
-
 /// Shortest wait that is reported to other daemons, as a share of the objective.
 const SHORT_REPORTED: f64 = 0.05;
 
@@ -84,7 +81,7 @@
     ) -> Admitted {
         let limit = time_limit(route).as_secs_f64();
         let shards = route.shards().iter();
-        let wait = |shard: &ServiceKey| self.wait(now, *shard, route.route.priority);
+        let wait = |shard: &ServiceKey| self.wait(now, *shard, route, route.route.priority);
         let shares: Vec<_> = shards.map(|shard| share(wait(shard) / limit)).collect();
         let missing = route.shards().len().saturating_sub(route.min_shards());
         let period = now.as_micros() / DRAW_PERIOD.as_micros() as u64;
@@ -116,30 +113,49 @@
 
     /// Seconds for which one more part of this priority waits for a shard: the longer one of
     /// what this daemon estimates and what it was told.
-    fn wait(&self, now: Timestamp, shard: ServiceKey, priority: u32) -> f64 {
+    fn wait(&self, now: Timestamp, shard: ServiceKey, route: &ActiveRoute, priority: u32) -> f64 {
         let reported = self.services[shard].reported;
         let reported = reported.map_or(0.0, |reported| reported.at(now));
-        self.own_wait(shard, priority).max(reported)
+        self.own_wait(now, shard, route, priority).max(reported)
     }
 
     /// Seconds for which one more part waits behind those that this daemon has queued and
     /// those that it has sent beyond its share of the slots of the servers.
-    fn own_wait(&self, shard: ServiceKey, priority: u32) -> f64 {
+    fn own_wait(
+        &self,
+        now: Timestamp,
+        shard: ServiceKey,
+        route: &ActiveRoute,
+        priority: u32,
+    ) -> f64 {
         let service = &self.services[shard];
         let servers = service.servers.iter().map(|key| &self.servers[*key]);
         let (calls, slots) = servers.fold((0, 0), |(calls, slots), server| {
             (calls + server.calls.len(), slots + server.backend.slots)
         });
-        let slots = f64::from(slots) / f64::from(self.settings.daemons_sharing.max(1));
-        let queued = service.waiting_ahead(priority) as f64 + (calls as f64 - slots).max(0.0);
+        let own_slots = f64::from(slots) / f64::from(self.settings.daemons_sharing.max(1));
+        let queued = service.waiting_ahead(priority) as f64 + (calls as f64 - own_slots).max(0.0);
+        let latency = route.stats.latency.borrow().low();
         match queued {
             0.0 => 0.0,
+            _ if latency.is_zero() => 0.0,
             queued => service
                 .load
-                .wait(queued, slots / NOMINAL_WORK.as_secs_f64()),
+                .wait(now, queued, f64::from(slots) / latency.as_secs_f64()),
         }
     }
 
+    /// Whether parts of a route wait here for a shard so long that it does not take all.
+    pub(super) fn is_overloaded(
+        &self,
+        now: Timestamp,
+        shard: ServiceKey,
+        route: &ActiveRoute,
+    ) -> bool {
+        let wait = self.own_wait(now, shard, route, route.route.priority);
+        route.is_search() && share(wait / time_limit(route).as_secs_f64()) < 1.0
+    }
+
     /// Number of shards for which parts wait here.
     pub(super) fn overloaded_shards(&self) -> usize {
         let waiting = |service: &&Service| service.shard_index.is_some() && service.waiting() > 0;
@@ -148,10 +164,11 @@
 
     /// What this daemon reports about the shards of a route to one that has delegated a part of
     /// a search to it.
-    pub fn load_report(&self, route: &ActiveRoute) -> LoadReport {
+    pub fn load_report(&self, now: Timestamp, route: &ActiveRoute) -> LoadReport {
         let shortest = route.objective().as_secs_f64() * SHORT_REPORTED;
         let shards = route.shards().iter().enumerate();
-        let waits = shards.map(|(index, shard)| (index, self.own_wait(*shard, u32::MAX)));
+        let waits =
+            shards.map(|(index, shard)| (index, self.own_wait(now, *shard, route, u32::MAX)));
         let long = waits.filter(|(_, wait)| *wait > shortest);
         LoadReport::new(long.map(|(index, wait)| (index, Millis((wait * 1_000.0) as u64))))
     }
@@ -185,7 +202,7 @@
         let mut again = false;
         for service in self.services.values_mut() {
             let busy = service.waiting() > 0;
-            service.load.measure(busy);
+            service.load.measure(now, busy);
             again |= busy;
         }
         self.log_shard_load(now);
@@ -202,15 +219,8 @@
             return;
         }
         (self.admission.logged, self.admission.logged_at) = (counts, now);
-        let shards = self.services.iter();
-        let shards = shards.filter(|(_, service)| service.shard_index.is_some());
-        let waits = shards.map(|(key, service)| (self.own_wait(key, u32::MAX), service));
-        let longest = waits.max_by(|a, b| a.0.total_cmp(&b.0));
-        let longest =
-            longest.map(|(wait, service)| (Duration::from_secs_f64(wait), service.name.clone()));
         self.actions.push_back(Action::LogShardLoad {
             overloaded: self.overloaded_shards(),
-            longest,
             counts,
         });
     }
@@ -219,7 +229,9 @@
 /// Time within which the answers to a route are expected. If its calls alone take longer than
 /// the objective, searches are served late and not refused.
 fn time_limit(route: &ActiveRoute) -> Duration {
-    match route.stats.latency.borrow().median() < route.objective() {
+    // Zero before the first answer.
+    let low = route.stats.latency.borrow().low();
+    match !low.is_zero() && low < route.objective() {
         true => route.objective(),
         false => route.route.timeout.duration(),
     }
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -436,7 +436,8 @@
             return self.hedge_later(now, key);
         }
         let service = part.service;
-        if self.services[service].waiting() > 0 {
+        if self.is_overloaded(now, service, &req.route) {
+            // Its servers are slow because of their load, to which a hedged send would add.
             return;
         }
         let by = self.send_by(req, part);
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -509,8 +509,6 @@
     LogShardLoad {
         /// Shards for which parts of searches wait at this daemon.
         overloaded: usize,
-        /// The longest wait of one more part, and the service of that shard.
-        longest: Option<(Duration, ServiceName)>,
         /// Searches refused and shards left out since the start.
         counts: AdmissionCounts,
     },
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -197,7 +197,7 @@
         insert_header(&mut res, peers::RELEASE, &version.to_string());
     }
     if is_part {
-        let report = hub.read(|forwarder| forwarder.load_report(&route));
+        let report = hub.read(|forwarder| forwarder.load_report(hub.clock().now(), &route));
         insert_header(&mut res, peers::LOAD, &report.to_string());
     }
     res
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -341,16 +341,9 @@
                 let own: Vec<_> = own.iter().map(ToString::to_string).collect();
                 info!("gateway: groups of shards that this daemon handles", kv: { own = own.join(" "), groups });
             }
-            Action::LogShardLoad {
-                overloaded,
-                longest,
-                counts,
-            } => {
-                let (wait, service) = longest.unzip();
+            Action::LogShardLoad { overloaded, counts } => {
                 info!("gateway: load that shards cannot process", kv: {
                     overloaded,
-                    longest_wait_ms = wait.unwrap_or_default().as_millis() as u64,
-                    service: = service.as_ref().map_or("", |service| service.as_str()),
                     refused = counts.refused,
                     shards_left_out = counts.left_out,
                 });
