feat(forward): use the load that servers state

Servers of some services state in `X-Server-Load` how many requests run and wait, their slots, and how long work takes on their machine. The gateway passed the header on and made no use of it.

It is parsed into a value on `Reply` and raises the cost of the server by a factor of up to 4, whose excess halves every 100 ms. Own calls in progress at the time of the response are taken off, those in progress at the choice are added. A statement never lowers the cost, so a server cannot attract calls, and services without the header are unaffected. Malformed values are ignored, counted and logged once.

The comparison now includes probes and join-idle-queue.

--- a/crates/jasminepond-forward/src/balance.rs
+++ b/crates/jasminepond-forward/src/balance.rs
@@ -13,6 +13,8 @@
 use jasminepond_types::Timestamp;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::stated_load::ServerLoad;
+
 /// Time for which a daemon prefers the same servers. With a new choice for each call, each
 /// of a daemon's calls may be the one that finds out about a pause of another server. The
 /// bound is the time in which a server with twice its share may fill its queue.
@@ -142,3 +144,81 @@
     let allowed = (MAX_IMBALANCE - 1.0) / (highest - 1.0).max(f64::MIN_POSITIVE);
     allowed.min(1.0)
 }
+
+/// Time in which the influence of a stated load halves.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(100);
+
+/// Highest cost factor due to a stated load. A server that states absurd values gets fewer
+/// calls until they have faded, and is then tried again.
+const MAX_LOAD_COST: f64 = 4.0;
+
+/// Highest accepted duration of work relative to the usual one.
+const MAX_WORK: f64 = 3.0;
+
+/// Cost of a server of which all slots are busy and none waits, above that of an idle one.
+/// Small enough for the random factor to outweigh differences of a few slots.
+const BUSY_COST: f64 = 0.5;
+
+/// Load that a server has stated, and when.
+///
+/// ```
+/// use jasminepond_forward::{HeardLoad, ServerLoad};
+/// use jasminepond_types::Timestamp;
+/// use std::time::Duration;
+///
+/// let now = Timestamp::from_millis(1_000);
+/// let load: ServerLoad = "4,2,4,100".parse().unwrap();
+/// // Two of the six requests are of this daemon.
+/// let heard = HeardLoad::new(now, load, 2);
+/// let fresh = heard.cost_factor(now, 2);
+/// assert!(heard.cost_factor(now, 3) > fresh, "one more call was sent");
+/// assert!(heard.cost_factor(now, 0) < fresh, "both were answered");
+/// let later = now + Duration::from_secs(5);
+/// assert!(heard.cost_factor(later, 0) < 1.01, "the statement has expired");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeardLoad {
+    load: ServerLoad,
+    /// Requests of others.
+    others: u32,
+    at: Timestamp,
+}
+
+impl HeardLoad {
+    /// A load that is received at `now`, while `own_calls` calls of this daemon are in
+    /// progress on the server, which the load contains.
+    pub fn new(now: Timestamp, load: ServerLoad, own_calls: usize) -> Self {
+        let all = load.running.saturating_add(load.waiting);
+        let own = u32::try_from(own_calls).unwrap_or(u32::MAX);
+        Self {
+            load,
+            others: all.saturating_sub(own),
+            at: now,
+        }
+    }
+
+    /// The load as stated.
+    pub fn load(&self) -> ServerLoad {
+        self.load
+    }
+
+    /// Time since it was received.
+    pub fn age(&self, now: Timestamp) -> Duration {
+        now.since(self.at)
+    }
+
+    /// Factor by which one more call costs more than on a server that states nothing, while
+    /// `own_calls` calls of this daemon are in progress. At least 1: a server does not attract
+    /// calls by stating that it is idle or fast.
+    pub fn cost_factor(&self, now: Timestamp, own_calls: usize) -> f64 {
+        let halves = self.age(now).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        let fade = 0.5_f64.powf(halves);
+        let slots = f64::from(self.load.slots);
+        let busy = f64::from(self.others) + own_calls as f64;
+        let queued = (busy + 1.0 - slots).max(0.0) / slots;
+        let load = BUSY_COST * (busy / slots).min(1.0) + queued;
+        let work = (f64::from(self.load.work_percent) / 100.0).clamp(1.0, MAX_WORK);
+        let factor = ((1.0 + load) * work).min(MAX_LOAD_COST);
+        1.0 + (factor - 1.0) * fade
+    }
+}
--- a/crates/jasminepond-forward/src/forwarder/balance.rs
+++ b/crates/jasminepond-forward/src/forwarder/balance.rs
@@ -6,9 +6,11 @@
 
 use super::{Cluster, Forwarder};
 use crate::{
-    balance::{SPREAD, Turn, ZoneCount, local_share},
+    balance::{HeardLoad, SPREAD, Turn, ZoneCount, local_share},
+    message::ServerEvent,
     server::ServerKey,
     service::ServiceKey,
+    stated_load::StatedLoad,
 };
 
 /// Demand of the callers of one zone per daemon, relative to the mean, up to which the own
@@ -53,6 +55,26 @@
         server.cost(now, &self.settings) * zone * connection * factor
     }
 
+    /// Records the load that a server states in a response.
+    pub(super) fn observe_load(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        stated: Option<StatedLoad>,
+    ) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let invalid = stated == Some(StatedLoad::Invalid);
+        let was_invalid = std::mem::replace(&mut server.invalid_load, invalid);
+        if let Some(StatedLoad::Load(load)) = stated {
+            server.heard = Some(HeardLoad::new(now, load, server.calls.len()));
+        }
+        if invalid && !was_invalid {
+            self.log_server_event(key, ServerEvent::InvalidLoad);
+        }
+    }
+
     /// Records the availability zones of the running daemons.
     pub(super) fn count_daemons(&mut self, cluster: Cluster) {
         let daemons = self.daemons(cluster).into_iter();
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -64,6 +64,9 @@
             }
             _ => {}
         }
+        if !call.delegated && !reply.wrong_server {
+            self.observe_load(now, call.server, reply.server_load);
+        }
         if let Some(peer) = reply.peer.as_ref().filter(|_| call.delegated) {
             self.newest_release = self.newest_release.max(peer.release);
         }
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -20,10 +20,13 @@
 mod service;
 mod settings;
 mod shard_groups;
+mod stated_load;
 mod timers;
 mod window;
 
-pub use balance::{Balance, PERIOD, SPREAD, Turn, ZoneCount, local_share, slowness_cost};
+pub use balance::{
+    Balance, HeardLoad, PERIOD, SPREAD, Turn, ZoneCount, local_share, slowness_cost,
+};
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
 pub use forwarder::{Cluster, DelegationRequest, Forwarder, Peer, Status};
@@ -40,3 +43,4 @@
 pub use service::ServiceKey;
 pub use settings::{ForwardSettings, RepeatSettings, SMALL_SITE_DAEMONS};
 pub use shard_groups::{Demand, Group, HelperCandidate, ShardGroups};
+pub use stated_load::{InvalidServerLoad, ServerLoad, StatedLoad};
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -12,7 +12,10 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::{contact::ContactEvent, forwarder::DelegationRequest, request::ActiveRoute};
+use crate::{
+    contact::ContactEvent, forwarder::DelegationRequest, request::ActiveRoute,
+    stated_load::StatedLoad,
+};
 
 new_key_type! {
     /// A caller's request.
@@ -183,6 +186,8 @@
     pub retry_after: Option<RetryAfter>,
     /// Rate limit of the server, if stated.
     pub rate_limit: Option<StatedLimit>,
+    /// Load of the server, if stated.
+    pub server_load: Option<StatedLoad>,
     /// Whether the body has a content encoding, and so is not as the server wrote it.
     pub encoded: bool,
     /// Headers to forward.
@@ -346,6 +351,8 @@
     LimitLifted,
     /// The server stated an invalid rate limit, which is ignored.
     InvalidLimit,
+    /// The server stated a malformed load, which is ignored.
+    InvalidLoad,
     /// Use of a server's limit by this daemon since the last such event.
     LimitUsage {
         /// The limit.
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -8,7 +8,7 @@
 use jasminepond_types::Timestamp;
 
 use crate::{
-    Forwarder, ReqKey,
+    Forwarder, HeardLoad, ReqKey,
     evenness::busiest_over_mean,
     server::{Reachability, Standing},
     service::Service,
@@ -45,6 +45,8 @@
     pub connections: usize,
     /// Calls in progress.
     pub calls: usize,
+    /// Load that it stated last.
+    pub load: Option<HeardLoad>,
     /// Calls sent since the server is known.
     pub sends: u64,
     /// Rate limit that the server states.
@@ -115,6 +117,7 @@
                 cost: server.cost(now, settings),
                 connections: server.conns.len(),
                 calls: server.calls.len(),
+                load: server.heard,
                 sends: server.sends.total,
                 limit: self.limit_report(now, server),
             }
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -7,7 +7,7 @@
 use slotmap::new_key_type;
 
 use crate::{
-    balance::slowness_cost,
+    balance::{HeardLoad, slowness_cost},
     departed::Restriction,
     evenness::SendCount,
     message::{Backend, BackendState, CallKey, ConnKey, LimitUsage},
@@ -84,6 +84,10 @@
     back_off_until: Timestamp,
     /// Whether its last response stated an invalid rate limit.
     pub(crate) invalid_limit: bool,
+    /// Load that it stated last.
+    pub(crate) heard: Option<HeardLoad>,
+    /// Whether its last response stated a malformed load.
+    pub(crate) invalid_load: bool,
     /// Whether the use of its rate limit is reported.
     pub(crate) reports_limit: bool,
     /// Use of its rate limit since the last report.
@@ -110,6 +114,8 @@
             stopping: false,
             back_off_until: Timestamp::ZERO,
             invalid_limit: false,
+            heard: None,
+            invalid_load: false,
             reports_limit: false,
             limit_usage: LimitUsage::default(),
             permit_timer: None,
@@ -211,7 +217,10 @@
             1.0
         };
         let calls = (self.calls.len() + 1) as f64;
-        calls * slowness_cost(slowness) * warm_up * (1.0 + FAILURE_COST * failure_rate)
+        let load = self
+            .heard
+            .map_or(1.0, |heard| heard.cost_factor(now, self.calls.len()));
+        calls * load * slowness_cost(slowness) * warm_up * (1.0 + FAILURE_COST * failure_rate)
     }
 
     fn decay_factor(&self, now: Timestamp, settings: &ForwardSettings) -> f64 {
--- a/crates/jasminepond-forward/tests/balance.rs
+++ b/crates/jasminepond-forward/tests/balance.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 
 use balance_model::{Case, Model, Outcome, Rule, Trouble, Zones};
+use jasminepond_forward::{HeardLoad, ServerLoad};
+use jasminepond_types::Timestamp;
+use proptest::prelude::*;
 use test_case::test_case;
 
-const RULES: [Rule; 10] = [
+const RULES: [Rule; 13] = [
     Rule::Present,
     Rule::Random,
     Rule::PowerOfTwo,
@@ -16,8 +19,11 @@
     Rule::C3,
     Rule::OwnOrder,
     Rule::HeardLoad,
+    Rule::Probes,
+    Rule::JoinIdle,
     Rule::RandomFactor,
     Rule::Taken,
+    Rule::TakenStated,
 ];
 
 const TROUBLES: [Trouble; 6] = [
@@ -48,6 +54,7 @@
         utilization,
         trouble,
         zones: None,
+        lie: None,
         seconds,
         seed: 1,
     }
@@ -76,10 +83,18 @@
             // The others rightly get its share.
             continue;
         }
-        for utilization in [0.1, 0.5] {
-            let outcome = Model::run(case(daemons, utilization, trouble), Rule::Taken);
+        for (utilization, rule) in [
+            (0.1, Rule::Taken),
+            (0.5, Rule::Taken),
+            (0.1, Rule::TakenStated),
+            (0.5, Rule::TakenStated),
+        ] {
+            let outcome = Model::run(case(daemons, utilization, trouble), rule);
             let busiest = outcome.busiest;
-            assert!(busiest <= GOAL, "{trouble:?}, {utilization}: {busiest}");
+            assert!(
+                busiest <= GOAL,
+                "{trouble:?}, {utilization}, {rule:?}: {busiest}"
+            );
         }
     }
 }
@@ -114,6 +129,49 @@
     assert!(taken > before - 0.05, "{taken} local, {before} before");
 }
 
+/// A server must not attract all calls by stating that it is idle, nor disturb the others by
+/// stating that it is full.
+#[test_case("0,0,4,0"; "idle and fast")]
+#[test_case("0,0,4294967295,0"; "endless slots")]
+#[test_case("4,12,4,100"; "full")]
+#[test_case("4294967295,4294967295,1,4294967295"; "absurd")]
+fn a_server_that_states_a_wrong_load_has_bounded_influence(lie: &str) {
+    for daemons in [6, 75] {
+        for utilization in [0.1, 0.5] {
+            let lie = lie.parse().ok();
+            assert!(lie.is_some());
+            let case = Case {
+                lie,
+                ..case(daemons, utilization, Trouble::None)
+            };
+            let mean_of_others = case.servers as f64 / (case.servers - 1) as f64;
+            let outcome = Model::run(case, Rule::TakenStated);
+            let (first, busiest) = (outcome.first, outcome.busiest);
+            assert!(first < 2.0, "{daemons}, {utilization}: {first}");
+            // The calls that it does not get are spread evenly.
+            let allowed = GOAL * mean_of_others.max(first);
+            assert!(busiest <= allowed, "{daemons}, {utilization}: {busiest}");
+            assert!(outcome.late < 0.01, "{}", outcome.late);
+        }
+    }
+}
+
+proptest! {
+    /// Whatever a server states, its cost stays within bounds.
+    #[test]
+    fn the_cost_of_a_stated_load_is_bounded(
+        (running, waiting, slots, work_percent) in (0..=u32::MAX, 0..=u32::MAX, 1..=u32::MAX, 0..=u32::MAX),
+        own_then in 0..1_000_usize,
+        own_now in 0..1_000_usize,
+        age in 0..10_000_u64,
+    ) {
+        let load = ServerLoad { running, waiting, slots, work_percent };
+        let heard = HeardLoad::new(Timestamp::ZERO, load, own_then);
+        let factor = heard.cost_factor(Timestamp::from_millis(age), own_now);
+        prop_assert!((1.0..=4.0).contains(&factor), "{}", factor);
+    }
+}
+
 fn cell(outcome: &Outcome) -> String {
     let (p50, p99) = (outcome.p50.as_millis(), outcome.p99.as_millis());
     let late = outcome.late * 100.0;
--- a/crates/jasminepond-forward/tests/balance_model/mod.rs
+++ b/crates/jasminepond-forward/tests/balance_model/mod.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use jasminepond_forward::{Balance, SPREAD, Turn, ZoneCount, local_share, slowness_cost};
+use jasminepond_forward::{
+    Balance, HeardLoad, SPREAD, ServerLoad, Turn, ZoneCount, local_share, slowness_cost,
+};
 use jasminepond_types::Timestamp;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -18,6 +20,8 @@
 /// Time for which a server that rejected a call is ranked behind others.
 const PENALTY: u64 = 60_000;
 const QUEUE: usize = 12;
+/// Time in which the speed of a server stays the same, in microseconds.
+const WOBBLE_PERIOD: u64 = 100_000;
 /// Cost factor of a server in another zone.
 const REMOTE_COST: f64 = 1.4;
 
@@ -38,10 +42,16 @@
     OwnOrder,
     /// Own calls and the load in the last response, faded by its age, ties at random.
     HeardLoad,
+    /// The load of two random servers at the time of the choice, as probes would find it.
+    Probes,
+    /// A server whose last response stated a free slot, if it was not used since.
+    JoinIdle,
     /// Cost times a random factor, drawn for each call.
     RandomFactor,
     /// The rule of the crate: the factor is kept for a period.
     Taken,
+    /// The rule of the crate where servers state their load.
+    TakenStated,
 }
 
 /// What is uneven in a case.
@@ -49,7 +59,7 @@
 pub enum Trouble {
     None,
     UnevenServers,
-    /// The speed of each server changes every 20 ms.
+    /// The speed of each server changes every 100 ms.
     Wobble,
     Pauses,
     UnequalDemand,
@@ -66,6 +76,8 @@
     pub utilization: f64,
     pub trouble: Trouble,
     pub zones: Option<Zones>,
+    /// What the first server states whatever its load is.
+    pub lie: Option<ServerLoad>,
     pub seconds: u64,
     pub seed: u64,
 }
@@ -128,7 +140,7 @@
     sent: u64,
     arrived: u64,
     answered: bool,
-    load: usize,
+    stated: Option<ServerLoad>,
 }
 
 #[derive(Clone)]
@@ -140,7 +152,8 @@
     full_until: u64,
     latency: f64,
     queue: f64,
-    heard: Option<(u64, usize)>,
+    heard: Option<HeardLoad>,
+    idle: bool,
 }
 
 struct Server {
@@ -169,6 +182,10 @@
     local: u64,
 }
 
+fn requests(load: ServerLoad) -> u32 {
+    load.running.saturating_add(load.waiting)
+}
+
 impl Model {
     pub fn run(case: Case, rule: Rule) -> Outcome {
         let mut rng = StdRng::seed_from_u64(case.seed);
@@ -193,6 +210,7 @@
             latency: case.work.as_secs_f64(),
             queue: 0.0,
             heard: None,
+            idle: false,
         };
         let weight = |daemon: usize| match (case.zones, case.trouble) {
             (Some(zones), _) => zones.demand[daemon % 3],
@@ -260,6 +278,7 @@
         let server = self.choose(daemon, tried);
         let view = &mut self.views[daemon][server];
         view.calls += 1;
+        view.idle = false;
         let call = self.calls.len();
         self.calls.push(Call {
             daemon,
@@ -267,7 +286,7 @@
             sent: self.now,
             arrived,
             answered: false,
-            load: 0,
+            stated: None,
         });
         self.servers[server].got += 1;
         self.local += u64::from(self.is_local(daemon, server));
@@ -294,7 +313,7 @@
             let view = &self.views[daemon][server];
             let (cost, tie) = self.cost(daemon, server, turn, random[server]);
             let last = match self.rule {
-                Rule::PowerOfTwo => server != first && server != second,
+                Rule::PowerOfTwo | Rule::Probes => server != first && server != second,
                 _ => false,
             };
             let standing = match () {
@@ -317,6 +336,7 @@
     fn cost(&self, daemon: usize, server: usize, turn: Turn, random: f64) -> (f64, f64) {
         let view = &self.views[daemon][server];
         let calls = view.calls as f64 + 1.0;
+        let now = Timestamp::from_micros(self.now);
         let age = (self.now - view.sampled) as f64 / 1e6;
         let slowness = 1.0 + (view.slowness - 1.0) * 0.5_f64.powf(age / HALF_LIFE);
         let clients = self.case.daemons as f64;
@@ -339,23 +359,31 @@
                 (calls * slowness, place as f64)
             }
             Rule::HeardLoad => {
-                let heard = view.heard.map_or(0.0, |(at, load)| {
-                    let age = (self.now - at) as f64;
-                    load as f64 * 0.5_f64.powf(age / self.case.work.as_micros() as f64)
+                let heard = view.heard.map_or(0.0, |heard| {
+                    let age = heard.age(now).as_secs_f64();
+                    let load = requests(heard.load());
+                    f64::from(load) * 0.5_f64.powf(age / self.case.work.as_secs_f64())
                 });
                 (calls + heard, random)
             }
+            Rule::Probes => {
+                let state = &self.servers[server];
+                ((state.running + state.waiting.len()) as f64, random)
+            }
+            Rule::JoinIdle => (if view.idle { 0.0 } else { 1.0 }, random),
             Rule::RandomFactor => {
                 let factor = 1.0 + (SPREAD - 1.0) * random;
                 (calls * slowness_cost(slowness) * factor, 0.0)
             }
-            Rule::Taken => {
+            Rule::Taken | Rule::TakenStated => {
                 let zone = match turn.prefers_zone("service", self.local_share) {
                     true => zone,
                     false => 1.0,
                 };
+                let stated = view.heard.filter(|_| self.rule == Rule::TakenStated);
+                let load = stated.map_or(1.0, |heard| heard.cost_factor(now, view.calls));
                 let factor = turn.factor(&self.names[server]);
-                (calls * slowness_cost(slowness) * zone * factor, 0.0)
+                (calls * load * slowness_cost(slowness) * zone * factor, 0.0)
             }
         }
     }
@@ -368,20 +396,44 @@
         } else if state.waiting.len() < QUEUE {
             state.waiting.push_back(call);
         } else {
-            self.calls[call].load = self.case.slots + QUEUE;
+            self.calls[call].stated = Some(self.stated(server));
             self.after(ONE_WAY, Event::Back(call, false));
         }
     }
 
+    /// How long work takes on a server at this moment, relative to its usual speed.
+    fn wobble(&self, server: usize) -> f64 {
+        if self.case.trouble != Trouble::Wobble {
+            return 1.0;
+        }
+        let machine = Balance::new(&format!("{server}-{}", self.now / WOBBLE_PERIOD));
+        let turn = machine.turn(Timestamp::ZERO);
+        0.5 + (turn.factor("wobble") - 1.0) / (SPREAD - 1.0)
+    }
+
+    fn stated(&self, server: usize) -> ServerLoad {
+        let state = &self.servers[server];
+        let slow = match self.case.trouble {
+            Trouble::SlowServer => state.speed,
+            // Servers state 100 for their usual speed, also if it differs between them.
+            _ => 1.0,
+        };
+        let load = ServerLoad {
+            running: state.running as u32,
+            waiting: state.waiting.len() as u32,
+            slots: self.case.slots as u32,
+            work_percent: (self.wobble(server) * slow * 100.0) as u32,
+        };
+        self.case.lie.filter(|_| server == 0).unwrap_or(load)
+    }
+
     fn start(&mut self, call: usize) {
         let server = self.calls[call].server;
         let spread = 0.7 + 0.6 * self.rng.random::<f64>();
         let state = &mut self.servers[server];
         state.running += 1;
-        let wobble = match self.case.trouble {
-            Trouble::Wobble => 0.5 + 1.0 * self.rng.random::<f64>(),
-            _ => 1.0,
-        };
+        let wobble = self.wobble(server);
+        let state = &self.servers[server];
         let mut left = (self.case.work.as_micros() as f64 * spread * state.speed * wobble) as u64;
         if self.case.trouble == Trouble::Pauses {
             let at = (self.now + state.pause_at) % 4_500_000;
@@ -401,8 +453,7 @@
         if let Some(next) = state.waiting.pop_front() {
             self.start(next);
         }
-        let state = &self.servers[server];
-        self.calls[call].load = state.running + state.waiting.len();
+        self.calls[call].stated = Some(self.stated(server));
         self.after(ONE_WAY, Event::Back(call, true));
     }
 
@@ -416,7 +467,11 @@
         let view = &mut self.views[daemon][server];
         view.calls -= 1;
         view.stalled = false;
-        view.heard = Some((now, call.load));
+        let load = call
+            .stated
+            .map(|load| HeardLoad::new(Timestamp::from_micros(now), load, view.calls));
+        view.idle = call.stated.is_some_and(|load| requests(load) < load.slots);
+        view.heard = load.or(view.heard);
         if !ran {
             view.full_until = now + PENALTY;
             let arrived = call.arrived;
@@ -428,7 +483,8 @@
         view.slowness = decayed + (sample - decayed) * 0.2;
         view.sampled = now;
         view.latency += (latency - view.latency) * 0.2;
-        view.queue += (call.load as f64 - view.queue) * 0.2;
+        let queue = call.stated.map_or(0, requests);
+        view.queue += (f64::from(queue) - view.queue) * 0.2;
         self.took.push(now - call.arrived);
     }
 
--- a/crates/jasminepond-forward/tests/even_load.rs
+++ b/crates/jasminepond-forward/tests/even_load.rs
@@ -5,9 +5,10 @@
 
 use std::time::Duration;
 
-use jasminepond_forward::{ForwardSettings, PERIOD};
+use jasminepond_forward::{ForwardSettings, PERIOD, Reply, StatedLoad};
 use jasminepond_routes::Repeat;
-use sim::{Behavior, MS, Sim, search, single};
+use sim::{Behavior, MS, Sim, reply, search, single};
+use test_case::test_case;
 
 /// Daemons of the first customer (docs/HARD-LOAD.md).
 const DAEMONS: usize = 75;
@@ -98,6 +99,38 @@
     assert!(ratio.is_some_and(|ratio| (1.0..=GOAL).contains(&ratio)));
 }
 
+/// The stated load takes effect, fades, and leaves servers that state none as they are.
+#[test_case("2,10,2,100", true; "a full queue")]
+#[test_case("0,0,2,300", true; "a slow machine")]
+#[test_case("0,0,2,50", false; "an idle server")]
+#[test_case("2,10,2", false; "malformed")]
+fn a_stated_load_raises_the_cost_until_it_fades(value: &str, raises: bool) {
+    let mut sim = Sim::new(settings(0), 1);
+    for server in 0..2 {
+        sim.add(&format!("one-{server}"), "one", 20 * MS);
+    }
+    sim.put_release(1, vec![single(Repeat::Allowed)]);
+    sim.run_for(CALLER_TIMEOUT);
+    let req = sim.submit("/one/x", CALLER_TIMEOUT);
+    let stated = value.parse().map_or(StatedLoad::Invalid, StatedLoad::Load);
+    let answer = Reply {
+        server_load: Some(stated),
+        ..reply(200, "one")
+    };
+    sim.answer_with(sim.conn_of(req), answer);
+    let costs = |sim: &Sim| {
+        let reports = sim.forwarder.server_reports(sim.now);
+        let mut costs: Vec<_> = reports.iter().map(|report| report.cost).collect();
+        costs.sort_by(f64::total_cmp);
+        costs
+    };
+    let now = costs(&sim);
+    assert_eq!(now[0], 1.0);
+    assert_eq!(now[1] > 1.5, raises, "{now:?}");
+    sim.run_for(Duration::from_secs(1));
+    assert!(costs(&sim)[1] < 1.01);
+}
+
 /// Three servers per shard, 2 slots and 20 ms of work each, with pauses of 200 ms. Prints what
 /// the table of docs/design/load-balancing.md states about pauses.
 #[test]
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -627,6 +627,7 @@
         leaving: false,
         retry_after: None,
         rate_limit: None,
+        server_load: None,
         encoded: false,
         headers: Vec::new(),
         body: Bytes::from_static(b"0123456789abcdef"),
--- a/crates/jasminepond-gateway/src/adapter.rs
+++ b/crates/jasminepond-gateway/src/adapter.rs
@@ -21,6 +21,9 @@
     pub leaving: &'static str,
     /// Number of requests per second that the server accepts from all daemons together.
     pub rate_limit: &'static str,
+    /// Load of the server: running and waiting requests, slots, and the duration of work in
+    /// percent of the usual one, separated by commas.
+    pub server_load: &'static str,
     /// Number of times that the store was restored from a backup.
     pub store_era: &'static str,
     /// Signatures of the parts of a merged response.
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -29,14 +29,14 @@
 };
 use jasminepond_discovery::{ReaderSettings, settle_time};
 use jasminepond_forward::{
-    ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport, ServiceReport,
+    ForwardSettings, Forwarder, HeardLoad, RepeatSettings, RouteReport, ServerReport, ServiceReport,
 };
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
 use jasminepond_quarantine::{Fingerprint, Report};
 use jasminepond_ratelimit::LimitReport;
 use jasminepond_routes::CallerLimits;
-use jasminepond_types::ErrorKind;
+use jasminepond_types::{ErrorKind, Timestamp};
 use serde_json::json;
 use spdlog::{error, info, warn};
 
@@ -255,6 +255,17 @@
     })
 }
 
+fn load_status(now: Timestamp, heard: HeardLoad) -> serde_json::Value {
+    let load = heard.load();
+    json!({
+        "running": load.running,
+        "waiting": load.waiting,
+        "slots": load.slots,
+        "work_percent": load.work_percent,
+        "age_ms": heard.age(now).as_millis() as u64,
+    })
+}
+
 /// Servers in the last window of five minutes. The name of a group of helpers begins with
 /// a zero byte, which is left out.
 fn service_status(service: ServiceReport) -> serde_json::Value {
@@ -296,6 +307,7 @@
                 "connections": server.connections,
                 "calls": server.calls,
                 "sends": server.sends,
+                "load": server.load.map(|heard| load_status(now, heard)),
                 "limit": server.limit.map(limit_status),
             })
         };
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -15,7 +15,8 @@
 use jasminepond_discovery::{Position, Source};
 use jasminepond_forward::{
     Action, ActiveRoute, Answer, Arrival, ConnKey, ContactEvent, DelegatedPart, DelegationRequest,
-    EvidenceSource, Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
+    EvidenceSource, Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, StatedLoad,
+    Summary,
 };
 use jasminepond_quarantine::{Change, Fingerprint, State};
 use jasminepond_types::{Millis, Timestamp};
@@ -264,6 +265,9 @@
 
     /// Handles the response to a call.
     pub fn replied(self: &Rc<Self>, conn: ConnKey, exchange: Exchange) {
+        if exchange.reply.server_load == Some(StatedLoad::Invalid) {
+            self.metrics.invalid_load();
+        }
         self.change(|forwarder, now| forwarder.replied(now, conn, exchange));
     }
 
@@ -493,6 +497,9 @@
         ServerEvent::InvalidLimit => {
             info!("gateway: a backend server's rate limit cannot be read and is ignored", kv: { server });
         }
+        ServerEvent::InvalidLoad => {
+            info!("gateway: a backend server's load cannot be read and is ignored", kv: { server });
+        }
         ServerEvent::LimitUsage { limit, usage } => {
             let limit_per_s = limit.per_second();
             info!("gateway: sends to a backend server with a rate limit", kv: {
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -54,6 +54,7 @@
     relayed: Counter,
     received: Counter,
     limited: Counter,
+    invalid_loads: Counter,
     holds: Counter,
     suspected: Gauge,
     held: Gauge,
@@ -88,6 +89,7 @@
             relayed: Counter::default(),
             received: Counter::default(),
             limited: Counter::default(),
+            invalid_loads: Counter::default(),
             holds: Counter::default(),
             suspected: Gauge::default(),
             held: Gauge::default(),
@@ -142,6 +144,11 @@
                 "Shards or requests not served because their servers were at their rate limits",
                 &self.limited,
             ),
+            (
+                "invalid_loads",
+                "Responses of backend servers with a malformed load, which is ignored",
+                &self.invalid_loads,
+            ),
             (
                 "contact_losses",
                 "Times at which no backend server responded to this daemon any more",
@@ -289,6 +296,11 @@
         self.received.inc();
     }
 
+    /// Records a response with a malformed load.
+    pub fn invalid_load(&self) {
+        self.invalid_loads.inc();
+    }
+
     /// Records that no backend server responds any more.
     pub fn contact_lost(&self) {
         self.contact_losses.inc();
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use jasminepond_forward::{Reply, RetryAfter, StatedLimit};
+use jasminepond_forward::{Reply, RetryAfter, StatedLimit, StatedLoad};
 
 use jasminepond_routes::ReleaseVersion;
 
@@ -147,6 +147,7 @@
 /// let names = HeaderNames {
 ///     request_id: "x-id", time_left_ms: "x-left", expected_server: "x-server",
 ///     stamp: "x-stamp", not_run: "x-not-run", leaving: "x-leaving", rate_limit: "x-limit",
+///     server_load: "x-load",
 ///     store_era: "x-era", part_stamps: "x-parts", missing_parts: "x-missing",
 /// };
 /// let bytes = b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
@@ -287,6 +288,7 @@
                 leaving: false,
                 retry_after: None,
                 rate_limit: None,
+                server_load: None,
                 encoded: false,
                 headers: Vec::new(),
                 body: Bytes::new(),
@@ -493,6 +495,9 @@
         } else if is(names.rate_limit) {
             merge_rate_limit(&mut message.reply, value);
             keep_header(message, header, keep_headers);
+        } else if is(names.server_load) {
+            merge_server_load(&mut message.reply, value);
+            keep_header(message, header, keep_headers);
         } else if is("retry-after") {
             merge_retry_after(&mut message.reply, value);
             keep_header(message, header, keep_headers);
@@ -539,6 +544,17 @@
     };
 }
 
+/// Records a stated load. Of several values, the last valid one takes effect.
+fn merge_server_load(reply: &mut Reply, value: &[u8]) {
+    let load = std::str::from_utf8(value).ok();
+    match load.and_then(|text| text.parse().ok()) {
+        Some(load) => reply.server_load = Some(StatedLoad::Load(load)),
+        None => {
+            reply.server_load.get_or_insert(StatedLoad::Invalid);
+        }
+    }
+}
+
 fn keep_header(message: &mut Message, header: &httparse::Header<'_>, keep_headers: bool) {
     if keep_headers {
         let name = Bytes::copy_from_slice(header.name.as_bytes());
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use jasminepond_forward::{RetryAfter, StatedLimit};
+use jasminepond_forward::{RetryAfter, ServerLoad, StatedLimit, StatedLoad};
 use jasminepond_gateway::{
     ExpectedResponse, HeaderNames, Message, ParseError, Parsed, ResponseReader,
 };
@@ -19,6 +19,7 @@
     not_run: "x-not-run",
     leaving: "server-leaving",
     rate_limit: "server-limit",
+    server_load: "x-server-load",
     store_era: "store-era",
     part_stamps: "x-parts",
     missing_parts: "x-missing",
@@ -262,6 +263,33 @@
     assert_eq!(message.reply.retry_after, retry_after);
 }
 
+/// A malformed load must not be mistaken for one; of several values, the last valid one takes
+/// effect.
+#[test_case("X-Server-Load: 3,1,4,130\r\n", Some((3, 1, 4, 130)); "as specified")]
+#[test_case("x-server-load:  3, 1 ,4,\t130\r\n", Some((3, 1, 4, 130)); "with spaces")]
+#[test_case("X-Server-Load: 3,1,4,130\r\nX-Server-Load: none\r\n", Some((3, 1, 4, 130)); "once malformed")]
+#[test_case("X-Server-Load: none\r\nX-Server-Load: 3,1,4,130\r\n", Some((3, 1, 4, 130)); "first malformed")]
+#[test_case("X-Server-Load:\r\n", None; "no value")]
+#[test_case("X-Server-Load: 3,1,4\r\n", None; "a number is missing")]
+#[test_case("X-Server-Load: 3,1,4,130,7\r\n", None; "a number too many")]
+#[test_case("X-Server-Load: 3,+1,4,130\r\n", None; "a sign")]
+#[test_case("X-Server-Load: 3,1,0,130\r\n", None; "no slots")]
+#[test_case("X-Server-Load: 3,1,4,1e9\r\n", None; "no integer")]
+#[test_case("X-Server-Load: 3,1,4,4294967296\r\n", None; "a number too large")]
+#[test_case("X-Server-Load: \u{ff}\r\n", None; "letters beyond ASCII")]
+fn stated_loads_are_read(headers: &str, load: Option<(u32, u32, u32, u32)>) {
+    let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n{headers}\r\n");
+    let (message, _) = parse_complete(bytes.as_bytes(), false);
+    let expected = load.map(|(running, waiting, slots, work_percent)| ServerLoad {
+        running,
+        waiting,
+        slots,
+        work_percent,
+    });
+    let expected = expected.map_or(StatedLoad::Invalid, StatedLoad::Load);
+    assert_eq!(message.reply.server_load, Some(expected));
+}
+
 /// A rate limit is read once, in whatever response it is stated; of several, the lowest
 /// takes effect.
 #[test_case("200 OK", "Server-Limit: 22.8\r\n", Some(22.8); "in a success")]
