feat(forward): setting for the preference of the own zone

The rule accounts for this: the own zone is preferred for an eighth to a sixth of the calls to the first customer's shards.

Daemons of the previous build would choose others, and both sets would hold connections.

--- a/crates/jasminepond-forward/src/balance.rs
+++ b/crates/jasminepond-forward/src/balance.rs
@@ -29,9 +29,6 @@
 /// calls at once.
 const EQUAL_SLOWNESS: f64 = 1.5;
 
-/// Highest accepted ratio of the calls of a server to the mean of its service.
-const MAX_IMBALANCE: f64 = 1.25;
-
 /// Random choices of one daemon.
 ///
 /// ```
@@ -115,20 +112,20 @@
 }
 
 /// Share of the calls for which the own zone is preferred, such that no server gets more
-/// than 1.25 times the mean while the demand per daemon of one zone is up to `skew` times
-/// the mean. The other calls go to the servers of all zones alike.
+/// than `max_imbalance` times the mean while the demand per daemon of one zone is up to
+/// `skew` times the mean. The other calls go to the servers of all zones alike.
 ///
 /// ```
 /// use jasminepond_forward::{ZoneCount, local_share};
 ///
 /// let zone = |daemons, servers| ZoneCount { daemons, servers };
 /// // The helpers of a group have equal demand: records stay in the zone.
-/// assert_eq!(local_share(&[zone(1, 1), zone(1, 1), zone(1, 1)], 1.25), 1.0);
+/// assert_eq!(local_share(&[zone(1, 1), zone(1, 1), zone(1, 1)], 1.25, 1.25), 1.0);
 /// // Two zones have fewer servers than their share of the daemons.
-/// let share = local_share(&[zone(25, 3), zone(25, 2), zone(25, 2)], 1.5);
+/// let share = local_share(&[zone(25, 3), zone(25, 2), zone(25, 2)], 1.5, 1.25);
 /// assert!((0.3..0.4).contains(&share));
 /// ```
-pub fn local_share(zones: &[ZoneCount], skew: f64) -> f64 {
+pub fn local_share(zones: &[ZoneCount], skew: f64, max_imbalance: f64) -> f64 {
     let daemons: u32 = zones.iter().map(|zone| zone.daemons).sum();
     let servers: u32 = zones.iter().map(|zone| zone.servers).sum();
     if daemons == 0 {
@@ -137,11 +134,11 @@
     // Load of the servers of a zone relative to the mean if all its calls stay in it.
     let load = |zone: &ZoneCount| {
         let demand = skew * f64::from(zone.daemons) / f64::from(daemons);
-        demand * f64::from(servers) / f64::from(zone.servers)
+        demand.min(1.0) * f64::from(servers) / f64::from(zone.servers)
     };
     let with_servers = zones.iter().filter(|zone| zone.servers > 0);
     let highest = with_servers.map(load).fold(0.0, f64::max);
-    let allowed = (MAX_IMBALANCE - 1.0) / (highest - 1.0).max(f64::MIN_POSITIVE);
+    let allowed = (max_imbalance - 1.0).max(0.0) / (highest - 1.0).max(f64::MIN_POSITIVE);
     allowed.min(1.0)
 }
 
--- a/crates/jasminepond-forward/src/forwarder/balance.rs
+++ b/crates/jasminepond-forward/src/forwarder/balance.rs
@@ -120,7 +120,7 @@
         let share = match service.is_relays {
             // Half of the relays are chosen in the own zone.
             true => 1.0,
-            false => local_share(&zones, skew),
+            false => local_share(&zones, skew, self.settings.max_zone_imbalance),
         };
         self.services[key].local_share = share;
     }
--- a/crates/jasminepond-forward/src/settings.rs
+++ b/crates/jasminepond-forward/src/settings.rs
@@ -90,6 +90,9 @@
     /// of 2 ms compared with a few milliseconds of work, and billed traffic between
     /// zones.
     pub remote_cost_factor: f64,
+    /// Calls of a server relative to the mean of its service up to which servers in the own
+    /// zone are preferred. Infinite: they always are.
+    pub max_zone_imbalance: f64,
     /// A connection is not used during this time before the server's idle timeout: the
     /// server may close it while a request is in flight.
     pub idle_margin: Duration,
@@ -130,6 +133,7 @@
             half_life_max: Duration::from_millis(4_000),
             daemons_sharing: SMALL_SITE_DAEMONS,
             remote_cost_factor: 1.4,
+            max_zone_imbalance: 1.25,
             idle_margin: Duration::from_millis(300),
             lapse_grace: Duration::from_millis(2_000),
             drain_bound: Duration::from_millis(3_000),
--- a/crates/jasminepond-forward/tests/balance_model/mod.rs
+++ b/crates/jasminepond-forward/tests/balance_model/mod.rs
@@ -108,7 +108,7 @@
             daemons: daemons as u32 / 3,
             servers,
         });
-        local_share(&counts, self.skew)
+        local_share(&counts, self.skew, 1.25)
     }
 }
 
--- a/crates/jasminepond-forward/tests/even_load.rs
+++ b/crates/jasminepond-forward/tests/even_load.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-use jasminepond_forward::{ForwardSettings, PERIOD, Reply, StatedLoad};
+use jasminepond_forward::{ForwardSettings, PERIOD, Peer, Reply, StatedLoad};
 use jasminepond_routes::Repeat;
+use jasminepond_types::CpuCapacity;
 use sim::{Behavior, MS, Sim, reply, search, single};
 use test_case::test_case;
 
@@ -16,6 +17,8 @@
 /// Highest ratio of the calls of the busiest server to the mean.
 const GOAL: f64 = 1.25;
 
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
 const CALLER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Requests per daemon.
@@ -170,3 +173,55 @@
         );
     }
 }
+
+/// Peers of a site with six large daemons in three zones, as the first customer's.
+fn peers(own: u32, sim: &mut Sim) -> Vec<Peer> {
+    let mut peers = sim.add_peers_as(DAEMONS as u32, own);
+    for peer in &mut peers {
+        peer.zone = ZONES[peer.rank as usize % 3].to_owned();
+        let cores = if peer.rank < 6 { 0.5 } else { 0.12 };
+        peer.processor = CpuCapacity::from_cores(cores).expect("valid");
+    }
+    peers
+}
+
+/// The helpers of a group are in few zones. If they preferred their own, the servers of a
+/// shard there would get the calls of all three.
+#[test]
+fn the_own_zone_is_preferred_by_the_daemons_and_servers_of_each_zone() {
+    let settings = ForwardSettings {
+        zone: ZONES[0].to_owned(),
+        processor: CpuCapacity::from_cores(0.5).expect("valid"),
+        ..settings(0)
+    };
+    let mut sim = Sim::new(settings, 1);
+    for shard in 0..90 {
+        for zone in ZONES {
+            let server = sim.add(&format!("s{shard}-{zone}"), &format!("s{shard}"), 20 * MS);
+            let mut entry = sim.entry(server);
+            entry.zone = zone.to_owned();
+            sim.put_entry(entry);
+        }
+    }
+    for server in 0..7 {
+        let index = sim.add(&format!("one-{server}"), "one", 20 * MS);
+        let mut entry = sim.entry(index);
+        entry.zone = ZONES[server % 3].to_owned();
+        sim.put_entry(entry);
+    }
+    sim.max_connections = 60;
+    sim.put_release(1, vec![search(90, 200, 0.95), single(Repeat::Allowed)]);
+    let peers = peers(0, &mut sim);
+    sim.set_peers(DAEMONS as u32, peers);
+    let share = |service: &str| -> f64 {
+        let mut reports = sim.forwarder.service_reports(sim.now).into_iter();
+        let report = reports.find(|report| report.service.as_str() == service);
+        report.expect("a known service").local_share
+    };
+    // Two zones have two of seven servers.
+    assert!((0.3..0.4).contains(&share("one")), "{}", share("one"));
+    for shard in 0..90 {
+        let share = share(&format!("s{shard}"));
+        assert!(share > 0.0 && share < 0.2, "{share}");
+    }
+}
