--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -5,10 +5,12 @@
 //! takes the current time, and [`Forwarder::next_action`] returns what to do.
 
 mod admission;
+mod balance;
 mod budget;
 mod caller_timeouts;
 mod contact;
 mod departed;
+mod evenness;
 mod forwarder;
 mod latency;
 mod merge;
@@ -19,10 +21,14 @@
 mod service;
 mod settings;
 mod shard_groups;
+mod stated_load;
 mod timers;
 mod window;
 
 pub use admission::{LoadReport, LoadReportError};
+pub use balance::{
+    Balance, HeardLoad, PERIOD, SPREAD, Turn, ZoneCount, local_share, slowness_cost,
+};
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
 pub use forwarder::{AdmissionCounts, Cluster, DelegationRequest, Forwarder, Peer, Status};
@@ -33,9 +39,10 @@
     EvidenceSource, Exchange, LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter,
     Scope, SearchId, ServerEvent, StatedLimit, Summary, Verdict,
 };
-pub use report::{CallReport, RouteReport, ServerReport};
+pub use report::{CallReport, RouteReport, ServerReport, ServiceReport};
 pub use request::ActiveRoute;
 pub use server::ServerKey;
 pub use service::ServiceKey;
 pub use settings::{ForwardSettings, RepeatSettings, SMALL_SITE_DAEMONS};
 pub use shard_groups::{Demand, Group, HelperCandidate, ShardGroups};
+pub use stated_load::{InvalidServerLoad, ServerLoad, StatedLoad};
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     AdmissionCounts, LoadReport, contact::ContactEvent, forwarder::DelegationRequest,
-    request::ActiveRoute,
+    request::ActiveRoute, stated_load::StatedLoad,
 };
 
 new_key_type! {
@@ -228,6 +228,8 @@
     pub retry_after: Option<RetryAfter>,
     /// Rate limit of the server, if stated.
     pub rate_limit: Option<StatedLimit>,
+    /// Load of the server, if stated.
+    pub server_load: Option<StatedLoad>,
     /// Whether the body has a content encoding, and so is not as the server wrote it.
     pub encoded: bool,
     /// Headers to forward.
@@ -394,6 +396,8 @@
     LimitLifted,
     /// The server stated an invalid rate limit, which is ignored.
     InvalidLimit,
+    /// The server stated a malformed load, which is ignored.
+    InvalidLoad,
     /// Use of a server's limit by this daemon since the last such event.
     LimitUsage {
         /// The limit.
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -52,6 +52,8 @@
     pub(crate) load: ShardLoad,
     /// Load of the shard as the daemon that sends the requests has reported it.
     pub(crate) reported: Option<ReportedWait>,
+    /// Share of the calls for which servers in the own zone are preferred.
+    pub(crate) local_share: f64,
     waiting: VecDeque<Waiting>,
 }
 
@@ -70,6 +72,7 @@
             relay_refused_until: Timestamp::ZERO,
             load: ShardLoad::default(),
             reported: None,
+            local_share: 1.0,
             waiting: VecDeque::new(),
         }
     }
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -28,13 +28,15 @@
     stop::{Stop, stop},
 };
 use jasminepond_discovery::{ReaderSettings, settle_time};
-use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
+use jasminepond_forward::{
+    ForwardSettings, Forwarder, HeardLoad, RepeatSettings, RouteReport, ServerReport, ServiceReport,
+};
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
 use jasminepond_quarantine::{Fingerprint, Report};
 use jasminepond_ratelimit::LimitReport;
 use jasminepond_routes::CallerLimits;
-use jasminepond_types::ErrorKind;
+use jasminepond_types::{ErrorKind, Timestamp};
 use serde_json::json;
 use spdlog::{error, info, warn};
 
@@ -253,6 +255,30 @@
     })
 }
 
+fn load_status(now: Timestamp, heard: HeardLoad) -> serde_json::Value {
+    let load = heard.load();
+    json!({
+        "running": load.running,
+        "waiting": load.waiting,
+        "slots": load.slots,
+        "work_percent": load.work_percent,
+        "age_ms": heard.age(now).as_millis() as u64,
+    })
+}
+
+/// Servers in the last window of five minutes. The name of a group of helpers begins with
+/// a zero byte, which is left out.
+fn service_status(service: ServiceReport) -> serde_json::Value {
+    let ratio = service.busiest_over_mean;
+    json!({
+        "service": service.service.as_str().trim_start_matches('\0'),
+        "servers": service.servers,
+        "sends": service.sends,
+        "busiest_over_mean": ratio.map(|ratio| (ratio * 100.0).round() / 100.0),
+        "local_share": (service.local_share * 100.0).round() / 100.0,
+    })
+}
+
 fn store_status(hub: &Hub) -> serde_json::Value {
     let state = hub.store_state();
     json!({
@@ -280,6 +306,8 @@
                 "cost": (server.cost * 100.0).round() / 100.0,
                 "connections": server.connections,
                 "calls": server.calls,
+                "sends": server.sends,
+                "load": server.load.map(|heard| load_status(now, heard)),
                 "limit": server.limit.map(limit_status),
             })
         };
@@ -287,6 +315,8 @@
         let suspects = suspects.map(suspect_status);
         let routes = forwarder.route_reports().into_iter().map(route);
         let servers = forwarder.server_reports(now).into_iter().map(server);
+        let services = forwarder.service_reports(now).into_iter();
+        let services = services.map(service_status);
         json!({
             "release": status.version.0,
             "store": store_status(hub),
@@ -305,6 +335,7 @@
             },
             "routes": routes.collect::<Vec<_>>(),
             "suspects": suspects.collect::<Vec<_>>(),
+            "services": services.collect::<Vec<_>>(),
             "backend_servers": servers.collect::<Vec<_>>(),
         })
     })
@@ -395,6 +426,8 @@
                     let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
                     let (status, suspects) = hub.read(read);
                     let state_age = now.since(hub.store_state().confirmed_at);
+                    let ratio = hub.read(|f| f.busiest_over_mean(now));
+                    hub.metrics().set_busiest_over_mean(ratio);
                     let text = hub.metrics().render(status, suspects, state_age);
                     text_response(StatusCode::OK, METRICS_MEDIA_TYPE, text)
                 }
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -51,11 +51,13 @@
     overloaded_shards: Gauge,
     admission_refused: Counter,
     shards_left_out: Counter,
+    busiest_over_mean: Gauge<f64, AtomicU64>,
     datagrams_dropped: Counter,
     contact_losses: Counter,
     relayed: Counter,
     received: Counter,
     limited: Counter,
+    invalid_loads: Counter,
     holds: Counter,
     suspected: Gauge,
     held: Gauge,
@@ -87,11 +89,13 @@
             overloaded_shards: Gauge::default(),
             admission_refused: Counter::default(),
             shards_left_out: Counter::default(),
+            busiest_over_mean: Gauge::default(),
             datagrams_dropped: Counter::default(),
             contact_losses: Counter::default(),
             relayed: Counter::default(),
             received: Counter::default(),
             limited: Counter::default(),
+            invalid_loads: Counter::default(),
             holds: Counter::default(),
             suspected: Gauge::default(),
             held: Gauge::default(),
@@ -156,6 +160,11 @@
                 "Shards or requests not served because their servers were at their rate limits",
                 &self.limited,
             ),
+            (
+                "invalid_loads",
+                "Responses of backend servers with a malformed load, which is ignored",
+                &self.invalid_loads,
+            ),
             (
                 "contact_losses",
                 "Times at which no backend server responded to this daemon any more",
@@ -197,6 +206,11 @@
             Unit::Seconds,
             self.state_age.clone(),
         );
+        r.register(
+            "busiest_over_mean",
+            "Highest ratio, over all services, of this daemon's calls to the busiest server to the mean",
+            self.busiest_over_mean.clone(),
+        );
         let gauges = [
             ("release", "Version of the release in force", &self.release),
             ("servers", "Known backend servers", &self.servers),
@@ -236,6 +250,11 @@
         }
     }
 
+    /// Sets how unevenly the servers of a service are used at most, or zero if unknown.
+    pub fn set_busiest_over_mean(&self, ratio: Option<f64>) {
+        self.busiest_over_mean.set(ratio.unwrap_or_default());
+    }
+
     /// Returns the metrics in text format, with the current values of `status`, the numbers
     /// of suspected and of held requests, and the time since the store confirmed the state.
     pub fn render(
@@ -301,6 +320,11 @@
         self.received.inc();
     }
 
+    /// Records a response with a malformed load.
+    pub fn invalid_load(&self) {
+        self.invalid_loads.inc();
+    }
+
     /// Records that no backend server responds any more.
     pub fn contact_lost(&self) {
         self.contact_losses.inc();
