feat(forward): order queued parts by class and caller

Queued parts of a service were kept in one list, ordered by objective missed, priority and arrival, and all of them were tried again at each event. Less urgent classes starved, a caller that sent ten times as often got ten times as many turns, parts of ended requests stayed until the next event, and an event cost time in proportion to the backlog.

The new module `queue` decides the order. It knows neither sockets nor a clock nor servers:

- More urgent classes go first.
A class with a backlog is owed a quarter of the turns, but no more per arrival than a more urgent class.
- Within a class, requests that may run once go first, then others, then those that are too late for their objective.
Callers of equal parts take turns.
- Placing stops at the first part that cannot be sent, and goes on with parts that may use other servers or are more urgent.
- Parts of a request leave the queue when it ends.
- Windows of four calls or more keep an eighth for a more urgent class that had an arrival within a second.

A caller is a hash of `Authorization` or of the client's address. Daemons pass it on in `x-jasminepond-caller`; builds before ignore and do not send it.

Ruled out: a new part that waits whenever any part is ahead.

--- a/crates/jasminepond-daemon/src/net/http.rs
+++ b/crates/jasminepond-daemon/src/net/http.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     future::poll_fn,
     io,
+    net::IpAddr,
     pin::{Pin, pin},
     rc::Rc,
     task::{Context as TaskContext, Poll, ready},
@@ -92,6 +93,10 @@
     pub body: Bytes,
 }
 
+/// Address of the client of a request, among the extensions of its head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientAddress(pub IpAddr);
+
 /// A response with a complete body.
 pub type BufferedResponse = Response<Full<Bytes>>;
 
@@ -181,9 +186,9 @@
     };
     let mut stopped = pin!(stopped.fuse());
     loop {
-        let stream = select_biased! {
+        let (stream, client) = select_biased! {
             accepted = listener.accept().fuse() => match accepted {
-                Ok((stream, _)) => stream,
+                Ok((stream, address)) => (stream, ClientAddress(address.ip())),
                 Err(_) => {
                     // For example out of file descriptors: wait until some are freed.
                     compio::time::sleep(ACCEPT_BACKOFF).await;
@@ -199,7 +204,7 @@
         }
         open.set(open.get() + 1);
         let guard = OpenGuard(open.clone());
-        let conn = connection(stream, handler.clone(), limits, close.clone());
+        let conn = connection(stream, client, handler.clone(), limits, close.clone());
         compio::runtime::spawn(async move {
             conn.await;
             drop(guard);
@@ -224,14 +229,21 @@
 /// response.
 const LINGER: Duration = Duration::from_millis(500);
 
-async fn connection(stream: TcpStream, handler: Rc<dyn Handler>, limits: Limits, close: Stop) {
+async fn connection(
+    stream: TcpStream,
+    client: ClientAddress,
+    handler: Rc<dyn Handler>,
+    limits: Limits,
+    close: Stop,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let activity = Rc::new(Activity::default());
     let service = {
         let (activity, limits, handler) = (activity.clone(), limits.clone(), handler.clone());
-        service_fn(move |req| {
+        service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(client);
             let first_byte = activity.begin();
             let (handler, activity, limits) = (handler.clone(), activity.clone(), limits.clone());
             async move {
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -38,6 +38,7 @@
 mod delegate;
 mod limits;
 mod place;
+mod queued;
 mod relay;
 mod settle;
 mod suspects;
@@ -174,6 +175,7 @@
     /// When servers were last probed because of such calls.
     links_probed_at: Timestamp,
     timers: Timers,
+    queue_waits: queued::Waits,
     actions: VecDeque<Action>,
 }
 
@@ -243,7 +245,7 @@
             requests: self.reqs.len(),
             calls: self.calls.len(),
             connections: self.conns.len(),
-            waiting: self.services.values().map(Service::waiting).sum(),
+            waiting: self.services.values().map(|s| s.queue.len()).sum(),
         }
     }
 
@@ -514,6 +516,7 @@
         let shards = parts.iter().map(|part| part.weight).sum();
         let key = self.reqs.insert(Req {
             fingerprint: arrival.fingerprint,
+            caller: arrival.caller,
             arrived: now,
             deadline,
             late,
@@ -561,6 +564,7 @@
             let limit = objective.mul_f64(self.settings.wait_share);
             self.timers.set(now + limit, Timer::WaitLimit(key));
         }
+        self.count_arrival(now, key);
         for part in 0..parts_len {
             if repeat && !self.take_token(now, key, part) {
                 continue;
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -266,10 +266,15 @@
 
     /// Returns the most recently used idle connection of a server, so that surplus
     /// connections reach the server's idle timeout and are closed.
-    pub(super) fn idle_conn(&self, now: Timestamp, key: ServerKey) -> Option<ConnKey> {
+    pub(super) fn idle_conn(
+        &self,
+        now: Timestamp,
+        key: ServerKey,
+        priority: u32,
+    ) -> Option<ConnKey> {
         let server = &self.servers[key];
         let helper = self.services[server.service].is_helper_group;
-        if !helper && server.calls.len() >= server.window_size(&self.settings) {
+        if !helper && server.calls.len() >= self.window_for(now, key, priority) {
             return None;
         }
         let idle = |conn: &ConnKey| match self.conns[*conn].state {
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -13,6 +13,7 @@
 
 use super::{Cluster, Forwarder, relay::RELAYS};
 use crate::{
+    CallerId,
     message::{Action, Backend, BackendState, CallKey, ReqKey, ServerEvent},
     request::{ActiveRoute, Delegated, Part, Req},
     server::{ServerKey, Standing},
@@ -86,6 +87,8 @@
     /// Whether this daemon has checked that the request may be sent although it is suspected
     /// of ending servers.
     pub admitted: bool,
+    /// Caller of the request, if known.
+    pub caller: Option<CallerId>,
 }
 
 impl Forwarder {
@@ -406,6 +409,7 @@
             repeat: part.repeat,
             max_attempts: part.max_attempts,
             admitted: req.trial.is_some() || req.admitted,
+            caller: Some(req.caller),
         })
     }
 
@@ -480,6 +484,7 @@
     /// the route allows.
     pub(super) fn handle_locally(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let services = self.services_of(key, index);
+        self.unqueue(key, index);
         self.reqs[key].parts[index].hand_over();
         for service in services {
             let req = &mut self.reqs[key];
--- a/crates/jasminepond-forward/src/forwarder/limits.rs
+++ b/crates/jasminepond-forward/src/forwarder/limits.rs
@@ -155,16 +155,15 @@
         self.limiter.availability(now, process) == Availability::Permitted
     }
 
-    /// Requests a permit of the first of `servers` that may have one by `by`, unless enough
-    /// are expected for all queued parts of the service.
+    /// Requests a permit of the first of `servers` that may have one by `by`, unless `wanted`
+    /// ones are expected, enough for all queued parts of the service.
     pub(super) fn request_permits(
         &mut self,
         now: Timestamp,
-        service: ServiceKey,
         servers: &[ServerKey],
+        wanted: usize,
         by: Timestamp,
     ) {
-        let wanted = self.services[service].waiting() + 1;
         let process = |key: &ServerKey| self.servers[*key].process;
         let processes: Vec<_> = servers.iter().map(process).collect();
         let expected = processes.iter().map(|p| self.limiter.expected(now, *p));
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -14,7 +14,7 @@
     message::{Action, CallKey, ConnKey, ReqKey, ServerEvent},
     request::{ActiveRoute, Part, PartState, Req},
     server::{ServerKey, Standing},
-    service::{ServiceKey, Waiting},
+    service::ServiceKey,
     timers::Timer,
 };
 
@@ -31,13 +31,13 @@
 /// Whether a part is placed for the first time, which counts as demand for the servers that
 /// are preferred.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Attempt {
+pub(super) enum Attempt {
     First,
     Again,
 }
 
 /// Decision on where a part of a request is sent.
-enum Placement {
+pub(super) enum Placement {
     /// Send it over this idle connection.
     Send(ConnKey),
     /// Queue it until a connection is free.
@@ -166,39 +166,17 @@
         if !self.admit_part(now, key, index) {
             return self.mark_missing(key, index, SUSPECTED);
         }
-        let req = &self.reqs[key];
-        let (service, priority) = (req.parts[index].service, req.route.route.priority);
-        let late = req.late;
         match self.placement(now, key, index, Attempt::First) {
-            Placement::Send(conn) => self.send(now, key, index, conn),
-            Placement::NoServer => self.on_no_server(now, key, index),
-            Placement::Wait => {
-                self.services[service].enqueue(Waiting {
-                    late,
-                    priority,
-                    req: key,
-                    part: index,
-                });
-                self.reqs[key].parts[index].state = PartState::Waiting;
+            Placement::Send(conn) if !self.is_behind(key, index) => {
+                self.send(now, key, index, conn);
             }
-        }
-    }
-
-    /// Sends the queued parts of a service for which connections are idle.
-    pub(super) fn place_waiting(&mut self, now: Timestamp, service: ServiceKey) {
-        for waiting in self.services[service].take_waiting() {
-            let waits = |req: &Req| matches!(req.parts[waiting.part].state, PartState::Waiting);
-            if !self.reqs.get(waiting.req).is_some_and(waits) {
-                continue;
-            }
-            match self.placement(now, waiting.req, waiting.part, Attempt::Again) {
-                Placement::Send(conn) => self.send(now, waiting.req, waiting.part, conn),
-                Placement::Wait => self.services[service].enqueue(waiting),
-                Placement::NoServer => {
-                    self.on_no_server(now, waiting.req, waiting.part);
-                    self.settle(now, waiting.req);
-                }
+            Placement::Send(_) => {
+                // The connection became usable without an event. It goes to the part that is next.
+                self.enqueue(now, key, index);
+                self.send_waiting(now, key, index);
             }
+            Placement::NoServer => self.on_no_server(now, key, index),
+            Placement::Wait => self.enqueue(now, key, index),
         }
     }
 
@@ -218,7 +196,7 @@
         }
     }
 
-    fn placement(
+    pub(super) fn placement(
         &mut self,
         now: Timestamp,
         key: ReqKey,
@@ -236,11 +214,14 @@
                 self.close_used_conns(key, index);
             }
         }
-        match self.free_conn(now, &candidates, attempt) {
+        let priority = self.reqs[key].route.route.priority;
+        match self.free_conn(now, &candidates, attempt, priority) {
             Some(conn) => Placement::Send(conn),
             None if candidates.is_empty() => Placement::NoServer,
             None => {
-                self.request_permits(now, service, &without_permit(&candidates), by);
+                let new = usize::from(self.reqs[key].parts[index].queued.is_none());
+                let wanted = self.services[service].queue.len() + new;
+                self.request_permits(now, &without_permit(&candidates), wanted, by);
                 Placement::Wait
             }
         }
@@ -265,6 +246,7 @@
         now: Timestamp,
         candidates: &[Candidate],
         attempt: Attempt,
+        priority: u32,
     ) -> Option<ConnKey> {
         let best = candidates.first()?.standing;
         for candidate in candidates {
@@ -278,7 +260,7 @@
             if !candidate.permitted && !self.try_permit(now, candidate.server) {
                 continue;
             }
-            if let Some(conn) = self.idle_conn(now, candidate.server) {
+            if let Some(conn) = self.idle_conn(now, candidate.server, priority) {
                 return Some(conn);
             }
             self.open_conn(now, candidate.server);
@@ -286,7 +268,8 @@
         None
     }
 
-    fn send(&mut self, now: Timestamp, key: ReqKey, index: usize, conn: ConnKey) {
+    pub(super) fn send(&mut self, now: Timestamp, key: ReqKey, index: usize, conn: ConnKey) {
+        self.unqueue(key, index);
         let server_key = self.conns[conn].server;
         let delegation = self.delegation(now, &self.reqs[key], index);
         let req = &self.reqs[key];
@@ -437,8 +420,10 @@
         let mut candidates = self.candidates(now, service, &part.tried, by);
         let untried = !candidates.is_empty();
         candidates.retain(|candidate| candidate.standing <= Standing::Remote);
-        let Some(conn) = self.free_conn(now, &candidates, Attempt::Again) else {
-            self.request_permits(now, service, &without_permit(&candidates), by);
+        let priority = req.route.route.priority;
+        let Some(conn) = self.free_conn(now, &candidates, Attempt::Again, priority) else {
+            let wanted = self.services[service].queue.len() + 1;
+            self.request_permits(now, &without_permit(&candidates), wanted, by);
             if untried {
                 self.hedge_later(now, key);
             }
--- a/crates/jasminepond-forward/src/forwarder/relay.rs
+++ b/crates/jasminepond-forward/src/forwarder/relay.rs
@@ -103,6 +103,7 @@
             return false;
         };
         let relays = self.relays();
+        self.unqueue(key, index);
         let part = &mut self.reqs[key].parts[index];
         part.repeat = part.runs > 0;
         part.max_attempts = attempts;
@@ -174,6 +175,7 @@
             let (shards, fewest) = combined.entry((to, sent)).or_insert((Vec::new(), attempts));
             shards.push(shard);
             *fewest = attempts.min(*fewest);
+            self.unqueue(key, index);
             self.reqs[key].parts[index].hand_over();
         }
         for ((to, sent), (shards, attempts)) in combined {
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -49,8 +49,9 @@
         if reply.is_success() && !call.delegated {
             call.route.stats.latency.borrow_mut().observe(now, latency);
         }
+        let window = self.window_for(now, call.server, call.route.route.priority);
         if let Some(server) = self.servers.get_mut(call.server) {
-            let full = server.calls.len() + 1 >= server.window_size(&self.settings);
+            let full = server.calls.len() + 1 >= window;
             match reply.not_run {
                 true => server.window.rejected(),
                 false => server.window.answered(latency, &call.route.stats, full),
@@ -242,6 +243,7 @@
     }
 
     pub(super) fn mark_missing(&mut self, key: ReqKey, index: usize, reason: &'static str) {
+        self.unqueue(key, index);
         let req = &mut self.reqs[key];
         let part = &mut req.parts[index];
         if part.is_open() {
@@ -283,6 +285,7 @@
     pub(super) fn on_objective(&mut self, now: Timestamp, key: ReqKey) {
         if let Some(req) = self.reqs.get_mut(key) {
             req.past_answer_by = true;
+            self.set_queued_late(key);
             self.settle(now, key);
         }
     }
@@ -422,6 +425,7 @@
         answer: Option<Answer>,
         verdict: Verdict,
     ) {
+        self.unqueue_all(key);
         let Some(req) = self.reqs.remove(key) else {
             return;
         };
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -206,12 +206,9 @@
         self.timers.set(now + CUT_MEMORY, Timer::Cut);
         self.timers.set(now + LINKS_WAIT, Timer::Cut);
         self.timers.set(now + VERDICT_WAIT, Timer::Verdict(req));
-        if let Some(req) = self.reqs.get_mut(req).filter(|_| restrains) {
-            req.cut += 1;
-            let waiting = req.parts.iter_mut();
-            for part in waiting.filter(|part| matches!(part.state, PartState::Waiting)) {
-                part.state = PartState::Held;
-            }
+        if let Some(state) = self.reqs.get_mut(req).filter(|_| restrains) {
+            state.cut += 1;
+            self.hold_waiting(req);
         }
         let probed = self.servers[key].conns.iter().any(|conn| {
             let conn = &self.conns[*conn];
@@ -563,10 +560,7 @@
         if req.cut == 0 {
             (req.cut, req.ended) = (1, 1);
         }
-        let waiting = req.parts.iter_mut();
-        for part in waiting.filter(|part| matches!(part.state, PartState::Waiting)) {
-            part.state = PartState::Held;
-        }
+        self.hold_waiting(key);
         self.review_request(now, key);
     }
 
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod latency;
 mod merge;
 mod message;
+mod queue;
 mod report;
 mod request;
 mod server;
@@ -31,7 +32,10 @@
     EvidenceSource, Exchange, LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter,
     Scope, ServerEvent, StatedLimit, Summary, Verdict,
 };
-pub use report::{CallReport, RouteReport, ServerReport};
+pub use queue::{
+    Blocked, CallerId, ClassBacklog, Lane, PartId, PartQueue, QueueWait, QueuedPart, ServerChoice,
+};
+pub use report::{CallReport, QueueReport, RouteReport, ServerReport};
 pub use request::ActiveRoute;
 pub use server::ServerKey;
 pub use service::ServiceKey;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::{contact::ContactEvent, forwarder::DelegationRequest, request::ActiveRoute};
+use crate::{CallerId, contact::ContactEvent, forwarder::DelegationRequest, request::ActiveRoute};
 
 new_key_type! {
     /// A caller's request.
@@ -32,6 +32,8 @@
     pub time_left: Duration,
     /// Identifies requests that are equal to it.
     pub fingerprint: Fingerprint,
+    /// Its caller.
+    pub caller: CallerId,
     /// Set if another daemon delegates the request, or a part of it, to this one.
     pub delegated: Option<DelegatedPart>,
 }
--- /dev/null
+++ b/crates/jasminepond-forward/src/queue/flow.rs
@@ -0,0 +1,108 @@
+//! Fair order among callers.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{CallerId, PartId};
+
+/// Number of callers of one flow that are served by turns of their own. Further callers share
+/// turns, so that an attacker with many identities cannot make the table grow.
+const MAX_CALLERS: usize = 1_024;
+
+/// Number of turns that further callers share.
+const SHARED_TURNS: u64 = 64;
+
+/// What is served by turns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum Bucket {
+    /// One caller.
+    Own(CallerId),
+    /// Several callers, beyond [`MAX_CALLERS`].
+    Shared(u64),
+}
+
+#[derive(Debug)]
+struct Member {
+    /// Number of its next turn.
+    turn: u64,
+    /// Parts by order of arrival.
+    parts: BTreeMap<u64, PartId>,
+}
+
+/// Parts that are interchangeable but for their callers. Callers are served in turn, one part
+/// each (round robin: all parts count the same, so no deficit has to be carried over), and the
+/// parts of one caller by arrival.
+#[derive(Debug, Default)]
+pub(super) struct Flow {
+    members: HashMap<Bucket, Member>,
+    turns: BTreeMap<u64, Bucket>,
+    next_turn: u64,
+    len: usize,
+}
+
+impl Flow {
+    pub(super) fn insert(&mut self, caller: CallerId, seq: u64, id: PartId) -> Bucket {
+        let own = Bucket::Own(caller);
+        let bucket = match self.members.contains_key(&own) || self.members.len() < MAX_CALLERS {
+            true => own,
+            false => Bucket::Shared(caller.0 % SHARED_TURNS),
+        };
+        let member = self.members.entry(bucket).or_insert_with(|| {
+            let turn = self.next_turn;
+            self.next_turn += 1;
+            self.turns.insert(turn, bucket);
+            Member {
+                turn,
+                parts: BTreeMap::new(),
+            }
+        });
+        member.parts.insert(seq, id);
+        self.len += 1;
+        bucket
+    }
+
+    pub(super) fn remove(&mut self, bucket: Bucket, seq: u64) {
+        let Some(member) = self.members.get_mut(&bucket) else {
+            return;
+        };
+        self.len -= usize::from(member.parts.remove(&seq).is_some());
+        if member.parts.is_empty() {
+            self.turns.remove(&member.turn);
+            self.members.remove(&bucket);
+        }
+    }
+
+    /// Removes a part that is sent and ends the turn of its caller. Returns whether the caller
+    /// had more parts than the mean.
+    pub(super) fn serve(&mut self, bucket: Bucket, seq: u64) -> bool {
+        let parts = self.members.get(&bucket).map_or(0, |m| m.parts.len());
+        let over_share = parts * self.members.len() > self.len;
+        self.remove(bucket, seq);
+        if let Some(member) = self.members.get_mut(&bucket) {
+            self.turns.remove(&member.turn);
+            member.turn = self.next_turn;
+            self.turns.insert(self.next_turn, bucket);
+            self.next_turn += 1;
+        }
+        over_share
+    }
+
+    /// The next part, with its place in the order of arrival.
+    pub(super) fn next(&self) -> Option<(u64, PartId)> {
+        let (_, bucket) = self.turns.first_key_value()?;
+        let (seq, id) = self.members.get(bucket)?.parts.first_key_value()?;
+        Some((*seq, *id))
+    }
+
+    /// Whether parts of other callers wait.
+    pub(super) fn has_others(&self, caller: CallerId) -> bool {
+        self.members.len() > usize::from(self.members.contains_key(&Bucket::Own(caller)))
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) fn callers(&self) -> usize {
+        self.members.len()
+    }
+}
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -47,6 +47,21 @@
     pub limit: Option<LimitReport>,
 }
 
+/// Queued parts of one class of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct QueueReport {
+    /// The class, 0 is the most urgent one.
+    pub priority: u32,
+    /// Queued parts.
+    pub parts: usize,
+    /// Those whose objective has passed.
+    pub late: usize,
+    /// Services with queued parts of the class.
+    pub services: usize,
+    /// Largest number of callers that are served in turn at one service.
+    pub callers: usize,
+}
+
 /// A call in progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallReport {
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -7,6 +7,7 @@
 use jasminepond_types::Timestamp;
 
 use crate::{
+    CallerId,
     caller_timeouts::CallerTimeouts,
     latency::LatencyTracker,
     message::{CallKey, ConnKey, Reply},
@@ -162,6 +163,8 @@
     pub(crate) max_attempts: u32,
     /// Whether another daemon may already have sent the sub-requests.
     pub(crate) repeat: bool,
+    /// Service in whose queue the part is.
+    pub(crate) queued: Option<ServiceKey>,
     /// Number of shards that the part covers.
     pub(crate) weight: usize,
     /// Whether it is sent once only, because it is suspected of ending the servers of its
@@ -184,6 +187,7 @@
             delegations: 0,
             max_attempts: u32::MAX,
             repeat: false,
+            queued: None,
             weight: 1,
             in_trial: false,
         }
@@ -226,6 +230,7 @@
 pub(crate) struct Req {
     pub(crate) route: Rc<ActiveRoute>,
     pub(crate) fingerprint: Fingerprint,
+    pub(crate) caller: CallerId,
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
     /// Whether the objective had passed at arrival, counting earlier attempts.
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -1,29 +1,16 @@
 //! A service: its backend servers, its budget and its queue.
 
-use std::collections::VecDeque;
-
 use jasminepond_routes::ServiceName;
 use jasminepond_types::Timestamp;
 use slotmap::new_key_type;
 
-use crate::{RepeatBudget, message::ReqKey, server::ServerKey};
+use crate::{PartQueue, RepeatBudget, server::ServerKey};
 
 new_key_type! {
     /// A service.
     pub struct ServiceKey;
 }
 
-/// A queued part of a request that waits for a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Waiting {
-    /// Whether the objective of the request has passed. Requests that can still meet
-    /// their objective go first.
-    pub(crate) late: bool,
-    pub(crate) priority: u32,
-    pub(crate) req: ReqKey,
-    pub(crate) part: usize,
-}
-
 #[derive(Debug)]
 pub(crate) struct Service {
     pub(crate) name: ServiceName,
@@ -43,7 +30,8 @@
     /// Until when other daemons are not asked for this service, because they had no server
     /// for it either.
     pub(crate) relay_refused_until: Timestamp,
-    waiting: VecDeque<Waiting>,
+    /// Parts that wait for a connection.
+    pub(crate) queue: PartQueue,
 }
 
 impl Service {
@@ -59,26 +47,7 @@
             is_helper_group: false,
             is_relays: false,
             relay_refused_until: Timestamp::ZERO,
-            waiting: VecDeque::new(),
+            queue: PartQueue::default(),
         }
     }
-
-    /// Queues a part behind those of the same or a higher priority.
-    pub(crate) fn enqueue(&mut self, part: Waiting) {
-        let before = self
-            .waiting
-            .iter()
-            .rposition(|w| (w.late, w.priority) <= (part.late, part.priority));
-        let at = before.map_or(0, |at| at + 1);
-        self.waiting.insert(at, part);
-    }
-
-    /// Removes all queued parts, in order.
-    pub(crate) fn take_waiting(&mut self) -> VecDeque<Waiting> {
-        std::mem::take(&mut self.waiting)
-    }
-
-    pub(crate) fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
 }
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -410,6 +410,7 @@
             route,
             time_left,
             fingerprint: self.fingerprint(path, self.next_number),
+            caller: Default::default(),
             delegated: None,
         };
         let key = self.daemons[daemon].forwarder.submit(self.now, arrival);
@@ -557,6 +558,7 @@
                     route,
                     time_left,
                     fingerprint,
+                    caller: Default::default(),
                     delegated: Some(part),
                 };
                 let key = forwarder.submit(now, arrival);
--- a/crates/jasminepond-forward/tests/delegation.rs
+++ b/crates/jasminepond-forward/tests/delegation.rs
@@ -153,6 +153,7 @@
         route,
         time_left: CALLER_TIMEOUT,
         fingerprint: Default::default(),
+        caller: Default::default(),
         delegated,
     };
     sim.forwarder.submit(sim.now, arrival);
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -13,8 +13,8 @@
 
 use bytes::Bytes;
 use jasminepond_forward::{
-    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, Exchange,
-    ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
+    Action, Answer, Arrival, Backend, BackendState, CallerId, Cluster, ConnKey, ContactEvent,
+    Exchange, ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
 };
 use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_routes::{
@@ -106,6 +106,8 @@
     pub attempts: usize,
     /// Connection limit of the servers in the next release.
     pub max_connections: u32,
+    /// Caller of the requests that are submitted.
+    pub caller: CallerId,
     submitted: u64,
     sent: HashMap<ReqKey, ConnKey>,
     conns: HashMap<ConnKey, usize>,
@@ -136,6 +138,7 @@
             opened: 0,
             attempts: 0,
             max_connections: 25,
+            caller: CallerId::default(),
             submitted: 0,
             sent: HashMap::new(),
             conns: HashMap::new(),
@@ -293,6 +296,7 @@
                 route,
                 time_left,
                 fingerprint: fingerprint(path, self.submitted),
+                caller: self.caller,
                 delegated: None,
             },
         );
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -10,8 +10,10 @@
     header::{HeaderName, HeaderValue},
     http::request::Parts,
 };
-use jasminepond_daemon::net::http::{BufferedRequest, BufferedResponse, Handler, error_response};
-use jasminepond_forward::{ActiveRoute, Answer, Refusal, Reply, ReqKey, Scope};
+use jasminepond_daemon::net::http::{
+    BufferedRequest, BufferedResponse, ClientAddress, Handler, error_response,
+};
+use jasminepond_forward::{ActiveRoute, Answer, CallerId, Refusal, Reply, ReqKey, Scope};
 use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_types::{ErrorKind, Millis};
 use spdlog::info;
@@ -122,6 +124,7 @@
     }
     let version = route.version();
     let from_peer = delegated.is_some();
+    let caller = caller_id(&head, delegated.as_ref());
     let timeout = route.route().timeout.duration();
     let time_left = header(names.time_left_ms).and_then(|text| text.trim().parse().ok());
     let time_left = time_left.map_or(timeout, Duration::from_millis);
@@ -150,6 +153,7 @@
         route,
         time_left,
         fingerprint,
+        caller,
         delegated.map(|delegated| delegated.part),
         outbound,
     );
@@ -190,6 +194,18 @@
     res
 }
 
+/// Identifies the caller of a request: as another daemon states, by its credentials, or by the
+/// address of the connection. The latter is the address of the asking daemon if that states no
+/// caller and the request has no credentials.
+fn caller_id(head: &Parts, delegated: Option<&DelegatedRequest>) -> CallerId {
+    let stated = delegated.and_then(|delegated| delegated.caller);
+    let credentials = head.headers.get("authorization");
+    let credentials = credentials.map(|value| CallerId::from_authorization(value.as_bytes()));
+    let address = head.extensions.get::<ClientAddress>();
+    let address = address.map(|client| CallerId::from_address(client.0));
+    stated.or(credentials).or(address).unwrap_or_default()
+}
+
 /// Why this daemon cannot handle a delegated request, if it cannot.
 fn mismatch(delegated: &DelegatedRequest, route: &ActiveRoute) -> Option<&'static str> {
     let is_part = matches!(delegated.part.scope, Scope::Shards(_));
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -28,7 +28,9 @@
     stop::{Stop, stop},
 };
 use jasminepond_discovery::{ReaderSettings, settle_time};
-use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
+use jasminepond_forward::{
+    ForwardSettings, Forwarder, QueueReport, RepeatSettings, RouteReport, ServerReport,
+};
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
 use jasminepond_quarantine::{Fingerprint, Report};
@@ -298,6 +300,7 @@
             "calls": status.calls,
             "connections": status.connections,
             "waiting": status.waiting,
+            "queues": forwarder.queue_reports().into_iter().map(queue_status).collect::<Vec<_>>(),
             "routes": routes.collect::<Vec<_>>(),
             "suspects": suspects.collect::<Vec<_>>(),
             "backend_servers": servers.collect::<Vec<_>>(),
@@ -305,6 +308,16 @@
     })
 }
 
+fn queue_status(report: QueueReport) -> serde_json::Value {
+    json!({
+        "priority": report.priority,
+        "parts": report.parts,
+        "late": report.late,
+        "services": report.services,
+        "callers": report.callers,
+    })
+}
+
 /// What an operator orders about a request that ends servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SuspectOrder {
@@ -387,10 +400,11 @@
             match path {
                 "/metrics" => {
                     let now = hub.clock().now();
-                    let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
-                    let (status, suspects) = hub.read(read);
+                    let read =
+                        |f: &Forwarder| (f.status(), f.queue_reports(), f.suspect_counts(now));
+                    let (status, queues, suspects) = hub.read(read);
                     let state_age = now.since(hub.store_state().confirmed_at);
-                    let text = hub.metrics().render(status, suspects, state_age);
+                    let text = hub.metrics().render(status, &queues, suspects, state_age);
                     text_response(StatusCode::OK, METRICS_MEDIA_TYPE, text)
                 }
                 "/status" => json_response(StatusCode::OK, &status_page(&hub)),
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -14,8 +14,9 @@
 use jasminepond_daemon::clock::Clock;
 use jasminepond_discovery::{Position, Source};
 use jasminepond_forward::{
-    Action, ActiveRoute, Answer, Arrival, ConnKey, ContactEvent, DelegatedPart, DelegationRequest,
-    EvidenceSource, Exchange, Forwarder, LostCall, ReqKey, ServerEvent, StatedLimit, Summary,
+    Action, ActiveRoute, Answer, Arrival, CallerId, ConnKey, ContactEvent, DelegatedPart,
+    DelegationRequest, EvidenceSource, Exchange, Forwarder, LostCall, QueueReport, ReqKey,
+    ServerEvent, StatedLimit, Summary,
 };
 use jasminepond_quarantine::{Change, Fingerprint, State};
 use jasminepond_types::{Millis, Timestamp};
@@ -189,6 +190,7 @@
         route: Rc<ActiveRoute>,
         time_left: Duration,
         fingerprint: Fingerprint,
+        caller: CallerId,
         delegated: Option<DelegatedPart>,
         outbound: Outbound,
     ) -> (ReqKey, oneshot::Receiver<Answer>) {
@@ -198,6 +200,7 @@
             route,
             time_left,
             fingerprint,
+            caller,
             delegated,
         };
         let key = self.forwarder.borrow_mut().submit(now, arrival);
@@ -301,6 +304,7 @@
             };
             self.execute(action);
         }
+        self.report_queues();
         let next = self.forwarder.borrow().next_tick();
         let earlier = match (next, self.timer_due.get()) {
             (Some(next), Some(due)) => next < due,
@@ -313,6 +317,17 @@
         }
     }
 
+    /// Records the times that parts were queued, and logs a large backlog.
+    fn report_queues(&self) {
+        let mut forwarder = self.forwarder.borrow_mut();
+        while let Some(wait) = forwarder.next_queue_wait() {
+            self.metrics.dequeued(&wait);
+        }
+        if let Some(backlog) = forwarder.backlog_report(self.clock.now()) {
+            log_backlog(&backlog);
+        }
+    }
+
     fn execute(self: &Rc<Self>, action: Action) {
         match action {
             Action::Open { conn, address } => {
@@ -461,6 +476,20 @@
     }
 }
 
+fn log_backlog(backlog: &[QueueReport]) {
+    let by_class = |count: fn(&QueueReport) -> usize| {
+        let counts = backlog.iter();
+        let counts = counts.map(|report| format!("{}:{}", report.priority, count(report)));
+        counts.collect::<Vec<_>>().join(" ")
+    };
+    warn!("gateway: many parts of requests wait for connections", kv: {
+        parts: = by_class(|report| report.parts),
+        late: = by_class(|report| report.late),
+        services: = by_class(|report| report.services),
+        callers: = by_class(|report| report.callers),
+    });
+}
+
 fn log_server_event(server: &str, event: ServerEvent) {
     let millis = |time: Duration| time.as_millis() as u64;
     match event {
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::Cell, sync::atomic::AtomicU64, time::Duration};
 
-use jasminepond_forward::{Status, Summary};
+use jasminepond_forward::{QueueReport, QueueWait, Status, Summary};
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::ErrorKind;
 use prometheus_client::{
@@ -23,6 +23,22 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabel {
+    priority: &'static str,
+}
+
+/// Label values of classes. Less urgent ones share the last value.
+const CLASSES: [&str; 5] = ["0", "1", "2", "3", "other"];
+
+fn class_label(priority: u32) -> ClassLabel {
+    let last = CLASSES.len() - 1;
+    let at = usize::try_from(priority).unwrap_or(last).min(last);
+    ClassLabel {
+        priority: CLASSES[at],
+    }
+}
+
 /// Upper bounds in seconds. Latency objectives of the routes are between 0.04 and 0.6.
 const LATENCY_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.15, 0.25, 0.6, 1.2, 4.0,
@@ -48,6 +64,9 @@
     servers_down: Gauge,
     servers_limited: Gauge,
     waiting: Gauge,
+    queued: Family<ClassLabel, Gauge>,
+    queue_time: Family<ClassLabel, Histogram, fn() -> Histogram>,
+    turns_over_share: Family<ClassLabel, Counter>,
     datagrams_dropped: Counter,
     contact_losses: Counter,
     relayed: Counter,
@@ -81,6 +100,9 @@
             servers_down: Gauge::default(),
             servers_limited: Gauge::default(),
             waiting: Gauge::default(),
+            queued: Family::default(),
+            queue_time: Family::new_with_constructor(histogram),
+            turns_over_share: Family::default(),
             datagrams_dropped: Counter::default(),
             contact_losses: Counter::default(),
             relayed: Counter::default(),
@@ -181,6 +203,22 @@
             Unit::Seconds,
             self.state_age.clone(),
         );
+        r.register(
+            "queued",
+            "Parts of requests that wait for a connection, by class",
+            self.queued.clone(),
+        );
+        r.register_with_unit(
+            "queue_time",
+            "Time for which parts of requests were queued before they were sent, by class",
+            Unit::Seconds,
+            self.queue_time.clone(),
+        );
+        r.register(
+            "turns_over_share",
+            "Queued parts sent for callers that had more than the mean of the callers queued",
+            self.turns_over_share.clone(),
+        );
         let gauges = [
             ("release", "Version of the release in force", &self.release),
             ("servers", "Known backend servers", &self.servers),
@@ -215,11 +253,12 @@
         }
     }
 
-    /// Returns the metrics in text format, with the current values of `status`, the numbers
-    /// of suspected and of held requests, and the time since the store confirmed the state.
+    /// Returns the metrics in text format, with the current values of `status` and of the
+    /// queues by class, the numbers of suspected and of held requests, and the time since the store confirmed the state.
     pub fn render(
         &self,
         status: Status,
+        queues: &[QueueReport],
         (suspected, held): (usize, usize),
         state_age: Duration,
     ) -> String {
@@ -230,6 +269,12 @@
         self.servers_down.set(status.down as i64);
         self.servers_limited.set(status.limited as i64);
         self.waiting.set(status.waiting as i64);
+        for label in CLASSES {
+            let of_class = |report: &&QueueReport| class_label(report.priority).priority == label;
+            let parts = queues.iter().filter(of_class).map(|report| report.parts);
+            let gauge = self.queued.get_or_create(&ClassLabel { priority: label });
+            gauge.set(parts.sum::<usize>() as i64);
+        }
         let mut text = String::new();
         // Writing to a string cannot fail, but the encoding of a metric can.
         match encode(&mut text, &self.registry) {
@@ -254,6 +299,16 @@
         self.relayed.inc_by(u64::from(summary.relayed > 0));
     }
 
+    /// Records a part that was queued and is sent.
+    pub fn dequeued(&self, wait: &QueueWait) {
+        let label = class_label(wait.priority);
+        let time = self.queue_time.get_or_create(&label);
+        time.observe(wait.waited.as_secs_f64());
+        if wait.over_share {
+            self.turns_over_share.get_or_create(&label).inc();
+        }
+    }
+
     /// Records a request that was refused before it was routed.
     pub fn refused(&self, kind: ErrorKind) {
         let kind = Kind {
--- a/crates/jasminepond-gateway/src/peers.rs
+++ b/crates/jasminepond-gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use jasminepond_daemon::net::http::{BufferedRequest, BufferedResponse, Handler, error_response};
-use jasminepond_forward::{DelegatedPart, DelegationRequest, Scope};
+use jasminepond_forward::{CallerId, DelegatedPart, DelegationRequest, Scope};
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::{ErrorKind, RunStatus};
 
@@ -53,6 +53,9 @@
 /// of ending servers.
 pub const ADMITTED: &str = "x-jasminepond-admitted";
 
+/// Hash that identifies the caller, in hexadecimal. Builds before this header do not send it.
+pub const CALLER: &str = "x-jasminepond-caller";
+
 /// Present in a response without success if the request is presumed to end servers.
 pub const SUSPECTED: &str = "x-jasminepond-suspected";
 
@@ -64,7 +67,7 @@
 pub const SERVER: &str = "x-jasminepond-server";
 
 /// Headers that daemons add to each other's requests and responses.
-pub const HEADERS: [&str; 10] = [
+pub const HEADERS: [&str; 11] = [
     SHARDS,
     SHARD_SET,
     ANSWER_WITHIN_MS,
@@ -72,6 +75,7 @@
     REPEAT,
     MAX_ATTEMPTS,
     ADMITTED,
+    CALLER,
     SUSPECTED,
     RELEASE,
     SERVER,
@@ -84,6 +88,8 @@
     pub part: DelegatedPart,
     /// Hash of the names of all shards that the other daemon knows for the route.
     pub shard_set: u64,
+    /// Caller of the request, if the other daemon states it.
+    pub caller: Option<CallerId>,
     /// Oldest release by which a request to one server may be routed.
     pub release: ReleaseVersion,
 }
@@ -119,6 +125,9 @@
     if delegation.admitted {
         header(ADMITTED, &1);
     }
+    if let Some(caller) = &delegation.caller {
+        header(CALLER, caller);
+    }
     bytes.extend_from_slice(text.as_bytes());
 }
 
@@ -152,6 +161,8 @@
             admitted: headers.contains_key(ADMITTED),
         },
         shard_set: text(SHARD_SET)?.parse().ok()?,
+        // Only the order among callers depends on it.
+        caller: text(CALLER).and_then(|caller| caller.parse().ok()),
         release,
     })
 }
--- a/crates/jasminepond-gateway/tests/build_before.rs
+++ b/crates/jasminepond-gateway/tests/build_before.rs
@@ -4,7 +4,7 @@
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use jasminepond_discovery::{Change, Changes, Confirmation, Era, Position, Snapshot};
-use jasminepond_forward::{Backend, DelegatedPart, DelegationRequest, Scope};
+use jasminepond_forward::{Backend, CallerId, DelegatedPart, DelegationRequest, Scope};
 use jasminepond_gateway::{read_headers, write_headers};
 use jasminepond_membership::Message as MemberMessage;
 use jasminepond_quarantine::{Evidence, Fingerprint, Message};
@@ -12,6 +12,7 @@
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::Millis;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use test_case::test_case;
 
 /// Headers of a part that b5f13ec delegated.
 const RECORDED: [(&str, &str); 4] = [
@@ -61,6 +62,7 @@
         repeat: false,
         max_attempts: 2,
         admitted: false,
+        caller: None,
     };
     let mut bytes = Vec::new();
     write_headers(&mut bytes, &delegation);
@@ -71,6 +73,41 @@
     assert_eq!(String::from_utf8(bytes).unwrap(), expected);
 }
 
+/// Guards against refusing the parts of builds that do not name the caller, and against taking
+/// the value of another build for a malformed part.
+#[test_case("", None; "a build before the header")]
+#[test_case("00000000000000ff", Some(CallerId(255)); "this build")]
+#[test_case("not a hash", None; "an unknown format")]
+fn the_caller_of_a_part_is_optional(value: &'static str, expected: Option<CallerId>) {
+    let mut headers = recorded();
+    if !value.is_empty() {
+        headers.insert("x-jasminepond-caller", HeaderValue::from_static(value));
+    }
+    assert_eq!(read_headers(&headers).unwrap().caller, expected);
+}
+
+/// Guards against credentials of callers in messages between daemons.
+#[test]
+fn a_part_names_its_caller_by_a_hash() {
+    let caller = CallerId::from_authorization(b"Bearer secret");
+    let delegation = DelegationRequest {
+        shards: Some([10].into()),
+        shard_set: 1,
+        release: ReleaseVersion(3),
+        answer_within: Millis(29),
+        min_shards: 1,
+        repeat: false,
+        max_attempts: 2,
+        admitted: false,
+        caller: Some(caller),
+    };
+    let mut bytes = Vec::new();
+    write_headers(&mut bytes, &delegation);
+    let text = String::from_utf8(bytes).unwrap();
+    assert!(text.ends_with(&format!("x-jasminepond-caller: {caller}\r\n")));
+    assert!(!text.contains("secret"));
+}
+
 /// Guards against datagrams about suspected requests that the build before takes for others.
 #[test]
 fn evidence_is_no_message_of_membership_or_limits() {
