feat(forward): place all parts of a search that runs once, or none

A search that may run once was sent part by part as connections became free. If one shard had none in time, the others had run, and the caller got an unknown outcome for a request that it could have sent elsewhere.

Under a backlog of its class it is refused rather than served, since it holds no connection while it waits for others: holding some would idle them, and two such searches could block each other. Across daemons the rule holds for each daemon and not for all of them together.

Also shows that urgent searches go first over the connections to other daemons.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -44,6 +44,7 @@
 mod suspects;
 
 pub use delegate::{DelegationRequest, Peer};
+use place::Attempt;
 use suspects::CutCall;
 
 /// Connection limit per server for services that the release does not specify.
@@ -565,6 +566,11 @@
             self.timers.set(now + limit, Timer::WaitLimit(key));
         }
         self.count_arrival(now, key);
+        if self.must_gather(key) {
+            self.gather(now, key, Attempt::First);
+            self.settle(now, key);
+            return key;
+        }
         for part in 0..parts_len {
             if repeat && !self.take_token(now, key, part) {
                 continue;
@@ -636,6 +642,7 @@
                 }
                 Timer::SlowHelper(call) => self.on_slow_helper(now, call),
                 Timer::Objective(req) => self.on_objective(now, req),
+                Timer::Gather(req) => self.on_gather_timer(now, req),
                 Timer::WaitLimit(req) => self.on_wait_limit(now, req),
                 Timer::Deadline(req) => self.on_deadline(now, req),
                 Timer::RemoteIdle(conn) => self.on_remote_idle(now, conn),
--- a/crates/jasminepond-forward/src/forwarder/queued.rs
+++ b/crates/jasminepond-forward/src/forwarder/queued.rs
@@ -15,6 +15,7 @@
     request::{Part, PartState, Req},
     server::ServerKey,
     service::ServiceKey,
+    timers::Timer,
 };
 
 /// Times in the queue that are kept until they are read. More are dropped, so that a process
@@ -24,6 +25,10 @@
 /// Time between two reports of a backlog.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time between attempts to place all parts of a request that may run once: about the time in
+/// which a server with a few slots ends a call.
+const GATHER_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Number of queued parts from which a backlog is reported.
 const REPORTED_BACKLOG: usize = 100;
 
@@ -168,6 +173,45 @@
         }
     }
 
+    /// Whether a request may run once and has several parts. Unless all of them can be sent at
+    /// the same moment, some would run in vain, and the request could not be refused any more.
+    pub(super) fn must_gather(&self, key: ReqKey) -> bool {
+        let req = &self.reqs[key];
+        !req.route.may_repeat() && req.parts.len() > 1
+    }
+
+    /// Sends all parts of a request once connections are free for all of them, or refuses it if
+    /// they are not within the same time as for a request to one server.
+    pub(super) fn gather(&mut self, now: Timestamp, key: ReqKey, attempt: Attempt) {
+        let parts = self.reqs[key].parts.len();
+        if attempt == Attempt::First {
+            let limit = self.reqs[key].route.objective();
+            let limit = limit.mul_f64(self.settings.wait_share);
+            self.timers.set(now + limit, Timer::WaitLimit(key));
+        }
+        // Each part is tried, so that connections are opened for all of them.
+        let waiting = (0..parts).filter(|index| {
+            let placement = self.placement(now, key, *index, attempt);
+            matches!(placement, Placement::Wait) || self.is_behind(key, *index)
+        });
+        if waiting.count() > 0 {
+            self.timers.set(now + GATHER_INTERVAL, Timer::Gather(key));
+            return;
+        }
+        for index in 0..parts {
+            self.place(now, key, index);
+        }
+    }
+
+    pub(super) fn on_gather_timer(&mut self, now: Timestamp, key: ReqKey) {
+        let unsent = |part: &Part| part.sends == 0 && matches!(part.state, PartState::Waiting);
+        let waits = |req: &Req| req.parts.iter().all(unsent);
+        if self.reqs.get(key).is_some_and(waits) {
+            self.gather(now, key, Attempt::Again);
+            self.settle(now, key);
+        }
+    }
+
     fn is_waiting(&self, key: ReqKey, index: usize) -> bool {
         matches!(self.reqs[key].parts[index].state, PartState::Waiting)
     }
--- a/crates/jasminepond-forward/src/timers.rs
+++ b/crates/jasminepond-forward/src/timers.rs
@@ -22,6 +22,8 @@
     Abandoned(CallKey),
     /// Answer a search with the results received so far.
     Objective(ReqKey),
+    /// Try again to place all parts of a request that may run once.
+    Gather(ReqKey),
     /// Refuse a request that could not be sent.
     WaitLimit(ReqKey),
     /// The deadline of a request has passed.
--- a/crates/jasminepond-forward/tests/queueing.rs
+++ b/crates/jasminepond-forward/tests/queueing.rs
@@ -247,6 +247,95 @@
     assert!(received, "not sent after {} others", server.arrived.len());
 }
 
+/// Three shards with one server each, of which a search may run once.
+fn search_once() -> Sim {
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    for shard in ["s0", "s1", "s2"] {
+        sim.add(shard, shard, 20 * MS);
+    }
+    let once = Route {
+        name: "once".into(),
+        prefix: "/once/".to_owned(),
+        repeat: Repeat::Never,
+        ..search(3, 250, 1.0)
+    };
+    let first = Route {
+        name: "first".into(),
+        prefix: "/first/".to_owned(),
+        ..search(1, 250, 1.0)
+    };
+    sim.put_release(1, vec![once, first]);
+    sim.run_for(Duration::from_secs(1));
+    sim
+}
+
+fn ran(sim: &Sim, req: ReqKey) -> usize {
+    let servers = sim.servers.iter();
+    servers.filter(|server| server.ran.contains(&req)).count()
+}
+
+/// Guards against a search that may run once and of which some parts run before it turns out
+/// that another one cannot be sent: its outcome would be unknown.
+#[test]
+fn no_part_of_a_search_that_runs_once_is_sent_before_all_can_be() {
+    let mut sim = search_once();
+    sim.set_behavior(0, Behavior::Slow(1e6));
+    for _ in 0..20 {
+        sim.submit("/first/", 4_000 * MS);
+    }
+    let req = sim.submit("/once/", 4_000 * MS);
+    sim.run_for(51 * MS);
+    assert!(refused_not_run(&sim, req));
+    sim.run_for(Duration::from_secs(5));
+    assert_eq!(ran(&sim, req), 0);
+}
+
+/// Guards against a search that may run once and is refused although its servers become free
+/// in time.
+#[test]
+fn a_search_that_runs_once_waits_for_all_of_its_servers() {
+    let mut sim = search_once();
+    let other = sim.submit("/first/", 4_000 * MS);
+    let req = sim.submit("/once/", 4_000 * MS);
+    assert_eq!((ran(&sim, other), ran(&sim, req)), (1, 0));
+    sim.run_for(200 * MS);
+    assert_eq!(ran(&sim, req), 3);
+    assert_eq!(sim.answers[1].summary.verdict, Verdict::Served);
+}
+
+/// Searches wait for connections to other daemons, of which there are four to each. Guards
+/// against urgent searches that wait there behind less urgent ones.
+#[test]
+fn urgent_searches_go_first_over_connections_to_other_daemons() {
+    const SHARDS: usize = 48;
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    sim.add_shards(SHARDS, 10 * MS, Duration::ZERO, Duration::ZERO);
+    let route = |name: &str, priority| Route {
+        name: name.into(),
+        prefix: format!("/{name}/"),
+        priority,
+        ..search(SHARDS, 400, 0.3)
+    };
+    sim.put_release(1, vec![route("urgent", 0), route("other", 1)]);
+    let peers = sim.add_peers(8);
+    sim.run_for(Duration::from_secs(1));
+    for _ in 0..40 {
+        sim.submit("/other/", 800 * MS);
+    }
+    let received = |sim: &Sim, req| {
+        let mut arrived = peers.iter().flat_map(|peer| &sim.servers[*peer].arrived);
+        arrived.any(|(_, other)| *other == req)
+    };
+    let last = sim.submit("/other/", 800 * MS);
+    let urgent = sim.submit("/urgent/", 800 * MS);
+    assert!(!received(&sim, urgent), "connections are free");
+    while !received(&sim, urgent) {
+        sim.run_for(MS);
+        assert!(!received(&sim, last), "a less urgent search went first");
+        assert!(sim.now < Timestamp::from_millis(1_200), "not sent");
+    }
+}
+
 /// Guards against times in the queue that are not reported, and against a report at each event.
 #[test]
 fn queues_are_reported() {
