fix(forward): serve a less urgent class no more often than a more urgent one

At twice the load of all classes, requests of 160 ms of the third class were served more often (0.48 of them) than those of the second (0.46): the second was measured by its share of the turns only, and gave turns away while the first had no backlog. Classes now also count the fraction of their parts that is sent. One of which more is sent than of a more urgent class is owed nothing, and its parts that can be in time do not go before late ones of that class.

Ruled out: the fractions alone, without the share by arrivals (first class 0.91 of requests served instead of 0.98, since long work of the third takes the slots); a margin of a tenth between the fractions (third of three equal classes 0.22 of the turns instead of a quarter).

--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -168,6 +168,7 @@
         }
         match self.placement(now, key, index, Attempt::First) {
             Placement::Send(conn) if !self.is_behind(key, index) => {
+                self.count_sent(now, key, index);
                 self.send(now, key, index, conn);
             }
             Placement::Send(_) => {
--- a/crates/jasminepond-forward/src/forwarder/queued.rs
+++ b/crates/jasminepond-forward/src/forwarder/queued.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Counts a part that is sent for the first time and without being queued.
+    pub(super) fn count_sent(&mut self, now: Timestamp, key: ReqKey, index: usize) {
+        let req = &self.reqs[key];
+        let part = &req.parts[index];
+        if part.sends == 0 {
+            let queue = &mut self.services[part.service].queue;
+            queue.sent_at_once(now, req.route.route.priority);
+        }
+    }
+
     fn queued_part(&self, key: ReqKey, index: usize) -> QueuedPart {
         let req = &self.reqs[key];
         QueuedPart {
--- a/crates/jasminepond-forward/src/queue.rs
+++ b/crates/jasminepond-forward/src/queue.rs
@@ -239,7 +239,7 @@
     /// finds too late for their objectives move behind those that can be in time.
     pub fn next(&mut self, now: Timestamp, blocked: &Blocked) -> Option<QueuedPart> {
         loop {
-            let part = self.head(blocked)?;
+            let part = self.head(now, blocked)?;
             if part.lane == Lane::Late || now <= part.send_by {
                 return Some(part);
             }
@@ -247,7 +247,7 @@
         }
     }
 
-    fn head(&self, blocked: &Blocked) -> Option<QueuedPart> {
+    fn head(&self, now: Timestamp, blocked: &Blocked) -> Option<QueuedPart> {
         let heads = self.classes.iter().filter_map(|(priority, class)| {
             let head = class.next(|choice| blocked.contains(*priority, choice))?;
             Some((*priority, class, head))
@@ -256,9 +256,7 @@
         let owed = heads.iter().filter(|(_, class, _)| class.is_owed());
         // Of equal ones the most urgent class, which comes first.
         let owed = owed.reduce(|a, b| if b.1.owed() > a.1.owed() { b } else { a });
-        let is_late = |lane: Lane| lane == Lane::Late;
-        let (.., head) =
-            owed.or_else(|| heads.iter().min_by_key(|(p, _, h)| (is_late(h.0), *p)))?;
+        let (.., head) = owed.or_else(|| unowed(now, &heads))?;
         self.places.get(&head.1).map(|place| place.part)
     }
 
@@ -271,6 +269,9 @@
             since,
         } = self.places.remove(&id)?;
         self.use_turn(now, part.priority);
+        if part.choice == ServerChoice::ANY {
+            self.sent_at_once(now, part.priority);
+        }
         let class = self.classes.get_mut(&part.priority)?;
         let over_share = class.serve(part.lane, part.choice, bucket, seq);
         Some(QueueWait {
@@ -280,12 +281,19 @@
         })
     }
 
+    /// Notes a new part that is sent without being queued.
+    pub fn sent_at_once(&mut self, now: Timestamp, priority: u32) {
+        if let Some(class) = self.classes.get_mut(&priority) {
+            class.served(now);
+        }
+    }
+
     /// Credits the classes that wait, and takes the turn from the class that is served.
     fn use_turn(&mut self, now: Timestamp, served: u32) {
         let waiting = self.classes.iter().filter(|(_, class)| !class.is_empty());
-        let demands: Vec<_> = waiting.map(|(p, class)| (*p, class.demand(now))).collect();
-        let values: Vec<f64> = demands.iter().map(|(_, demand)| *demand).collect();
-        for ((priority, _), share) in demands.iter().zip(class::guarantees(&values)) {
+        let demands = waiting.map(|(priority, class)| (*priority, class.demand(now)));
+        let (priorities, demands): (Vec<_>, Vec<_>) = demands.unzip();
+        for (priority, share) in priorities.iter().zip(class::owed_shares(&demands)) {
             if let Some(class) = self.classes.get_mut(priority) {
                 class.credit(share, *priority == served);
             }
@@ -344,6 +352,22 @@
     }
 }
 
+/// The next part of a class, with the class.
+type Head<'a> = (u32, &'a Class, (Lane, PartId));
+
+/// The head of the most urgent class with parts that can be in time, or of the most urgent one
+/// with late parts: in place of the former if a smaller fraction of its parts is served, so that
+/// a less urgent class is not served more often because its objective is longer.
+fn unowed<'a, 'b>(now: Timestamp, heads: &'a [Head<'b>]) -> Option<&'a Head<'b>> {
+    let is_late = |lane: Lane| lane == Lane::Late;
+    let first = heads.iter().min_by_key(|(p, _, h)| (is_late(h.0), *p))?;
+    let rate = first.1.served_rate(now);
+    let mut urgent = heads.iter().take_while(|head| head.0 < first.0);
+    urgent
+        .find(|head| !class::is_served_no_more(rate, head.1.served_rate(now)))
+        .or(Some(first))
+}
+
 /// Smallest window of which a part is reserved. Of two or three calls a reserved one would
 /// cost a third or more of the throughput, and an urgent part waits for a few calls only.
 const RESERVE_MIN_WINDOW: usize = 4;
--- a/crates/jasminepond-forward/src/queue/class.rs
+++ b/crates/jasminepond-forward/src/queue/class.rs
@@ -16,13 +16,32 @@
 /// Time within which an arrival of a more urgent class keeps its reserve.
 const RESERVE_TIME: Duration = Duration::from_secs(1);
 
-/// Half-life of the demand of a class. Long enough for the mean of a class with a few requests
+/// Half-life of the counts of a class. Long enough for the mean of a class with a few requests
 /// per second, short enough to follow a load spike.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Demand below which a class without a backlog is forgotten.
 const FORGOTTEN_DEMAND: f64 = 0.01;
 
+/// A count that decays with [`DEMAND_HALF_LIFE`].
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    value: f64,
+    at: Timestamp,
+}
+
+impl Count {
+    fn get(self, now: Timestamp) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.value * 0.5_f64.powf(age / DEMAND_HALF_LIFE.as_secs_f64())
+    }
+
+    fn add(&mut self, now: Timestamp) {
+        self.value = self.get(now) + 1.0;
+        self.at = now;
+    }
+}
+
 /// Parts of one class.
 #[derive(Debug, Default)]
 pub(super) struct Class {
@@ -31,30 +50,38 @@
     owed: f64,
     /// Turns that the repeatable parts are owed while parts that are not have a backlog.
     repeatable_owed: f64,
-    /// Decaying number of arrivals, at the time of the last one.
-    arrivals: f64,
-    last_arrival: Option<Timestamp>,
+    arrivals: Count,
+    served: Count,
 }
 
 impl Class {
     pub(super) fn arrived(&mut self, now: Timestamp) {
-        self.arrivals = self.demand(now) + 1.0;
-        self.last_arrival = Some(now);
+        self.arrivals.add(now);
     }
 
-    /// Decaying number of arrivals.
-    pub(super) fn demand(&self, now: Timestamp) -> f64 {
-        let age = self.last_arrival.map_or(Duration::ZERO, |at| now.since(at));
-        self.arrivals * 0.5_f64.powf(age.as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64())
+    /// Counts a part that is sent for the first time.
+    pub(super) fn served(&mut self, now: Timestamp) {
+        self.served.add(now);
+    }
+
+    /// Fraction of the parts that is sent.
+    pub(super) fn served_rate(&self, now: Timestamp) -> f64 {
+        self.served.get(now) / self.arrivals.get(now).max(1.0)
+    }
+
+    pub(super) fn demand(&self, now: Timestamp) -> Demand {
+        Demand {
+            arrivals: self.arrivals.get(now),
+            served_rate: self.served_rate(now),
+        }
     }
 
     pub(super) fn has_arrived_within(&self, now: Timestamp) -> bool {
-        self.last_arrival
-            .is_some_and(|at| now.since(at) < RESERVE_TIME)
+        self.arrivals.value > 0.0 && now.since(self.arrivals.at) < RESERVE_TIME
     }
 
     pub(super) fn is_forgotten(&self, now: Timestamp) -> bool {
-        self.is_empty() && self.demand(now) < FORGOTTEN_DEMAND
+        self.is_empty() && self.arrivals.get(now) < FORGOTTEN_DEMAND
     }
 
     pub(super) fn flow(&mut self, lane: Lane, choice: ServerChoice) -> &mut Flow {
@@ -160,27 +187,46 @@
     }
 }
 
-/// Shares of the turns that the classes with a backlog are guaranteed, most urgent first, by
-/// their demands. The most urgent class with parts gets all turns that are left.
+/// What is known about a class with a backlog.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Demand {
+    /// Decaying number of arrivals.
+    pub(super) arrivals: f64,
+    /// Fraction of its parts that is served.
+    pub(super) served_rate: f64,
+}
+
+/// Shares of the turns that the classes with a backlog are owed, most urgent first. The most
+/// urgent class with parts gets all turns that are left.
 ///
-/// A class gets [`MIN_SHARE`], or an equal share if there are more than four classes, but not
-/// more per arrival than a more urgent class: the fraction of its parts that is served would
-/// otherwise exceed that of the more urgent class, whose demand is higher. Each class is thus
-/// served at least a quarter as often per arrival as all classes together.
-pub(super) fn guarantees(demands: &[f64]) -> Vec<f64> {
-    let total: f64 = demands.iter().sum();
+/// A class is owed [`MIN_SHARE`], or an equal share if there are more than four classes, but no
+/// more per arrival than a more urgent class, and nothing while a larger fraction of its parts
+/// is served. Otherwise a class with little demand would be served more often than a more urgent
+/// one with much. Each class is thus served at least a quarter as often as all together.
+pub(super) fn owed_shares(demands: &[Demand]) -> Vec<f64> {
+    let total: f64 = demands.iter().map(|demand| demand.arrivals).sum();
     let most = MIN_SHARE.min(1.0 / demands.len().max(1) as f64);
     // Turns per arrival of the classes before. The most urgent one gets its part of all turns
     // at least.
-    let mut rate = if total > 0.0 { 1.0 / total } else { f64::MAX };
-    let share = |(at, demand): (usize, &f64)| {
-        // A class without known arrivals is not compared.
-        if at == 0 || *demand <= 0.0 {
-            return most;
+    let mut per_arrival = if total > 0.0 { 1.0 / total } else { f64::MAX };
+    let mut lowest_rate = f64::INFINITY;
+    let share = |(at, demand): (usize, &Demand)| {
+        let share = match at > 0 && demand.arrivals > 0.0 {
+            true => most.min(per_arrival * demand.arrivals),
+            // A class without known arrivals is not compared.
+            false => most,
+        };
+        if at > 0 && demand.arrivals > 0.0 {
+            per_arrival = per_arrival.min(share / demand.arrivals);
         }
-        let share = most.min(rate * demand);
-        rate = rate.min(share / demand);
-        share
+        let may_catch_up = is_served_no_more(demand.served_rate, lowest_rate);
+        lowest_rate = lowest_rate.min(demand.served_rate);
+        if may_catch_up { share } else { 0.0 }
     };
     demands.iter().enumerate().map(share).collect()
 }
+
+/// Whether a class is not served more often than a more urgent one.
+pub(super) fn is_served_no_more(rate: f64, urgent_rate: f64) -> bool {
+    rate <= urgent_rate
+}
