--- a/crates/jasminepond-forward/src/queue.rs
+++ b/crates/jasminepond-forward/src/queue.rs
@@ -320,7 +320,7 @@
         let mut urgent = self.classes.range(..priority).map(|(_, class)| class);
         let arrives = urgent.clone().any(|class| class.has_arrived_within(now));
         match arrives && urgent.all(Class::is_empty) {
-            true => (window / RESERVE_DIVISOR).max(1),
+            true => window / RESERVE_DIVISOR,
             false => 0,
         }
     }
@@ -372,5 +372,6 @@
 /// cost a third or more of the throughput, and an urgent part waits for a few calls only.
 const RESERVE_MIN_WINDOW: usize = 4;
 
-/// The reserve is this fraction of the window, at least one call.
-const RESERVE_DIVISOR: usize = 8;
+/// The reserve is this fraction of the window. With an eighth, bursts of urgent parts met full
+/// windows more often, and fewer of them were in time than without a reserve.
+const RESERVE_DIVISOR: usize = 4;
