--- a/crates/jasminepond-forward/src/admission.rs
+++ b/crates/jasminepond-forward/src/admission.rs
@@ -2,16 +2,18 @@
 //! others leave out, when shards cannot process all of the load.
 //!
 //! A daemon that sends requests to the servers of a shard estimates how long one more part
-//! waits there ([`ShardLoad`]). The longer the wait, the fewer of the searches the shard
-//! takes ([`share`]), by a draw that each search has at all shards alike: a search that one
-//! shard too many turns away is lost at all others. The estimate includes every part as soon
-//! as it is admitted, so it does not oscillate as measured latencies would. Daemons report it
-//! on responses that pass anyway.
+//! waits there ([`ShardLoad`]), and reports it to others on responses that pass anyway. The
+//! longer the wait, the fewer of the searches the shard takes ([`share`]). The daemon that a
+//! caller has asked decides for all shards together ([`plan`]), since a search that one shard
+//! too many turns away is lost at all others. The estimate includes every part as soon as it
+//! is admitted, so it does not oscillate as measured latencies would.
 
-use std::{fmt, str::FromStr, time::Duration};
+use std::{collections::HashMap, fmt, str::FromStr, time::Duration};
 
 use jasminepond_types::{Millis, Timestamp};
 
+use crate::CallerId;
+
 /// Interval over which the throughput of a shard is measured.
 pub(crate) const MEASURE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -40,6 +42,12 @@
 /// reserved for servers that fail.
 const PLANNED_MISSING: f64 = 0.75;
 
+/// Half-life of the number of searches of a caller.
+const RATE_HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// Maximum number of callers whose rates are known; a few kilobytes.
+const MAX_CALLERS: usize = 256;
+
 /// Steps of the bisection in [`admitted_share`], which make its result exact to a thousandth.
 const BISECTIONS: u32 = 10;
 
@@ -55,14 +63,23 @@
     ((LONG_WAIT - wait) / (LONG_WAIT - SHORT_WAIT)).clamp(0.0, 1.0)
 }
 
-/// How long one more part waits for shards, by their index among the shards of the route, as
-/// one daemon reports it to another. Parts for shards that are not listed hardly wait.
+/// How long one more part waits for a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct ShardWait {
+    /// A part of the least urgent class.
+    pub least_urgent: Millis,
+    /// A part of the most urgent class.
+    pub most_urgent: Millis,
+}
+
+/// How long parts wait for shards, by their index among the shards of the route, as one daemon
+/// reports it to another. Parts for shards that are not listed hardly wait.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct LoadReport(Vec<(usize, Millis)>);
+pub struct LoadReport(Vec<(usize, ShardWait)>);
 
 impl LoadReport {
     /// Creates a report; the longest waits if there are too many.
-    pub fn new(waits: impl IntoIterator<Item = (usize, Millis)>) -> Self {
+    pub fn new(waits: impl IntoIterator<Item = (usize, ShardWait)>) -> Self {
         let mut waits: Vec<_> = waits.into_iter().collect();
         waits.sort_by_key(|(_, wait)| std::cmp::Reverse(*wait));
         waits.truncate(MAX_REPORTED);
@@ -70,7 +87,7 @@
     }
 
     /// The reported shards and waits.
-    pub fn waits(&self) -> &[(usize, Millis)] {
+    pub fn waits(&self) -> &[(usize, ShardWait)] {
         &self.0
     }
 }
@@ -82,7 +99,11 @@
         }
         for (at, (shard, wait)) in self.0.iter().enumerate() {
             let comma = if at > 0 { "," } else { "" };
-            write!(f, "{comma}{shard}={}", wait.0)?;
+            let ShardWait {
+                least_urgent,
+                most_urgent,
+            } = wait;
+            write!(f, "{comma}{shard}={}/{}", least_urgent.0, most_urgent.0)?;
         }
         Ok(())
     }
@@ -101,9 +122,9 @@
     /// ```
     /// use jasminepond_forward::LoadReport;
     ///
-    /// let report: LoadReport = "3=51,17=80".parse().unwrap();
+    /// let report: LoadReport = "3=51/4,17=80/0".parse().unwrap();
     /// assert_eq!(report.waits()[0].0, 3);
-    /// assert_eq!(report.to_string(), "3=51,17=80");
+    /// assert_eq!(report.to_string(), "3=51/4,17=80/0");
     /// assert!("3".parse::<LoadReport>().is_err());
     /// ```
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -111,9 +132,13 @@
             return Ok(Self::default());
         }
         let wait = |item: &str| {
-            let (shard, millis) = item.split_once('=')?;
-            let millis = millis.trim().parse().ok()?;
-            Some((shard.trim().parse().ok()?, Millis(millis)))
+            let (shard, waits) = item.split_once('=')?;
+            let (least, most) = waits.split_once('/')?;
+            let wait = ShardWait {
+                least_urgent: Millis(least.trim().parse().ok()?),
+                most_urgent: Millis(most.trim().parse().ok()?),
+            };
+            Some((shard.trim().parse().ok()?, wait))
         };
         let waits = text.split(',').take(MAX_REPORTED).map(wait);
         let waits: Option<_> = waits.collect();
@@ -124,16 +149,20 @@
 /// A wait that another daemon has reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct ReportedWait {
-    pub(crate) wait: Millis,
+    pub(crate) wait: ShardWait,
     pub(crate) at: Timestamp,
 }
 
 impl ReportedWait {
     /// The wait in seconds as far as the report is still believed: its effect fades with its
     /// age.
-    pub(crate) fn at(self, now: Timestamp) -> f64 {
+    pub(crate) fn at(self, now: Timestamp, most_urgent: bool) -> f64 {
+        let wait = match most_urgent {
+            true => self.wait.most_urgent,
+            false => self.wait.least_urgent,
+        };
         let age = now.since(self.at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
-        self.wait.duration().as_secs_f64() * (1.0 - age.min(1.0))
+        wait.duration().as_secs_f64() * (1.0 - age.min(1.0))
     }
 }
 
@@ -154,10 +183,12 @@
     /// servers may be able to process more.
     pub(crate) fn measure(&mut self, now: Timestamp, busy: bool) {
         let rate = f64::from(std::mem::take(&mut self.answered)) / MEASURE_INTERVAL.as_secs_f64();
+        let known = self.known(now).unwrap_or(rate);
         if busy {
-            let known = self.known(now).unwrap_or(rate);
             let throughput = known + (rate - known) * INTERVAL_WEIGHT;
             self.throughput = Some((throughput, now));
+        } else if rate > known {
+            self.throughput = Some((rate, now));
         }
     }
 
@@ -166,10 +197,55 @@
         (now.since(at) < THROUGHPUT_LIFETIME).then_some(throughput)
     }
 
-    /// Seconds for which one more part waits behind `queued` others. `nominal` is the
-    /// throughput of the shard in parts per second that is assumed until one was measured.
-    pub(crate) fn wait(&self, now: Timestamp, queued: f64, nominal: f64) -> f64 {
-        queued / self.known(now).unwrap_or(nominal).max(MIN_THROUGHPUT)
+    /// Parts per second that the shard can process. `nominal` is assumed until it was measured.
+    pub(crate) fn throughput(&self, now: Timestamp, nominal: f64) -> f64 {
+        self.known(now).unwrap_or(nominal).max(MIN_THROUGHPUT)
+    }
+}
+
+/// Rates of the searches of callers.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub(crate) struct CallerRates {
+    /// Searches of each caller, halved in each [`RATE_HALF_LIFE`].
+    searches: HashMap<CallerId, f64>,
+    halved_at: Timestamp,
+}
+
+impl CallerRates {
+    /// Records a search of a caller.
+    pub(crate) fn record(&mut self, now: Timestamp, caller: CallerId) {
+        if now.since(self.halved_at) >= RATE_HALF_LIFE {
+            self.halved_at = now;
+            self.searches.retain(|_, searches| {
+                *searches /= 2.0;
+                *searches >= 0.5
+            });
+        }
+        if self.searches.len() < MAX_CALLERS || self.searches.contains_key(&caller) {
+            *self.searches.entry(caller).or_default() += 1.0;
+        }
+    }
+
+    /// Share of the searches of a caller that is admitted if a share `admitted` of those of all
+    /// callers is: callers share what is admitted by max-min fairness, so those who send
+    /// little lose nothing as long as others send more than their part.
+    pub(crate) fn share_of(&self, caller: CallerId, admitted: f64) -> f64 {
+        let Some(own) = self.searches.get(&caller) else {
+            return admitted;
+        };
+        let mut rates: Vec<_> = self.searches.values().copied().collect();
+        rates.sort_by(f64::total_cmp);
+        let mut left = admitted * rates.iter().sum::<f64>();
+        let mut part = f64::INFINITY;
+        for (at, rate) in rates.iter().enumerate() {
+            let equal = left / (rates.len() - at) as f64;
+            if *rate > equal {
+                part = equal;
+                break;
+            }
+            left -= rate;
+        }
+        (part / own).min(1.0)
     }
 }
 
@@ -183,17 +259,19 @@
 }
 
 /// Decides about a search whose shards take the given shares of the searches. `missing` is the
-/// number of shards that its answer may lack. `draw` is uniform in 0..1 and the same wherever
-/// the search is decided about; `skip` returns a draw for one shard.
+/// number of shards that its answer may lack. `chance` returns the chance of its caller if a
+/// share of all searches is admitted. `draw` is uniform in 0..1; `skip` returns a draw for one
+/// shard.
 ///
 /// A share `b` of the searches is admitted, the largest one for which each admitted search
 /// leaves out no more than the planned number of shards on average if every shard takes its
 /// share: a search leaves a shard with share `s` out with probability `1 - s / b`. So if few
 /// shards are overloaded, all searches are served and lack different ones, and if all are,
-/// the same searches are refused by all shards.
+/// the searches that are refused are refused at all shards.
 pub(crate) fn plan(
     shares: &[f64],
     missing: usize,
+    chance: impl FnOnce(f64) -> f64,
     draw: f64,
     mut skip: impl FnMut(usize) -> f64,
 ) -> Plan {
@@ -202,7 +280,7 @@
     }
     let allowed = missing as f64 * PLANNED_MISSING;
     let admitted = admitted_share(shares, allowed);
-    if draw >= admitted {
+    if draw >= chance(admitted) {
         return Plan::Refuse(admitted);
     }
     let mut left_out: Vec<(f64, usize)> = Vec::new();
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -40,6 +40,7 @@
 mod delegate;
 mod limits;
 mod place;
+mod queued;
 mod relay;
 mod resume;
 mod settle;
@@ -48,6 +49,7 @@
 pub use admit::AdmissionCounts;
 use admit::Admitted;
 pub use delegate::{DelegationRequest, Peer};
+use place::Attempt;
 use suspects::CutCall;
 
 /// Connection limit per server for services that the release does not specify.
@@ -189,6 +191,7 @@
     /// Searches that were answered in part.
     parked: HashMap<SearchId, ReqKey>,
     timers: Timers,
+    queue_waits: queued::Waits,
     actions: VecDeque<Action>,
 }
 
@@ -267,9 +270,9 @@
             requests: self.reqs.len(),
             calls: self.calls.len(),
             connections: self.conns.len(),
-            waiting: self.services.values().map(Service::waiting).sum(),
             overloaded_shards: self.overloaded_shards(),
             admission: self.admission.counts,
+            waiting: self.services.values().map(|s| s.queue.len()).sum(),
         }
     }
 
@@ -526,7 +529,7 @@
                 self.search_parts(now, shards, only.map(|(shards, _)| shards), &[])
             }
             Destination::Search { shards, .. } => {
-                match self.admit_search(now, &route, arrival.fingerprint, spent) {
+                match self.admit_search(now, &route, arrival.caller, arrival.fingerprint, spent) {
                     Admitted::Without(left_out) => {
                         let mut parts = self.search_parts(now, shards, None, &left_out);
                         parts.extend(self.left_out_parts(&route, &left_out));
@@ -554,6 +557,8 @@
         let shards = parts.iter().map(|part| part.weight).sum();
         let key = self.reqs.insert(Req {
             fingerprint: arrival.fingerprint,
+            caller: arrival.caller,
+            draw: arrival.draw,
             arrived: now,
             deadline,
             late,
@@ -612,6 +617,12 @@
             let limit = objective.mul_f64(self.settings.wait_share);
             self.timers.set(now + limit, Timer::WaitLimit(key));
         }
+        self.count_arrival(now, key);
+        if self.must_gather(key) {
+            self.gather(now, key, Attempt::First);
+            self.settle(now, key);
+            return key;
+        }
         for part in 0..parts_len {
             if !self.reqs[key].parts[part].is_open() || repeat && !self.take_token(now, key, part) {
                 continue;
@@ -683,6 +694,7 @@
                 }
                 Timer::SlowHelper(call) => self.on_slow_helper(now, call),
                 Timer::Objective(req) => self.on_objective(now, req),
+                Timer::Gather(req) => self.on_gather_timer(now, req),
                 Timer::WaitLimit(req) => self.on_wait_limit(now, req),
                 Timer::Deadline(req) => self.on_deadline(now, req),
                 Timer::RemoteIdle(conn) => self.on_remote_idle(now, conn),
--- a/crates/jasminepond-forward/src/forwarder/admit.rs
+++ b/crates/jasminepond-forward/src/forwarder/admit.rs
@@ -8,7 +8,10 @@
 
 use super::Forwarder;
 use crate::{
-    admission::{LoadReport, MEASURE_INTERVAL, Plan, ReportedWait, plan, share},
+    CallerId,
+    admission::{
+        CallerRates, LoadReport, MEASURE_INTERVAL, Plan, ReportedWait, ShardWait, plan, share,
+    },
     message::Action,
     request::{ActiveRoute, Part, PartState},
     service::{Service, ServiceKey},
@@ -55,6 +58,8 @@
 pub(super) struct Admission {
     /// Whether the timer for the next measurement is set.
     timer_set: bool,
+    /// Searches that callers have sent lately.
+    callers: CallerRates,
     pub(super) counts: AdmissionCounts,
     /// Counts in the last log line.
     logged: AdmissionCounts,
@@ -76,19 +81,28 @@
         &mut self,
         now: Timestamp,
         route: &ActiveRoute,
+        caller: CallerId,
         fingerprint: Fingerprint,
         spent: Duration,
     ) -> Admitted {
+        self.admission.callers.record(now, caller);
         let limit = time_limit(route).as_secs_f64();
         let shards = route.shards().iter();
         let wait = |shard: &ServiceKey| self.wait(now, *shard, route, route.route.priority);
         let shares: Vec<_> = shards.map(|shard| share(wait(shard) / limit)).collect();
+        if shares.iter().any(|share| *share < 1.0) {
+            self.arm_admission(now);
+        }
+        if shares.iter().any(|share| *share < 1.0) {
+            self.arm_admission(now);
+        }
         let missing = route.shards().len().saturating_sub(route.min_shards());
         let period = now.as_micros() / DRAW_PERIOD.as_micros() as u64;
         let seed = xxh3_64_with_seed(fingerprint.to_string().as_bytes(), period);
         let waited = if spent >= WAITED { WAITED_FACTOR } else { 1.0 };
         let skip = |at: usize| unit(xxh3_64_with_seed(&at.to_le_bytes(), seed ^ now.as_micros()));
-        match plan(&shares, missing, unit(seed) * waited, skip) {
+        let chance = |admitted| self.admission.callers.share_of(caller, admitted);
+        match plan(&shares, missing, chance, unit(seed) * waited, skip) {
             Plan::Without(left_out) => {
                 self.admission.counts.left_out += left_out.len() as u64;
                 Admitted::Without(left_out)
@@ -115,12 +129,14 @@
     /// what this daemon estimates and what it was told.
     fn wait(&self, now: Timestamp, shard: ServiceKey, route: &ActiveRoute, priority: u32) -> f64 {
         let reported = self.services[shard].reported;
-        let reported = reported.map_or(0.0, |reported| reported.at(now));
+        let most_urgent = priority <= self.most_urgent();
+        let reported = reported.map_or(0.0, |reported| reported.at(now, most_urgent));
         self.own_wait(now, shard, route, priority).max(reported)
     }
 
-    /// Seconds for which one more part waits behind those that this daemon has queued and
-    /// those that it has sent beyond its share of the slots of the servers.
+    /// Seconds for which one more part waits behind those that this daemon has queued, and
+    /// behind its calls in progress. The latter do not count while less urgent parts are
+    /// queued: those are refused first.
     fn own_wait(
         &self,
         now: Timestamp,
@@ -133,16 +149,24 @@
         let (calls, slots) = servers.fold((0, 0), |(calls, slots), server| {
             (calls + server.calls.len(), slots + server.backend.slots)
         });
-        let own_slots = f64::from(slots) / f64::from(self.settings.daemons_sharing.max(1));
-        let queued = service.waiting_ahead(priority) as f64 + (calls as f64 - own_slots).max(0.0);
-        let latency = route.stats.latency.borrow().low();
-        match queued {
-            0.0 => 0.0,
-            _ if latency.is_zero() => 0.0,
-            queued => service
-                .load
-                .wait(now, queued, f64::from(slots) / latency.as_secs_f64()),
+        let latency = route.stats.latency.borrow().low().as_secs_f64();
+        if latency == 0.0 {
+            return 0.0;
         }
+        let throughput = service.load.throughput(now, f64::from(slots) / latency);
+        let ahead = service.queued_ahead(priority);
+        let in_progress = match service.queued_ahead(u32::MAX) > ahead {
+            true => 0.0,
+            false => (calls as f64 / throughput - latency).max(0.0),
+        };
+        ahead as f64 / throughput + in_progress
+    }
+
+    /// Priority of the most urgent searches.
+    fn most_urgent(&self) -> u32 {
+        let searches = self.active.iter().filter(|route| route.is_search());
+        let priorities = searches.map(|route| route.route.priority);
+        priorities.min().unwrap_or_default()
     }
 
     /// Whether parts of a route wait here for a shard so long that it does not take all.
@@ -158,7 +182,8 @@
 
     /// Number of shards for which parts wait here.
     pub(super) fn overloaded_shards(&self) -> usize {
-        let waiting = |service: &&Service| service.shard_index.is_some() && service.waiting() > 0;
+        let waiting =
+            |service: &&Service| service.shard_index.is_some() && !service.queue.is_empty();
         self.services.values().filter(waiting).count()
     }
 
@@ -167,10 +192,18 @@
     pub fn load_report(&self, now: Timestamp, route: &ActiveRoute) -> LoadReport {
         let shortest = route.objective().as_secs_f64() * SHORT_REPORTED;
         let shards = route.shards().iter().enumerate();
-        let waits =
-            shards.map(|(index, shard)| (index, self.own_wait(now, *shard, route, u32::MAX)));
-        let long = waits.filter(|(_, wait)| *wait > shortest);
-        LoadReport::new(long.map(|(index, wait)| (index, Millis((wait * 1_000.0) as u64))))
+        let wait = |shard: &ServiceKey, priority| self.own_wait(now, *shard, route, priority);
+        let millis = |seconds: f64| Millis((seconds * 1_000.0) as u64);
+        let most_urgent = self.most_urgent();
+        let long = shards.filter_map(|(index, shard)| {
+            let least_urgent = wait(shard, u32::MAX);
+            let wait = ShardWait {
+                least_urgent: millis(least_urgent),
+                most_urgent: millis(wait(shard, most_urgent)),
+            };
+            (least_urgent > shortest).then_some((index, wait))
+        });
+        LoadReport::new(long)
     }
 
     /// Records what another daemon reports about the shards of which it had a part.
@@ -182,7 +215,7 @@
         report: &LoadReport,
     ) {
         let shards = route.shards();
-        let none = asked.iter().map(|index| (*index, Millis(0)));
+        let none = asked.iter().map(|index| (*index, ShardWait::default()));
         for (index, wait) in none.chain(report.waits().iter().copied()) {
             if let Some(shard) = shards.get(index) {
                 self.services[*shard].reported = Some(ReportedWait { wait, at: now });
@@ -201,7 +234,7 @@
         self.admission.timer_set = false;
         let mut again = false;
         for service in self.services.values_mut() {
-            let busy = service.waiting() > 0;
+            let busy = !service.queue.is_empty();
             service.load.measure(now, busy);
             again |= busy;
         }
--- a/crates/jasminepond-forward/src/forwarder/balance.rs
+++ b/crates/jasminepond-forward/src/forwarder/balance.rs
@@ -47,7 +47,7 @@
         } else {
             1.0
         };
-        let connection = match self.idle_conn(now, key) {
+        let connection = match self.idle_conn(now, key, 0) {
             Some(_) => 1.0,
             None => SPREAD,
         };
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -13,6 +13,7 @@
 
 use super::{Cluster, Forwarder, relay::RELAYS};
 use crate::{
+    CallerId,
     message::{Action, Backend, BackendState, CallKey, ReqKey, ServerEvent},
     request::{ActiveRoute, Delegated, Part, Req},
     server::{ServerKey, Standing},
@@ -88,6 +89,8 @@
     pub admitted: bool,
     /// Whether this asks for the rest of a search.
     pub resumes: bool,
+    /// Caller of the request, if known.
+    pub caller: Option<CallerId>,
 }
 
 impl Forwarder {
@@ -415,6 +418,7 @@
             max_attempts: part.max_attempts,
             admitted: req.trial.is_some() || req.admitted,
             resumes: part.resumes.is_some(),
+            caller: Some(req.caller),
         })
     }
 
@@ -493,6 +497,7 @@
     /// the route allows.
     pub(super) fn handle_locally(&mut self, now: Timestamp, key: ReqKey, index: usize) {
         let services = self.services_of(key, index);
+        self.unqueue(key, index);
         self.reqs[key].parts[index].hand_over();
         for service in services {
             let req = &mut self.reqs[key];
--- a/crates/jasminepond-forward/src/forwarder/resume.rs
+++ b/crates/jasminepond-forward/src/forwarder/resume.rs
@@ -44,6 +44,7 @@
             return self.finish(now, key, Some(answer), verdict);
         }
         let summary = self.summary(now, &self.reqs[key], verdict);
+        self.unqueue_all(key);
         let req = &mut self.reqs[key];
         req.parked = true;
         for part in req.parts.iter_mut().filter(|part| part.is_waiting()) {
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod latency;
 mod merge;
 mod message;
+mod queue;
 mod report;
 mod request;
 mod server;
@@ -25,7 +26,7 @@
 mod timers;
 mod window;
 
-pub use admission::{LoadReport, LoadReportError};
+pub use admission::{LoadReport, LoadReportError, ShardWait};
 pub use balance::{
     Balance, HeardLoad, PERIOD, SPREAD, Turn, ZoneCount, local_share, slowness_cost,
 };
@@ -39,7 +40,10 @@
     EvidenceSource, Exchange, LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter,
     Scope, SearchId, ServerEvent, StatedLimit, Summary, Verdict,
 };
-pub use report::{CallReport, RouteReport, ServerReport, ServiceReport};
+pub use queue::{
+    Blocked, CallerId, ClassBacklog, Lane, PartId, PartQueue, QueueWait, QueuedPart, ServerChoice,
+};
+pub use report::{CallReport, QueueReport, RouteReport, ServerReport, ServiceReport};
 pub use request::ActiveRoute;
 pub use server::ServerKey;
 pub use service::ServiceKey;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    AdmissionCounts, LoadReport, contact::ContactEvent, forwarder::DelegationRequest,
+    AdmissionCounts, CallerId, LoadReport, contact::ContactEvent, forwarder::DelegationRequest,
     request::ActiveRoute, stated_load::StatedLoad,
 };
 
@@ -39,6 +39,10 @@
     pub fingerprint: Fingerprint,
     /// Identifies the attempt of the caller.
     pub search: SearchId,
+    /// Its caller.
+    pub caller: CallerId,
+    /// Random number of the request, equal on all daemons that handle parts of it.
+    pub draw: u64,
     /// Set if another daemon delegates the request, or a part of it, to this one.
     pub delegated: Option<DelegatedPart>,
 }
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -1,15 +1,12 @@
 //! A service: its backend servers, its budget and its queue.
 
-use std::collections::VecDeque;
-
 use jasminepond_routes::ServiceName;
 use jasminepond_types::Timestamp;
 use slotmap::new_key_type;
 
 use crate::{
-    RepeatBudget,
+    PartQueue, RepeatBudget,
     admission::{ReportedWait, ShardLoad},
-    message::ReqKey,
     server::ServerKey,
 };
 
@@ -18,17 +15,6 @@
     pub struct ServiceKey;
 }
 
-/// A queued part of a request that waits for a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Waiting {
-    /// Whether the objective of the request has passed. Requests that can still meet
-    /// their objective go first.
-    pub(crate) late: bool,
-    pub(crate) priority: u32,
-    pub(crate) req: ReqKey,
-    pub(crate) part: usize,
-}
-
 #[derive(Debug)]
 pub(crate) struct Service {
     pub(crate) name: ServiceName,
@@ -54,7 +40,8 @@
     pub(crate) reported: Option<ReportedWait>,
     /// Share of the calls for which servers in the own zone are preferred.
     pub(crate) local_share: f64,
-    waiting: VecDeque<Waiting>,
+    /// Parts that wait for a connection.
+    pub(crate) queue: PartQueue,
 }
 
 impl Service {
@@ -73,32 +60,14 @@
             load: ShardLoad::default(),
             reported: None,
             local_share: 1.0,
-            waiting: VecDeque::new(),
+            queue: PartQueue::default(),
         }
     }
 
-    /// Queues a part behind those of the same or a higher priority.
-    pub(crate) fn enqueue(&mut self, part: Waiting) {
-        let before = self
-            .waiting
-            .iter()
-            .rposition(|w| (w.late, w.priority) <= (part.late, part.priority));
-        let at = before.map_or(0, |at| at + 1);
-        self.waiting.insert(at, part);
-    }
-
-    /// Removes all queued parts, in order.
-    pub(crate) fn take_waiting(&mut self) -> VecDeque<Waiting> {
-        std::mem::take(&mut self.waiting)
-    }
-
     /// Number of queued parts that go before a new one of this priority.
-    pub(crate) fn waiting_ahead(&self, priority: u32) -> usize {
-        let ahead = |part: &&Waiting| !part.late && part.priority <= priority;
-        self.waiting.iter().filter(ahead).count()
-    }
-
-    pub(crate) fn waiting(&self) -> usize {
-        self.waiting.len()
+    pub(crate) fn queued_ahead(&self, priority: u32) -> usize {
+        let classes = self.queue.backlogs();
+        let ahead = classes.filter(|class| class.priority <= priority);
+        ahead.map(|class| class.parts - class.late).sum()
     }
 }
--- a/crates/jasminepond-forward/tests/delegation.rs
+++ b/crates/jasminepond-forward/tests/delegation.rs
@@ -157,6 +157,8 @@
         time_left: CALLER_TIMEOUT,
         fingerprint: Default::default(),
         search: SearchId(1),
+        caller: Default::default(),
+        draw: 0,
         delegated,
     };
     sim.forwarder.submit(sim.now, arrival);
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -13,8 +13,9 @@
 
 use bytes::Bytes;
 use jasminepond_forward::{
-    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, Exchange,
-    ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, SearchId, Summary,
+    Action, Answer, Arrival, Backend, BackendState, CallerId, Cluster, ConnKey, ContactEvent,
+    Exchange, ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, SearchId,
+    Summary,
 };
 use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_routes::{
@@ -22,6 +23,7 @@
 };
 use jasminepond_types::{Millis, Timestamp};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use xxhash_rust::xxh3::xxh3_64;
 
 pub const MS: Duration = Duration::from_millis(1);
 
@@ -106,6 +108,8 @@
     pub attempts: usize,
     /// Connection limit of the servers in the next release.
     pub max_connections: u32,
+    /// Caller of the requests that are submitted.
+    pub caller: CallerId,
     submitted: u64,
     sent: HashMap<ReqKey, ConnKey>,
     conns: HashMap<ConnKey, usize>,
@@ -136,6 +140,7 @@
             opened: 0,
             attempts: 0,
             max_connections: 25,
+            caller: CallerId::default(),
             submitted: 0,
             sent: HashMap::new(),
             conns: HashMap::new(),
@@ -294,6 +299,8 @@
                 time_left,
                 fingerprint: fingerprint(path, self.submitted),
                 search: SearchId(self.submitted),
+                caller: self.caller,
+                draw: xxh3_64(&self.submitted.to_le_bytes()),
                 delegated: None,
             },
         );
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -29,7 +29,8 @@
 };
 use jasminepond_discovery::{ReaderSettings, settle_time};
 use jasminepond_forward::{
-    ForwardSettings, Forwarder, HeardLoad, RepeatSettings, RouteReport, ServerReport, ServiceReport,
+    ForwardSettings, Forwarder, HeardLoad, QueueReport, RepeatSettings, RouteReport, ServerReport,
+    ServiceReport,
 };
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
@@ -333,6 +334,7 @@
                 "refused": status.admission.refused,
                 "shards_left_out": status.admission.left_out,
             },
+            "queues": forwarder.queue_reports().into_iter().map(queue_status).collect::<Vec<_>>(),
             "routes": routes.collect::<Vec<_>>(),
             "suspects": suspects.collect::<Vec<_>>(),
             "services": services.collect::<Vec<_>>(),
@@ -341,6 +343,16 @@
     })
 }
 
+fn queue_status(report: QueueReport) -> serde_json::Value {
+    json!({
+        "priority": report.priority,
+        "parts": report.parts,
+        "late": report.late,
+        "services": report.services,
+        "callers": report.callers,
+    })
+}
+
 /// What an operator orders about a request that ends servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SuspectOrder {
@@ -423,12 +435,13 @@
             match path {
                 "/metrics" => {
                     let now = hub.clock().now();
-                    let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
-                    let (status, suspects) = hub.read(read);
+                    let read =
+                        |f: &Forwarder| (f.status(), f.queue_reports(), f.suspect_counts(now));
+                    let (status, queues, suspects) = hub.read(read);
                     let state_age = now.since(hub.store_state().confirmed_at);
                     let ratio = hub.read(|f| f.busiest_over_mean(now));
                     hub.metrics().set_busiest_over_mean(ratio);
-                    let text = hub.metrics().render(status, suspects, state_age);
+                    let text = hub.metrics().render(status, &queues, suspects, state_age);
                     text_response(StatusCode::OK, METRICS_MEDIA_TYPE, text)
                 }
                 "/status" => json_response(StatusCode::OK, &status_page(&hub)),
