--- a/crates/jasminepond-forward/src/balance.rs
+++ b/crates/jasminepond-forward/src/balance.rs
@@ -24,10 +24,17 @@
 /// equal one with a call in progress.
 pub const SPREAD: f64 = 1.4;
 
-/// Slowness up to which servers count as equally fast. Latencies of single requests differ
-/// by this much on equal servers. The cost rises from 1 at this point: a step would move all
-/// calls at once.
-const EQUAL_SLOWNESS: f64 = 1.5;
+/// Latency relative to the usual one up to which a response says nothing about its server.
+/// Single requests that wait for a slot on equal servers take this long.
+const EQUAL_LATENCY: f64 = 2.5;
+
+/// Highest latency relative to the usual one that counts. With 20, the pauses of servers kept
+/// calls away from them for seconds, at different servers for different lengths.
+const MAX_SLOWNESS: f64 = 6.0;
+
+/// Average slowness up to which servers count as equally fast. With 1.5, calls return to a
+/// slow server half as often again as with 1.
+const EQUAL_AVERAGE: f64 = 1.2;
 
 /// Random choices of one daemon.
 ///
@@ -89,17 +96,36 @@
     }
 }
 
-/// Cost factor of a server whose latency is `slowness` times the usual one.
+/// What a response with `ratio` times the usual latency says about the slowness of its
+/// server. Differences between single requests are left out here and not only in the average:
+/// the average of a slow server would be back among those of equal ones too early.
+///
+/// ```
+/// use jasminepond_forward::slowness_sample;
+///
+/// assert_eq!(slowness_sample(0.7), 1.0);
+/// assert_eq!(slowness_sample(2.0), 1.0);
+/// assert_eq!(slowness_sample(4.0), 4.0);
+/// assert_eq!(slowness_sample(50.0), 6.0);
+/// ```
+pub fn slowness_sample(ratio: f64) -> f64 {
+    match ratio <= EQUAL_LATENCY {
+        true => 1.0,
+        false => ratio.min(MAX_SLOWNESS),
+    }
+}
+
+/// Cost factor of a server whose samples average to `slowness`. It rises from 1 without a
+/// step, which would move all calls at once.
 ///
 /// ```
 /// use jasminepond_forward::slowness_cost;
 ///
-/// assert_eq!(slowness_cost(0.7), 1.0);
-/// assert_eq!(slowness_cost(1.2), 1.0);
-/// assert_eq!(slowness_cost(6.0), 4.0);
+/// assert_eq!(slowness_cost(1.1), 1.0);
+/// assert_eq!(slowness_cost(3.0), 2.5);
 /// ```
 pub fn slowness_cost(slowness: f64) -> f64 {
-    (slowness / EQUAL_SLOWNESS).max(1.0)
+    (slowness / EQUAL_AVERAGE).max(1.0)
 }
 
 /// Daemons and servers of a service in one availability zone.
@@ -152,10 +178,6 @@
 /// Highest accepted duration of work relative to the usual one.
 const MAX_WORK: f64 = 3.0;
 
-/// Cost of a server of which all slots are busy and none waits, above that of an idle one.
-/// Small enough for the random factor to outweigh differences of a few slots.
-const BUSY_COST: f64 = 0.5;
-
 /// Load that a server has stated, and when.
 ///
 /// ```
@@ -212,10 +234,10 @@
         let fade = 0.5_f64.powf(halves);
         let slots = f64::from(self.load.slots);
         let busy = f64::from(self.others) + own_calls as f64;
+        // Busy slots do not count while others are free: a slow server would get the calls.
         let queued = (busy + 1.0 - slots).max(0.0) / slots;
-        let load = BUSY_COST * (busy / slots).min(1.0) + queued;
         let work = (f64::from(self.load.work_percent) / 100.0).clamp(1.0, MAX_WORK);
-        let factor = ((1.0 + load) * work).min(MAX_LOAD_COST);
+        let factor = ((1.0 + queued) * work).min(MAX_LOAD_COST);
         1.0 + (factor - 1.0) * fade
     }
 }
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub use balance::{
     Balance, HeardLoad, PERIOD, SPREAD, Turn, ZoneCount, local_share, slowness_cost,
+    slowness_sample,
 };
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -7,7 +7,7 @@
 use slotmap::new_key_type;
 
 use crate::{
-    balance::{HeardLoad, slowness_cost},
+    balance::{HeardLoad, slowness_cost, slowness_sample},
     departed::Restriction,
     evenness::SendCount,
     message::{Backend, BackendState, CallKey, ConnKey, LimitUsage},
@@ -31,9 +31,6 @@
 /// Cost factor of a server that is warming up.
 const WARM_UP_COST: f64 = 1.8;
 
-/// Bounds of a slowness sample, so that a single outlier has limited effect.
-const SLOWNESS_BOUNDS: std::ops::RangeInclusive<f64> = 0.5..=20.0;
-
 /// Preference class of a server for new requests, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Standing {
@@ -239,7 +236,7 @@
         let decayed = 1.0 + (self.slowness - 1.0) * decay;
         self.slowness = match slowness {
             Some(sample) => {
-                let sample = sample.clamp(*SLOWNESS_BOUNDS.start(), *SLOWNESS_BOUNDS.end());
+                let sample = slowness_sample(sample);
                 decayed + (sample - decayed) * SAMPLE_WEIGHT
             }
             None => decayed,
