feat(forward): choose among callers by draw under overload

Turns are also remembered for a caller that has no parts at the moment, so one that returns at once gains nothing by its new draws. They are forgotten each second: callers that come once only would otherwise always go before those that stay.

--- a/crates/jasminepond-forward/src/queue.rs
+++ b/crates/jasminepond-forward/src/queue.rs
@@ -279,7 +279,7 @@
             self.sent_at_once(now, part.priority);
         }
         let class = self.classes.get_mut(&part.priority)?;
-        let over_share = class.serve(&part, bucket, seq);
+        let over_share = class.serve(now, &part, bucket, seq);
         Some(QueueWait {
             priority: part.priority,
             waited: now.since(since),
--- a/crates/jasminepond-forward/src/queue/class.rs
+++ b/crates/jasminepond-forward/src/queue/class.rs
@@ -108,7 +108,13 @@
     }
 
     /// Removes a part that is sent. Returns whether its caller had more parts than the mean.
-    pub(super) fn serve(&mut self, part: &QueuedPart, bucket: Bucket, seq: u64) -> bool {
+    pub(super) fn serve(
+        &mut self,
+        now: Timestamp,
+        part: &QueuedPart,
+        bucket: Bucket,
+        seq: u64,
+    ) -> bool {
         let waits = |wanted| self.flows.keys().any(|(lane, _)| *lane == wanted);
         let owed = match waits(Lane::Once) && waits(Lane::InTime) {
             true => self.repeatable_owed + MIN_SHARE,
@@ -116,7 +122,7 @@
         };
         let used = if part.lane == Lane::InTime { 1.0 } else { 0.0 };
         self.repeatable_owed = (owed - used).clamp(0.0, MAX_OWED);
-        self.change_flow(part, |flow| flow.serve(bucket, seq, part.draw))
+        self.change_flow(part, |flow| flow.serve(now, bucket, seq, part.draw))
             .unwrap_or(false)
     }
 
--- a/crates/jasminepond-forward/tests/queue.rs
+++ b/crates/jasminepond-forward/tests/queue.rs
@@ -211,6 +211,36 @@
     assert_eq!(served[&0], 100);
 }
 
+/// Guards against a caller that returns at once after each turn, and that gets more turns under
+/// overload since each of its requests has a new draw.
+#[test]
+fn a_caller_that_returns_at_once_waits_for_others_under_overload() {
+    let mut queue = PartQueue::default();
+    let from = |req, caller, draw| QueuedPart {
+        caller: CallerId(caller),
+        draw,
+        ..part(req, 1)
+    };
+    let too_late = NOW - Duration::from_millis(1);
+    queue.push(
+        NOW,
+        QueuedPart {
+            send_by: too_late,
+            ..part(0, 1)
+        },
+    );
+    // By draw, the parts of caller 7 come first.
+    for req in 1..=4 {
+        queue.push(NOW, from(req, 8, 100 + req));
+    }
+    let mut order = Vec::new();
+    for req in 10..14 {
+        queue.push(NOW, from(req, 7, 1));
+        order.extend(send(&mut queue, 2).iter().map(|part| part.caller.0));
+    }
+    assert_eq!(order, [7, 8, 7, 8, 7, 8, 7, 8]);
+}
+
 /// Guards against turns of greedy callers that are not counted.
 #[test]
 fn turns_of_callers_over_their_share_are_counted() {
--- a/crates/jasminepond-forward/tests/queueing.rs
+++ b/crates/jasminepond-forward/tests/queueing.rs
@@ -9,6 +9,7 @@
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use sim::{Behavior, MS, Sim, search, single};
+use test_case::test_case;
 
 /// A search over one shard at `/search/PRIORITY/`.
 fn class(priority: u32, objective: u64, timeout: u64) -> Route {
@@ -371,8 +372,10 @@
 
 /// Searches over 20 shards at twice what their servers can do. Guards against queues that each
 /// send parts of different searches, of which few reach their coverage.
-#[test]
-fn queues_send_parts_of_the_same_searches_under_overload() {
+#[test_case(1)]
+#[test_case(20)]
+#[test_case(2_000; "a caller for each search")]
+fn queues_send_parts_of_the_same_searches_under_overload(callers: u64) {
     let mut sim = Sim::new(ForwardSettings::default(), 1);
     for shard in 0..20 {
         sim.add(&format!("s{shard}-0"), &format!("s{shard}"), 20 * MS);
@@ -383,14 +386,15 @@
     };
     sim.put_release(1, vec![route]);
     sim.run_for(Duration::from_secs(1));
-    let load = Load {
+    let load = |caller| Load {
         path: "/search/1/",
-        caller: 1,
-        per_s: 200.0,
+        caller,
+        per_s: 200.0 / callers as f64,
         time_left: 800 * MS,
     };
-    let (reqs, _) = run(&mut sim, &[load], Duration::from_secs(10));
-    let in_time = served(&sim, &reqs[0], 200 * MS);
+    let loads: Vec<_> = (0..callers).map(load).collect();
+    let (reqs, _) = run(&mut sim, &loads, Duration::from_secs(10));
+    let in_time = served(&sim, &reqs.concat(), 200 * MS);
     println!("{in_time} of the searches in time");
     // Half of the 0.5 that the servers can do; admission control does the rest.
     assert!(in_time > 0.25, "{in_time} in time");
