feat(forward): no requests to servers of evacuated zones

The gateway could not stop sending to the servers of one availability zone while their entries say that they are ready.

`Forwarder::set_evacuated` takes the whole set of evacuated zones. A server in one of them has no standing, so first sends, hedged sends, retries, parts of other daemons and queued parts avoid it, also as a last resort. Its idle connections are closed and none is opened; calls in progress finish. Queued parts are placed again at once, and end if no server is left, with a `Retry-After` of 5 s. Connections are assigned among the remaining servers, since a daemon whose assigned servers are all evacuated would use others only as remote ones.

When the evacuation ends, each daemon uses each server again after its own delay of up to 2 s, and counts it as warming up for 10 s. Ruled out: to use them at once and to limit only `preconnect`, because every request opens a connection to the idle server with the lowest cost; and to delay the servers of a service that has no others, which refuses requests.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -21,6 +21,7 @@
     Demand, RepeatBudget, ShardGroups,
     contact::Contact,
     departed::{DepartedServers, Restriction},
+    evacuation::{Evacuation, ZoneAccess},
     message::{
         Action, Arrival, Backend, BackendState, CallKey, ConnKey, ReqKey, Scope, ServerEvent,
         Verdict,
@@ -36,6 +37,7 @@
 mod connect;
 mod contact;
 mod delegate;
+mod evacuate;
 mod limits;
 mod place;
 mod relay;
@@ -101,6 +103,10 @@
     pub down: usize,
     /// Servers that state a rate limit.
     pub limited: usize,
+    /// Availability zones that are evacuated.
+    pub evacuated_zones: usize,
+    /// Servers that get no requests because of it.
+    pub held_out: usize,
     /// Requests in progress.
     pub requests: usize,
     /// Calls in progress.
@@ -157,6 +163,7 @@
     servers_by_process: HashMap<ProcessId, ServerKey>,
     limiter: RateLimiter,
     departed: DepartedServers,
+    evacuation: Evacuation,
     contact: Contact,
     /// When contact is checked next.
     contact_check: Option<Timestamp>,
@@ -234,12 +241,15 @@
     pub fn status(&self) -> Status {
         let down = |server: &&Server| matches!(server.reachability, Reachability::Down { .. });
         let limited = |server: &&Server| self.limiter.limit(server.process).is_some();
+        let held_out = |key: &&ServerKey| self.servers[**key].access == ZoneAccess::Evacuated;
         Status {
             version: self.version.unwrap_or_default(),
             routes: self.active.len(),
             servers: self.servers_by_id.len(),
             down: self.servers.values().filter(down).count(),
             limited: self.servers.values().filter(limited).count(),
+            evacuated_zones: self.evacuation.iter().count(),
+            held_out: self.servers_by_id.values().filter(held_out).count(),
             requests: self.reqs.len(),
             calls: self.calls.len(),
             connections: self.conns.len(),
@@ -400,6 +410,8 @@
                 && server.service == service;
             if same {
                 server.update(now, backend);
+                self.update_access(now, key);
+                let server = &self.servers[key];
                 if let Some(since) = server.leaving_since {
                     let end = since + self.settings.leave_grace();
                     self.timers.set(end, Timer::Server(key));
@@ -430,6 +442,7 @@
         }
         self.servers_by_id.insert(id, key);
         self.services[service].servers.push(key);
+        self.update_access(now, key);
         if self.is_new_zone(key) {
             self.regroup(now);
         }
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -76,6 +76,9 @@
     pub(super) fn open_conn(&mut self, now: Timestamp, key: ServerKey) {
         let limit = self.connection_limit(key);
         let server = &mut self.servers[key];
+        if !server.access.is_open(now) {
+            return;
+        }
         if let Reachability::Down { until } = server.reachability
             && now < until
         {
@@ -90,7 +93,8 @@
     /// Opens a connection to a server to find out whether it responds, regardless of the
     /// limits.
     pub(super) fn open_probe(&mut self, now: Timestamp, key: ServerKey) {
-        if self.servers[key].opening == 0 {
+        let server = &self.servers[key];
+        if server.opening == 0 && server.access.is_open(now) {
             self.start_connection(now, key);
         }
     }
@@ -235,7 +239,7 @@
         }
         state.state = ConnState::Idle { since: now, until };
         let server = state.server;
-        if !self.is_known(server) {
+        if !self.is_known(server) || !self.servers[server].access.is_open(now) {
             self.close_conn(conn);
             return;
         }
@@ -363,6 +367,7 @@
         if !self.is_known(key) {
             return;
         }
+        self.finish_return(now, key);
         match self.servers[key].leaving_since {
             Some(since) if now.since(since) >= self.settings.leave_grace() => self.retire(now, key),
             Some(_) => {}
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -13,6 +13,7 @@
 
 use super::{Cluster, Forwarder, relay::RELAYS};
 use crate::{
+    evacuation::ZoneAccess,
     message::{Action, Backend, BackendState, CallKey, ReqKey, ServerEvent},
     request::{ActiveRoute, Delegated, Part, Req},
     server::{ServerKey, Standing},
@@ -292,6 +293,8 @@
         let state = &self.services[service];
         let id = |key: &ServerKey| self.servers[*key].backend.id.clone();
         let mut ordered = state.servers.clone();
+        // The connections to servers of evacuated zones are divided among the others.
+        ordered.retain(|key| self.servers[*key].access == ZoneAccess::Open);
         ordered.sort_by_key(id);
         let rank = self.cluster.unwrap_or_default().rank as usize;
         let len = ordered.len();
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -447,6 +447,11 @@
         let relayed = req.parts.iter().filter(relayed).count();
         let limited = |part: &&Part| matches!(part.state, PartState::Missing(LIMITED));
         let limited = req.parts.iter().filter(limited).count();
+        let evacuated = req.parts.iter().filter(|part| self.is_held_out(now, part));
+        let evacuated = match verdict {
+            Verdict::Served => 0,
+            _ => evacuated.count(),
+        };
         let missing = match verdict {
             Verdict::Served => Vec::new(),
             _ => req.parts.iter().filter_map(missing_reason).collect(),
@@ -461,6 +466,7 @@
             over_budget: req.over_budget,
             missing,
             limited: limited as u32,
+            evacuated: evacuated as u32,
             server: req.last_server,
             relayed: relayed as u32,
         };
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -218,7 +218,7 @@
             conn.state == ConnState::Opening && conn.opened >= now
         });
         // The next request finds out otherwise.
-        if !probed && !of_part {
+        if !probed && !of_part && self.servers[key].access.is_open(now) {
             self.start_connection(now, key);
         }
     }
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller_timeouts;
 mod contact;
 mod departed;
+mod evacuation;
 mod forwarder;
 mod latency;
 mod merge;
@@ -23,6 +24,7 @@
 
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
+pub use evacuation::{EvacuatedZones, ZoneChange};
 pub use forwarder::{Cluster, DelegationRequest, Forwarder, Peer, Status};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, merge_top_k};
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -305,6 +305,9 @@
     pub missing: Vec<String>,
     /// Parts that were not sent because their servers were at their rate limits.
     pub limited: u32,
+    /// Number of parts without a usable server while servers of evacuated zones are held
+    /// out.
+    pub evacuated: u32,
     /// Server whose response was forwarded, or that failed last.
     pub server: Option<Arc<str>>,
     /// Parts that other daemons sent on, because this one reached no server.
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Forwarder, ReqKey,
+    evacuation::ZoneAccess,
     server::{Reachability, Standing},
 };
 
@@ -138,6 +139,13 @@
                 let wait = millis(self.back_off_left(now));
                 format!("it wants no requests for {wait} ms")
             }
+            (None, ..) if self.access == ZoneAccess::Evacuated => {
+                "its availability zone is evacuated".to_owned()
+            }
+            (None, ..) if !self.access.is_open(now) => {
+                let wait = millis(self.access.opens_in(now));
+                format!("its availability zone was evacuated, used again in {wait} ms")
+            }
             (None, Reachability::Down { until }, _) => {
                 let wait = millis(until.since(now));
                 format!("no connection can be opened, tried again in {wait} ms")
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     departed::Restriction,
+    evacuation::{RETURN_WARM_UP, ZoneAccess},
     message::{Backend, BackendState, CallKey, ConnKey, LimitUsage},
     service::ServiceKey,
     settings::ForwardSettings,
@@ -95,6 +96,8 @@
     /// Whether another server answered at the address. The server is not used until its
     /// entry changes.
     pub(crate) address_taken: bool,
+    /// Whether the evacuation of its zone permits requests.
+    pub(crate) access: ZoneAccess,
 }
 
 impl Server {
@@ -124,6 +127,7 @@
             failure_rate: 0.0,
             sampled_at: now,
             address_taken: false,
+            access: ZoneAccess::Open,
         }
     }
 
@@ -143,7 +147,7 @@
 
     /// Preference class for a new request, or `None` if the server is unusable.
     pub(crate) fn standing(&self, now: Timestamp, settings: &ForwardSettings) -> Option<Standing> {
-        if self.address_taken || now < self.back_off_until {
+        if self.address_taken || now < self.back_off_until || !self.access.is_open(now) {
             return None;
         }
         if let Reachability::Down { .. } = self.reachability
@@ -163,7 +167,8 @@
 
     /// Whether the server takes new requests as far as its own statements tell.
     pub(crate) fn wants_requests(&self, now: Timestamp) -> bool {
-        self.leaving_since.is_none() && !self.address_taken && self.back_off_left(now).is_zero()
+        let open = self.back_off_left(now).is_zero() && self.access.is_open(now);
+        self.leaving_since.is_none() && !self.address_taken && open
     }
 
     /// Whether there is a connection, or no failed attempt to open one is known.
@@ -191,7 +196,11 @@
             Reachability::Down { until } if self.conns.is_empty() => until.since(now),
             Reachability::Down { .. } | Reachability::Up => Duration::ZERO,
         };
-        Some(reconnect_in.max(self.back_off_until.since(now)))
+        let held_for = self
+            .back_off_until
+            .since(now)
+            .max(self.access.opens_in(now));
+        Some(reconnect_in.max(held_for))
     }
 
     /// Expected cost of one more request, relative to an idle healthy server.
@@ -303,6 +312,14 @@
         self.back_off_until.since(now)
     }
 
+    /// Begins to use the server again at `at`, after its zone was evacuated. What was
+    /// observed before does not tell how it is now.
+    pub(crate) fn set_returning(&mut self, at: Timestamp) {
+        self.access = ZoneAccess::Returning(at);
+        self.warm_up_until = self.warm_up_until.max(at + RETURN_WARM_UP);
+        self.forget_silence();
+    }
+
     /// Marks the server as stalled. Returns whether that is new.
     pub(crate) fn set_stalled(&mut self) -> bool {
         !std::mem::replace(&mut self.stalled, true)
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -13,8 +13,8 @@
 
 use bytes::Bytes;
 use jasminepond_forward::{
-    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, Exchange,
-    ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
+    Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, EvacuatedZones,
+    Exchange, ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey, RetryAfter, Summary,
 };
 use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_routes::{
@@ -253,6 +253,20 @@
         self.run_actions();
     }
 
+    /// Moves a server to another availability zone.
+    pub fn set_zone(&mut self, index: usize, zone: &str) {
+        let mut entry = self.entry(index);
+        entry.zone = zone.to_owned();
+        self.put_entry(entry);
+    }
+
+    /// Evacuates these availability zones and no others.
+    pub fn set_evacuated(&mut self, zones: &[&str]) {
+        let zones: EvacuatedZones = zones.iter().copied().collect();
+        self.forwarder.set_evacuated(self.now, &zones);
+        self.run_actions();
+    }
+
     /// Adds shards `s0..` with two servers each, which pause at random offsets.
     pub fn add_shards(&mut self, shards: usize, work: Duration, pause: Duration, every: Duration) {
         for shard in 0..shards {
