feat(gateway): read evacuated zones from the store

The key `op/evacuate/ZONE` was not read. Listings covered the release and the servers only.

The reader lists the prefix `op/` in place of the read of the release, so the release and the evacuations take one call as before, or more if the store divides the listing. A watch evacuates and lifts.

After a restore from a backup, known zones stay in force until a listing of the settled store lacks them. That listing of `op/` is made only if a zone was not seen in the store since, so an ordinary restore takes no further call. Ruled out: to lift zones with the first listing of a restored store, which may be older than the key.

A request for changes is answered at once if the position differs, since the zones may have changed without any server. Log lines, metrics and fields of /status state the zones, the servers that are held out, and the requests that fail because of it.

--- a/crates/jasminepond-discovery/src/item.rs
+++ b/crates/jasminepond-discovery/src/item.rs
@@ -1,6 +1,6 @@
 //! Decoded values and changes of the store.
 
-use std::{fmt, num::ParseIntError, str::FromStr};
+use std::{fmt, num::ParseIntError, str::FromStr, sync::Arc};
 
 use jasminepond_forward::Backend;
 use jasminepond_routes::Release;
@@ -106,6 +106,11 @@
         /// Why it is invalid.
         reason: String,
     },
+    /// The operator evacuates an availability zone.
+    Evacuation {
+        /// The zone.
+        zone: Arc<str>,
+    },
     /// A value that the daemon does not use.
     Other,
 }
@@ -126,6 +131,8 @@
     Written(Item),
     /// The entry of the backend server with this id was removed.
     BackendRemoved(String),
+    /// The key that evacuates this availability zone was removed.
+    EvacuationRemoved(Arc<str>),
     /// A value that the daemon does not use was removed.
     Other,
 }
--- a/crates/jasminepond-discovery/src/lib.rs
+++ b/crates/jasminepond-discovery/src/lib.rs
@@ -4,6 +4,7 @@
 //! next and applies the result. It holds no socket and reads no clock.
 
 mod entries;
+mod evacuations;
 mod item;
 mod reader;
 mod relay;
--- a/crates/jasminepond-discovery/src/reader.rs
+++ b/crates/jasminepond-discovery/src/reader.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use jasminepond_forward::Backend;
+use jasminepond_forward::{Backend, EvacuatedZones};
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::{Millis, Timestamp};
 use serde::{Deserialize, Serialize};
@@ -10,6 +10,7 @@
 use crate::{
     Changes, Era, Event, Item, Page, Position, Publication, Record, Snapshot, WatchResult,
     entries::{Entries, Observation},
+    evacuations::Evacuations,
 };
 
 /// Settings of the reader.
@@ -52,8 +53,10 @@
 /// A call to the store, or a pause.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
-    /// Read the release.
-    ReadRelease {
+    /// List what the operator has written: the release and the evacuated zones.
+    ListOperator {
+        /// Key after which the page begins.
+        after: Option<String>,
         /// Whether the response may be a few seconds old.
         stale: bool,
     },
@@ -80,7 +83,7 @@
     pub fn allows_stale(&self) -> bool {
         matches!(
             self,
-            Self::ReadRelease { stale: true } | Self::ListBackends { stale: true, .. }
+            Self::ListOperator { stale: true, .. } | Self::ListBackends { stale: true, .. }
         )
     }
 }
@@ -115,6 +118,9 @@
     /// does not.
     #[error("the other daemon waits until the restored store has settled")]
     Unsettled,
+    /// The other daemon runs an earlier build, which does not know evacuated zones.
+    #[error("the other daemon does not state which zones are evacuated")]
+    WithoutZones,
 }
 
 /// What a daemon asks another one for.
@@ -146,11 +152,17 @@
         /// Reason, for the log.
         reason: String,
     },
+    /// These zones are evacuated, and no others. Never sent to other daemons, since earlier
+    /// builds do not know it: [`Changes::evacuated`] takes its place.
+    #[serde(skip)]
+    Evacuated(EvacuatedZones),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum State {
-    Release,
+    Operator {
+        after: Option<String>,
+    },
     Listing {
         after: Option<String>,
     },
@@ -172,7 +184,8 @@
 /// use jasminepond_types::Timestamp;
 ///
 /// let reader = Reader::new(ReaderSettings::default());
-/// assert_eq!(reader.next(Timestamp::ZERO), Step::ReadRelease { stale: true });
+/// let first = Step::ListOperator { after: None, stale: true };
+/// assert_eq!(reader.next(Timestamp::ZERO), first);
 /// ```
 #[derive(Debug)]
 pub struct Reader {
@@ -187,6 +200,7 @@
     era: Option<Era>,
     listed: HashSet<String>,
     entries: Entries,
+    evacuations: Evacuations,
     /// Time until which the store may lack entries after it was restored from a backup.
     settled_at: Timestamp,
     /// Whether the backend servers are listed again after `settled_at`.
@@ -197,6 +211,8 @@
     /// publication.
     listed_since: bool,
     version: Option<ReleaseVersion>,
+    /// Whether the current listing contains a release, valid or not.
+    release_listed: bool,
     complete: bool,
     pause_until: Timestamp,
 }
@@ -206,18 +222,20 @@
     pub fn new(settings: ReaderSettings) -> Self {
         Self {
             settings,
-            state: State::Release,
+            state: State::Operator { after: None },
             allow_stale: true,
             position: Position::default(),
             listed_to: Position::default(),
             era: None,
             listed: HashSet::new(),
             entries: Entries::default(),
+            evacuations: Evacuations::default(),
             settled_at: Timestamp::ZERO,
             relist: false,
             listing_settled: false,
             listed_since: false,
             version: None,
+            release_listed: false,
             complete: false,
             pause_until: Timestamp::ZERO,
         }
@@ -285,7 +303,8 @@
             return Step::Pause(self.pause_until);
         }
         match &self.state {
-            State::Release => Step::ReadRelease {
+            State::Operator { after } => Step::ListOperator {
+                after: after.clone(),
                 stale: self.allow_stale,
             },
             State::Listing { after } => Step::ListBackends {
@@ -296,10 +315,7 @@
                 after: self.position,
                 wait: Millis(0),
             },
-            State::Watching if self.relist && now >= self.settled_at => Step::ListBackends {
-                after: None,
-                stale: false,
-            },
+            State::Watching if self.relist && now >= self.settled_at => self.relisting(),
             State::Watching => Step::Watch {
                 after: self.position,
                 wait: self.watch_wait(now).into(),
@@ -307,6 +323,16 @@
         }
     }
 
+    /// The first call of the listing after the store has settled. The operator's keys are
+    /// listed only if the store may lack an evacuation, which saves a call otherwise.
+    fn relisting(&self) -> Step {
+        let (after, stale) = (None, false);
+        match self.evacuations.has_unconfirmed() {
+            true => Step::ListOperator { after, stale },
+            false => Step::ListBackends { after, stale },
+        }
+    }
+
     fn watch_wait(&self, now: Timestamp) -> Duration {
         let longest = self.settings.watch_wait;
         match self.relist {
@@ -331,7 +357,7 @@
         self.era = Some(era);
         self.position = Position::new(era, 0);
         self.listed_to = self.position;
-        self.state = State::Release;
+        self.state = State::Operator { after: None };
         self.allow_stale = false;
         self.start_settling(now, self.settings.settle);
         EraCheck::Restored { before }
@@ -341,39 +367,58 @@
     fn start_settling(&mut self, now: Timestamp, time: Duration) {
         self.settled_at = self.settled_at.max(now + time);
         self.relist = true;
+        self.evacuations.doubt();
     }
 
     fn is_settling(&self, now: Timestamp) -> bool {
         now < self.settled_at
     }
 
-    /// Handles the response to a read of the release; `None` if there is none yet.
-    pub fn on_release(
-        &mut self,
-        now: Timestamp,
-        item: Option<Item>,
-        position: Position,
-    ) -> Vec<Change> {
-        if item.is_none() && self.version.is_none() {
-            // The operator has not published a release yet.
-            self.pause_until = now + self.settings.release_pause;
-            return Vec::new();
-        }
-        if !self.allow_stale && position < self.position {
-            // The position went back in the same era: the store was restored from a backup
-            // without a new era.
-            self.start_settling(now, self.settings.settle);
+    /// Handles a page of what the operator has written. The release may be missing.
+    pub fn on_operator_page(&mut self, now: Timestamp, page: Page) -> Vec<Change> {
+        let position = page.position;
+        if matches!(self.state, State::Operator { after: Some(_) }) {
+            self.position = self.position.min(position);
+            self.listed_to = self.listed_to.max(position);
+        } else {
+            if !self.allow_stale && position < self.position {
+                // The position went back in the same era: the store was restored from a
+                // backup without a new era.
+                self.start_settling(now, self.settings.settle);
+            }
+            self.allow_stale &= self.state != State::Watching;
+            self.position = position;
+            self.start_listing(now, position);
+            self.evacuations.start_listing();
+            self.release_listed = false;
         }
-        self.position = position;
-        self.start_listing(now, position);
-        self.state = State::Listing { after: None };
         let mut changes = Vec::new();
-        if let Some(item) = item {
+        let last = page.records.last().map(|record| record.key.clone());
+        for Record { item, .. } in page.records {
             self.apply(now, item, Observation::Listed, &mut changes);
         }
+        if page.has_more && last.is_some() {
+            self.state = State::Operator { after: last };
+            return changes;
+        }
+        let settled = self.listing_settled && !self.is_settling(now);
+        if self.evacuations.end_listing(settled) {
+            changes.push(self.evacuated());
+        }
+        if self.version.is_none() && !self.release_listed {
+            // The operator has not published a release yet.
+            self.pause_until = now + self.settings.release_pause;
+            self.state = State::Operator { after: None };
+            return changes;
+        }
+        self.state = State::Listing { after: None };
         changes
     }
 
+    fn evacuated(&self) -> Change {
+        Change::Evacuated(self.evacuations.zones().clone())
+    }
+
     fn start_listing(&mut self, now: Timestamp, position: Position) {
         self.listed.clear();
         self.listed_to = position;
@@ -439,6 +484,7 @@
             backends,
             settles_in,
             confirmation,
+            evacuated,
         } = snapshot;
         if position < self.position {
             return Err(UnusableState::Behind {
@@ -446,6 +492,9 @@
                 ours: self.position,
             });
         }
+        if evacuated.is_none() && self.complete {
+            return Err(UnusableState::WithoutZones);
+        }
         if settles_in > Millis(0) {
             self.start_settling(now, settles_in.duration());
         } else if confirmation.is_some() {
@@ -456,17 +505,40 @@
             self.start_settling(now, self.settings.settle);
         }
         self.era = Some(position.era);
-        let mut changes = self.on_release(now, release.map(Item::Release), position);
-        let record = |backend: Backend| Record {
-            key: backend.id.to_string(),
-            item: Item::Backend(backend),
+        let record = |item| Record {
+            key: String::new(),
+            item,
         };
-        let page = Page {
-            records: backends.into_iter().map(record).collect(),
+        let page = |items: Vec<Item>| Page {
+            records: items.into_iter().map(record).collect(),
             has_more: false,
             position,
         };
-        changes.extend(self.on_page(now, page));
+        let known = evacuated.as_ref().unwrap_or(self.evacuations.zones());
+        let zones = known
+            .iter()
+            .map(|zone| Item::Evacuation { zone: zone.clone() });
+        let operator = release
+            .map(Item::Release)
+            .into_iter()
+            .chain(zones)
+            .collect();
+        self.state = State::Operator { after: None };
+        let mut changes = self.on_operator_page(now, page(operator));
+        if self.state == (State::Operator { after: None }) {
+            return Ok(changes);
+        }
+        let backends = backends.into_iter().map(Item::Backend).collect();
+        changes.extend(self.on_page(now, page(backends)));
+        if settles_in > Millis(0) {
+            // The other daemon may know zones that the store lacks.
+            self.evacuations.doubt();
+        }
+        if evacuated.is_none() {
+            // The state serves while there is no other one. Only a listing tells the zones.
+            self.on_confirmed();
+            self.on_history_gone();
+        }
         Ok(changes)
     }
 
@@ -503,6 +575,11 @@
             return Ok(changes);
         }
         self.start_settling(now, snapshot.settles_in.duration());
+        if let Some(zones) = &snapshot.evacuated
+            && self.evacuations.add_unconfirmed(zones)
+        {
+            changes.push(self.evacuated());
+        }
         let mut listed = HashSet::new();
         for backend in snapshot.backends {
             listed.insert(backend.id.to_string());
@@ -539,6 +616,11 @@
             match event {
                 Event::Written(item) => self.apply(now, item, Observation::Written, &mut changes),
                 Event::BackendRemoved(id) => self.remove_backend(now, id, "removed", &mut changes),
+                Event::EvacuationRemoved(zone) => {
+                    if self.evacuations.on_key_removed(&zone) {
+                        changes.push(self.evacuated());
+                    }
+                }
                 Event::Other => {}
             }
         }
@@ -563,6 +645,7 @@
             release,
             settles_in,
             confirmation: _,
+            evacuated,
         } = relayed;
         if position < self.position {
             return Err(UnusableState::Behind {
@@ -570,6 +653,9 @@
                 ours: self.position,
             });
         }
+        let Some(evacuated) = evacuated else {
+            return Err(UnusableState::WithoutZones);
+        };
         if settles_in > Millis(0) && self.is_settled() {
             return Err(UnusableState::Unsettled);
         }
@@ -584,9 +670,18 @@
             Change::Backend(backend) => Event::Written(Item::Backend(backend)),
             Change::BackendRemoved { id, .. } => Event::BackendRemoved(id),
             Change::ReleaseRefused { reason } => Event::Written(Item::InvalidRelease { reason }),
+            Change::Evacuated(_) => Event::Other,
         };
         let events = changes.into_iter().map(event).collect();
-        let changes = self.on_watch(now, WatchResult { events, position });
+        let mut changes = self.on_watch(now, WatchResult { events, position });
+        // While the store settles, either daemon may know zones that the other one does not.
+        let is_news = match self.is_settled() {
+            true => self.evacuations.replace(evacuated),
+            false => self.evacuations.add_unconfirmed(&evacuated),
+        };
+        if is_news {
+            changes.push(self.evacuated());
+        }
         if release > self.version {
             self.on_history_gone();
         }
@@ -596,7 +691,7 @@
     /// Handles lost history: the source no longer has the changes after the position, and
     /// everything is read again.
     pub fn on_history_gone(&mut self) {
-        self.state = State::Release;
+        self.state = State::Operator { after: None };
         self.allow_stale = false;
     }
 
@@ -607,6 +702,7 @@
         observation: Observation,
         changes: &mut Vec<Change>,
     ) {
+        self.release_listed |= matches!(item, Item::Release(_) | Item::InvalidRelease { .. });
         match item {
             Item::Release(release) => {
                 if self.version.is_none_or(|version| release.version > version) {
@@ -622,6 +718,11 @@
             }
             Item::InvalidBackend { id, reason } => self.remove_backend(now, id, &reason, changes),
             Item::InvalidRelease { reason } => changes.push(Change::ReleaseRefused { reason }),
+            Item::Evacuation { zone } => {
+                if self.evacuations.on_key(&zone) {
+                    changes.push(self.evacuated());
+                }
+            }
             Item::Other => {}
         }
     }
--- a/crates/jasminepond-discovery/src/relay.rs
+++ b/crates/jasminepond-discovery/src/relay.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use jasminepond_forward::Backend;
+use jasminepond_forward::{Backend, EvacuatedZones};
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::{Millis, Timestamp};
 use serde::{Deserialize, Serialize};
@@ -74,6 +74,10 @@
     /// Age of the state. Earlier builds do not state it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub confirmation: Option<Confirmation>,
+    /// Evacuated zones. Earlier builds do not state them, which does not mean that there
+    /// are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<EvacuatedZones>,
 }
 
 /// Changes after a position.
@@ -98,6 +102,10 @@
     /// Age of the state. Earlier builds do not state it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub confirmation: Option<Confirmation>,
+    /// Evacuated zones at the position. Earlier builds do not state them, which does not mean that there
+    /// are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<EvacuatedZones>,
 }
 
 /// Why a request of another daemon cannot be served.
@@ -175,6 +183,7 @@
 pub struct Relay {
     release: Option<Box<Release>>,
     backends: BTreeMap<String, Backend>,
+    evacuated: EvacuatedZones,
     staged: Staged,
     limits: HistoryLimits,
     /// Position before the first batch of the history.
@@ -194,6 +203,7 @@
     release: Option<Box<Release>>,
     /// Why the last release was rejected, if it was.
     refused: Option<String>,
+    evacuated: Option<EvacuatedZones>,
 }
 
 /// Changes between two published states.
@@ -234,6 +244,7 @@
             match change {
                 Change::Release(release) => self.staged.release = Some(release),
                 Change::ReleaseRefused { reason } => self.staged.refused = Some(reason),
+                Change::Evacuated(zones) => self.staged.evacuated = Some(zones),
                 Change::Backend(ref backend) => {
                     let id = backend.id.to_string();
                     self.staged.entries.insert(id, vec![change]);
@@ -253,6 +264,7 @@
             entries,
             release,
             refused,
+            evacuated,
         } = std::mem::take(&mut self.staged);
         let Publication {
             position, listed, ..
@@ -267,6 +279,9 @@
         }
         let has_release = release.is_some();
         self.release = release.or(self.release.take());
+        if let Some(zones) = evacuated {
+            self.evacuated = zones;
+        }
         match self.followed_from(&publication) {
             Some(after) => self.keep(Batch {
                 after,
@@ -322,7 +337,7 @@
                 self.backends.insert(id, backend.clone()).as_ref() != Some(backend)
             }
             Change::BackendRemoved { id, .. } => self.backends.remove(id).is_some(),
-            Change::Release(_) | Change::ReleaseRefused { .. } => false,
+            Change::Release(_) | Change::ReleaseRefused { .. } | Change::Evacuated(_) => false,
         }
     }
 
@@ -370,6 +385,7 @@
             backends: self.backends.values().cloned().collect(),
             settles_in: settles_in(now, &published),
             confirmation: Some(confirmation),
+            evacuated: Some(self.evacuated.clone()),
         })
     }
 
@@ -412,6 +428,7 @@
             changes: self.merge(&newer),
             settles_in: settles_in(now, &published),
             confirmation: Some(confirmation),
+            evacuated: Some(self.evacuated.clone()),
         })
     }
 }
--- a/crates/jasminepond-discovery/tests/common/fleet.rs
+++ b/crates/jasminepond-discovery/tests/common/fleet.rs
@@ -9,12 +9,15 @@
     Accept, Change, Era, EraCheck, Event, HistoryLimits, Item, Page, PeerRequest, Position,
     Publication, Reader, ReaderSettings, Record, Relay, RelayError, Step, WatchResult,
 };
-use jasminepond_forward::{Backend, BackendState};
+use jasminepond_forward::{Backend, BackendState, EvacuatedZones};
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::Timestamp;
 
 use super::backend;
 
+/// Availability zones that are evacuated at times.
+pub const ZONES: [&str; 3] = ["za", "zb", "zc"];
+
 /// Small pages, so that every listing takes several calls.
 const PAGE_ITEMS: usize = 2;
 
@@ -27,11 +30,12 @@
 /// Time after a restore at which the entries of servers that have left expire.
 const EXPIRY_TIME: Duration = Duration::from_millis(3_600);
 
-/// Entries by server, and the version of the release.
+/// Entries by server, the version of the release, and the evacuated zones.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct State {
     pub backends: BTreeMap<String, Backend>,
     pub release: u64,
+    pub evacuated: EvacuatedZones,
 }
 
 impl State {
@@ -44,6 +48,7 @@
             Change::BackendRemoved { id, .. } => {
                 self.backends.remove(&id);
             }
+            Change::Evacuated(zones) => self.evacuated = zones,
             Change::ReleaseRefused { reason } => panic!("{reason}"),
         }
     }
@@ -61,6 +66,7 @@
 enum Repair {
     Server(String),
     Release,
+    Zones,
 }
 
 /// The store, and what its writers know.
@@ -141,6 +147,25 @@
         self.record(Event::Written(release(self.truth.release)));
     }
 
+    /// Evacuates a zone, or lifts its evacuation.
+    pub fn set_evacuated(&mut self, zone: &str, evacuated: bool) {
+        match evacuated {
+            true => self.truth.evacuated.insert(zone),
+            false => self.truth.evacuated.remove(zone),
+        };
+        self.write_zone(zone);
+    }
+
+    fn write_zone(&mut self, zone: &str) {
+        if self.truth.evacuated.contains(zone) {
+            self.state.evacuated.insert(zone);
+            let zone = zone.into();
+            self.record(Event::Written(Item::Evacuation { zone }));
+        } else if self.state.evacuated.remove(zone) {
+            self.record(Event::EvacuationRemoved(zone.into()));
+        }
+    }
+
     /// Discards the history, in some stores with a change of the revision.
     pub fn compact(&mut self, counts: bool) {
         if counts {
@@ -176,6 +201,9 @@
         if self.state.release != self.truth.release {
             self.repairs.push((now + REWRITE_TIME, Repair::Release));
         }
+        if self.state.evacuated != self.truth.evacuated {
+            self.repairs.push((now + REWRITE_TIME, Repair::Zones));
+        }
     }
 
     /// Carries out the writes that are due.
@@ -184,6 +212,15 @@
         while let Some(index) = self.repairs.iter().position(due) {
             match self.repairs.remove(index).1 {
                 Repair::Release => self.write_release(),
+                Repair::Zones => {
+                    for zone in ZONES {
+                        if self.truth.evacuated.contains(zone)
+                            != self.state.evacuated.contains(zone)
+                        {
+                            self.write_zone(zone);
+                        }
+                    }
+                }
                 Repair::Server(id) => match self.truth.backends.get(&id).cloned() {
                     Some(mut entry) => {
                         entry.writes += 1;
@@ -225,6 +262,23 @@
         }
     }
 
+    fn operator_page(&self, after: Option<&str>, stale: bool) -> Page {
+        let (position, state) = self.read(stale);
+        let zones = state.evacuated.iter().map(|zone| {
+            let key = format!("op/evacuate/{zone}");
+            (key, Item::Evacuation { zone: zone.clone() })
+        });
+        let release = (state.release > 0).then(|| ("op/config".to_owned(), release(state.release)));
+        let all = release.into_iter().chain(zones);
+        let mut listed = all.filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
+        let records = listed.by_ref().take(PAGE_ITEMS);
+        Page {
+            records: records.map(|(key, item)| Record { key, item }).collect(),
+            has_more: listed.next().is_some(),
+            position,
+        }
+    }
+
     /// Returns the changes after a position, or `None` if they are not known.
     fn watch(&self, after: Position) -> Option<WatchResult> {
         if after.change < self.history_start || after.change > self.revision {
@@ -360,10 +414,9 @@
             EraCheck::Old => return None,
         }
         match step {
-            Step::ReadRelease { stale } => {
-                let (position, state) = store.read(*stale);
-                let item = (state.release > 0).then(|| release(state.release));
-                Some(reader.on_release(now, item, position))
+            Step::ListOperator { after, stale } => {
+                let page = store.operator_page(after.as_deref(), *stale);
+                Some(reader.on_operator_page(now, page))
             }
             Step::ListBackends { after, stale } => {
                 let page = store.page(after.as_deref(), *stale);
--- a/crates/jasminepond-discovery/tests/common/mod.rs
+++ b/crates/jasminepond-discovery/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use jasminepond_discovery::{Change, Era, Position, Publication, Relay};
+use jasminepond_discovery::{Change, Era, Item, Page, Position, Publication, Record, Relay};
 use jasminepond_forward::{Backend, BackendState};
 use jasminepond_types::{Millis, Timestamp};
 
@@ -30,6 +30,19 @@
     }
 }
 
+/// Returns a listing of the operator's keys with this release and no evacuated zone.
+pub fn operator_page(release: Option<Item>, position: Position) -> Page {
+    let record = |item| Record {
+        key: "op/config".to_owned(),
+        item,
+    };
+    Page {
+        records: release.into_iter().map(record).collect(),
+        has_more: false,
+        position,
+    }
+}
+
 /// Publishes a state that the store confirmed at `confirmed_at`, with these changes.
 pub fn publish(relay: &mut Relay, confirmed_at: Timestamp, position: Position, changes: &[Change]) {
     relay.stage(changes.iter().cloned());
--- a/crates/jasminepond-discovery/tests/convergence.rs
+++ b/crates/jasminepond-discovery/tests/convergence.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::fleet::{Daemon, Done, Fleet, ReadFrom};
+use common::fleet::{Daemon, Done, Fleet, ReadFrom, ZONES};
 use jasminepond_discovery::{Accept, Publication};
 use jasminepond_forward::BackendState;
 use proptest::prelude::*;
@@ -23,6 +23,10 @@
     },
     Remove(usize),
     Publish,
+    Evacuate {
+        zone: usize,
+        evacuated: bool,
+    },
     Compact(bool),
     BackUp,
     Restore,
@@ -48,6 +52,9 @@
         }),
         3 => (0..SERVERS).prop_map(Action::Remove),
         1 => Just(Action::Publish),
+        2 => (0..ZONES.len(), any::<bool>()).prop_map(|(zone, evacuated)| {
+            Action::Evacuate { zone, evacuated }
+        }),
         2 => any::<bool>().prop_map(Action::Compact),
         1 => Just(Action::BackUp),
         1 => Just(Action::Restore),
@@ -74,6 +81,7 @@
         }
         Action::Remove(server) => fleet.store.remove(server),
         Action::Publish => fleet.store.publish(),
+        Action::Evacuate { zone, evacuated } => fleet.store.set_evacuated(ZONES[zone], evacuated),
         Action::Compact(counts) => fleet.store.compact(counts),
         Action::BackUp => fleet.store.back_up(),
         Action::Restore => fleet.store.restore(fleet.now),
@@ -123,6 +131,12 @@
         "published by daemon {index} at {}",
         snapshot.position
     );
+    assert_eq!(
+        snapshot.evacuated.as_ref(),
+        Some(&store.evacuated),
+        "zones published by daemon {index} at {}",
+        snapshot.position
+    );
     let release = snapshot.release.map_or(0, |release| release.version.0);
     assert!(
         release >= store.release,
@@ -181,7 +195,7 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against removals, drainings and releases that are lost on the way to followers,
+    /// Guards against removals, drainings, releases and evacuations that are lost on the way to followers,
     /// and against daemons that read the state without end.
     #[test]
     fn followers_converge_to_the_store(actions in prop::collection::vec(action(), 1..80)) {
--- a/crates/jasminepond-discovery/tests/reader.rs
+++ b/crates/jasminepond-discovery/tests/reader.rs
@@ -4,10 +4,11 @@
 
 use std::time::Duration;
 
-use common::{at, backend};
+use common::{at, backend, operator_page};
 use jasminepond_discovery::{
     Change, Event, Item, Page, Reader, ReaderSettings, Record, Snapshot, Step, WatchResult,
 };
+use jasminepond_forward::EvacuatedZones;
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::{Millis, Timestamp};
 
@@ -38,7 +39,7 @@
 
 fn loaded(ids: &[&str], position: u64) -> Reader {
     let mut reader = Reader::new(ReaderSettings::default());
-    reader.on_release(NOW, Some(release(3)), at(position));
+    reader.on_operator_page(NOW, operator_page(Some(release(3)), at(position)));
     reader.on_page(NOW, page(ids, false, position));
     let (events, position) = (Vec::new(), at(position));
     reader.on_watch(NOW, WatchResult { events, position });
@@ -57,7 +58,7 @@
 #[test]
 fn watch_starts_at_the_oldest_read() {
     let mut reader = Reader::new(ReaderSettings::default());
-    reader.on_release(NOW, Some(release(3)), at(20));
+    reader.on_operator_page(NOW, operator_page(Some(release(3)), at(20)));
     reader.on_page(NOW, page(&["a"], true, 17));
     let next = Step::ListBackends {
         after: Some("a".to_owned()),
@@ -74,7 +75,7 @@
 #[test]
 fn stale_first_read_is_complete_only_after_a_watch() {
     let mut reader = Reader::new(ReaderSettings::default());
-    reader.on_release(NOW, Some(release(3)), at(20));
+    reader.on_operator_page(NOW, operator_page(Some(release(3)), at(20)));
     reader.on_page(NOW, page(&["a", "left"], false, 20));
     assert!(!reader.is_complete());
     let next = Step::Watch {
@@ -110,11 +111,18 @@
         backends: vec![backend("a"), backend("left")],
         settles_in: Millis(0),
         confirmation: None,
+        evacuated: Some(EvacuatedZones::default()),
     };
     reader.on_history_gone();
     assert!(reader.on_snapshot(NOW, snapshot(20)).is_err());
     let later = NOW + Duration::from_secs(1);
-    assert_eq!(reader.next(later), Step::ReadRelease { stale: false });
+    assert_eq!(
+        reader.next(later),
+        Step::ListOperator {
+            after: None,
+            stale: false
+        }
+    );
     assert!(reader.on_snapshot(later, snapshot(30)).is_ok());
     reader.on_confirmed();
     assert!(reader.is_complete());
@@ -126,8 +134,14 @@
 fn listing_after_lost_history_is_current_and_removes_missing_servers() {
     let mut reader = loaded(&["a", "b"], 10);
     reader.on_history_gone();
-    assert_eq!(reader.next(NOW), Step::ReadRelease { stale: false });
-    reader.on_release(NOW, Some(release(3)), at(40));
+    assert_eq!(
+        reader.next(NOW),
+        Step::ListOperator {
+            after: None,
+            stale: false
+        }
+    );
+    reader.on_operator_page(NOW, operator_page(Some(release(3)), at(40)));
     let changes = reader.on_page(NOW, page(&["b"], false, 40));
     assert_eq!(removed(&changes), ["a"]);
 }
@@ -167,8 +181,14 @@
 #[test]
 fn missing_release_is_read_again() {
     let mut reader = Reader::new(ReaderSettings::default());
-    assert_eq!(reader.on_release(NOW, None, at(5)), []);
+    assert_eq!(reader.on_operator_page(NOW, operator_page(None, at(5))), []);
     assert!(matches!(reader.next(NOW), Step::Pause(_)));
     let later = NOW + Duration::from_secs(1);
-    assert_eq!(reader.next(later), Step::ReadRelease { stale: true });
+    assert_eq!(
+        reader.next(later),
+        Step::ListOperator {
+            after: None,
+            stale: true
+        }
+    );
 }
--- a/crates/jasminepond-discovery/tests/restored.rs
+++ b/crates/jasminepond-discovery/tests/restored.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-use common::{backend, publish};
+use common::{backend, operator_page, publish};
 use jasminepond_discovery::{
     Accept, Change, Era, EraCheck, Event, Item, Page, Position, Publication, Reader,
     ReaderSettings, Record, Relay, RelayError, Snapshot, Step, WatchResult,
 };
-use jasminepond_forward::{Backend, BackendState};
+use jasminepond_forward::{Backend, BackendState, EvacuatedZones};
 use jasminepond_routes::{Release, ReleaseVersion};
 use jasminepond_types::{Millis, Timestamp};
 use test_case::test_case;
@@ -59,7 +59,10 @@
 fn loaded(backends: &[Backend]) -> Reader {
     let mut reader = Reader::new(ReaderSettings::default());
     assert_eq!(reader.on_era(NOW, OLD_ERA), EraCheck::Same);
-    reader.on_release(NOW, Some(release(7)), Position::new(OLD_ERA, 500));
+    reader.on_operator_page(
+        NOW,
+        operator_page(Some(release(7)), Position::new(OLD_ERA, 500)),
+    );
     reader.on_page(NOW, page(OLD_ERA, 500, backends));
     reader.on_watch(NOW, watched(OLD_ERA, 500, Vec::new()));
     assert!(reader.is_complete());
@@ -74,9 +77,15 @@
     );
     let after_pause = now + Duration::from_millis(200);
     let next = reader.next(after_pause);
-    assert_eq!(next, Step::ReadRelease { stale: false });
+    assert_eq!(
+        next,
+        Step::ListOperator {
+            after: None,
+            stale: false
+        }
+    );
     let position = Position::new(NEW_ERA, 480);
-    let mut changes = reader.on_release(now, Some(release(version)), position);
+    let mut changes = reader.on_operator_page(now, operator_page(Some(release(version)), position));
     changes.extend(reader.on_page(now, page(NEW_ERA, 480, backup)));
     changes
 }
@@ -144,7 +153,7 @@
     let mut reader = loaded(&[entry("a", 1)]);
     reader.on_era(NOW, NEW_ERA);
     assert_eq!(
-        reader.on_release(NOW, None, Position::new(NEW_ERA, 480)),
+        reader.on_operator_page(NOW, operator_page(None, Position::new(NEW_ERA, 480))),
         []
     );
     assert_eq!(
@@ -234,6 +243,7 @@
         backends: vec![entry("a", 1)],
         settles_in: Millis(0),
         confirmation: None,
+        evacuated: Some(EvacuatedZones::default()),
     };
     assert!(reader.on_snapshot(NOW, snapshot(OLD_ERA, 900)).is_err());
     assert!(reader.on_snapshot(NOW, snapshot(NEW_ERA, 480)).is_ok());
@@ -284,7 +294,10 @@
         reader.on_era(later, third),
         EraCheck::Restored { before: NEW_ERA }
     );
-    let mut changes = reader.on_release(later, Some(release(4)), Position::new(third, 300));
+    let mut changes = reader.on_operator_page(
+        later,
+        operator_page(Some(release(4)), Position::new(third, 300)),
+    );
     changes.extend(reader.on_page(later, page(third, 300, &[])));
     assert_eq!(changes, []);
     let first_end = settled();
@@ -317,7 +330,10 @@
     });
     let mut reader = Reader::new(ReaderSettings::default());
     reader.on_era(NOW, NEW_ERA);
-    reader.on_release(NOW, Some(release(5)), Position::new(NEW_ERA, 482));
+    reader.on_operator_page(
+        NOW,
+        operator_page(Some(release(5)), Position::new(NEW_ERA, 482)),
+    );
     reader.on_page(NOW, page(NEW_ERA, 482, &[entry("a", 1), entry("left", 1)]));
     let snapshot = relay.snapshot(NOW, Accept::Current).unwrap();
     let changes = reader.merge_snapshot(NOW, snapshot).unwrap();
@@ -349,7 +365,10 @@
     publish(&mut relay, NOW, Position::new(OLD_ERA, 480), &known);
     let mut reader = Reader::new(ReaderSettings::default());
     reader.on_era(NOW, OLD_ERA);
-    reader.on_release(NOW, Some(release(5)), Position::new(OLD_ERA, 482));
+    reader.on_operator_page(
+        NOW,
+        operator_page(Some(release(5)), Position::new(OLD_ERA, 482)),
+    );
     reader.on_page(NOW, page(OLD_ERA, 482, &[entry("a", 1)]));
     assert_eq!(
         reader.merge_snapshot(NOW, relay.snapshot(NOW, Accept::Current).unwrap()),
@@ -364,7 +383,10 @@
     publish(&mut relay, NOW, Position::new(OLD_ERA, 900), &[]);
     let mut reader = Reader::new(ReaderSettings::default());
     reader.on_era(NOW, NEW_ERA);
-    reader.on_release(NOW, Some(release(5)), Position::new(NEW_ERA, 482));
+    reader.on_operator_page(
+        NOW,
+        operator_page(Some(release(5)), Position::new(NEW_ERA, 482)),
+    );
     assert!(
         reader
             .merge_snapshot(NOW, relay.snapshot(NOW, Accept::Current).unwrap())
@@ -377,7 +399,10 @@
 fn restore_without_a_new_era_is_detected() {
     let mut reader = loaded(&[entry("a", 1), entry("new", 1)]);
     reader.on_history_gone();
-    reader.on_release(NOW, Some(release(7)), Position::new(OLD_ERA, 400));
+    reader.on_operator_page(
+        NOW,
+        operator_page(Some(release(7)), Position::new(OLD_ERA, 400)),
+    );
     let changes = reader.on_page(NOW, page(OLD_ERA, 400, &[entry("a", 1)]));
     assert_eq!(removed(&changes), [""; 0]);
     let changes = reader.on_page(settled(), page(OLD_ERA, 410, &[entry("a", 1)]));
--- a/crates/jasminepond-gateway/src/adapter.rs
+++ b/crates/jasminepond-gateway/src/adapter.rs
@@ -1,6 +1,6 @@
 //! Interface for the parts that differ between platforms: header names and store calls.
 
-use jasminepond_discovery::{Era, Item, Page, Position, WatchResult};
+use jasminepond_discovery::{Era, Page, Position, WatchResult};
 use jasminepond_types::Millis;
 
 /// Names of the headers that callers, gateways and backend servers exchange, in lower
@@ -45,8 +45,9 @@
     /// Path of the platform's readiness check: whether the daemon accepts connections.
     fn ready_path(&self) -> &'static str;
 
-    /// Path and query of the call that reads the release.
-    fn release_path(&self, stale: bool) -> String;
+    /// Path and query of the call that lists what the operator has written: the release and
+    /// the evacuated availability zones.
+    fn operator_path(&self, after: Option<&str>, stale: bool) -> String;
 
     /// Path and query of the call that lists the backend servers.
     fn backends_path(&self, after: Option<&str>, stale: bool) -> String;
@@ -54,21 +55,14 @@
     /// Path and query of the call that waits for changes.
     fn watch_path(&self, after: Position, wait: Millis) -> String;
 
-    /// Decodes the response to [`PlatformAdapter::release_path`]. `era` is the era of the store
-    /// that the response belongs to.
-    ///
-    /// # Errors
-    ///
-    /// The response is malformed.
-    fn decode_release(&self, era: Era, body: &[u8]) -> Result<(Item, Position), StoreError>;
-
-    /// Decodes the response to [`PlatformAdapter::backends_path`]. `era` is the era of the store
-    /// that the response belongs to.
+    /// Decodes the response to [`PlatformAdapter::operator_path`] or
+    /// [`PlatformAdapter::backends_path`]. `era` is the era of the store that the response
+    /// belongs to.
     ///
     /// # Errors
     ///
     /// The response is malformed.
-    fn decode_backends(&self, era: Era, body: &[u8]) -> Result<Page, StoreError>;
+    fn decode_page(&self, era: Era, body: &[u8]) -> Result<Page, StoreError>;
 
     /// Decodes the response to [`PlatformAdapter::watch_path`]. `era` is the era of the store
     /// that the response belongs to.
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -287,6 +287,9 @@
         let suspects = suspects.map(suspect_status);
         let routes = forwarder.route_reports().into_iter().map(route);
         let servers = forwarder.server_reports(now).into_iter().map(server);
+        let evacuated = forwarder.evacuated_zones(now).into_iter();
+        let evacuated = evacuated
+            .map(|(zone, age)| json!({ "zone": *zone, "age_ms": age.as_millis() as u64 }));
         json!({
             "release": status.version.0,
             "store": store_status(hub),
@@ -294,6 +297,8 @@
             "contact_lost_ms": forwarder.contact_lost_for(now).map(|time| time.as_millis() as u64),
             "servers_down": status.down,
             "servers_limited": status.limited,
+            "evacuated_zones": evacuated.collect::<Vec<_>>(),
+            "servers_evacuated": status.held_out,
             "requests": status.requests,
             "calls": status.calls,
             "connections": status.connections,
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::Cell, sync::atomic::AtomicU64, time::Duration};
 
-use jasminepond_forward::{Status, Summary};
+use jasminepond_forward::{Status, Summary, Verdict};
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::ErrorKind;
 use prometheus_client::{
@@ -47,12 +47,15 @@
     servers: Gauge,
     servers_down: Gauge,
     servers_limited: Gauge,
+    zones_evacuated: Gauge,
+    servers_evacuated: Gauge,
     waiting: Gauge,
     datagrams_dropped: Counter,
     contact_losses: Counter,
     relayed: Counter,
     received: Counter,
     limited: Counter,
+    evacuation_refusals: Counter,
     holds: Counter,
     suspected: Gauge,
     held: Gauge,
@@ -80,12 +83,15 @@
             servers: Gauge::default(),
             servers_down: Gauge::default(),
             servers_limited: Gauge::default(),
+            zones_evacuated: Gauge::default(),
+            servers_evacuated: Gauge::default(),
             waiting: Gauge::default(),
             datagrams_dropped: Counter::default(),
             contact_losses: Counter::default(),
             relayed: Counter::default(),
             received: Counter::default(),
             limited: Counter::default(),
+            evacuation_refusals: Counter::default(),
             holds: Counter::default(),
             suspected: Gauge::default(),
             held: Gauge::default(),
@@ -140,6 +146,11 @@
                 "Shards or requests not served because their servers were at their rate limits",
                 &self.limited,
             ),
+            (
+                "evacuation_refusals",
+                "Requests that failed while servers of evacuated zones were held out that they lacked",
+                &self.evacuation_refusals,
+            ),
             (
                 "contact_losses",
                 "Times at which no backend server responded to this daemon any more",
@@ -194,6 +205,16 @@
                 "Backend servers that state a rate limit",
                 &self.servers_limited,
             ),
+            (
+                "zones_evacuated",
+                "Availability zones that are evacuated",
+                &self.zones_evacuated,
+            ),
+            (
+                "servers_evacuated",
+                "Backend servers that get no requests because their zone is evacuated",
+                &self.servers_evacuated,
+            ),
             (
                 "requests_suspected",
                 "Distinct requests that are presumed to end backend servers",
@@ -229,6 +250,8 @@
         self.servers.set(status.servers as i64);
         self.servers_down.set(status.down as i64);
         self.servers_limited.set(status.limited as i64);
+        self.zones_evacuated.set(status.evacuated_zones as i64);
+        self.servers_evacuated.set(status.held_out as i64);
         self.waiting.set(status.waiting as i64);
         let mut text = String::new();
         // Writing to a string cannot fail, but the encoding of a metric can.
@@ -251,6 +274,9 @@
         self.over_budget.inc_by(summary.over_budget.into());
         self.missing.inc_by(summary.missing.len() as u64);
         self.limited.inc_by(summary.limited.into());
+        let unserved = matches!(summary.verdict, Verdict::Refused | Verdict::Failed);
+        self.evacuation_refusals
+            .inc_by(u64::from(unserved && summary.evacuated > 0));
         self.relayed.inc_by(u64::from(summary.relayed > 0));
     }
 
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -14,6 +14,7 @@
     Accept, Change, Changes, Confirmation, Era, EraCheck, PeerRequest, Plan, Reader,
     ReaderSettings, Snapshot, Source, SourceFailure, Sources, Step, UnusableState, reads_directly,
 };
+use jasminepond_forward::ZoneChange;
 use jasminepond_platform::{HttpReader, HttpResponse, PlatformError};
 use jasminepond_routes::CallerLimits;
 use jasminepond_types::Timestamp;
@@ -265,7 +266,7 @@
             self.relay.publish(publication);
         }
         for change in changes {
-            self.apply(change);
+            self.apply(progress, change);
         }
         if progress.reader.is_complete() && !self.complete.replace(true) {
             self.log_ready();
@@ -445,7 +446,10 @@
         self.hub.metrics().store_called();
         let called_at = self.clock.now();
         let (path, extra) = match &step {
-            Step::ReadRelease { stale } => (self.adapter.release_path(*stale), Duration::ZERO),
+            Step::ListOperator { after, stale } => {
+                let path = self.adapter.operator_path(after.as_deref(), *stale);
+                (path, Duration::ZERO)
+            }
             Step::ListBackends { after, stale } => {
                 let path = self.adapter.backends_path(after.as_deref(), *stale);
                 (path, Duration::ZERO)
@@ -482,14 +486,13 @@
             }
         }
         let changes = match (&step, status) {
-            (Step::ReadRelease { .. }, 404) => Ok(reader.on_release(now, None, reader.position())),
-            (Step::ReadRelease { .. }, 200) => {
-                let release = self.adapter.decode_release(era, &body);
-                release.map(|(item, position)| reader.on_release(now, Some(item), position))
-            }
+            (Step::ListOperator { .. }, 200) => self
+                .adapter
+                .decode_page(era, &body)
+                .map(|page| reader.on_operator_page(now, page)),
             (Step::ListBackends { .. }, 200) => self
                 .adapter
-                .decode_backends(era, &body)
+                .decode_page(era, &body)
                 .map(|page| reader.on_page(now, page)),
             (Step::Watch { .. }, 200) => {
                 let watched = self.adapter.decode_watch(era, &body);
@@ -525,7 +528,7 @@
         era
     }
 
-    fn apply(&self, change: Change) {
+    fn apply(&self, progress: &Progress, change: Change) {
         match change {
             Change::Release(release) => {
                 (self.on_limits)(&release.limits);
@@ -554,6 +557,39 @@
                 info!("store: backend server gone", kv: { server = id.as_str(), reason });
                 self.hub.change(|f, now| f.remove_backend(now, &id));
             }
+            Change::Evacuated(zones) => {
+                let changes = self.hub.change(|f, now| f.set_evacuated(now, &zones));
+                for change in changes {
+                    self.log_zone_change(progress, change);
+                }
+            }
+        }
+    }
+
+    /// Logs a change of the evacuated zones, and how old and from where the state is that
+    /// contains it.
+    fn log_zone_change(&self, progress: &Progress, change: ZoneChange) {
+        let age_ms = self.clock.now().since(progress.confirmed_at).as_millis() as u64;
+        let held_out = self.hub.read(|forwarder| forwarder.status().held_out);
+        match change {
+            ZoneChange::Evacuated(zone) => {
+                warn!("gateway: an availability zone is evacuated; its servers get no requests", kv: {
+                    zone: = zone,
+                    servers = held_out,
+                    source: = progress.source,
+                    position: = progress.reader.position(),
+                    age_ms,
+                });
+            }
+            ZoneChange::Lifted { zone, after } => {
+                warn!("gateway: the evacuation of an availability zone is lifted", kv: {
+                    zone: = zone,
+                    after_ms = after.as_millis() as u64,
+                    source: = progress.source,
+                    position: = progress.reader.position(),
+                    age_ms,
+                });
+            }
         }
     }
 }
--- a/crates/jasminepond-gateway/src/store_relay.rs
+++ b/crates/jasminepond-gateway/src/store_relay.rs
@@ -17,7 +17,7 @@
     net::http::{BufferedRequest, BufferedResponse, error_response},
 };
 use jasminepond_discovery::{
-    Accept, Change, Confirmation, Position, Publication, Relay, RelayError,
+    Accept, Change, Changes, Confirmation, Position, Publication, Relay, RelayError,
 };
 use jasminepond_types::{ErrorKind, Millis, Timestamp};
 use serde::Serialize;
@@ -166,8 +166,9 @@
             return cbor_response(Err::<(), _>(RelayError::NotCurrent));
         }
         let known = self.relay.borrow().changes(arrived, after, accept);
-        let is_empty = known.as_ref().is_ok_and(|known| known.changes.is_empty());
-        if is_empty {
+        // A later position may differ by the evacuated zones only.
+        let is_known = |known: &Changes| known.changes.is_empty() && known.position <= after;
+        if known.as_ref().is_ok_and(is_known) {
             self.wait_for_news(wait.min(MAX_WAIT)).await;
         }
         let changes = self.relay.borrow().changes(self.clock.now(), after, accept);
--- a/crates/jasminepond-gateway/tests/build_before.rs
+++ b/crates/jasminepond-gateway/tests/build_before.rs
@@ -4,7 +4,7 @@
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use jasminepond_discovery::{Change, Changes, Confirmation, Era, Position, Snapshot};
-use jasminepond_forward::{Backend, DelegatedPart, DelegationRequest, Scope};
+use jasminepond_forward::{Backend, DelegatedPart, DelegationRequest, EvacuatedZones, Scope};
 use jasminepond_gateway::{read_headers, write_headers};
 use jasminepond_membership::Message as MemberMessage;
 use jasminepond_quarantine::{Evidence, Fingerprint, Message};
@@ -126,6 +126,7 @@
         age: Millis(20),
         held: Millis(300),
     });
+    let evacuated: Option<EvacuatedZones> = Some(["za"].into_iter().collect());
     let changes = Changes {
         position,
         changes: vec![removed],
@@ -133,6 +134,7 @@
         release: Some(ReleaseVersion(3)),
         settles_in: Millis(100),
         confirmation,
+        evacuated: evacuated.clone(),
     };
     let before: ChangesBefore = recode(&changes);
     assert_eq!(
@@ -145,6 +147,8 @@
         release: None,
         settles_in: Millis(0),
         confirmation: None,
+        // Not the empty set: the other build does not know.
+        evacuated: None,
         ..changes
     };
     assert_eq!(now, expected);
@@ -155,13 +159,23 @@
         backends: Vec::new(),
         settles_in: Millis(5),
         confirmation,
+        evacuated,
     };
     let before: SnapshotBefore = recode(&snapshot);
     assert_eq!((before.position, before.settles_in), (position, Millis(5)));
     let now: Snapshot = recode(&before);
+    assert_eq!(recode::<Snapshot>(&snapshot), snapshot);
     let expected = Snapshot {
         confirmation: None,
+        evacuated: None,
         ..snapshot
     };
     assert_eq!(now, expected);
 }
+
+/// Guards against a change that the build before cannot decode.
+#[test]
+fn evacuated_zones_are_no_change_on_the_wire() {
+    let change = Change::Evacuated(["za"].into_iter().collect());
+    assert!(ciborium::into_writer(&change, Vec::new()).is_err());
+}
