feat(serve): a key that names evacuated availability zones

`jasminepond serve` had no way to take the servers of a zone out of use but to mark each of them as leaving, after which they still get health calls.

The configuration key `evacuated_zones` lists zones. Each must be defined and is listed once; the list may be empty, so that a later file can end all evacuations. Entries do not choose their servers. Owners refuse requests for them, also those that are queued already or come from daemons with an older configuration, close idle connections and make no health call. After the end, a health call decides whether a server is used again, beginning with one request.

Ruled out: a flag per zone, which a later file can set but which is not seen at a glance; and to use servers at once after the end, since one may have begun to drain in the meantime.

--- a/crates/jasminepond-config/src/config.rs
+++ b/crates/jasminepond-config/src/config.rs
@@ -46,6 +46,8 @@
     pub classes: BTreeMap<ClassId, Class>,
     /// Availability zones of daemons and backend servers.
     pub zones: BTreeMap<ZoneId, Zone>,
+    /// Zones whose backend servers get no requests.
+    pub evacuated_zones: BTreeSet<ZoneId>,
     /// Backend servers, with defaults from their shapes applied.
     pub servers: BTreeMap<ServerId, Server>,
     /// Groups of services that can be searched, or of servers that execute.
@@ -97,6 +99,28 @@
         Err(mistakes)
     }
 
+    /// Whether requests may be sent to a server: it is not in an evacuated zone.
+    ///
+    /// ```
+    /// use jasminepond_config::{Config, Server};
+    /// use jasminepond_types::{ConnectionLimit, Millis, Slots};
+    ///
+    /// let server = Server {
+    ///     address: "127.0.0.1:9001".parse().unwrap(),
+    ///     zone: "za".parse().unwrap(),
+    ///     slots: Slots(2),
+    ///     connection_limit: ConnectionLimit(25),
+    ///     connect_cost_ms: Millis(1),
+    /// };
+    /// let mut config = Config::default();
+    /// assert!(config.may_send_to(&server));
+    /// config.evacuated_zones.insert("za".parse().unwrap());
+    /// assert!(!config.may_send_to(&server));
+    /// ```
+    pub fn may_send_to(&self, server: &Server) -> bool {
+        !self.evacuated_zones.contains(&server.zone)
+    }
+
     /// The region of a zone, if the zone is configured.
     pub fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
         self.zones.get(zone).map(|zone| &zone.region)
--- a/crates/jasminepond-config/src/diff.rs
+++ b/crates/jasminepond-config/src/diff.rs
@@ -46,6 +46,14 @@
         diff.removed = removed.cloned().collect();
         diff
     }
+
+    fn between_sets(old: &BTreeSet<K>, new: &BTreeSet<K>) -> Self {
+        Self {
+            added: new.difference(old).cloned().collect(),
+            removed: old.difference(new).cloned().collect(),
+            changed: BTreeSet::new(),
+        }
+    }
 }
 
 /// Differences between two configurations, so that a daemon can apply only what has
@@ -79,6 +87,8 @@
     pub classes: Diff<ClassId>,
     /// Zones.
     pub zones: Diff<ZoneId>,
+    /// Zones that are evacuated, or no longer, in the new configuration.
+    pub evacuated_zones: Diff<ZoneId>,
     /// Whether the routing section differs.
     pub routing: bool,
     /// Whether the limits section differs.
@@ -105,6 +115,7 @@
             tenants: Diff::between(&old.tenants, &new.tenants),
             classes: Diff::between(&old.classes, &new.classes),
             zones: Diff::between(&old.zones, &new.zones),
+            evacuated_zones: Diff::between_sets(&old.evacuated_zones, &new.evacuated_zones),
             routing: old.routing != new.routing,
             limits: old.limits != new.limits,
             drain: old.drain != new.drain,
--- a/crates/jasminepond-config/src/read.rs
+++ b/crates/jasminepond-config/src/read.rs
@@ -1,6 +1,10 @@
 //! Reads a [`Config`] from merged files.
 
-use std::{collections::BTreeMap, fmt, str::FromStr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    str::FromStr,
+};
 
 use jasminepond_types::{ClassId, Millis, ServerId, TenantId, Weight, ZoneId};
 use serde_json::{Map, Value};
@@ -28,6 +32,7 @@
     let ids = Ids::of(&root);
     Some(Config {
         zones: entries(report, &root, "zones", schema::ZONE, zone),
+        evacuated_zones: evacuated_zones(report, &root, &ids),
         tenants: entries(report, &root, "tenants", schema::TENANT, |r, s| {
             Some(tenant(r, s))
         }),
@@ -158,6 +163,20 @@
     })
 }
 
+/// Reads the evacuated zones. The list may be empty, so that a file that is merged last can
+/// end all evacuations.
+fn evacuated_zones(report: &mut Report, root: &Section<'_>, ids: &Ids<'_>) -> BTreeSet<ZoneId> {
+    let Some(value) = root.value(report, "evacuated_zones") else {
+        return BTreeSet::new();
+    };
+    if value.as_array().is_some_and(Vec::is_empty) {
+        return BTreeSet::new();
+    }
+    let path = root.path_of("evacuated_zones");
+    let zones = ids.zones.resolve_list(report, value, &path);
+    zones.into_iter().flatten().collect()
+}
+
 fn tenant(report: &mut Report, s: &Section<'_>) -> Tenant {
     Tenant {
         weight: Weight(s.number32(report, "weight")),
--- a/crates/jasminepond-config/src/schema.rs
+++ b/crates/jasminepond-config/src/schema.rs
@@ -144,6 +144,7 @@
     path: "",
     keys: &[
         other("zones", "object: zone id to zone").required(),
+        other("evacuated_zones", "list of zone ids"),
         other("tenants", "object: tenant id to tenant").required(),
         other("classes", "object: class id to class").required(),
         other("shapes", "object: shape name to shape"),
--- a/crates/jasminepond-config/tests/config/diff.rs
+++ b/crates/jasminepond-config/tests/config/diff.rs
@@ -36,6 +36,12 @@
     };
     "address of one server and slots of another"
 )]
+#[test_case(
+    r#"{"evacuated_zones": ["za"]}"#,
+    ConfigDiff { evacuated_zones: diff(&["za"], &[], &[]), ..ConfigDiff::default() };
+    "zone evacuated"
+)]
+#[test_case(r#"{"evacuated_zones": []}"#, ConfigDiff::default(); "no zone evacuated")]
 #[test_case(
     r#"{"servers": {"s3": null}, "groups": {"run": null}}"#,
     ConfigDiff {
--- a/crates/jasminepond-config/tests/config/mistakes.rs
+++ b/crates/jasminepond-config/tests/config/mistakes.rs
@@ -64,6 +64,19 @@
     &["/zones/za/region: expected a text, found the number 4"];
     "number as id"
 )]
+#[test_case(
+    r#"{"evacuated_zones": ["za", "zx", "za"]}"#,
+    &[
+        "/evacuated_zones/1: zone \"zx\" is not defined",
+        "/evacuated_zones/2: \"za\" is listed twice",
+    ];
+    "evacuated zone that is not defined, and one that is listed twice"
+)]
+#[test_case(
+    r#"{"evacuated_zones": "za"}"#,
+    &["/evacuated_zones: expected a list, found the text \"za\""];
+    "evacuated zone that is not in a list"
+)]
 #[test_case(
     r#"{"shapes": {"small": 4}}"#,
     &["/shapes/small: expected an object, found the number 4"];
--- a/crates/jasminepond-daemon/src/entry/chooser.rs
+++ b/crates/jasminepond-daemon/src/entry/chooser.rs
@@ -118,9 +118,10 @@
 fn missing_reason(reason: UnavailableReason) -> MissingReason {
     match reason {
         UnavailableReason::Tried => MissingReason::Failed,
-        UnavailableReason::NoReplica | UnavailableReason::Draining | UnavailableReason::Down => {
-            MissingReason::NoReplica
-        }
+        UnavailableReason::NoReplica
+        | UnavailableReason::Evacuated
+        | UnavailableReason::Draining
+        | UnavailableReason::Down => MissingReason::NoReplica,
         UnavailableReason::VersionUnavailable => MissingReason::VersionUnavailable,
     }
 }
--- a/crates/jasminepond-daemon/src/entry/mod.rs
+++ b/crates/jasminepond-daemon/src/entry/mod.rs
@@ -6,7 +6,11 @@
 mod search;
 mod timers;
 
-use std::{collections::HashMap, rc::Rc, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    sync::Arc,
+};
 
 use futures_channel::{mpsc, oneshot};
 use jasminepond_config::{Config, ConnectionMode, GroupKind};
@@ -21,6 +25,7 @@
 };
 use jasminepond_wire::{CallerRequest, Frame};
 use serde::Serialize;
+use spdlog::warn;
 
 use crate::{
     clock::{Clock, PauseCount},
@@ -465,6 +470,14 @@
         routing
             .replicas
             .retain(|server| config.servers.contains_key(server));
+        let evacuated = config.servers.iter();
+        let evacuated = evacuated.filter(|(_, server)| !config.may_send_to(server));
+        let evacuated = evacuated.map(|(id, _)| id.clone()).collect();
+        routing
+            .replicas
+            .set_evacuated(self.cx.clock.now(), evacuated);
+        log_evacuations(self.config.as_deref(), &config);
+        let routing = &mut self.routing;
         routing
             .hedging
             .retain(|group| config.groups.contains_key(group));
@@ -593,6 +606,18 @@
     }
 }
 
+/// Logs the zones whose evacuation begins or ends with a configuration.
+fn log_evacuations(old: Option<&Config>, new: &Config) {
+    let none = BTreeSet::new();
+    let before = old.map_or(&none, |old| &old.evacuated_zones);
+    for zone in new.evacuated_zones.difference(before) {
+        warn!("config: zone {zone} is evacuated; its servers get no requests");
+    }
+    for zone in before.difference(&new.evacuated_zones) {
+        warn!("config: the evacuation of zone {zone} is lifted");
+    }
+}
+
 /// A request whose parameters are valid under the configuration.
 struct Checked {
     config: Arc<Config>,
--- a/crates/jasminepond-daemon/src/owner/mod.rs
+++ b/crates/jasminepond-daemon/src/owner/mod.rs
@@ -101,6 +101,8 @@
     pub server: ServerId,
     /// Its health as observed by this owner.
     pub health: &'static str,
+    /// Whether it gets no requests because its zone is evacuated.
+    pub evacuated: bool,
     /// Requests in the queue.
     pub queued: u32,
     /// Requests in progress.
--- a/crates/jasminepond-daemon/src/owner/server.rs
+++ b/crates/jasminepond-daemon/src/owner/server.rs
@@ -88,6 +88,8 @@
     conns: HashMap<ConnId, Conn>,
     next_conn: u64,
     retired: bool,
+    /// Whether its zone is evacuated: it gets no requests, including health calls.
+    evacuated: bool,
     next_probe: Timestamp,
     /// End of the time in which a report that it is leaving overrides its own state.
     leaving_until: Timestamp,
@@ -124,7 +126,8 @@
     pub fn new(now: Timestamp, id: ServerId, config: &Config) -> Option<Self> {
         let server = config.servers.get(&id)?;
         let queue = ServerQueue::new(now, settings(server, config), rand::random());
-        Some(Self {
+        let evacuated = !config.may_send_to(server);
+        let mut server = Self {
             id,
             address: server.address,
             max_answer: usize::try_from(config.limits.max_answer_bytes.get()).unwrap_or(usize::MAX),
@@ -132,10 +135,13 @@
             conns: HashMap::new(),
             next_conn: FIRST_CONN_ID,
             retired: false,
+            evacuated: false,
             next_probe: Timestamp::ZERO,
             leaving_until: Timestamp::ZERO,
             timer: None,
-        })
+        };
+        server.set_evacuated(now, evacuated);
+        Some(server)
     }
 
     /// Id of the server.
@@ -184,6 +190,7 @@
         ServerStatus {
             server: self.id.clone(),
             health: health_name(hint.health),
+            evacuated: self.evacuated,
             queued: hint.queued,
             running: hint.running,
             slots: hint.slots,
@@ -374,6 +381,7 @@
         match config.servers.get(&self.id) {
             Some(server) if server.address == self.address => {
                 self.queue.update_settings(now, settings(server, config));
+                self.set_evacuated(now, !config.may_send_to(server));
                 Applied::Kept
             }
             _ => {
@@ -384,6 +392,18 @@
         }
     }
 
+    /// Evacuates the server as if it was draining: queued requests are refused, running ones
+    /// complete and idle connections are closed. Afterwards a health call decides whether it
+    /// is used again, beginning with one slot, since it may be cold or draining itself.
+    fn set_evacuated(&mut self, now: Timestamp, evacuated: bool) {
+        let before = std::mem::replace(&mut self.evacuated, evacuated);
+        match (before, evacuated) {
+            (false, true) => self.queue.set_draining(now),
+            (true, false) => self.next_probe = now,
+            (true, true) | (false, false) => {}
+        }
+    }
+
     /// Marks the server as draining: it gets no new requests.
     pub fn set_draining(&mut self, now: Timestamp) {
         if self.health() != Health::Draining {
@@ -407,7 +427,11 @@
     /// Checks periodically whether a leaving server is ready again. This uses a
     /// health call, since a leaving server must get no new requests.
     pub fn probe(&mut self, now: Timestamp, key: ServerKey, cx: &Context) {
-        if self.retired || self.health() != Health::Draining || now < self.next_probe {
+        if self.retired
+            || self.evacuated
+            || self.health() != Health::Draining
+            || now < self.next_probe
+        {
             return;
         }
         self.next_probe = now + PROBE_INTERVAL;
@@ -418,6 +442,11 @@
 
     fn on_probe(&mut self, now: Timestamp, id: ConnId, event: backend::Event) {
         match event {
+            backend::Event::Connected if self.evacuated => {
+                if let Some(conn) = self.conns.get(&id) {
+                    conn.handle.send(Command::Close);
+                }
+            }
             backend::Event::Connected => self.call(id, InFlight::Check, CHECK_CALL, Call::Health),
             backend::Event::ConnectFailed(_) | backend::Event::Closed { .. } => {
                 self.conns.remove(&id);
@@ -428,7 +457,7 @@
                 }
                 let ready = CallOutcome::Health(backend::ServerState::Ready);
                 let ready = reply.outcome == ready && !reply.hints.draining;
-                if ready && now >= self.leaving_until && !self.retired {
+                if ready && now >= self.leaving_until && !self.retired && !self.evacuated {
                     self.queue.set_ready(now);
                 }
             }
--- a/crates/jasminepond-daemon/tests/contract/backends.rs
+++ b/crates/jasminepond-daemon/tests/contract/backends.rs
@@ -250,3 +250,63 @@
         (leaves.searches() > before).then_some(())
     });
 }
+
+/// Guards against requests of any kind to servers of an evacuated zone, and against an
+/// evacuation that does not end with its key.
+#[test]
+fn servers_of_an_evacuated_zone_get_no_requests() {
+    let (stays, evacuated) = (
+        Backend::start(Reaction::Answer),
+        Backend::start(Reaction::Answer),
+    );
+    let mut folder = folder(&[vec![stays.address, evacuated.address]]);
+    folder["zones"]["z2"] = json!({"region": "r1"});
+    folder["servers"]["server-1-b"]["zone"] = json!("z2");
+    let platform = Platform::start(&folder);
+    let daemon = TestDaemon::start("entry-1", platform.address);
+    let evacuate = |zones: &Value| {
+        let content = json!({ "evacuated_zones": zones }).to_string();
+        let revision = platform.publish("95-evacuate.json", &content);
+        wait_for("the revision", || {
+            (daemon.revision() == revision).then_some(())
+        });
+    };
+    wait_for("both servers to be used", || {
+        search(&daemon, "q");
+        (stays.searches() > 0 && evacuated.searches() > 0).then_some(())
+    });
+    evacuate(&json!(["z2"]));
+    // Checks of idle connections may be on their way.
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    let before = evacuated.requests();
+    for _ in 0..20 {
+        let response = search(&daemon, "q");
+        assert_eq!(response.body["coverage"]["answered"], 1, "{response:?}");
+        assert_eq!(reported_outcome(&execute(&daemon).0), ReportedOutcome::Done);
+    }
+    let statuses = daemon.status()["servers"].clone();
+    let servers = statuses.as_array().unwrap().iter();
+    let held_out: Vec<_> = servers
+        .filter(|server| server["evacuated"] == true)
+        .collect();
+    assert_eq!(held_out.len(), 1, "{statuses}");
+    // Longer than the interval of health calls to servers that are leaving.
+    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    assert_eq!(evacuated.requests(), before);
+
+    evacuate(&json!(["z1", "z2"]));
+    let before = stays.requests();
+    assert_eq!(
+        reported_outcome(&execute(&daemon).0),
+        ReportedOutcome::NotRun
+    );
+    assert_eq!(search(&daemon, "q").body["coverage"]["answered"], 0);
+    assert_eq!(stays.requests(), before);
+
+    evacuate(&json!([]));
+    let searches = evacuated.searches();
+    wait_for("the zones to be used again", || {
+        search(&daemon, "q");
+        (evacuated.searches() > searches).then_some(())
+    });
+}
--- a/crates/jasminepond-daemon/tests/contract/support/backend.rs
+++ b/crates/jasminepond-daemon/tests/contract/support/backend.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 struct State {
     reaction: Option<Reaction>,
+    /// Requests of any kind, including health calls.
+    requests: u64,
     searches: u64,
     /// Executions per request key.
     executions: HashMap<String, u64>,
@@ -117,6 +119,11 @@
         self.with(|state| state.held)
     }
 
+    /// Number of requests received, including health calls.
+    pub fn requests(&self) -> u64 {
+        self.with(|state| state.requests)
+    }
+
     /// Number of searches received.
     pub fn searches(&self) -> u64 {
         self.with(|state| state.searches)
@@ -172,6 +179,7 @@
     }
 
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> io::Result<ConnectionAction> {
+        self.with(|state| state.requests += 1);
         match request.path.as_str() {
             "/health" => {
                 let draining = self.reaction() == Reaction::AnswerDraining;
--- a/crates/jasminepond-routing/src/replicas.rs
+++ b/crates/jasminepond-routing/src/replicas.rs
@@ -1,6 +1,9 @@
 //! Chooses the replica of a shard to which a sub-request is sent.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use jasminepond_dispatch::Hint;
 use jasminepond_types::{ServerId, Timestamp, Version};
@@ -107,6 +110,8 @@
     NoReplica,
     /// All replicas were already tried.
     Tried,
+    /// All untried replicas are in evacuated zones.
+    Evacuated,
     /// All untried replicas are draining.
     Draining,
     /// None of the remaining replicas can be reached.
@@ -170,6 +175,7 @@
 pub struct Replicas {
     settings: ReplicaSettings,
     servers: HashMap<ServerId, Server>,
+    evacuated: HashSet<ServerId>,
     rng: SmallRng,
 }
 
@@ -181,6 +187,7 @@
         Self {
             settings,
             servers: HashMap::new(),
+            evacuated: HashSet::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -250,6 +257,9 @@
         if req.exclude.contains(id) {
             return Some(UnavailableReason::Tried);
         }
+        if self.evacuated.contains(id) {
+            return Some(UnavailableReason::Evacuated);
+        }
         let server = known?;
         if server.is_draining(now, &self.settings) {
             Some(UnavailableReason::Draining)
@@ -350,6 +360,36 @@
         self.update(now, id, |server, _| server.mark_available());
     }
 
+    /// Replaces the set of servers that must get no requests because their zone is
+    /// evacuated. Those that leave the set are ramped up, since they may be cold.
+    ///
+    /// ```
+    /// use jasminepond_routing::{Choice, ReplicaRequest, Replicas, UnavailableReason};
+    /// use jasminepond_types::{ServerId, Timestamp, Version};
+    ///
+    /// let now = Timestamp::ZERO;
+    /// let servers: [ServerId; 1] = ["kit-1a".parse().unwrap()];
+    /// let mut replicas = Replicas::new(Default::default(), 7);
+    /// replicas.set_evacuated(now, servers.iter().cloned().collect());
+    /// let req = ReplicaRequest {
+    ///     servers: &servers,
+    ///     version: Version(42),
+    ///     priority: 0,
+    ///     exclude: &[],
+    ///     can_hedge: false,
+    /// };
+    /// let reason = UnavailableReason::Evacuated;
+    /// assert_eq!(replicas.choose(now, req), Choice::None { reason });
+    /// ```
+    pub fn set_evacuated(&mut self, now: Timestamp, servers: HashSet<ServerId>) {
+        let before = std::mem::replace(&mut self.evacuated, servers);
+        for id in before {
+            if !self.evacuated.contains(&id) {
+                self.mark_available(now, &id);
+            }
+        }
+    }
+
     /// Removes servers for which `keep` returns `false`.
     pub fn retain(&mut self, mut keep: impl FnMut(&ServerId) -> bool) {
         self.servers.retain(|id, _| keep(id));
--- a/crates/jasminepond-routing/tests/replicas.rs
+++ b/crates/jasminepond-routing/tests/replicas.rs
@@ -200,3 +200,35 @@
     assert!(replicas.estimate(NOW, server, 1).is_overloaded());
     assert!(!replicas.estimate(NOW, server, 2).is_overloaded());
 }
+
+/// Guards against load on a replica in an evacuated zone, also if it is the best or the only
+/// one, and against full load on it as soon as it is back.
+#[test]
+fn evacuated_replicas_are_not_chosen_and_ramp_up_afterwards() {
+    let mut replicas = warm_replicas(ReplicaSettings::default());
+    let [a, b] = [&servers()[0], &servers()[1]];
+    let evacuated = |ids: &[&ServerId]| ids.iter().map(|id| (*id).clone()).collect();
+    // One request is all that a server gets at first while it ramps up.
+    replicas.record_sent(NOW, a);
+    let before = replicas.estimate(NOW, a, 1).completion;
+    replicas.set_evacuated(NOW, evacuated(&[a]));
+    replicas.record_hint(NOW, b, hint(20, Health::Failing));
+    assert_eq!(choice_counts(&mut replicas, NOW, true), [0, 1_000]);
+    replicas.set_evacuated(NOW, evacuated(&[a, b]));
+    let servers = servers();
+    let req = ReplicaRequest {
+        servers: &servers,
+        version: VERSION,
+        priority: 1,
+        exclude: &[],
+        can_hedge: true,
+    };
+    let reason = UnavailableReason::Evacuated;
+    assert_eq!(replicas.choose(NOW, req), Choice::None { reason });
+    replicas.set_evacuated(NOW, evacuated(&[b]));
+    assert_eq!(choice_counts(&mut replicas, NOW, true), [1_000, 0]);
+    assert!(
+        replicas.estimate(NOW, a, 1).completion > before,
+        "it ramps up"
+    );
+}
