--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -77,6 +77,9 @@
     pub(super) fn open_conn(&mut self, now: Timestamp, key: ServerKey) {
         let limit = self.connection_limit(key);
         let server = &mut self.servers[key];
+        if !server.access.is_open(now) {
+            return;
+        }
         if let Reachability::Down { until } = server.reachability
             && now < until
         {
@@ -91,7 +94,8 @@
     /// Opens a connection to a server to find out whether it responds, regardless of the
     /// limits.
     pub(super) fn open_probe(&mut self, now: Timestamp, key: ServerKey) {
-        if self.servers[key].opening == 0 {
+        let server = &self.servers[key];
+        if server.opening == 0 && server.access.is_open(now) {
             self.start_connection(now, key);
         }
     }
@@ -236,7 +240,7 @@
         }
         state.state = ConnState::Idle { since: now, until };
         let server = state.server;
-        if !self.is_known(server) {
+        if !self.is_known(server) || !self.servers[server].access.is_open(now) {
             self.close_conn(conn);
             return;
         }
@@ -369,6 +373,7 @@
         if !self.is_known(key) {
             return;
         }
+        self.finish_return(now, key);
         match self.servers[key].leaving_since {
             Some(since) if now.since(since) >= self.settings.leave_grace() => self.retire(now, key),
             Some(_) => {}
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_timeouts;
 mod contact;
 mod departed;
+mod evacuation;
 mod evenness;
 mod forwarder;
 mod latency;
@@ -33,6 +34,7 @@
 };
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
+pub use evacuation::{EvacuatedZones, ZoneChange};
 pub use forwarder::{AdmissionCounts, Cluster, DelegationRequest, Forwarder, Peer, Status};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, merge_top_k};
