--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -33,6 +33,7 @@
     timers::{Timer, Timers},
 };
 
+mod cold;
 mod connect;
 mod contact;
 mod delegate;
@@ -78,6 +79,8 @@
         until: Option<Timestamp>,
     },
     Busy(CallKey),
+    /// A health request was sent at this time.
+    Health(Timestamp),
 }
 
 #[derive(Debug)]
@@ -156,6 +159,8 @@
     servers_by_id: HashMap<Arc<str>, ServerKey>,
     servers_by_process: HashMap<ProcessId, ServerKey>,
     limiter: RateLimiter,
+    /// Number of health requests sent.
+    health_requests: u64,
     departed: DepartedServers,
     contact: Contact,
     /// When contact is checked next.
@@ -321,8 +326,9 @@
         let live = |name: &Arc<str>| release.routes.iter().any(|route| route.name == *name);
         self.stats.retain(|name, _| live(name));
         for (name, spec) in &release.services {
-            if let Some(key) = self.services_by_name.get(name) {
-                self.services[*key].max_connections = spec.max_connections;
+            if let Some(&key) = self.services_by_name.get(name) {
+                self.services[key].max_connections = spec.max_connections;
+                self.set_warm_up(now, key, spec);
             }
         }
         self.regroup(now);
@@ -400,6 +406,8 @@
                 && server.service == service;
             if same {
                 server.update(now, backend);
+                self.guard_server(now, key);
+                let server = &self.servers[key];
                 if let Some(since) = server.leaving_since {
                     let end = since + self.settings.leave_grace();
                     self.timers.set(end, Timer::Server(key));
@@ -424,6 +432,7 @@
         let process = server.process;
         let key = self.servers.insert(server);
         self.servers_by_process.insert(process, key);
+        self.guard_server(now, key);
         self.start_usage_reports(now, key);
         if let Some(Restriction::BackOffUntil(until)) = restriction {
             self.back_off(key, until);
@@ -638,6 +647,7 @@
                 Timer::Server(server) => self.on_server_timer(now, server),
                 Timer::Permit(server) => self.on_permit_timer(now, server),
                 Timer::LimitUsage(server) => self.report_limit_usage(now, server),
+                Timer::Health(conn) => self.on_health_timer(now, conn),
                 Timer::Contact => self.on_contact_timer(now),
                 Timer::Verdict(req) => self.settle(now, req),
                 Timer::Cut => self.expire_cut_calls(now),
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -165,12 +165,16 @@
             return;
         };
         let (server, used, opened) = (state.server, state.used, state.opened);
+        let checked = matches!(state.state, ConnState::Health(_));
         let rejected = !used && now.since(opened) < REJECTED_WITHIN;
         let busy = match state.state {
             ConnState::Busy(call) => Some(call),
-            ConnState::Opening | ConnState::Idle { .. } => None,
+            ConnState::Opening | ConnState::Idle { .. } | ConnState::Health(_) => None,
         };
         self.forget_conn(conn);
+        if checked {
+            self.health_lost(now, server);
+        }
         if let Some(call) = busy {
             let req = self.calls.get(call).map(|call| call.req);
             if lost == LostCall::MayHaveRun {
@@ -197,12 +201,18 @@
         let Some(state) = self.conns.get_mut(conn) else {
             return;
         };
-        let ConnState::Busy(call) = state.state else {
-            return;
-        };
         let server = state.server;
-        let sent = self.calls.get(call).map_or(state.opened, |call| call.sent);
-        self.observe_contact(now, server, sent);
+        let call = match state.state {
+            ConnState::Busy(call) => Some(call),
+            ConnState::Health(sent) => {
+                self.health_replied(now, conn, sent, &exchange);
+                None
+            }
+            ConnState::Opening | ConnState::Idle { .. } => return,
+        };
+        if let Some(call) = call.and_then(|call| self.calls.get(call)) {
+            self.observe_contact(now, server, call.sent);
+        }
         let Some(state) = self.conns.get_mut(conn) else {
             return;
         };
@@ -216,7 +226,9 @@
         if exchange.closes {
             self.close_conn(conn);
         }
-        self.call_replied(now, call, exchange.reply);
+        if let Some(call) = call {
+            self.call_replied(now, call, exchange.reply);
+        }
         if self.conns.contains_key(conn) {
             self.on_idle(now, conn, until);
         } else if let Some(server) = self.servers.get(server) {
@@ -230,7 +242,7 @@
     /// Marks a connection as idle, unless it already carries another call.
     fn on_idle(&mut self, now: Timestamp, conn: ConnKey, until: Option<Timestamp>) {
         let state = &mut self.conns[conn];
-        if matches!(state.state, ConnState::Busy(_)) {
+        if matches!(state.state, ConnState::Busy(_) | ConnState::Health(_)) {
             return;
         }
         state.state = ConnState::Idle { since: now, until };
@@ -245,6 +257,7 @@
                 Timer::RemoteIdle(conn),
             );
         }
+        self.check_health(now, server);
         self.place_waiting(now, self.servers[server].service);
     }
 
@@ -252,7 +265,7 @@
     pub(super) fn on_remote_idle(&mut self, now: Timestamp, conn: ConnKey) {
         let idle = |state: &Conn| match state.state {
             ConnState::Idle { since, .. } => now.since(since) >= self.settings.remote_idle_timeout,
-            ConnState::Opening | ConnState::Busy(_) => false,
+            ConnState::Opening | ConnState::Busy(_) | ConnState::Health(_) => false,
         };
         let remote = |state: &Conn| !self.servers[state.server].assigned;
         if self
@@ -272,6 +285,10 @@
         if !helper && server.calls.len() >= server.window_size(&self.settings) {
             return None;
         }
+        self.newest_idle_conn(now, key)
+    }
+
+    pub(super) fn newest_idle_conn(&self, now: Timestamp, key: ServerKey) -> Option<ConnKey> {
         let idle = |conn: &ConnKey| match self.conns[*conn].state {
             ConnState::Idle { since, until } if until.is_none_or(|until| now < until) => {
                 Some((since, *conn))
@@ -349,11 +366,14 @@
     fn drop_retired(&mut self, key: ServerKey) {
         let idle = |server: &crate::server::Server| server.conns.is_empty();
         if self.servers.get(key).is_some_and(idle) && !self.is_known(key) {
-            let server = self.servers.remove(key);
-            if let Some(process) = server.map(|server| server.process)
-                && self.servers_by_process.get(&process) == Some(&key)
-            {
-                self.servers_by_process.remove(&process);
+            let Some(server) = self.servers.remove(key) else {
+                return;
+            };
+            for process in [server.process, server.health.process] {
+                if self.servers_by_process.get(&process) == Some(&key) {
+                    self.servers_by_process.remove(&process);
+                    self.limiter.remove_guard(process);
+                }
             }
         }
     }
--- a/crates/jasminepond-forward/src/forwarder/limits.rs
+++ b/crates/jasminepond-forward/src/forwarder/limits.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use jasminepond_ratelimit::{Availability, Daemon, LimitChange, Message};
+use jasminepond_ratelimit::{Availability, Daemon, LimitChange, Message, ProcessId};
 use jasminepond_types::{ErrorKind, Timestamp};
 
 use super::{ConnState, Forwarder};
@@ -58,6 +58,7 @@
         };
         let sent = match conn.state {
             ConnState::Busy(call) => self.calls.get(call).map(|call| call.sent),
+            ConnState::Health(sent) => Some(sent),
             ConnState::Opening | ConnState::Idle { .. } => None,
         };
         self.observe_limit(now, conn.server, sent.unwrap_or(conn.opened), Some(limit));
@@ -69,9 +70,14 @@
         let Some(&key) = self.servers_by_process.get(&received.process) else {
             return;
         };
-        if let Some(change) = received.change {
-            self.on_limit_change(now, key, change);
+        match received.change {
+            Some(change) if received.process == self.servers[key].process => {
+                self.on_limit_change(now, key, change);
+            }
+            Some(change) => self.on_warmth_change(key, change),
+            None => {}
         }
+        self.check_health(now, key);
         self.place_waiting(now, self.servers[key].service);
     }
 
@@ -131,28 +137,34 @@
     }
 
     pub(super) fn availability(&self, now: Timestamp, key: ServerKey) -> Availability {
-        self.limiter.availability(now, self.servers[key].process)
+        let processes = self.limited_processes(key);
+        let availabilities = processes.map(|process| self.limiter.availability(now, process));
+        availabilities.fold(Availability::Unlimited, stricter)
     }
 
     /// Records a request for which a server is preferred.
     pub(super) fn record_demand(&mut self, now: Timestamp, key: ServerKey) {
-        let server = &mut self.servers[key];
-        self.limiter.record_demand(now, server.process);
-        let availability = self.limiter.availability(now, server.process);
+        let processes: Vec<_> = self.limited_processes(key).collect();
+        for process in processes {
+            self.limiter.record_demand(now, process);
+        }
+        self.check_health(now, key);
         if matches!(
-            availability,
+            self.availability(now, key),
             Availability::Unknown | Availability::NotBefore(_)
         ) {
-            server.limit_usage.held_back += 1;
+            self.servers[key].limit_usage.held_back += 1;
         }
     }
 
     /// Whether the limit of a server permits a request now, at the latest by a permit from
     /// this daemon's own bucket.
     pub(super) fn try_permit(&mut self, now: Timestamp, key: ServerKey) -> bool {
-        let process = self.servers[key].process;
-        self.limiter.request_local(now, process);
-        self.limiter.availability(now, process) == Availability::Permitted
+        let processes: Vec<_> = self.limited_processes(key).collect();
+        for process in processes {
+            self.limiter.request_local(now, process);
+        }
+        self.availability(now, key) == Availability::Permitted
     }
 
     /// Requests a permit of the first of `servers` that may have one by `by`, unless enough
@@ -165,28 +177,43 @@
         by: Timestamp,
     ) {
         let wanted = self.services[service].waiting() + 1;
-        let process = |key: &ServerKey| self.servers[*key].process;
-        let processes: Vec<_> = servers.iter().map(process).collect();
-        let expected = processes.iter().map(|p| self.limiter.expected(now, *p));
+        let expected = servers.iter().map(|key| self.expected_permits(now, *key));
         let mut missing = wanted.saturating_sub(expected.sum());
-        for process in processes {
+        for key in servers {
             if missing == 0 {
                 break;
             }
-            let before = self.limiter.expected(now, process);
-            self.limiter.request(now, process, before + missing, by);
-            missing = missing.saturating_sub(self.limiter.expected(now, process) - before);
+            let before = self.expected_permits(now, *key);
+            let processes: Vec<_> = self.limited_processes(*key).collect();
+            for process in processes {
+                self.limiter.request(now, process, before + missing, by);
+            }
+            self.check_health(now, *key);
+            let after = self.expected_permits(now, *key);
+            missing = missing.saturating_sub(after.saturating_sub(before));
         }
         for key in servers {
             self.set_permit_timer(now, *key);
         }
     }
 
+    /// Number of permits of a server that are held or requested.
+    fn expected_permits(&self, now: Timestamp, key: ServerKey) -> usize {
+        let limited = |process: &ProcessId| {
+            self.limiter.availability(now, *process) != Availability::Unlimited
+        };
+        let processes = self.limited_processes(key).filter(limited);
+        let expected = processes.map(|process| self.limiter.expected(now, process));
+        expected.min().unwrap_or(0)
+    }
+
     fn set_permit_timer(&mut self, now: Timestamp, key: ServerKey) {
-        let server = &mut self.servers[key];
-        let Some(at) = self.limiter.retry_at(now, server.process) else {
+        let processes = self.limited_processes(key);
+        let times = processes.filter_map(|process| self.limiter.retry_at(now, process));
+        let Some(at) = times.min() else {
             return;
         };
+        let server = &mut self.servers[key];
         if server.permit_timer.is_none_or(|set| set <= now || at < set) {
             server.permit_timer = Some(at);
             self.timers.set(at, Timer::Permit(key));
@@ -206,14 +233,16 @@
     /// Uses a permit for a send to a server, and counts the send. Called before the counters
     /// of the part change.
     pub(super) fn use_permit(&mut self, now: Timestamp, key: ServerKey, req: ReqKey, index: usize) {
-        let server = &mut self.servers[key];
-        if self.limiter.limit(server.process).is_none() {
+        if self.availability(now, key) == Availability::Unlimited {
             return;
         }
-        let permitted = self.limiter.take(now, server.process);
-        debug_assert!(permitted, "sent to a limited server without a permit");
-        self.limiter.restock(now, server.process);
-        count_send(server, &self.reqs[req].parts[index]);
+        let processes: Vec<_> = self.limited_processes(key).collect();
+        for process in processes {
+            let permitted = self.limiter.take(now, process);
+            debug_assert!(permitted, "sent to a limited server without a permit");
+            self.limiter.restock(now, process);
+        }
+        count_send(&mut self.servers[key], &self.reqs[req].parts[index]);
     }
 
     /// Time until a permit of a server may be available, zero if this is unknown.
@@ -250,6 +279,21 @@
     }
 }
 
+/// The stricter of two availabilities, which both apply.
+fn stricter(a: Availability, b: Availability) -> Availability {
+    match (a, b) {
+        (Availability::NotBefore(a), Availability::NotBefore(b)) => {
+            Availability::NotBefore(a.max(b))
+        }
+        (Availability::NotBefore(at), _) | (_, Availability::NotBefore(at)) => {
+            Availability::NotBefore(at)
+        }
+        (Availability::Unknown, _) | (_, Availability::Unknown) => Availability::Unknown,
+        (Availability::Permitted, _) | (_, Availability::Permitted) => Availability::Permitted,
+        (Availability::Unlimited, Availability::Unlimited) => Availability::Unlimited,
+    }
+}
+
 fn count_send(server: &mut Server, part: &Part) {
     let usage = &mut server.limit_usage;
     match (part.sends, part.calls.is_empty()) {
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod contact;
 mod departed;
 mod forwarder;
+mod health;
 mod latency;
 mod merge;
 mod message;
@@ -31,7 +32,7 @@
     EvidenceSource, Exchange, LimitUsage, LostCall, PeerReply, Refusal, Reply, ReqKey, RetryAfter,
     Scope, ServerEvent, StatedLimit, Summary, Verdict,
 };
-pub use report::{CallReport, RouteReport, ServerReport};
+pub use report::{CallReport, RouteReport, ServerReport, WarmUpReport};
 pub use request::ActiveRoute;
 pub use server::ServerKey;
 pub use service::ServiceKey;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -183,6 +183,8 @@
     pub retry_after: Option<RetryAfter>,
     /// Rate limit of the server, if stated.
     pub rate_limit: Option<StatedLimit>,
+    /// Time for which the server stays cold, if stated.
+    pub warm_up_left: Option<Millis>,
     /// Whether the body has a content encoding, and so is not as the server wrote it.
     pub encoded: bool,
     /// Headers to forward.
@@ -346,6 +348,13 @@
     LimitLifted,
     /// The server stated an invalid rate limit, which is ignored.
     InvalidLimit,
+    /// A health response, or another daemon, says that the server is cold.
+    Cold {
+        /// Requests per second that it takes while it is cold.
+        limit: RateLimit,
+    },
+    /// A health response, or another daemon, says that the server is warm again.
+    Warm,
     /// Use of a server's limit by this daemon since the last such event.
     LimitUsage {
         /// The limit.
@@ -414,6 +423,16 @@
         /// Set if the server is another daemon.
         delegation: Option<DelegationRequest>,
     },
+    /// Send a health request over an idle connection. Its response is reported like one of a
+    /// call.
+    CheckHealth {
+        /// The connection.
+        conn: ConnKey,
+        /// Id of the server that must answer.
+        server: Arc<str>,
+        /// Path of the health request.
+        path: Arc<str>,
+    },
     /// Close a connection, even if a call is in progress on it. No event follows.
     Close {
         /// The connection.
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use jasminepond_quarantine::Fingerprint;
-use jasminepond_ratelimit::LimitReport;
+use jasminepond_ratelimit::{LimitReport, Warmth};
 use jasminepond_routes::{Route, ServiceName, Target};
 use jasminepond_types::Timestamp;
 
@@ -45,6 +45,19 @@
     pub calls: usize,
     /// Rate limit that the server states.
     pub limit: Option<LimitReport>,
+    /// Whether the server is cold, if its service limits cold servers.
+    pub warm_up: Option<WarmUpReport>,
+}
+
+/// Whether a server is cold.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WarmUpReport {
+    /// What is presumed of it.
+    pub warmth: Warmth,
+    /// Requests per second that it takes while it is cold.
+    pub per_second: f64,
+    /// Its limit in force, unless it is warm.
+    pub limit: Option<LimitReport>,
 }
 
 /// A call in progress.
@@ -95,6 +108,7 @@
                 connections: server.conns.len(),
                 calls: server.calls.len(),
                 limit: self.limit_report(now, server),
+                warm_up: self.warm_up_report(now, server),
             }
         };
         let mut reports: Vec<_> = self.known_servers().map(report).collect();
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     departed::Restriction,
+    health::Health,
     message::{Backend, BackendState, CallKey, ConnKey, LimitUsage},
     service::ServiceKey,
     settings::ForwardSettings,
@@ -62,6 +63,8 @@
     pub(crate) service: ServiceKey,
     /// Identity of the process for its rate limit.
     pub(crate) process: ProcessId,
+    /// Health requests of this daemon to the server.
+    pub(crate) health: Health,
     pub(crate) conns: Vec<ConnKey>,
     pub(crate) opening: u32,
     pub(crate) calls: Vec<CallKey>,
@@ -88,7 +91,7 @@
     pub(crate) permit_timer: Option<Timestamp>,
     stalled: bool,
     full_until: Timestamp,
-    warm_up_until: Timestamp,
+    pub(crate) warm_up_until: Timestamp,
     slowness: f64,
     failure_rate: f64,
     sampled_at: Timestamp,
@@ -99,9 +102,11 @@
 
 impl Server {
     pub(crate) fn new(now: Timestamp, backend: Backend, service: ServiceKey) -> Self {
+        let process = ProcessId::new(&backend.id, backend.started, backend.address);
         Self {
             warm_up_until: now + backend.warm_up_left.duration(),
-            process: ProcessId::new(&backend.id, backend.started, backend.address),
+            process,
+            health: Health::new(process),
             leaving_since: None,
             stopping: false,
             back_off_until: Timestamp::ZERO,
--- a/crates/jasminepond-forward/src/service.rs
+++ b/crates/jasminepond-forward/src/service.rs
@@ -1,7 +1,8 @@
 //! A service: its backend servers, its budget and its queue.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
+use jasminepond_ratelimit::WarmUpLimit;
 use jasminepond_routes::ServiceName;
 use jasminepond_types::Timestamp;
 use slotmap::new_key_type;
@@ -24,11 +25,21 @@
     pub(crate) part: usize,
 }
 
+/// How the servers of a service are limited while they are cold.
+#[derive(Debug, Clone)]
+pub(crate) struct WarmUp {
+    pub(crate) limit: WarmUpLimit,
+    /// Path of health requests, if servers answer them.
+    pub(crate) health_path: Option<Arc<str>>,
+}
+
 #[derive(Debug)]
 pub(crate) struct Service {
     pub(crate) name: ServiceName,
     pub(crate) servers: Vec<ServerKey>,
     pub(crate) max_connections: u32,
+    /// Set if servers are limited while they are cold.
+    pub(crate) warm_up: Option<WarmUp>,
     /// Whether a route of the release in force leads to it.
     pub(crate) routed: bool,
     pub(crate) budget: RepeatBudget,
@@ -52,6 +63,7 @@
             name,
             servers: Vec::new(),
             max_connections,
+            warm_up: None,
             routed: false,
             budget,
             shard_index: None,
--- a/crates/jasminepond-forward/src/settings.rs
+++ b/crates/jasminepond-forward/src/settings.rs
@@ -105,6 +105,11 @@
     /// Time for which a server that rejected a request because its queue was full is
     /// ranked behind others: about the time in which a full queue of 12 requests drains.
     pub rejection_penalty: Duration,
+    /// Requests that all daemons together may send to a cold server in any second, as a
+    /// multiple of what it handles.
+    pub warm_up_excess: f64,
+    /// Requests in any second beyond that.
+    pub warm_up_slack: f64,
     /// Settings for requests that end the servers that run them.
     pub quarantine: jasminepond_quarantine::Settings,
 }
@@ -135,6 +140,9 @@
             drain_bound: Duration::from_millis(3_000),
             remote_idle_timeout: Duration::from_millis(1_000),
             rejection_penalty: Duration::from_millis(60),
+            // The bounds of the users' platform.
+            warm_up_excess: 1.5,
+            warm_up_slack: 5.0,
             quarantine: jasminepond_quarantine::Settings::default(),
         }
     }
--- a/crates/jasminepond-forward/src/timers.rs
+++ b/crates/jasminepond-forward/src/timers.rs
@@ -34,6 +34,8 @@
     Permit(ServerKey),
     /// Report what was sent to a limited server.
     LimitUsage(ServerKey),
+    /// Give up a health request.
+    Health(ConnKey),
     /// Check the contact with backend servers.
     Contact,
     /// Give up waiting for whether servers have ended whose connections did.
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -17,7 +17,7 @@
 };
 use jasminepond_quarantine::{Fingerprint, Message as Evidence};
 use jasminepond_ratelimit::{Message, RateLimit};
-use jasminepond_routes::{Release, ReleaseVersion, Route, ServiceSpec};
+use jasminepond_routes::{Release, ReleaseVersion, Route};
 use jasminepond_types::{Millis, RunStatus, Timestamp};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -53,6 +53,10 @@
     pub limit: Option<StatedLimit>,
     /// Status of its responses. It states that it has not run a request with status 503.
     pub status: u16,
+    /// The server is cold until then.
+    pub cold_until: Timestamp,
+    /// Health requests that arrived.
+    pub health: usize,
     /// Requests that arrived.
     arrived: Vec<Arrived>,
     /// When each process of a daemon first received a limit from the server.
@@ -93,6 +97,9 @@
     Freeze,
     /// Datagrams from and to the daemon are lost.
     Cut,
+    /// Like a cut, and the daemon and the others consider each other dead until some time after
+    /// its end.
+    Isolate,
     /// The daemon is partitioned from all servers: new connections are not answered, and what
     /// is sent on open ones arrives after the end, unless they are closed before.
     Partition,
@@ -141,6 +148,10 @@
     /// partition, only if the connection is still open.
     Arrived(ConnKey, u64, usize, bool),
     Replied(ConnKey, usize, Option<StatedLimit>, u16),
+    /// A health request arrives at a server.
+    HealthArrived(ConnKey, usize),
+    /// The response to a health request, with the time for which the server stays cold.
+    HealthReplied(ConnKey, Millis),
     /// A delegated request arrives, with its number, path and time left.
     Delegated(Origin, u64, &'static str, Duration, DelegatedPart),
     DelegatedReply(ConnKey, Box<Reply>),
@@ -342,13 +353,15 @@
             writes: 1,
         };
         let max_connections = 4 * self.daemons.len() as u32;
-        let spec = ServiceSpec { max_connections };
-        self.release.services.insert(service.into(), spec);
+        let spec = self.release.services.entry(service.into()).or_default();
+        spec.max_connections = max_connections;
         self.servers.push(Server {
             entry: entry.clone(),
             work,
             limit: None,
             status: 200,
+            cold_until: Timestamp::ZERO,
+            health: 0,
             arrived: Vec::new(),
             told: HashMap::new(),
             down_until: Timestamp::ZERO,
@@ -362,6 +375,28 @@
         index
     }
 
+    /// Limits the servers of a service while they are cold, from the next start of each daemon
+    /// on.
+    pub fn limit_cold_servers(&mut self, service: &str, per_second: f64) {
+        let spec = self.release.services.entry(service.into()).or_default();
+        spec.warm_up_per_second = per_second;
+        spec.health_path = Some("/health".into());
+    }
+
+    /// Largest number of requests, from all daemons and with health requests, that a server
+    /// got in any one second.
+    pub fn busiest_second(&self, server: usize, from: Timestamp, end: Timestamp) -> usize {
+        let arrived = self.servers[server].arrived.iter().map(|a| a.at);
+        let mut arrived: Vec<_> = arrived.filter(|at| (from..end).contains(at)).collect();
+        arrived.sort_unstable();
+        let second = Duration::from_secs(1);
+        let from_each = (0..arrived.len()).map(|first| {
+            let until = arrived[first] + second;
+            arrived[first..].partition_point(|at| *at < until)
+        });
+        from_each.max().unwrap_or(0)
+    }
+
     /// Injects a fault that lasts for `time`.
     pub fn inject(&mut self, daemon: usize, fault: Fault, time: Duration) {
         let state = &mut self.daemons[daemon];
@@ -373,6 +408,17 @@
         match fault {
             Fault::Freeze => state.frozen_until = end,
             Fault::Cut => state.cut_until = end,
+            Fault::Isolate => {
+                state.cut_until = end;
+                for (running, from) in [(false, Duration::ZERO), (true, time)] {
+                    for other in (0..self.daemons.len()).filter(|other| *other != daemon) {
+                        for (at, of) in [(daemon, other), (other, daemon)] {
+                            let after = from + DETECTION_TIME.mul_f64(self.rng.random());
+                            self.push_event(after, at, Event::View(of, running));
+                        }
+                    }
+                }
+            }
             Fault::Partition => state.partitioned_until = end,
             Fault::Kill => {
                 state.down = true;
@@ -490,7 +536,7 @@
             return;
         };
         let frozen_until = self.daemons[daemon].frozen_until;
-        let at_daemon = !matches!(event, Event::Arrived(..));
+        let at_daemon = !matches!(event, Event::Arrived(..) | Event::HealthArrived(..));
         let partitioned_until = self.daemons[daemon].partitioned_until;
         if matches!(event, Event::Replied(..)) && self.now < partitioned_until {
             self.pending.insert(number, (daemon, starts, event));
@@ -604,6 +650,26 @@
                 let event = Event::Replied(conn, index, limit, status);
                 return self.push_event(work + LATENCY, daemon, event);
             }
+            Event::HealthArrived(conn, index) => {
+                let server = &mut self.servers[index];
+                server.health += 1;
+                server.arrived.push(Arrived {
+                    at: now,
+                    daemon,
+                    excused: false,
+                });
+                let left = Millis::from(server.cold_until.since(now));
+                let event = Event::HealthReplied(conn, left);
+                let work = server.work;
+                return self.push_event(work + LATENCY, daemon, event);
+            }
+            Event::HealthReplied(conn, left) => {
+                let reply = Reply {
+                    warm_up_left: (left.0 > 0).then_some(left),
+                    ..reply(200, "health")
+                };
+                forwarder.replied(now, conn, exchange(reply));
+            }
             Event::Replied(conn, index, limit, status) => {
                 if self.deadly.is_some() && !self.busy.contains(&(daemon, conn)) {
                     return;
@@ -666,6 +732,13 @@
                         self.push_event(LATENCY, other, event);
                     }
                 }
+                Action::CheckHealth { conn, .. } => {
+                    if let Some(Target::Server(index)) = self.conns.get(&(daemon, conn)).copied() {
+                        let wait = self.daemons[daemon].partitioned_until.since(self.now);
+                        let event = Event::HealthArrived(conn, index);
+                        self.push_event(wait + LATENCY, daemon, event);
+                    }
+                }
                 Action::LogServerEvent { .. }
                 | Action::LogSuspect { .. }
                 | Action::LogGroups { .. } => {}
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -271,7 +271,13 @@
         let mut services = HashMap::new();
         for server in &self.servers {
             let max_connections = self.max_connections;
-            services.insert(server.service.clone(), ServiceSpec { max_connections });
+            services.insert(
+                server.service.clone(),
+                ServiceSpec {
+                    max_connections,
+                    ..ServiceSpec::default()
+                },
+            );
         }
         let release = Release {
             version: ReleaseVersion(version),
@@ -488,6 +494,7 @@
                 | Action::SendEvidence { .. }
                 | Action::LogSuspect { .. }
                 | Action::LogServerEvent { .. }
+                | Action::CheckHealth { .. }
                 | Action::LogGroups { .. } => {}
                 Action::Close { conn } => {
                     self.closed += 1;
@@ -627,6 +634,7 @@
         leaving: false,
         retry_after: None,
         rate_limit: None,
+        warm_up_left: None,
         encoded: false,
         headers: Vec::new(),
         body: Bytes::from_static(b"0123456789abcdef"),
--- a/crates/jasminepond-gateway/src/adapter.rs
+++ b/crates/jasminepond-gateway/src/adapter.rs
@@ -21,6 +21,8 @@
     pub leaving: &'static str,
     /// Number of requests per second that the server accepts from all daemons together.
     pub rate_limit: &'static str,
+    /// Time in milliseconds for which the server stays cold, in its health responses.
+    pub warm_up_left: &'static str,
     /// Number of times that the store was restored from a backup.
     pub store_era: &'static str,
     /// Signatures of the parts of a merged response.
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -28,7 +28,9 @@
     stop::{Stop, stop},
 };
 use jasminepond_discovery::{ReaderSettings, settle_time};
-use jasminepond_forward::{ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport};
+use jasminepond_forward::{
+    ForwardSettings, Forwarder, RepeatSettings, RouteReport, ServerReport, WarmUpReport,
+};
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
 use jasminepond_quarantine::{Fingerprint, Report};
@@ -199,6 +201,8 @@
             window: Duration::from_secs_f64(settings.repeats.window_s),
             ..RepeatSettings::default()
         },
+        warm_up_excess: settings.warmup_excess,
+        warm_up_slack: settings.warmup_slack,
         ..ForwardSettings::default()
     }
 }
@@ -253,6 +257,14 @@
     })
 }
 
+fn warm_up_status(warm_up: WarmUpReport) -> serde_json::Value {
+    json!({
+        "state": warm_up.warmth.as_str(),
+        "per_second": warm_up.per_second,
+        "limit": warm_up.limit.map(limit_status),
+    })
+}
+
 fn store_status(hub: &Hub) -> serde_json::Value {
     let state = hub.store_state();
     json!({
@@ -281,6 +293,7 @@
                 "connections": server.connections,
                 "calls": server.calls,
                 "limit": server.limit.map(limit_status),
+                "warm_up": server.warm_up.map(warm_up_status),
             })
         };
         let suspects = forwarder.suspect_reports(now).into_iter();
@@ -294,6 +307,7 @@
             "contact_lost_ms": forwarder.contact_lost_for(now).map(|time| time.as_millis() as u64),
             "servers_down": status.down,
             "servers_limited": status.limited,
+            "servers_cold": forwarder.cold_counts(now).0,
             "requests": status.requests,
             "calls": status.calls,
             "connections": status.connections,
@@ -389,6 +403,7 @@
                     let now = hub.clock().now();
                     let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
                     let (status, suspects) = hub.read(read);
+                    hub.metrics().set_cold(hub.read(|f| f.cold_counts(now)));
                     let state_age = now.since(hub.store_state().confirmed_at);
                     let text = hub.metrics().render(status, suspects, state_age);
                     text_response(StatusCode::OK, METRICS_MEDIA_TYPE, text)
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -330,6 +330,7 @@
                 delegation,
                 ..
             } => self.send(conn, req, &server, left, delegation),
+            Action::CheckHealth { conn, server, path } => self.check_health(conn, &server, &path),
             Action::SendDatagram { to, message } => self.send_datagram(to, message.encode()),
             Action::SendEvidence { to, message } => self.send_datagram(to, message.encode()),
             Action::LogSuspect { change, source } => self.log_suspect(change, source),
@@ -385,6 +386,32 @@
         });
     }
 
+    /// Sends a health request.
+    fn check_health(&self, conn: ConnKey, server: &str, path: &str) {
+        let conns = self.conns.borrow();
+        let Some(tx) = conns.get(conn) else {
+            return;
+        };
+        let HeaderNames {
+            request_id,
+            time_left_ms,
+            expected_server,
+            ..
+        } = self.headers;
+        let id = format!("health-{server}-{}", self.clock.now());
+        let left = HEALTH_TIME_LEFT.as_millis();
+        let bytes = format!(
+            "GET {path} HTTP/1.1\r\nhost: {server}\r\n{request_id}: {id}\r\n\
+             {time_left_ms}: {left}\r\n{expected_server}: {server}\r\n\r\n"
+        );
+        // A task that has ended reports the end of the connection itself.
+        let _ = tx.unbounded_send(Outgoing {
+            bytes: bytes.into_bytes(),
+            request_id: id.into(),
+            expected: ExpectedResponse::default(),
+        });
+    }
+
     fn send_datagram(&self, to: SocketAddr, bytes: Vec<u8>) {
         let mut datagrams = self.datagrams.borrow_mut();
         let sent = datagrams.as_mut().map(|tx| tx.try_send((to, bytes)));
@@ -493,6 +520,11 @@
         ServerEvent::InvalidLimit => {
             info!("gateway: a backend server's rate limit cannot be read and is ignored", kv: { server });
         }
+        ServerEvent::Cold { limit } => {
+            let limit_per_s = limit.per_second();
+            info!("gateway: a backend server is cold", kv: { server, limit_per_s });
+        }
+        ServerEvent::Warm => info!("gateway: a backend server is warm", kv: { server }),
         ServerEvent::LimitUsage { limit, usage } => {
             let limit_per_s = limit.per_second();
             info!("gateway: sends to a backend server with a rate limit", kv: {
@@ -510,5 +542,8 @@
     }
 }
 
+/// Time that a server has for a health request.
+const HEALTH_TIME_LEFT: Duration = Duration::from_secs(1);
+
 /// Sleep of the timer task while nothing is due. It is woken when something becomes due.
 const IDLE_WAIT: Duration = Duration::from_secs(3_600);
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     servers: Gauge,
     servers_down: Gauge,
     servers_limited: Gauge,
+    servers_cold: Gauge,
+    health_requests: Counter,
     waiting: Gauge,
     datagrams_dropped: Counter,
     contact_losses: Counter,
@@ -80,6 +82,8 @@
             servers: Gauge::default(),
             servers_down: Gauge::default(),
             servers_limited: Gauge::default(),
+            servers_cold: Gauge::default(),
+            health_requests: Counter::default(),
             waiting: Gauge::default(),
             datagrams_dropped: Counter::default(),
             contact_losses: Counter::default(),
@@ -160,6 +164,11 @@
                 "Times at which a request was held because it ended backend servers",
                 &self.holds,
             ),
+            (
+                "health_requests",
+                "Health requests to backend servers that may be cold",
+                &self.health_requests,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             (
                 "store_failures",
@@ -194,6 +203,11 @@
                 "Backend servers that state a rate limit",
                 &self.servers_limited,
             ),
+            (
+                "servers_cold",
+                "Backend servers that are cold or not known to be warm, and limited for it",
+                &self.servers_cold,
+            ),
             (
                 "requests_suspected",
                 "Distinct requests that are presumed to end backend servers",
@@ -238,6 +252,15 @@
         }
     }
 
+    /// Records the number of servers that are limited as cold ones, and of health requests
+    /// sent since the start.
+    pub fn set_cold(&self, (servers, health_requests): (usize, u64)) {
+        self.servers_cold.set(servers as i64);
+        let counted = self.health_requests.get();
+        self.health_requests
+            .inc_by(health_requests.saturating_sub(counted));
+    }
+
     /// Records an answered request.
     pub fn answered(&self, summary: &Summary) {
         let outcome = Outcome {
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -9,6 +9,7 @@
 use jasminepond_forward::{Reply, RetryAfter, StatedLimit};
 
 use jasminepond_routes::ReleaseVersion;
+use jasminepond_types::Millis;
 
 use crate::{HeaderNames, peers};
 
@@ -148,6 +149,7 @@
 ///     request_id: "x-id", time_left_ms: "x-left", expected_server: "x-server",
 ///     stamp: "x-stamp", not_run: "x-not-run", leaving: "x-leaving", rate_limit: "x-limit",
 ///     store_era: "x-era", part_stamps: "x-parts", missing_parts: "x-missing",
+///     warm_up_left: "x-warm-up",
 /// };
 /// let bytes = b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
 /// let mut reader = ResponseReader::default();
@@ -287,6 +289,7 @@
                 leaving: false,
                 retry_after: None,
                 rate_limit: None,
+                warm_up_left: None,
                 encoded: false,
                 headers: Vec::new(),
                 body: Bytes::new(),
@@ -493,6 +496,10 @@
         } else if is(names.rate_limit) {
             merge_rate_limit(&mut message.reply, value);
             keep_header(message, header, keep_headers);
+        } else if is(names.warm_up_left) {
+            let left = text(value).and_then(|text| text.parse().ok()).map(Millis);
+            message.reply.warm_up_left = message.reply.warm_up_left.max(left);
+            keep_header(message, header, keep_headers);
         } else if is("retry-after") {
             merge_retry_after(&mut message.reply, value);
             keep_header(message, header, keep_headers);
--- a/crates/jasminepond-gateway/src/settings.rs
+++ b/crates/jasminepond-gateway/src/settings.rs
@@ -102,6 +102,13 @@
     /// requests.
     #[serde(default = "default_server_drain")]
     pub server_drain_ms: Millis,
+    /// Requests that all daemons together may send to a cold server in any second, as a
+    /// multiple of what its service specifies.
+    #[serde(default = "default_warmup_excess")]
+    pub warmup_excess: f64,
+    /// Requests in any second beyond that.
+    #[serde(default = "default_warmup_slack")]
+    pub warmup_slack: f64,
     /// Region of the availability zone.
     pub region: RegionId,
     /// Address for membership datagrams (UDP) and for requests of other daemons (TCP). All
@@ -128,6 +135,14 @@
     Millis::from(jasminepond_forward::ForwardSettings::default().drain_bound)
 }
 
+fn default_warmup_excess() -> f64 {
+    jasminepond_forward::ForwardSettings::default().warm_up_excess
+}
+
+fn default_warmup_slack() -> f64 {
+    jasminepond_forward::ForwardSettings::default().warm_up_slack
+}
+
 fn default_announce() -> Millis {
     Millis(2_300)
 }
@@ -172,6 +187,12 @@
         if !(0.1..=3_600.0).contains(&settings.repeats.window_s) {
             return Err(SettingsError::Value("repeats: window_s out of range"));
         }
+        let bounds = [settings.warmup_excess, settings.warmup_slack];
+        if bounds.iter().any(|bound| !(0.0..=1e6).contains(bound)) {
+            return Err(SettingsError::Value(
+                "warmup_excess or warmup_slack out of range",
+            ));
+        }
         if CpuCapacity::from_cores(settings.cores).is_err() {
             return Err(SettingsError::Value("cores out of range"));
         }
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -22,6 +22,7 @@
     store_era: "store-era",
     part_stamps: "x-parts",
     missing_parts: "x-missing",
+    warm_up_left: "x-warm-up",
 };
 
 const EXPECTED: ExpectedResponse = ExpectedResponse {
@@ -285,3 +286,15 @@
     let (message, _) = parse_complete(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
     assert_eq!(message.reply.rate_limit, None);
 }
+
+/// Of several values, the longest time counts; what is no time is as if it were absent.
+#[test_case("X-Warm-Up: 1200\r\n", Some(1_200); "a time")]
+#[test_case("X-Warm-Up: 0\r\n", Some(0); "zero")]
+#[test_case("X-Warm-Up: 5\r\nX-Warm-Up: 70\r\n", Some(70); "twice")]
+#[test_case("X-Warm-Up: soon\r\n", None; "a word")]
+#[test_case("", None; "absent")]
+fn stated_warm_up_is_read(headers: &str, left: Option<u64>) {
+    let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n{headers}\r\n");
+    let (message, _) = parse_complete(bytes.as_bytes(), false);
+    assert_eq!(message.reply.warm_up_left.map(|left| left.0), left);
+}
--- a/crates/jasminepond-ratelimit/src/allocator.rs
+++ b/crates/jasminepond-ratelimit/src/allocator.rs
@@ -4,7 +4,7 @@
 
 use jasminepond_types::Timestamp;
 
-use crate::RateLimit;
+use crate::{RateLimit, warm_up};
 
 /// Time before a new bucket grants its first permit. Another daemon may still grant some
 /// until all daemons agree on the coordinator.
@@ -24,6 +24,8 @@
 pub(crate) struct Allocator {
     /// When the next permit becomes available.
     next: Timestamp,
+    /// Requests of this time may be granted at once.
+    burst: Duration,
     /// Time between two permits at the rate of the last grant.
     interval: Option<Duration>,
 }
@@ -32,6 +34,16 @@
     pub(crate) fn new(now: Timestamp) -> Self {
         Self {
             next: now + HOLD_OFF,
+            burst: BURST,
+            interval: None,
+        }
+    }
+
+    /// The bucket of a process that is cold.
+    pub(crate) fn while_cold(now: Timestamp) -> Self {
+        Self {
+            next: now + warm_up::HOLD_OFF,
+            burst: warm_up::BURST,
             interval: None,
         }
     }
@@ -56,7 +68,7 @@
             let left = self.next.since(now);
             self.next = self.next.min(now) + left.mul_f64(interval.div_duration_f64(before));
         }
-        self.next = self.next.max(now - BURST.saturating_sub(interval));
+        self.next = self.next.max(now - self.burst.saturating_sub(interval));
         let mut delays = Vec::new();
         while delays.len() < usize::from(count) && self.next.since(now) <= wait {
             delays.push(self.next.since(now));
--- a/crates/jasminepond-ratelimit/src/coordinators.rs
+++ b/crates/jasminepond-ratelimit/src/coordinators.rs
@@ -1,10 +1,11 @@
 //! Choice of the daemon that grants the permits of a process.
 
-use std::{collections::HashSet, net::SocketAddr, sync::Arc};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
+use jasminepond_types::Timestamp;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::ProcessId;
+use crate::{ProcessId, warm_up};
 
 /// Another daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,7 +20,11 @@
 
 /// Share of a limit that the backup grants. In four seconds, with the permits of the half
 /// second before, both together grant six times the limit per second.
-const BACKUP_SHARE: f64 = 1.0 / 3.0;
+pub(crate) const BACKUP_SHARE: f64 = 1.0 / 3.0;
+
+/// Longest time between two messages of others in which a daemon considers itself in touch.
+/// Shorter than the time after which others consider a silent daemon dead.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
 
 /// Number of daemons to which one daemon passes on a notice.
 pub(crate) const FAN_OUT: usize = 8;
@@ -49,6 +54,9 @@
     leaving: bool,
     /// Whether the other daemons are known.
     known: bool,
+    /// When an uninterrupted series of messages of other daemons began, and when the last one
+    /// arrived.
+    heard: Option<(Timestamp, Timestamp)>,
     /// Increased with each change.
     pub(crate) generation: u64,
 }
@@ -61,6 +69,24 @@
         }
     }
 
+    /// Records a message of another daemon.
+    pub(crate) fn on_heard(&mut self, now: Timestamp) {
+        let series = self
+            .heard
+            .filter(|(_, last)| now.since(*last) < MAX_SILENCE);
+        let began = series.map_or(now, |(began, _)| began);
+        self.heard = Some((began, now));
+    }
+
+    /// Whether others have sent messages without a long interruption. A daemon that was cut
+    /// off or frozen does not know at first that others have replaced it.
+    pub(crate) fn is_in_touch(&self, now: Timestamp) -> bool {
+        let recent = |(began, last): (Timestamp, Timestamp)| {
+            now.since(last) < MAX_SILENCE && now.since(began) >= warm_up::HOLD_OFF
+        };
+        self.heard.is_some_and(recent) || !self.others.iter().any(|other| other.running)
+    }
+
     pub(crate) fn instance(&self) -> &Arc<str> {
         &self.instance
     }
--- a/crates/jasminepond-ratelimit/src/lib.rs
+++ b/crates/jasminepond-ratelimit/src/lib.rs
@@ -24,6 +24,7 @@
 mod permits;
 mod process;
 mod rate;
+mod warm_up;
 
 pub use coordinators::Daemon;
 pub use jasminepond_types::DecodeError;
@@ -31,3 +32,4 @@
 pub use message::{Ask, Grant, Message, Notice, Statement};
 pub use process::ProcessId;
 pub use rate::{ParseRateLimitError, RateLimit};
+pub use warm_up::{CHECK_INTERVAL, Guard, WARM_LEASE, WarmUpLimit, Warmth};
--- a/crates/jasminepond-ratelimit/src/limiter.rs
+++ b/crates/jasminepond-ratelimit/src/limiter.rs
@@ -10,12 +10,13 @@
 use jasminepond_types::Timestamp;
 
 use crate::{
-    Ask, Daemon, Grant, Message, Notice, ProcessId, RateLimit, Statement,
+    Ask, Daemon, Grant, Message, Notice, ProcessId, RateLimit, Statement, WARM_LEASE,
     allocator::Allocator,
     belief::Belief,
-    coordinators::{Coordinator, Coordinators, Daemons, FAN_OUT},
+    coordinators::{BACKUP_SHARE, Coordinator, Coordinators, Daemons, FAN_OUT},
     message::MAX_PERMITS,
-    permits::{Pending, Permits},
+    permits::{self, Pending, Permits},
+    warm_up::{self, Guard, Warmth},
 };
 
 /// Time after which the coordinator is asked again instead of the backup.
@@ -47,6 +48,19 @@
 /// the process has ended. The next response states it again if it still holds.
 const LIMIT_MEMORY: Duration = Duration::from_secs(600);
 
+/// Maximum number of daemons that are told of a check. Others learn of it when they ask next.
+const MAX_ASKERS: usize = 64;
+
+/// Wait after which a daemon asks again while a check is in progress: a round trip between
+/// zones and an idle server's work, with a margin.
+const CHECK_WAIT: Duration = Duration::from_millis(25);
+
+/// Time for which a check is considered in progress, if it has no result.
+const CHECK_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Age from which a statement says nothing.
+const UNKNOWN_AGE: Duration = Duration::from_millis(u32::MAX as u64);
+
 /// Range of hashes of all daemons.
 const ALL: (u64, u64) = (0, u64::MAX);
 
@@ -108,6 +122,20 @@
     noticed: Option<Timestamp>,
     /// When the process was last used or asked for.
     touched: Timestamp,
+    /// Set if the process can be cold.
+    guard: Option<Guard>,
+    /// Whether what is known of a cold process comes from a check of this daemon.
+    checked_here: bool,
+    /// When this daemon last asked for a newer statement.
+    renewed: Timestamp,
+    /// When a daemon last wanted to send to the process.
+    wanted: Option<Timestamp>,
+    /// Share of the limit that this daemon granted last.
+    granted_share: f64,
+    /// When a permit was first requested since the last check expired.
+    unknown_since: Option<Timestamp>,
+    /// Daemons that are told of the next check.
+    askers: Vec<SocketAddr>,
 }
 
 impl Process {
@@ -119,9 +147,37 @@
             coordinators: (0, Coordinators::default()),
             noticed: None,
             touched: now,
+            guard: None,
+            checked_here: false,
+            renewed: Timestamp::ZERO,
+            wanted: None,
+            granted_share: 0.0,
+            unknown_since: None,
+            askers: Vec::new(),
+        }
+    }
+
+    /// The limit in force.
+    fn limit(&self, now: Timestamp) -> Option<RateLimit> {
+        match &self.guard {
+            Some(guard) => guard.limit(now, &self.belief),
+            None => self.belief.limit,
         }
     }
 
+    /// Time for which a permit can be used.
+    fn lifetime(&self) -> Duration {
+        match self.guard {
+            Some(_) => warm_up::LIFETIME,
+            None => permits::LIFETIME,
+        }
+    }
+
+    /// Whether a daemon wanted to send to the process lately.
+    fn is_wanted(&self, now: Timestamp) -> bool {
+        self.wanted.is_some_and(|at| now.since(at) < WARM_LEASE)
+    }
+
     fn coordinators(&mut self, process: ProcessId, daemons: &Daemons) -> &Coordinators {
         if self.coordinators.0 != daemons.generation {
             self.coordinators = (daemons.generation, daemons.coordinators_of(process));
@@ -139,15 +195,50 @@
         count: u16,
         wait: Duration,
     ) -> (Vec<Duration>, Duration) {
-        let share = daemons.own_share(self.coordinators(process, daemons));
-        let Some(limit) = self.belief.limit.filter(|_| share > 0.0) else {
+        let mut share = daemons.own_share(self.coordinators(process, daemons));
+        if self.guard.is_some() {
+            // Another daemon may still grant permits, as after a false suspicion.
+            if share > self.granted_share {
+                self.allocator = None;
+            }
+            self.granted_share = share;
+            if !daemons.is_in_touch(now) {
+                share = share.min(BACKUP_SHARE);
+            }
+        }
+        let limit = match self.guard {
+            Some(guard) => self.limit(now).map(|_| guard.limit.granted()),
+            None => self.belief.limit,
+        };
+        let Some(limit) = limit.filter(|_| share > 0.0) else {
             self.allocator = None;
             return (Vec::new(), DECLINED_RETRY);
         };
-        let allocator = self.allocator.get_or_insert_with(|| Allocator::new(now));
+        let is_guarded = self.guard.is_some();
+        let allocator = self.allocator.get_or_insert_with(|| match is_guarded {
+            true => Allocator::while_cold(now),
+            false => Allocator::new(now),
+        });
         let count = count.min(MAX_PERMITS);
         let delays = allocator.grant(now, limit, share, count, wait);
-        (delays, allocator.next_in(now))
+        let next_in = allocator.next_in(now);
+        match self.awaits_check(now) {
+            true => (delays, next_in.min(CHECK_WAIT)),
+            false => (delays, next_in),
+        }
+    }
+
+    /// Whether a check that has just become due will probably tell in a moment that the
+    /// process is warm.
+    fn awaits_check(&mut self, now: Timestamp) -> bool {
+        let Some(guard) = self.guard else {
+            return false;
+        };
+        if !guard.wants_check(now, &self.belief) || self.belief.limit.is_some() {
+            return false;
+        }
+        let since = *self.unknown_since.get_or_insert(now);
+        now.since(since) < CHECK_PATIENCE
     }
 
     /// Whether this daemon grants the permits of the process.
@@ -156,12 +247,39 @@
     }
 
     fn statement(&self, now: Timestamp) -> Statement {
-        Statement {
-            limit: self.belief.limit,
-            age: now.since(self.belief.at),
+        let age = now.since(self.belief.at);
+        let limit = self.belief.limit;
+        match self.guard {
+            None => Statement { limit, age },
+            // Ages exclude the time that messages take. A statement that a process is warm is
+            // not passed on by daemons that were told themselves, which would renew it.
+            Some(_) if limit.is_none() && self.checked_here => Statement { limit, age },
+            Some(guard) => Statement {
+                limit: Some(guard.limit.stated()),
+                age: if limit.is_some() { age } else { UNKNOWN_AGE },
+            },
         }
     }
 
+    /// Adds the permits of an answer to a request of this daemon. Returns whether the answer
+    /// arrived in time.
+    fn accept(&mut self, now: Timestamp, grant: &Grant) -> bool {
+        let lifetime = self.lifetime();
+        let Some(pending) = self.permits.pending.filter(|p| p.id == grant.id) else {
+            return false;
+        };
+        self.permits.pending = None;
+        // A daemon that was frozen answers late, from a bucket that others may have
+        // replaced.
+        if pending.is_lost(now) {
+            self.permits.on_ask_lost(now);
+            return false;
+        }
+        self.permits
+            .on_grant(now, &grant.delays, grant.next_in, lifetime);
+        true
+    }
+
     /// Applies a change of the belief. Returns what changed from `before`.
     fn change_since(&mut self, before: Option<RateLimit>) -> Option<LimitChange> {
         if self.belief.limit == before {
@@ -181,7 +299,46 @@
         }
     }
 
+    /// Adopts what another daemon states about a process that can be cold.
+    fn merge_guarded(&mut self, now: Timestamp, statement: Statement) -> Option<LimitChange> {
+        if statement.age >= UNKNOWN_AGE {
+            return None;
+        }
+        let stated = Belief {
+            limit: statement.limit,
+            at: now - statement.age,
+        };
+        if stated.at <= self.belief.at {
+            return None;
+        }
+        self.checked_here = false;
+        self.believe(now, stated)
+    }
+
+    /// Applies a newer belief about a process that can be cold.
+    fn believe(&mut self, now: Timestamp, belief: Belief) -> Option<LimitChange> {
+        let (before, before_limit) = (self.belief, self.limit(now));
+        self.belief = belief;
+        self.unknown_since = None;
+        match (before_limit, self.limit(now)) {
+            (Some(_), None) => {
+                self.permits.clear();
+                self.allocator = None;
+            }
+            (None, Some(_)) => self.permits.next_at = Timestamp::ZERO,
+            _ => {}
+        }
+        match (before.limit, belief.limit) {
+            (None, Some(limit)) => Some(LimitChange::Limited(limit)),
+            (Some(_), None) => Some(LimitChange::Lifted),
+            _ => None,
+        }
+    }
+
     fn is_forgotten(&self, now: Timestamp) -> bool {
+        if self.guard.is_some() {
+            return false;
+        }
         let memory = match self.belief.limit {
             Some(_) => LIMIT_MEMORY,
             None => LIFTED_MEMORY,
@@ -288,6 +445,112 @@
         change
     }
 
+    /// Sets how a process is limited while it is cold, or that it is not.
+    pub fn set_guard(&mut self, now: Timestamp, process: ProcessId, guard: Option<Guard>) {
+        match guard {
+            Some(_) => self.process(now, process).guard = guard,
+            None => self.remove_guard(process),
+        }
+    }
+
+    /// Forgets how a process is limited while it is cold.
+    pub fn remove_guard(&mut self, process: ProcessId) {
+        if self.is_guarded(process) {
+            self.processes.remove(&process);
+        }
+    }
+
+    fn is_guarded(&self, process: ProcessId) -> bool {
+        let state = self.processes.get(&process);
+        state.is_some_and(|state| state.guard.is_some())
+    }
+
+    /// What is presumed of a process that can be cold, or `None` if it cannot.
+    pub fn warmth(&self, now: Timestamp, process: ProcessId) -> Option<Warmth> {
+        let state = self.processes.get(&process)?;
+        let guard = state.guard?;
+        let stated_cold = state.belief.limit.is_some() || now < guard.cold_until;
+        Some(match state.limit(now) {
+            None => Warmth::Warm,
+            Some(_) if stated_cold => Warmth::Cold,
+            Some(_) => Warmth::Unknown,
+        })
+    }
+
+    /// Whether this daemon should check now whether a process is cold: daemons want to send to
+    /// it, and this one checks it for all.
+    pub fn wants_check(&mut self, now: Timestamp, process: ProcessId) -> bool {
+        let daemons = &self.daemons;
+        let Some(state) = self.processes.get_mut(&process) else {
+            return false;
+        };
+        let wants = |guard: Guard| guard.wants_check(now, &state.belief);
+        let is_due = state.guard.is_some_and(wants) && state.is_wanted(now);
+        is_due && state.is_own(process, daemons)
+    }
+
+    /// Records the result of a check that was sent at `sent`, and tells the others of a
+    /// change, and those that have asked.
+    pub fn checked(
+        &mut self,
+        now: Timestamp,
+        process: ProcessId,
+        sent: Timestamp,
+        is_cold: bool,
+    ) -> Option<LimitChange> {
+        let state = self.processes.get_mut(&process)?;
+        let limit = state.guard?.limit.stated();
+        let belief = match is_cold {
+            true => Belief {
+                limit: Some(limit),
+                at: now,
+            },
+            false => Belief {
+                limit: None,
+                at: sent,
+            },
+        };
+        if belief.at <= state.belief.at {
+            return None;
+        }
+        let change = state.believe(now, belief);
+        state.checked_here = true;
+        let statement = state.statement(now);
+        let askers = std::mem::take(&mut state.askers);
+        let to = match change {
+            Some(_) => self.daemons.notified(ALL),
+            None => askers.into_iter().map(|to| (to, NONE)).collect(),
+        };
+        push_notices(&mut self.outbox, process, statement, to);
+        change
+    }
+
+    /// Asks for a newer statement about a process that can be cold before the last one
+    /// expires.
+    fn renew(&mut self, now: Timestamp, process: ProcessId) {
+        let daemons = &self.daemons;
+        let Some(state) = self.processes.get_mut(&process) else {
+            return;
+        };
+        let Some(guard) = state.guard else {
+            return;
+        };
+        state.wanted = Some(now);
+        let asked = now.since(state.renewed) < warm_up::RENEW_INTERVAL;
+        let is_own = state.is_own(process, daemons);
+        if asked || is_own || !guard.wants_check(now, &state.belief) {
+            return;
+        }
+        if let Some(pending) = state.permits.pending {
+            if !pending.is_lost(now) {
+                return;
+            }
+            state.permits.on_ask_lost(now);
+        }
+        state.renewed = now;
+        self.send_ask(now, process, 1, Duration::ZERO);
+    }
+
     /// Tells the coordinator of a limit that is new or lifted, and the other daemons if this
     /// one is the coordinator.
     fn tell_coordinator(&mut self, now: Timestamp, process: ProcessId) {
@@ -325,7 +588,7 @@
         let Some(state) = self.processes.get(&process) else {
             return Availability::Unlimited;
         };
-        if state.belief.limit.is_none() {
+        if state.limit(now).is_none() {
             return Availability::Unlimited;
         }
         match state.permits.first(now) {
@@ -343,14 +606,15 @@
             return true;
         };
         state.touched = now;
-        state.belief.limit.is_none() || state.permits.take(now)
+        state.limit(now).is_none() || state.permits.take(now)
     }
 
     /// Records a request for which the process was preferred, whether or not it was sent
     /// there, and requests permits for the next ones.
     pub fn record_demand(&mut self, now: Timestamp, process: ProcessId) {
+        self.renew(now, process);
         let state = self.processes.get_mut(&process);
-        let Some(state) = state.filter(|state| state.belief.limit.is_some()) else {
+        let Some(state) = state.filter(|state| state.limit(now).is_some()) else {
             return;
         };
         state.permits.record_demand(now);
@@ -382,6 +646,7 @@
             return;
         };
         state.touched = now;
+        state.wanted = Some(now);
         state.permits.expire(now);
         if state
             .permits
@@ -392,7 +657,7 @@
         }
         let missing = wanted.saturating_sub(state.permits.expected(now));
         let waits = state.permits.pending.is_some() || now < state.permits.next_at;
-        if state.belief.limit.is_none() || missing == 0 || waits {
+        if state.limit(now).is_none() || missing == 0 || waits {
             return;
         }
         let count = u16::try_from(missing).unwrap_or(MAX_PERMITS);
@@ -429,7 +694,8 @@
             None => {}
             Some(Coordinator::Own) => {
                 let (delays, next_in) = state.grant(now, process, &self.daemons, count, wait);
-                state.permits.on_grant(now, &delays, next_in);
+                let lifetime = state.lifetime();
+                state.permits.on_grant(now, &delays, next_in, lifetime);
             }
             Some(Coordinator::Other(daemon)) => {
                 let statement = state.statement(now);
@@ -452,6 +718,7 @@
 
     /// Handles a message of another daemon.
     pub fn receive(&mut self, now: Timestamp, from: SocketAddr, message: Message) -> Received {
+        self.daemons.on_heard(now);
         match message {
             Message::Ask(ask) => self.on_ask(now, from, ask),
             Message::Grant(grant) => self.on_grant(now, grant),
@@ -467,7 +734,12 @@
             count,
             wait,
         } = ask;
-        let change = self.merge(now, process, statement);
+        let is_guarded = self.is_guarded(process);
+        // The coordinator checks whether a process is cold itself.
+        let change = match is_guarded {
+            true => None,
+            false => self.merge(now, process, statement),
+        };
         if change.is_some() {
             self.tell_all(now, process);
         }
@@ -475,6 +747,12 @@
         if let Some(state) = self.processes.get_mut(&process)
             && count > 0
         {
+            if is_guarded {
+                state.wanted = Some(now);
+                if state.askers.len() < MAX_ASKERS && !state.askers.contains(&from) {
+                    state.askers.push(from);
+                }
+            }
             let (delays, next_in) = state.grant(now, process, daemons, count, wait);
             let grant = Grant {
                 process,
@@ -490,19 +768,27 @@
 
     fn on_grant(&mut self, now: Timestamp, grant: Grant) -> Received {
         let process = grant.process;
+        if self.is_guarded(process) {
+            return self.on_guarded_grant(now, &grant);
+        }
         let change = self.merge(now, process, grant.statement);
         if let Some(state) = self.processes.get_mut(&process)
             && state.belief.limit.is_some()
-            && let Some(pending) = state.permits.pending
-            && pending.id == grant.id
         {
-            state.permits.pending = None;
-            // A daemon that was frozen answers late, from a bucket that others may have
-            // replaced.
-            match pending.is_lost(now) {
-                true => state.permits.on_ask_lost(now),
-                false => state.permits.on_grant(now, &grant.delays, grant.next_in),
-            }
+            state.accept(now, &grant);
+        }
+        Received { process, change }
+    }
+
+    /// Only an answer that arrives in time can state that a process is warm: the age of what
+    /// waited in the socket of a frozen daemon is unknown.
+    fn on_guarded_grant(&mut self, now: Timestamp, grant: &Grant) -> Received {
+        let process = grant.process;
+        let mut change = None;
+        if let Some(state) = self.processes.get_mut(&process)
+            && state.accept(now, grant)
+        {
+            change = state.merge_guarded(now, grant.statement);
         }
         Received { process, change }
     }
@@ -513,12 +799,33 @@
             statement,
             range,
         } = notice;
-        let change = self.merge(now, process, statement);
+        let change = match self.is_guarded(process) {
+            true => self.on_guarded_notice(now, process, statement),
+            false => self.merge(now, process, statement),
+        };
         let to = self.daemons.notified(range);
         push_notices(&mut self.outbox, process, statement, to);
         Received { process, change }
     }
 
+    /// Adopts a notice that a process is cold. One that it is warm is only a reason to ask.
+    fn on_guarded_notice(
+        &mut self,
+        now: Timestamp,
+        process: ProcessId,
+        statement: Statement,
+    ) -> Option<LimitChange> {
+        let state = self.processes.get_mut(&process)?;
+        if statement.limit.is_some() {
+            return state.merge_guarded(now, statement);
+        }
+        if state.is_wanted(now) {
+            state.renewed = Timestamp::ZERO;
+            self.renew(now, process);
+        }
+        None
+    }
+
     /// Adopts what another daemon knows if it is newer.
     fn merge(
         &mut self,
@@ -544,7 +851,7 @@
         let state = self.processes.get(&process)?;
         let first = self.daemons.coordinators_of(process).first;
         Some(LimitReport {
-            limit: state.belief.limit?,
+            limit: state.limit(now)?,
             age: now.since(state.belief.at),
             coordinator: first.map(|daemon| match daemon {
                 Coordinator::Own => self.daemons.instance().clone(),
@@ -578,9 +885,10 @@
             let (_, oldest_kept, _) = touched.select_nth_unstable(MAX_PROCESSES / 10);
             let oldest_kept = *oldest_kept;
             self.processes
-                .retain(|_, state| state.touched > oldest_kept);
+                .retain(|_, state| state.touched > oldest_kept || state.guard.is_some());
         }
-        self.sweep_at = (2 * self.processes.len()).min(MAX_PROCESSES);
+        let len = self.processes.len();
+        self.sweep_at = (2 * len).min(MAX_PROCESSES).max(len + SWEEP_SIZE);
     }
 }
 
--- a/crates/jasminepond-ratelimit/src/permits.rs
+++ b/crates/jasminepond-ratelimit/src/permits.rs
@@ -6,7 +6,7 @@
 
 /// Time for which a permit can be used. Limits how many permits of an earlier period can
 /// add to those of the next.
-const LIFETIME: Duration = Duration::from_millis(500);
+pub(crate) const LIFETIME: Duration = Duration::from_millis(500);
 
 /// Time after which a request for permits counts as lost. A round trip between regions, plus
 /// the time for which a daemon with little processor time may be delayed.
@@ -66,10 +66,10 @@
 }
 
 impl Permits {
-    fn add(&mut self, now: Timestamp, delays: &[Duration]) {
+    fn add(&mut self, now: Timestamp, delays: &[Duration], lifetime: Duration) {
         for delay in delays {
             let from = now + *delay;
-            let until = from + LIFETIME;
+            let until = from + lifetime;
             self.permits.push_back(Permit { from, until });
         }
         self.permits
@@ -124,8 +124,15 @@
     }
 
     /// Adds granted permits. Further ones are available after `next_in`.
-    pub(crate) fn on_grant(&mut self, now: Timestamp, delays: &[Duration], next_in: Duration) {
-        self.add(now, delays);
+    /// Each can be used for `lifetime`.
+    pub(crate) fn on_grant(
+        &mut self,
+        now: Timestamp,
+        delays: &[Duration],
+        next_in: Duration,
+        lifetime: Duration,
+    ) {
+        self.add(now, delays, lifetime);
         self.next_at = now + next_in.max(MIN_RETRY);
     }
 
--- a/crates/jasminepond-routes/src/release.rs
+++ b/crates/jasminepond-routes/src/release.rs
@@ -164,10 +164,19 @@
 }
 
 /// Settings of a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Maximum number of connections that one backend server accepts, over all clients.
     pub max_connections: u32,
+    /// Time for which a backend server is cold after its start.
+    #[serde(default)]
+    pub warm_up: Millis,
+    /// Requests per second that a cold backend server handles; 0 means no limit.
+    #[serde(default)]
+    pub warm_up_per_second: f64,
+    /// Path of health requests.
+    #[serde(default)]
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Limits for connections and requests of callers.
--- a/crates/jasminepond/src/status.rs
+++ b/crates/jasminepond/src/status.rs
@@ -139,6 +139,15 @@
             text(&server["why"]),
         );
         print_limit(&server["limit"]);
+        print_warm_up(&server["warm_up"]);
+    }
+}
+
+fn print_warm_up(warm_up: &Value) {
+    let state = text(&warm_up["state"]);
+    if warm_up.is_object() && state != "warm" {
+        println!("    whether it is cold: {state}");
+        print_limit(&warm_up["limit"]);
     }
 }
 
