--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -43,6 +43,7 @@
 mod settle;
 mod suspects;
 
+pub use connect::ConnectionCounts;
 pub use delegate::{DelegationRequest, Peer};
 use suspects::CutCall;
 
@@ -161,6 +162,7 @@
     limiter: RateLimiter,
     /// Number of health requests sent.
     health_requests: u64,
+    connection_counts: ConnectionCounts,
     departed: DepartedServers,
     contact: Contact,
     /// When contact is checked next.
@@ -443,7 +445,7 @@
             self.regroup(now);
         }
         self.assign_group(service);
-        self.assign_servers(service);
+        self.assign_servers(now, service);
         self.preconnect(now, key);
     }
 
--- a/crates/jasminepond-forward/src/forwarder/cold.rs
+++ b/crates/jasminepond-forward/src/forwarder/cold.rs
@@ -163,7 +163,7 @@
         };
         if now.since(sent) >= HEALTH_TIMEOUT {
             let key = state.server;
-            self.close_conn(conn);
+            self.abort_conn(now, conn);
             self.health_lost(now, key);
         }
     }
--- a/crates/jasminepond-forward/src/forwarder/connect.rs
+++ b/crates/jasminepond-forward/src/forwarder/connect.rs
@@ -3,13 +3,16 @@
 use std::time::Duration;
 
 use jasminepond_types::Timestamp;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Conn, ConnState, Forwarder, delegate::HELPER_CONNECTIONS};
 use crate::{
+    connections::{Held, Opening, Share, guests, is_guest},
     contact::Failure,
     message::{Action, ConnKey, Exchange, LostCall, ServerEvent},
-    server::{Reachability, ServerKey},
+    server::{Reachability, Server, ServerKey},
     service::ServiceKey,
+    shard_groups::connection_share,
     timers::Timer,
 };
 
@@ -25,9 +28,20 @@
 /// theirs after a minute, and a request that crosses the close may have run.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(45);
 
-/// Maximum number of connections to one server that are opened concurrently. Accepting
-/// a connection briefly occupies a slot of the server.
-const MAX_OPENING: u32 = 2;
+/// Connections of a helper to a server for each of its slots. With more calls in progress, the
+/// last one would wait for four times the duration of a call.
+const MAX_CALLS_PER_SLOT: usize = 4;
+
+/// Connections since the start of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ConnectionCounts {
+    /// Connections that backend servers reset just after they were opened, because they were
+    /// at their limits.
+    pub reset: u64,
+    /// Times at which a request waited and no connection could be opened, because this daemon
+    /// had used up its share or the server had no room.
+    pub refused: u64,
+}
 
 impl Forwarder {
     /// Opens a first connection to a server ahead of requests. Servers of a service
@@ -43,29 +57,115 @@
         }
     }
 
-    /// Maximum number of connections of this daemon to a server.
-    fn connection_limit(&self, key: ServerKey) -> usize {
+    /// Connections that this daemon may hold to an assigned server of a service. A helper takes
+    /// no more than it can use, and leaves the rest to guests.
+    fn own_share(&self, service: ServiceKey) -> usize {
+        let share = self.connection_share(service).floor().max(1.0) as usize;
+        let state = &self.services[service];
+        let slots = state
+            .servers
+            .iter()
+            .map(|key| self.servers[*key].backend.slots);
+        match (state.group, slots.max()) {
+            (Some(_), Some(slots)) => share.min(MAX_CALLS_PER_SLOT * slots.max(1) as usize),
+            _ => share,
+        }
+    }
+
+    /// Share of this daemon of the connections to a server.
+    fn share(&self, key: ServerKey) -> Share {
         let server = &self.servers[key];
         if self.services[server.service].is_helper_group {
-            return HELPER_CONNECTIONS;
+            return Share::Own(HELPER_CONNECTIONS);
         }
-        let share = self.connection_share(server.service);
-        if server.assigned {
-            (share.floor().max(1.0) as usize).min(server.window_size(&self.settings))
-        } else {
-            1
+        let share = self.own_share(server.service);
+        match (server.assigned, server.guest) {
+            (true, _) => Share::Own(share.min(server.window_size(&self.settings))),
+            (false, true) => Share::Guest,
+            (false, false) => Share::Nothing,
         }
     }
 
+    /// Place of this daemon among the running ones, and their number.
+    fn running_daemons(&self) -> (usize, usize) {
+        let cluster = self.cluster.unwrap_or_default();
+        if self.peers.is_empty() {
+            return (cluster.rank as usize, cluster.daemons as usize);
+        }
+        let running = self.peers.iter().filter(|peer| peer.running);
+        let before = running.clone().filter(|peer| peer.rank < cluster.rank);
+        (before.count(), running.count() + 1)
+    }
+
+    /// Place of this daemon among those that may be guests of the servers of a service, and
+    /// their number.
+    fn place_among_guests(&self, service: ServiceKey) -> (usize, usize) {
+        let (rank, daemons) = self.running_daemons();
+        let helpers = self.helpers_of(self.services[service].group);
+        let own = self.cluster.unwrap_or_default().rank;
+        let before = helpers.iter().filter(|helper| **helper < own).count();
+        let others = daemons.saturating_sub(helpers.len());
+        (rank.saturating_sub(before), others)
+    }
+
+    /// Number of daemons that may hold one connection each to a server of the service beside
+    /// those to which it is assigned.
+    fn guest_count(&self, service: ServiceKey) -> usize {
+        let state = &self.services[service];
+        let daemons = self.running_daemons().1;
+        let (_, others) = self.place_among_guests(service);
+        let share = self.connection_share(service);
+        let holders = match state.group {
+            Some(_) => self.helpers_of(state.group).len(),
+            None => {
+                let servers = state.servers.len().max(1);
+                let own = ((share * servers as f64).floor() as usize).clamp(1, servers);
+                (daemons * own).div_ceil(servers)
+            }
+        };
+        let accepted = connection_share(state.max_connections, 1) as usize;
+        // With so many, each daemon is a guest of one server.
+        let wanted = others.div_ceil(state.servers.len().max(1));
+        guests(accepted, holders, self.own_share(service), wanted)
+    }
+
+    /// Maximum number of connections of this daemon to a server, for operators.
+    pub(crate) fn connection_limit(&self, now: Timestamp, server: &Server) -> usize {
+        let key = self.servers_by_id.get(&server.backend.id);
+        key.map_or(0, |key| server.room.limit(now, self.share(*key)))
+    }
+
+    /// Numbers of connections since the start of the process.
+    pub fn connection_counts(&self) -> ConnectionCounts {
+        self.connection_counts
+    }
+
     /// Assigns the servers of a service to which this daemon keeps connections: all of
     /// them, unless there are more daemons than connections per server. In that case
     /// daemons of successive ranks take successive servers, so that each server gets
     /// the same number of daemons.
-    pub(super) fn assign_servers(&mut self, service: ServiceKey) {
+    ///
+    /// Of the other daemons, as many as there is room for may hold one connection to a server,
+    /// for requests that no helper takes.
+    pub(super) fn assign_servers(&mut self, now: Timestamp, service: ServiceKey) {
         let (ordered, count) = self.assigned_servers(service);
+        let is_helper_group = self.services[service].is_helper_group;
+        let (rank, daemons) = self.place_among_guests(service);
+        let guests = self.guest_count(service);
+        let seed = xxh3_64(self.services[service].name.as_str().as_bytes());
+        let mut positions = ordered.clone();
+        positions.sort_by_key(|key| self.servers[*key].backend.id.clone());
+        for (position, key) in positions.into_iter().enumerate() {
+            self.servers[key].guest =
+                is_helper_group || is_guest(rank, daemons, guests, seed, position);
+        }
         for (at, server) in ordered.into_iter().enumerate() {
             let assigned = at < count;
-            self.servers[server].assigned = assigned;
+            let state = &mut self.servers[server];
+            if assigned && !state.assigned && !is_helper_group {
+                state.room.on_assigned(now);
+            }
+            state.assigned = assigned;
             if !assigned {
                 self.close_idle(server);
             }
@@ -74,25 +174,60 @@
 
     /// Opens a connection to a server if the limits allow it.
     pub(super) fn open_conn(&mut self, now: Timestamp, key: ServerKey) {
-        let limit = self.connection_limit(key);
+        let share = self.share(key);
         let server = &mut self.servers[key];
         if let Reachability::Down { until } = server.reachability
             && now < until
         {
             return;
         }
-        if server.conns.len() >= limit || server.opening >= MAX_OPENING {
+        let held = Held {
+            all: server.conns.len(),
+            opening: server.opening,
+            wanted: self.services[server.service].waiting() > 0,
+        };
+        match server.room.opening(now, share, held) {
+            Opening::Open => self.start_connection(now, key),
+            Opening::Pending => {}
+            Opening::Refused => self.connection_counts.refused += u64::from(held.wanted),
+        }
+    }
+
+    /// Opens a connection to a server to find out whether it responds, instead of an idle one if
+    /// the share of this daemon is used up. It exceeds the share only while calls block all
+    /// others: a daemon that does not probe would consider itself cut off.
+    pub(super) fn open_probe(&mut self, now: Timestamp, key: ServerKey) {
+        let server = &self.servers[key];
+        if server.opening > 0 || !server.may_be_probed() {
             return;
         }
+        if server.conns.len() >= self.own_share(server.service)
+            && let Some(idle) = self.newest_idle_conn(now, key)
+        {
+            self.close_conn(idle);
+        }
         self.start_connection(now, key);
     }
 
-    /// Opens a connection to a server to find out whether it responds, regardless of the
-    /// limits.
-    pub(super) fn open_probe(&mut self, now: Timestamp, key: ServerKey) {
-        if self.servers[key].opening == 0 {
-            self.start_connection(now, key);
+    /// Handles that a server reset a connection just after it was opened. Other connections to
+    /// it stay in use.
+    fn on_reset(&mut self, now: Timestamp, key: ServerKey) {
+        let share = self.share(key);
+        self.connection_counts.reset += 1;
+        let server = &mut self.servers[key];
+        let connections = server.conns.len();
+        let is_first = server.room.on_reset(now, share, connections);
+        let until = server.room.blocked_until();
+        let service = server.service;
+        self.timers.set(until, Timer::Server(key));
+        if is_first {
+            let event = ServerEvent::NoRoom {
+                connections,
+                retry_in: until.since(now),
+            };
+            self.log_server_event(key, event);
         }
+        self.place_waiting(now, service);
     }
 
     pub(super) fn start_connection(&mut self, now: Timestamp, key: ServerKey) {
@@ -166,12 +301,14 @@
         };
         let (server, used, opened) = (state.server, state.used, state.opened);
         let checked = matches!(state.state, ConnState::Health(_));
-        let rejected = !used && now.since(opened) < REJECTED_WITHIN;
+        let opening = state.state == ConnState::Opening;
+        let rejected = !opening && now.since(opened) < REJECTED_WITHIN;
         let busy = match state.state {
             ConnState::Busy(call) => Some(call),
             ConnState::Opening | ConnState::Idle { .. } | ConnState::Health(_) => None,
         };
         self.forget_conn(conn);
+        let is_backend = self.servers.get(server).is_some_and(|s| self.is_backend(s));
         if checked {
             self.health_lost(now, server);
         }
@@ -184,15 +321,18 @@
             if let Some(req) = req {
                 self.review_request(now, req);
             }
-        } else if rejected {
+        } else if rejected && !used && !is_backend {
             self.on_connect_failure(now, server, opened);
-        } else {
+        } else if !(rejected && is_backend) {
             // Reconnect now, so that no request has to wait to find out whether the
             // server closed the connection for idleness or is gone.
             if self.is_known(server) {
                 self.preconnect(now, server);
             }
         }
+        if rejected && is_backend && self.is_known(server) {
+            self.on_reset(now, server);
+        }
         self.drop_retired(server);
     }
 
@@ -213,6 +353,10 @@
         if let Some(call) = call.and_then(|call| self.calls.get(call)) {
             self.observe_contact(now, server, call.sent);
         }
+        if self.servers.contains_key(server) {
+            let share = self.share(server);
+            self.servers[server].room.on_answer(now, share);
+        }
         let Some(state) = self.conns.get_mut(conn) else {
             return;
         };
@@ -273,7 +417,7 @@
             .get(conn)
             .is_some_and(|state| idle(state) && remote(state))
         {
-            self.close_conn(conn);
+            self.abort_conn(now, conn);
         }
     }
 
@@ -307,6 +451,16 @@
         }
     }
 
+    /// Closes a connection that counts for a while, since the server may notice later. No
+    /// event follows.
+    pub(super) fn abort_conn(&mut self, now: Timestamp, conn: ConnKey) {
+        let server = self.conns.get(conn).map(|state| state.server);
+        if let Some(server) = server.and_then(|key| self.servers.get_mut(key)) {
+            server.room.on_closed(now);
+        }
+        self.close_conn(conn);
+    }
+
     fn forget_conn(&mut self, conn: ConnKey) {
         if let Some(state) = self.conns.remove(conn)
             && let Some(server) = self.servers.get_mut(state.server)
@@ -357,7 +511,7 @@
             self.departed.remember(&server.backend, restriction);
         }
         self.services[service].servers.retain(|other| *other != key);
-        self.assign_servers(service);
+        self.assign_servers(now, service);
         self.close_idle(key);
         self.drop_retired(key);
         self.place_waiting(now, service);
@@ -386,7 +540,10 @@
         match self.servers[key].leaving_since {
             Some(since) if now.since(since) >= self.settings.leave_grace() => self.retire(now, key),
             Some(_) => {}
-            None => self.preconnect(now, key),
+            None => {
+                self.preconnect(now, key);
+                self.place_waiting(now, self.servers[key].service);
+            }
         }
     }
 }
--- a/crates/jasminepond-forward/src/forwarder/contact.rs
+++ b/crates/jasminepond-forward/src/forwarder/contact.rs
@@ -134,11 +134,15 @@
         if state.is_helper_group || !state.routed {
             return None;
         }
-        let remote = |key: &&ServerKey| self.servers[**key].backend.zone != self.settings.zone;
-        let targets = state
-            .servers
-            .iter()
-            .filter(|key| self.servers[**key].wants_requests(now));
+        let remote = |key: &&ServerKey| {
+            let server = &self.servers[**key];
+            let is_remote = server.backend.zone != self.settings.zone;
+            (server.room.is_blocked(now), is_remote)
+        };
+        let targets = state.servers.iter().filter(|key| {
+            let server = &self.servers[**key];
+            server.wants_requests(now) && server.may_be_probed()
+        });
         targets.min_by_key(remote).copied()
     }
 
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -120,7 +120,7 @@
         let services: Vec<_> = self.services.keys().collect();
         for service in services {
             self.assign_group(service);
-            self.assign_servers(service);
+            self.assign_servers(now, service);
         }
         self.preconnect_all(now);
     }
@@ -228,7 +228,7 @@
         }
     }
 
-    fn helpers_of(&self, group: Option<u32>) -> &[u32] {
+    pub(super) fn helpers_of(&self, group: Option<u32>) -> &[u32] {
         let group = group.and_then(|group| self.shard_groups.groups().get(group as usize));
         group.map_or(&[], |group| &group.helpers)
     }
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -267,7 +267,7 @@
             return;
         };
         let (conn, server, search) = (call.conn, call.server, call.route.is_search());
-        self.close_conn(conn);
+        self.abort_conn(now, conn);
         if search && !abandoned {
             self.force_reconnect(now, server);
         }
--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -511,7 +511,7 @@
             let Some(call) = self.take_call(call) else {
                 continue;
             };
-            self.close_conn(call.conn);
+            self.abort_conn(now, call.conn);
             let part = &mut self.reqs[key].parts[call.part];
             if part.is_open() {
                 part.state = PartState::Held;
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod caller_timeouts;
+mod connections;
 mod contact;
 mod departed;
 mod forwarder;
@@ -24,7 +25,7 @@
 
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
-pub use forwarder::{Cluster, DelegationRequest, Forwarder, Peer, Status};
+pub use forwarder::{Cluster, ConnectionCounts, DelegationRequest, Forwarder, Peer, Status};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, merge_top_k};
 pub use message::{
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -328,6 +328,13 @@
         /// Time until the next attempt.
         retry_in: Duration,
     },
+    /// The server reset a connection just after it was opened, the first time in a series.
+    NoRoom {
+        /// Other connections of this daemon to it.
+        connections: usize,
+        /// Time until the next connection is opened.
+        retry_in: Duration,
+    },
     /// Another server answers at the address.
     AddressTaken,
     /// The server announced that it is about to stop and gets no new requests.
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -41,6 +41,8 @@
     pub cost: f64,
     /// Connections, open or opening.
     pub connections: usize,
+    /// Maximum number of connections of this daemon at present.
+    pub connection_limit: usize,
     /// Calls in progress.
     pub calls: usize,
     /// Rate limit that the server states.
@@ -106,6 +108,7 @@
                 why,
                 cost: server.cost(now, settings),
                 connections: server.conns.len(),
+                connection_limit: self.connection_limit(now, server),
                 calls: server.calls.len(),
                 limit: self.limit_report(now, server),
                 warm_up: self.warm_up_report(now, server),
@@ -163,6 +166,13 @@
                     false => format!("it drains or its entry went {age} ms ago"),
                 }
             }
+            (None, Reachability::Up, None) if !self.may_connect() => {
+                "other daemons use all its connections".to_owned()
+            }
+            (None, Reachability::Up, None) if self.room.is_blocked(now) => {
+                let wait = millis(self.room.blocked_until().since(now));
+                format!("it is at its connection limit, tried again in {wait} ms")
+            }
             (None, Reachability::Up, None) => String::new(),
             (Some(Standing::Stalled), ..) => "a call is unanswered for too long".to_owned(),
             (Some(Standing::Full), ..) => "it rejected a call a moment ago".to_owned(),
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -7,6 +7,7 @@
 use slotmap::new_key_type;
 
 use crate::{
+    connections::Room,
     departed::Restriction,
     health::Health,
     message::{Backend, BackendState, CallKey, ConnKey, LimitUsage},
@@ -75,6 +76,10 @@
     connect_failures: u32,
     /// Whether this daemon keeps connections to the server.
     pub(crate) assigned: bool,
+    /// Whether this daemon may hold one connection although the server is assigned to others.
+    pub(crate) guest: bool,
+    /// Room for connections of this daemon.
+    pub(crate) room: Room,
     /// When the entry was removed, or the server began to drain or stop.
     pub(crate) leaving_since: Option<Timestamp>,
     /// Whether the process announced its stop, which no entry revokes.
@@ -123,6 +128,8 @@
             reachability: Reachability::Up,
             connect_failures: 0,
             assigned: true,
+            guest: true,
+            room: Room::default(),
             stalled: false,
             full_until: Timestamp::ZERO,
             slowness: 1.0,
@@ -156,6 +163,9 @@
         {
             return None;
         }
+        if self.conns.is_empty() && (!self.may_connect() || self.room.is_blocked(now)) {
+            return None;
+        }
         Some(match self.leaving_since {
             Some(since) if now.since(since) > settings.leave_grace() => return None,
             Some(_) => Standing::Leaving,
@@ -171,6 +181,16 @@
         self.leaving_since.is_none() && !self.address_taken && self.back_off_left(now).is_zero()
     }
 
+    /// Whether this daemon may hold connections to the server.
+    pub(crate) fn may_connect(&self) -> bool {
+        self.assigned || self.guest
+    }
+
+    /// Whether a connection may be opened in addition to those in use. A guest has only one.
+    pub(crate) fn may_be_probed(&self) -> bool {
+        self.assigned || (self.guest && self.conns.is_empty())
+    }
+
     /// Whether there is a connection, or no failed attempt to open one is known.
     pub(crate) fn may_be_reached(&self) -> bool {
         self.reachability == Reachability::Up || self.conns.len() > self.opening as usize
@@ -189,14 +209,15 @@
         let retired = self
             .leaving_since
             .is_some_and(|since| now.since(since) > settings.leave_grace());
-        if self.address_taken || retired {
+        if self.address_taken || retired || !self.may_connect() {
             return None;
         }
+        let reconnect_at = self.room.blocked_until().max(self.back_off_until);
         let reconnect_in = match self.reachability {
             Reachability::Down { until } if self.conns.is_empty() => until.since(now),
             Reachability::Down { .. } | Reachability::Up => Duration::ZERO,
         };
-        Some(reconnect_in.max(self.back_off_until.since(now)))
+        Some(reconnect_in.max(reconnect_at.since(now)))
     }
 
     /// Expected cost of one more request, relative to an idle healthy server.
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -29,6 +29,9 @@
 /// Window over which the requests to a limited server are counted.
 const COUNTED_WINDOW: Duration = Duration::from_secs(4);
 
+/// Longest time until a server notices that a connection was closed: it may pause.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
 /// Longest time until a daemon learns that another one stopped or started.
 const DETECTION_TIME: Duration = Duration::from_millis(1_500);
 
@@ -55,6 +58,15 @@
     pub status: u16,
     /// The server is cold until then.
     pub cold_until: Timestamp,
+    /// Number of connections that the server accepts; it resets those above.
+    pub accepts: Option<usize>,
+    /// Connections that the server has accepted and not noticed to be closed, by daemon,
+    /// process and key.
+    accepted: HashSet<(usize, u32, ConnKey)>,
+    /// Largest number of them at a time.
+    pub most_accepted: usize,
+    /// Connections that the server has reset.
+    pub resets: usize,
     /// Health requests that arrived.
     pub health: usize,
     /// Requests that arrived.
@@ -143,6 +155,10 @@
 #[derive(Debug, Clone, PartialEq)]
 enum Event {
     Opened(ConnKey),
+    /// A connection attempt arrives at a server with a connection limit.
+    Accept(ConnKey, usize),
+    /// A server notices that a process of a daemon has closed a connection.
+    CloseNoticed(u32, ConnKey, usize),
     Unanswered(ConnKey),
     /// A request of a caller with this number arrives at a server. If it was held back by a
     /// partition, only if the connection is still open.
@@ -188,6 +204,8 @@
     pub answers: Vec<Answered>,
     /// Share of the datagrams that are lost.
     pub loss: f64,
+    /// Connection limit of the servers that are added, if it is not four for each daemon.
+    pub max_connections: Option<u32>,
     daemons: Vec<Daemon>,
     events: BinaryHeap<Reverse<(Timestamp, u64)>>,
     /// Event data by number: the daemon, its process and the event.
@@ -233,6 +251,7 @@
             servers: Vec::new(),
             answers: Vec::new(),
             loss: 0.0,
+            max_connections: None,
             daemons: Vec::new(),
             events: BinaryHeap::new(),
             pending: HashMap::new(),
@@ -286,10 +305,15 @@
             zone: "a".to_owned(),
             ..ForwardSettings::default()
         };
+        let own = self.conns.keys().filter(|(owner, _)| *owner == daemon);
+        let mut own: Vec<_> = own.map(|(_, conn)| *conn).collect();
+        own.sort_unstable();
+        for conn in own {
+            self.notice_close(daemon, conn);
+        }
         let state = &mut self.daemons[daemon];
         state.starts += 1;
         state.forwarder = Forwarder::new(settings);
-        self.conns.retain(|(owner, _), _| *owner != daemon);
         self.reqs.retain(|(owner, _), _| *owner != daemon);
         for server in &mut self.servers {
             server.told.remove(&daemon);
@@ -352,7 +376,9 @@
             started: Some(1),
             writes: 1,
         };
-        let max_connections = 4 * self.daemons.len() as u32;
+        let max_connections = self
+            .max_connections
+            .unwrap_or(4 * self.daemons.len() as u32);
         let spec = self.release.services.entry(service.into()).or_default();
         spec.max_connections = max_connections;
         self.servers.push(Server {
@@ -361,6 +387,10 @@
             limit: None,
             status: 200,
             cold_until: Timestamp::ZERO,
+            accepts: None,
+            accepted: HashSet::new(),
+            most_accepted: 0,
+            resets: 0,
             health: 0,
             arrived: Vec::new(),
             told: HashMap::new(),
@@ -422,6 +452,7 @@
             Fault::Partition => state.partitioned_until = end,
             Fault::Kill => {
                 state.down = true;
+                self.close_conns_to(Target::Daemon(daemon));
                 self.announce(daemon, false);
                 self.push_event(time, daemon, Event::Start);
             }
@@ -536,7 +567,13 @@
             return;
         };
         let frozen_until = self.daemons[daemon].frozen_until;
-        let at_daemon = !matches!(event, Event::Arrived(..) | Event::HealthArrived(..));
+        let at_daemon = !matches!(
+            event,
+            Event::Arrived(..)
+                | Event::HealthArrived(..)
+                | Event::Accept(..)
+                | Event::CloseNoticed(..)
+        );
         let partitioned_until = self.daemons[daemon].partitioned_until;
         if matches!(event, Event::Replied(..)) && self.now < partitioned_until {
             self.pending.insert(number, (daemon, starts, event));
@@ -559,6 +596,12 @@
                 return;
             }
             Event::ServerStarts(server) => return self.start_server(server),
+            Event::CloseNoticed(process, conn, server) => {
+                self.servers[server]
+                    .accepted
+                    .remove(&(daemon, process, conn));
+                return;
+            }
             _ => {}
         }
         if event == Event::Start {
@@ -573,6 +616,7 @@
                 | Event::View(..)
                 | Event::Reaches(..)
                 | Event::Delegated(..)
+                | Event::CloseNoticed(..)
         );
         let ended = starts != self.daemons[daemon].starts && !for_any_process;
         if ended || self.daemons[daemon].down {
@@ -590,7 +634,8 @@
                 };
                 forwarder.closed(now, conn, lost);
             }
-            Event::ServerEnds(..) | Event::ServerStarts(_) => {}
+            Event::ServerEnds(..) | Event::ServerStarts(_) | Event::CloseNoticed(..) => {}
+            Event::Accept(conn, index) => return self.accept(daemon, conn, index),
             Event::Reaches(other, reaches) => {
                 self.daemons[daemon].reaching[other] = reaches;
                 self.apply_view(daemon);
@@ -714,7 +759,7 @@
                     }
                 }
                 Action::Close { conn } => {
-                    self.conns.remove(&(daemon, conn));
+                    self.notice_close(daemon, conn);
                     self.busy.remove(&(daemon, conn));
                 }
                 Action::ContactChanged(event) => {
@@ -790,16 +835,21 @@
             return;
         }
         self.servers[index].down_until = self.now + SERVER_START_TIME;
-        let of_server =
-            |(_, target): &(&(usize, ConnKey), &Target)| **target == Target::Server(index);
-        let conns = self.conns.iter().filter(of_server);
+        self.servers[index].accepted.clear();
+        self.close_conns_to(Target::Server(index));
+        self.push_event(SERVER_START_TIME, 0, Event::ServerStarts(index));
+    }
+
+    /// Closes the connections to a process that has ended.
+    fn close_conns_to(&mut self, ended: Target) {
+        let of_process = |(_, target): &(&(usize, ConnKey), &Target)| **target == ended;
+        let conns = self.conns.iter().filter(of_process);
         let mut conns: Vec<_> = conns.map(|(conn, _)| *conn).collect();
         conns.sort_unstable();
         for (daemon, conn) in conns {
             self.conns.remove(&(daemon, conn));
             self.push_event(LATENCY, daemon, Event::Closed(conn));
         }
-        self.push_event(SERVER_START_TIME, 0, Event::ServerStarts(index));
     }
 
     fn start_server(&mut self, index: usize) {
@@ -815,6 +865,40 @@
         }
     }
 
+    /// Accepts a connection, or resets it just afterwards.
+    fn accept(&mut self, daemon: usize, conn: ConnKey, index: usize) {
+        if !self.conns.contains_key(&(daemon, conn)) {
+            return;
+        }
+        let process = self.daemons[daemon].starts;
+        let server = &mut self.servers[index];
+        if self.now < server.down_until {
+            return self.push_event(LATENCY, daemon, Event::Refused(conn));
+        }
+        self.push_event(LATENCY, daemon, Event::Opened(conn));
+        let server = &mut self.servers[index];
+        if server
+            .accepts
+            .is_some_and(|limit| server.accepted.len() >= limit)
+        {
+            server.resets += 1;
+            self.conns.remove(&(daemon, conn));
+            return self.push_event(LATENCY, daemon, Event::Closed(conn));
+        }
+        server.accepted.insert((daemon, process, conn));
+        server.most_accepted = server.most_accepted.max(server.accepted.len());
+    }
+
+    /// Lets the server of a connection that the daemon closes notice that later.
+    fn notice_close(&mut self, daemon: usize, conn: ConnKey) {
+        if let Some(Target::Server(index)) = self.conns.remove(&(daemon, conn)) {
+            let after = LATENCY + CLOSE_TIME.mul_f64(self.rng.random());
+            let process = self.daemons[daemon].starts;
+            let event = Event::CloseNoticed(process, conn, index);
+            self.push_event(after, daemon, event);
+        }
+    }
+
     fn is_partitioned(&self, daemon: usize) -> bool {
         self.now < self.daemons[daemon].partitioned_until
     }
@@ -832,6 +916,12 @@
             Target::Server(server) if self.now < self.servers[server].down_until => {
                 self.push_event(2 * LATENCY, daemon, Event::Refused(conn));
             }
+            Target::Server(server) if self.servers[server].accepts.is_some() => {
+                self.push_event(LATENCY, daemon, Event::Accept(conn, server));
+            }
+            Target::Daemon(other) if self.daemons[other].down => {
+                self.push_event(2 * LATENCY, daemon, Event::Refused(conn));
+            }
             _ => self.push_event(2 * LATENCY, daemon, Event::Opened(conn)),
         }
     }
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -291,6 +291,7 @@
                 "why": server.why,
                 "cost": (server.cost * 100.0).round() / 100.0,
                 "connections": server.connections,
+                "connection_limit": server.connection_limit,
                 "calls": server.calls,
                 "limit": server.limit.map(limit_status),
                 "warm_up": server.warm_up.map(warm_up_status),
@@ -311,6 +312,8 @@
             "requests": status.requests,
             "calls": status.calls,
             "connections": status.connections,
+            "connections_reset": forwarder.connection_counts().reset,
+            "connections_refused": forwarder.connection_counts().refused,
             "waiting": status.waiting,
             "routes": routes.collect::<Vec<_>>(),
             "suspects": suspects.collect::<Vec<_>>(),
@@ -403,6 +406,8 @@
                     let now = hub.clock().now();
                     let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
                     let (status, suspects) = hub.read(read);
+                    hub.metrics()
+                        .set_connections(hub.read(Forwarder::connection_counts));
                     hub.metrics().set_cold(hub.read(|f| f.cold_counts(now)));
                     let state_age = now.since(hub.store_state().confirmed_at);
                     let text = hub.metrics().render(status, suspects, state_age);
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -520,6 +520,13 @@
         ServerEvent::InvalidLimit => {
             info!("gateway: a backend server's rate limit cannot be read and is ignored", kv: { server });
         }
+        ServerEvent::NoRoom {
+            connections,
+            retry_in,
+        } => {
+            let retry_ms = millis(retry_in);
+            info!("gateway: a backend server accepts no further connections", kv: { server, connections, retry_ms });
+        }
         ServerEvent::Cold { limit } => {
             let limit_per_s = limit.per_second();
             info!("gateway: a backend server is cold", kv: { server, limit_per_s });
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::Cell, sync::atomic::AtomicU64, time::Duration};
 
-use jasminepond_forward::{Status, Summary};
+use jasminepond_forward::{ConnectionCounts, Status, Summary};
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::ErrorKind;
 use prometheus_client::{
@@ -48,6 +48,8 @@
     servers_down: Gauge,
     servers_limited: Gauge,
     servers_cold: Gauge,
+    connections_reset: Counter,
+    connections_refused: Counter,
     health_requests: Counter,
     waiting: Gauge,
     datagrams_dropped: Counter,
@@ -83,6 +85,8 @@
             servers_down: Gauge::default(),
             servers_limited: Gauge::default(),
             servers_cold: Gauge::default(),
+            connections_reset: Counter::default(),
+            connections_refused: Counter::default(),
             health_requests: Counter::default(),
             waiting: Gauge::default(),
             datagrams_dropped: Counter::default(),
@@ -164,6 +168,16 @@
                 "Times at which a request was held because it ended backend servers",
                 &self.holds,
             ),
+            (
+                "connections_reset",
+                "Connections that backend servers reset because they were at their limits",
+                &self.connections_reset,
+            ),
+            (
+                "connections_refused",
+                "Times at which a request waited and no connection could be opened for it",
+                &self.connections_refused,
+            ),
             (
                 "health_requests",
                 "Health requests to backend servers that may be cold",
@@ -261,6 +275,15 @@
             .inc_by(health_requests.saturating_sub(counted));
     }
 
+    /// Records the numbers of connections since the start.
+    pub fn set_connections(&self, counts: ConnectionCounts) {
+        let raise = |counter: &Counter, to: u64| {
+            counter.inc_by(to.saturating_sub(counter.get()));
+        };
+        raise(&self.connections_reset, counts.reset);
+        raise(&self.connections_refused, counts.refused);
+    }
+
     /// Records an answered request.
     pub fn answered(&self, summary: &Summary) {
         let outcome = Outcome {
