--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -36,6 +36,7 @@
 
 mod admit;
 mod balance;
+mod cold;
 mod connect;
 mod contact;
 mod delegate;
@@ -50,6 +51,7 @@
 
 pub use admit::AdmissionCounts;
 use admit::Admitted;
+pub use connect::ConnectionCounts;
 pub use delegate::{DelegationRequest, Peer};
 use place::Attempt;
 use suspects::CutCall;
@@ -82,11 +84,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnState {
     Opening,
+    /// Opened to a server that has reset others, and not used yet.
+    Fresh,
     Idle {
         since: Timestamp,
         until: Option<Timestamp>,
     },
     Busy(CallKey),
+    /// A health request was sent at this time.
+    Health(Timestamp),
 }
 
 #[derive(Debug)]
@@ -176,6 +182,9 @@
     servers_by_id: HashMap<Arc<str>, ServerKey>,
     servers_by_process: HashMap<ProcessId, ServerKey>,
     limiter: RateLimiter,
+    /// Number of health requests sent.
+    health_requests: u64,
+    connection_counts: ConnectionCounts,
     departed: DepartedServers,
     evacuation: Evacuation,
     contact: Contact,
@@ -360,8 +369,9 @@
         let live = |name: &Arc<str>| release.routes.iter().any(|route| route.name == *name);
         self.stats.retain(|name, _| live(name));
         for (name, spec) in &release.services {
-            if let Some(key) = self.services_by_name.get(name) {
-                self.services[*key].max_connections = spec.max_connections;
+            if let Some(&key) = self.services_by_name.get(name) {
+                self.services[key].max_connections = spec.max_connections;
+                self.set_warm_up(now, key, spec);
             }
         }
         self.regroup(now);
@@ -440,6 +450,7 @@
             if same {
                 server.update(now, backend);
                 self.update_access(now, key);
+                self.guard_server(now, key);
                 let server = &self.servers[key];
                 if let Some(since) = server.leaving_since {
                     let end = since + self.settings.leave_grace();
@@ -465,6 +476,7 @@
         let process = server.process;
         let key = self.servers.insert(server);
         self.servers_by_process.insert(process, key);
+        self.guard_server(now, key);
         self.start_usage_reports(now, key);
         if let Some(Restriction::BackOffUntil(until)) = restriction {
             self.back_off(key, until);
@@ -476,7 +488,7 @@
             self.regroup(now);
         }
         self.assign_group(service);
-        self.assign_servers(service);
+        self.assign_servers(now, service);
         self.preconnect(now, key);
     }
 
@@ -714,6 +726,8 @@
                 Timer::Server(server) => self.on_server_timer(now, server),
                 Timer::Permit(server) => self.on_permit_timer(now, server),
                 Timer::LimitUsage(server) => self.report_limit_usage(now, server),
+                Timer::Fresh(conn) => self.on_kept(now, conn),
+                Timer::Health(conn) => self.on_health_timer(now, conn),
                 Timer::Contact => self.on_contact_timer(now),
                 Timer::Verdict(req) => self.settle(now, req),
                 Timer::Cut => self.expire_cut_calls(now),
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -127,7 +127,7 @@
         let services: Vec<_> = self.services.keys().collect();
         for service in services {
             self.assign_group(service);
-            self.assign_servers(service);
+            self.assign_servers(now, service);
         }
         self.preconnect_all(now);
     }
--- a/crates/jasminepond-forward/src/forwarder/evacuate.rs
+++ b/crates/jasminepond-forward/src/forwarder/evacuate.rs
@@ -41,7 +41,7 @@
             }
         }
         for service in &services {
-            self.assign_servers(*service);
+            self.assign_servers(now, *service);
         }
         // Only now, so that parts are placed by the new state of all services.
         for service in services {
@@ -74,7 +74,11 @@
             }
             (false, ZoneAccess::Evacuated) => {
                 let at = now + self.return_delay(now, key);
-                self.servers[key].set_returning(at);
+                let server = &mut self.servers[key];
+                server.set_returning(at);
+                if at <= now {
+                    server.access = ZoneAccess::Open;
+                }
                 self.timers.set(at, Timer::Server(key));
                 true
             }
@@ -88,7 +92,7 @@
         if matches!(server.access, ZoneAccess::Returning(at) if now >= at) {
             server.access = ZoneAccess::Open;
             let service = server.service;
-            self.assign_servers(service);
+            self.assign_servers(now, service);
         }
     }
 
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -8,11 +8,13 @@
 mod balance;
 mod budget;
 mod caller_timeouts;
+mod connections;
 mod contact;
 mod departed;
 mod evacuation;
 mod evenness;
 mod forwarder;
+mod health;
 mod latency;
 mod merge;
 mod message;
@@ -35,7 +37,9 @@
 pub use budget::RepeatBudget;
 pub use contact::ContactEvent;
 pub use evacuation::{EvacuatedZones, ZoneChange};
-pub use forwarder::{AdmissionCounts, Cluster, DelegationRequest, Forwarder, Peer, Status};
+pub use forwarder::{
+    AdmissionCounts, Cluster, ConnectionCounts, DelegationRequest, Forwarder, Peer, Status,
+};
 pub use latency::{LatencyTracker, Quantile};
 pub use merge::{RECORD_BYTES, merge_top_k};
 pub use message::{
@@ -46,7 +50,7 @@
 pub use queue::{
     Blocked, CallerId, ClassBacklog, Lane, PartId, PartQueue, QueueWait, QueuedPart, ServerChoice,
 };
-pub use report::{CallReport, QueueReport, RouteReport, ServerReport, ServiceReport};
+pub use report::{CallReport, QueueReport, RouteReport, ServerReport, ServiceReport, WarmUpReport};
 pub use request::ActiveRoute;
 pub use server::ServerKey;
 pub use service::ServiceKey;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -234,6 +234,8 @@
     pub rate_limit: Option<StatedLimit>,
     /// Load of the server, if stated.
     pub server_load: Option<StatedLoad>,
+    /// Time for which the server stays cold, if stated.
+    pub warm_up_left: Option<Millis>,
     /// Whether the body has a content encoding, and so is not as the server wrote it.
     pub encoded: bool,
     /// Headers to forward.
@@ -383,6 +385,13 @@
         /// Time until the next attempt.
         retry_in: Duration,
     },
+    /// The server reset a connection just after it was opened, the first time in a series.
+    NoRoom {
+        /// Other connections of this daemon to it.
+        connections: usize,
+        /// Time until the next connection is opened.
+        retry_in: Duration,
+    },
     /// Another server answers at the address.
     AddressTaken,
     /// The server announced that it is about to stop and gets no new requests.
@@ -405,6 +414,13 @@
     InvalidLimit,
     /// The server stated a malformed load, which is ignored.
     InvalidLoad,
+    /// A health response, or another daemon, says that the server is cold.
+    Cold {
+        /// Requests per second that it takes while it is cold.
+        limit: RateLimit,
+    },
+    /// A health response, or another daemon, says that the server is warm again.
+    Warm,
     /// Use of a server's limit by this daemon since the last such event.
     LimitUsage {
         /// The limit.
@@ -473,6 +489,16 @@
         /// Set if the server is another daemon.
         delegation: Option<DelegationRequest>,
     },
+    /// Send a health request over an idle connection. Its response is reported like one of a
+    /// call.
+    CheckHealth {
+        /// The connection.
+        conn: ConnKey,
+        /// Id of the server that must answer.
+        server: Arc<str>,
+        /// Path of the health request.
+        path: Arc<str>,
+    },
     /// Close a connection, even if a call is in progress on it. No event follows.
     Close {
         /// The connection.
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use jasminepond_quarantine::Fingerprint;
-use jasminepond_ratelimit::LimitReport;
+use jasminepond_ratelimit::{LimitReport, Warmth};
 use jasminepond_routes::{Route, ServiceName, Target};
 use jasminepond_types::Timestamp;
 
@@ -44,6 +44,8 @@
     pub cost: f64,
     /// Connections, open or opening.
     pub connections: usize,
+    /// Maximum number of connections of this daemon at present.
+    pub connection_limit: usize,
     /// Calls in progress.
     pub calls: usize,
     /// Load that it stated last.
@@ -52,6 +54,19 @@
     pub sends: u64,
     /// Rate limit that the server states.
     pub limit: Option<LimitReport>,
+    /// Whether the server is cold, if its service limits cold servers.
+    pub warm_up: Option<WarmUpReport>,
+}
+
+/// Whether a server is cold.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WarmUpReport {
+    /// What is presumed of it.
+    pub warmth: Warmth,
+    /// Requests per second that it takes while it is cold.
+    pub per_second: f64,
+    /// Its limit in force, unless it is warm.
+    pub limit: Option<LimitReport>,
 }
 
 /// Calls of this daemon to the servers of a service in the last complete window of five
@@ -132,10 +147,12 @@
                 why,
                 cost: server.cost(now, settings),
                 connections: server.conns.len(),
+                connection_limit: self.connection_limit(now, server),
                 calls: server.calls.len(),
                 load: server.heard,
                 sends: server.sends.total,
                 limit: self.limit_report(now, server),
+                warm_up: self.warm_up_report(now, server),
             }
         };
         let mut reports: Vec<_> = self.known_servers().map(report).collect();
@@ -225,6 +242,13 @@
                     false => format!("it drains or its entry went {age} ms ago"),
                 }
             }
+            (None, Reachability::Up, None) if !self.may_connect() => {
+                "other daemons use all its connections".to_owned()
+            }
+            (None, Reachability::Up, None) if self.room.is_blocked(now) => {
+                let wait = millis(self.room.blocked_until().since(now));
+                format!("it is at its connection limit, tried again in {wait} ms")
+            }
             (None, Reachability::Up, None) => String::new(),
             (Some(Standing::Stalled), ..) => "a call is unanswered for too long".to_owned(),
             (Some(Standing::Full), ..) => "it rejected a call a moment ago".to_owned(),
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -8,9 +8,11 @@
 
 use crate::{
     balance::{HeardLoad, slowness_cost, slowness_sample},
+    connections::Room,
     departed::Restriction,
     evacuation::{RETURN_WARM_UP, ZoneAccess},
     evenness::SendCount,
+    health::Health,
     message::{Backend, BackendState, CallKey, ConnKey, LimitUsage},
     service::ServiceKey,
     settings::ForwardSettings,
@@ -62,6 +64,8 @@
     pub(crate) service: ServiceKey,
     /// Identity of the process for its rate limit.
     pub(crate) process: ProcessId,
+    /// Health requests of this daemon to the server.
+    pub(crate) health: Health,
     pub(crate) conns: Vec<ConnKey>,
     pub(crate) opening: u32,
     pub(crate) calls: Vec<CallKey>,
@@ -74,6 +78,10 @@
     connect_failures: u32,
     /// Whether this daemon keeps connections to the server.
     pub(crate) assigned: bool,
+    /// Whether this daemon may hold one connection although the server is assigned to others.
+    pub(crate) guest: bool,
+    /// Room for connections of this daemon.
+    pub(crate) room: Room,
     /// When the entry was removed, or the server began to drain or stop.
     pub(crate) leaving_since: Option<Timestamp>,
     /// Whether the process announced its stop, which no entry revokes.
@@ -94,7 +102,7 @@
     pub(crate) permit_timer: Option<Timestamp>,
     stalled: bool,
     full_until: Timestamp,
-    warm_up_until: Timestamp,
+    pub(crate) warm_up_until: Timestamp,
     slowness: f64,
     failure_rate: f64,
     sampled_at: Timestamp,
@@ -107,9 +115,11 @@
 
 impl Server {
     pub(crate) fn new(now: Timestamp, backend: Backend, service: ServiceKey) -> Self {
+        let process = ProcessId::new(&backend.id, backend.started, backend.address);
         Self {
             warm_up_until: now + backend.warm_up_left.duration(),
-            process: ProcessId::new(&backend.id, backend.started, backend.address),
+            process,
+            health: Health::new(process),
             leaving_since: None,
             stopping: false,
             back_off_until: Timestamp::ZERO,
@@ -129,6 +139,8 @@
             reachability: Reachability::Up,
             connect_failures: 0,
             assigned: true,
+            guest: true,
+            room: Room::default(),
             stalled: false,
             full_until: Timestamp::ZERO,
             slowness: 1.0,
@@ -163,6 +175,9 @@
         {
             return None;
         }
+        if self.conns.is_empty() && (!self.may_connect() || self.room.is_blocked(now)) {
+            return None;
+        }
         Some(match self.leaving_since {
             Some(since) if now.since(since) > settings.leave_grace() => return None,
             Some(_) => Standing::Leaving,
@@ -179,6 +194,16 @@
         self.leaving_since.is_none() && !self.address_taken && open
     }
 
+    /// Whether this daemon may hold connections to the server.
+    pub(crate) fn may_connect(&self) -> bool {
+        self.assigned || self.guest
+    }
+
+    /// Whether a connection may be opened in addition to those in use. A guest has only one.
+    pub(crate) fn may_be_probed(&self) -> bool {
+        self.assigned || (self.guest && self.conns.is_empty())
+    }
+
     /// Whether there is a connection, or no failed attempt to open one is known.
     pub(crate) fn may_be_reached(&self) -> bool {
         self.reachability == Reachability::Up || self.conns.len() > self.opening as usize
@@ -200,14 +225,16 @@
         if self.address_taken || retired {
             return None;
         }
+        // An evacuated server is assigned to no daemon until its zone returns.
+        if self.access == ZoneAccess::Open && !self.may_connect() {
+            return None;
+        }
+        let reconnect_at = self.room.blocked_until().max(self.back_off_until);
         let reconnect_in = match self.reachability {
             Reachability::Down { until } if self.conns.is_empty() => until.since(now),
             Reachability::Down { .. } | Reachability::Up => Duration::ZERO,
         };
-        let held_for = self
-            .back_off_until
-            .since(now)
-            .max(self.access.opens_in(now));
+        let held_for = reconnect_at.since(now).max(self.access.opens_in(now));
         Some(reconnect_in.max(held_for))
     }
 
--- a/crates/jasminepond-forward/tests/evacuation.rs
+++ b/crates/jasminepond-forward/tests/evacuation.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use jasminepond_forward::{
-    Answer, Arrival, Cluster, DelegatedPart, ForwardSettings, Refusal, Scope, Verdict,
+    Answer, Arrival, Cluster, DelegatedPart, ForwardSettings, Refusal, Scope, SearchId, Verdict,
 };
 use jasminepond_routes::Repeat;
 use jasminepond_types::{Millis, Timestamp};
@@ -209,8 +209,12 @@
             answer_within: 60 * MS,
             repeat: false,
             admitted: false,
+            resumes: false,
         });
         let arrival = Arrival {
+            search: SearchId(1),
+            caller: Default::default(),
+            draw: 0,
             route,
             time_left: CALLER_TIMEOUT,
             fingerprint: Default::default(),
@@ -401,10 +405,14 @@
     }
     sim.set_peers(9, peers);
     sim.run_for(Duration::from_secs(1));
+    // A daemon prefers another helper in each period of half a second.
     let asked = |sim: &mut Sim| -> Vec<usize> {
         let from = sim.now;
-        submit_many(sim, "/search/x", 1, CALLER_TIMEOUT);
-        assert_eq!(sim.answers.last().unwrap().summary.verdict, Verdict::Served);
+        for _ in 0..20 {
+            submit_many(sim, "/search/x", 1, CALLER_TIMEOUT);
+            assert_eq!(sim.answers.last().unwrap().summary.verdict, Verdict::Served);
+            sim.run_for(Duration::from_millis(500));
+        }
         let peers = first..sim.servers.len();
         peers
             .filter(|peer| arrived_since(sim, *peer, from) > 0)
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -290,7 +290,13 @@
         let mut services = HashMap::new();
         for server in &self.servers {
             let max_connections = self.max_connections;
-            services.insert(server.service.clone(), ServiceSpec { max_connections });
+            services.insert(
+                server.service.clone(),
+                ServiceSpec {
+                    max_connections,
+                    ..ServiceSpec::default()
+                },
+            );
         }
         let release = Release {
             version: ReleaseVersion(version),
@@ -511,6 +517,7 @@
                 | Action::LogSuspect { .. }
                 | Action::LogServerEvent { .. }
                 | Action::LogShardLoad { .. }
+                | Action::CheckHealth { .. }
                 | Action::LogGroups { .. } => {}
                 Action::Close { conn } => {
                     self.closed += 1;
@@ -651,6 +658,7 @@
         retry_after: None,
         rate_limit: None,
         server_load: None,
+        warm_up_left: None,
         encoded: false,
         headers: Vec::new(),
         body: Bytes::from_static(b"0123456789abcdef"),
--- a/crates/jasminepond-gateway/src/adapter.rs
+++ b/crates/jasminepond-gateway/src/adapter.rs
@@ -24,6 +24,8 @@
     /// Load of the server: running and waiting requests, slots, and the duration of work in
     /// percent of the usual one, separated by commas.
     pub server_load: &'static str,
+    /// Time in milliseconds for which the server stays cold, in its health responses.
+    pub warm_up_left: &'static str,
     /// Number of times that the store was restored from a backup.
     pub store_era: &'static str,
     /// Signatures of the parts of a merged response.
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -30,7 +30,7 @@
 use jasminepond_discovery::{ReaderSettings, settle_time};
 use jasminepond_forward::{
     ForwardSettings, Forwarder, HeardLoad, QueueReport, RepeatSettings, RouteReport, ServerReport,
-    ServiceReport,
+    ServiceReport, WarmUpReport,
 };
 use jasminepond_membership::LocalMember;
 use jasminepond_platform::{HttpReader, PlatformError};
@@ -202,6 +202,8 @@
             window: Duration::from_secs_f64(settings.repeats.window_s),
             ..RepeatSettings::default()
         },
+        warm_up_excess: settings.warmup_excess,
+        warm_up_slack: settings.warmup_slack,
         ..ForwardSettings::default()
     }
 }
@@ -280,6 +282,14 @@
     })
 }
 
+fn warm_up_status(warm_up: WarmUpReport) -> serde_json::Value {
+    json!({
+        "state": warm_up.warmth.as_str(),
+        "per_second": warm_up.per_second,
+        "limit": warm_up.limit.map(limit_status),
+    })
+}
+
 fn store_status(hub: &Hub) -> serde_json::Value {
     let state = hub.store_state();
     json!({
@@ -306,10 +316,12 @@
                 "why": server.why,
                 "cost": (server.cost * 100.0).round() / 100.0,
                 "connections": server.connections,
+                "connection_limit": server.connection_limit,
                 "calls": server.calls,
                 "sends": server.sends,
                 "load": server.load.map(|heard| load_status(now, heard)),
                 "limit": server.limit.map(limit_status),
+                "warm_up": server.warm_up.map(warm_up_status),
             })
         };
         let suspects = forwarder.suspect_reports(now).into_iter();
@@ -330,9 +342,12 @@
             "servers_limited": status.limited,
             "evacuated_zones": evacuated.collect::<Vec<_>>(),
             "servers_evacuated": status.held_out,
+            "servers_cold": forwarder.cold_counts(now).0,
             "requests": status.requests,
             "calls": status.calls,
             "connections": status.connections,
+            "connections_reset": forwarder.connection_counts().reset,
+            "connections_refused": forwarder.connection_counts().refused,
             "waiting": status.waiting,
             "overloaded_shards": status.overloaded_shards,
             "admission": {
@@ -443,6 +458,9 @@
                     let read =
                         |f: &Forwarder| (f.status(), f.queue_reports(), f.suspect_counts(now));
                     let (status, queues, suspects) = hub.read(read);
+                    hub.metrics()
+                        .set_connections(hub.read(Forwarder::connection_counts));
+                    hub.metrics().set_cold(hub.read(|f| f.cold_counts(now)));
                     let state_age = now.since(hub.store_state().confirmed_at);
                     let ratio = hub.read(|f| f.busiest_over_mean(now));
                     hub.metrics().set_busiest_over_mean(ratio);
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::Cell, sync::atomic::AtomicU64, time::Duration};
 
-use jasminepond_forward::{QueueReport, QueueWait, Status, Summary, Verdict};
+use jasminepond_forward::{ConnectionCounts, QueueReport, QueueWait, Status, Summary, Verdict};
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::ErrorKind;
 use prometheus_client::{
@@ -65,6 +65,10 @@
     servers_limited: Gauge,
     zones_evacuated: Gauge,
     servers_evacuated: Gauge,
+    servers_cold: Gauge,
+    connections_reset: Counter,
+    connections_refused: Counter,
+    health_requests: Counter,
     waiting: Gauge,
     overloaded_shards: Gauge,
     admission_refused: Counter,
@@ -109,6 +113,10 @@
             servers_limited: Gauge::default(),
             zones_evacuated: Gauge::default(),
             servers_evacuated: Gauge::default(),
+            servers_cold: Gauge::default(),
+            connections_reset: Counter::default(),
+            connections_refused: Counter::default(),
+            health_requests: Counter::default(),
             waiting: Gauge::default(),
             overloaded_shards: Gauge::default(),
             admission_refused: Counter::default(),
@@ -218,6 +226,21 @@
                 "Times at which a request was held because it ended backend servers",
                 &self.holds,
             ),
+            (
+                "connections_reset",
+                "Connections that backend servers reset because they were at their limits",
+                &self.connections_reset,
+            ),
+            (
+                "connections_refused",
+                "Times at which a request waited and no connection could be opened for it",
+                &self.connections_refused,
+            ),
+            (
+                "health_requests",
+                "Health requests to backend servers that may be cold",
+                &self.health_requests,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             (
                 "store_failures",
@@ -283,6 +306,11 @@
                 "Backend servers that get no requests because their zone is evacuated",
                 &self.servers_evacuated,
             ),
+            (
+                "servers_cold",
+                "Backend servers that are cold or not known to be warm, and limited for it",
+                &self.servers_cold,
+            ),
             (
                 "requests_suspected",
                 "Distinct requests that are presumed to end backend servers",
@@ -349,6 +377,24 @@
         }
     }
 
+    /// Records the number of servers that are limited as cold ones, and of health requests
+    /// sent since the start.
+    pub fn set_cold(&self, (servers, health_requests): (usize, u64)) {
+        self.servers_cold.set(servers as i64);
+        let counted = self.health_requests.get();
+        self.health_requests
+            .inc_by(health_requests.saturating_sub(counted));
+    }
+
+    /// Records the numbers of connections since the start.
+    pub fn set_connections(&self, counts: ConnectionCounts) {
+        let raise = |counter: &Counter, to: u64| {
+            counter.inc_by(to.saturating_sub(counter.get()));
+        };
+        raise(&self.connections_reset, counts.reset);
+        raise(&self.connections_refused, counts.refused);
+    }
+
     /// Records an answered request.
     pub fn answered(&self, summary: &Summary) {
         let outcome = Outcome {
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -9,6 +9,7 @@
 use jasminepond_forward::{Reply, RetryAfter, StatedLimit, StatedLoad};
 
 use jasminepond_routes::ReleaseVersion;
+use jasminepond_types::Millis;
 
 use crate::{HeaderNames, peers};
 
@@ -149,6 +150,7 @@
 ///     stamp: "x-stamp", not_run: "x-not-run", leaving: "x-leaving", rate_limit: "x-limit",
 ///     server_load: "x-load",
 ///     store_era: "x-era", part_stamps: "x-parts", missing_parts: "x-missing",
+///     warm_up_left: "x-warm-up",
 /// };
 /// let bytes = b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
 /// let mut reader = ResponseReader::default();
@@ -289,6 +291,7 @@
                 retry_after: None,
                 rate_limit: None,
                 server_load: None,
+                warm_up_left: None,
                 encoded: false,
                 headers: Vec::new(),
                 body: Bytes::new(),
@@ -504,6 +507,9 @@
             keep_header(message, header, keep_headers);
         } else if is(names.server_load) {
             merge_server_load(&mut message.reply, value);
+        } else if is(names.warm_up_left) {
+            let left = text(value).and_then(|text| text.parse().ok()).map(Millis);
+            message.reply.warm_up_left = message.reply.warm_up_left.max(left);
             keep_header(message, header, keep_headers);
         } else if is("retry-after") {
             merge_retry_after(&mut message.reply, value);
