fix(gateway): refuse responses with invalid statuses

Cause: httparse reads any three digits as a status. A response with 000 or 099 reached the forwarder as a response, and its body and signature reached the caller under the status 502; 600 and 999 were forwarded as they are. A status of 1xx with a length was skipped as an interim response, its body then parsed as the next response, so a server could hide a 200 in it.

Change: the parsers refuse a final status outside 200 to 599, 101, and an interim status with a length. The connection is closed; a request is repeated where that is allowed, and otherwise its outcome is unknown. The status line itself (signs, spaces, letters, four digits) was right. A rate limit in such a response is ignored: it is no response of the server.

Ruled out: mapping such a status to 502 in `forwarded_response`, since the forwarder would still count a response, and repeat the request over the same connection.

--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -259,8 +259,13 @@
 }
 
 fn forwarded_response(hub: &Hub, reply: Reply) -> BufferedResponse {
+    let Ok(status) = StatusCode::from_u16(reply.status) else {
+        // The parser of responses refuses these.
+        let message = "the response has an invalid status";
+        return error_response(ErrorKind::OutcomeUnknown, message, None);
+    };
     let mut res = Response::new(Full::new(reply.body));
-    *res.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *res.status_mut() = status;
     for (name, value) in &reply.headers {
         let name = HeaderName::from_bytes(name);
         let value = HeaderValue::from_bytes(value);
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -3,7 +3,7 @@
 //! A faulty server may send arbitrary bytes without end. The parser therefore examines each
 //! byte at most twice, and limits everything that it stores.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::Range, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use jasminepond_forward::{Reply, RetryAfter, StatedLimit};
@@ -36,6 +36,15 @@
 /// Status with which a server refuses a request that names a different server.
 const MISDIRECTED: u16 = 421;
 
+/// Statuses of interim responses, which other responses follow.
+const INTERIM_STATUSES: Range<u16> = 100..200;
+
+/// Statuses of final responses.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
+/// Status with which a server changes to another protocol. No request asks for that.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Properties of the expected response that follow from the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExpectedResponse {
@@ -83,6 +92,10 @@
     /// The status line or headers are malformed.
     #[error("malformed status line or headers")]
     Head,
+    /// The status is outside 100 to 599, or an interim status in a final response. Servers in
+    /// trouble send such responses.
+    #[error("invalid status {0:03}")]
+    Status(u16),
     /// The length of the body is not a number, or is stated in conflicting ways.
     #[error("the length of the body is not clear")]
     Length,
@@ -266,7 +279,10 @@
         }
         *pos += len;
         let status = head.code.ok_or(ParseError::Head)?;
-        if (100..200).contains(&status) {
+        if !is_valid_status(status, head.headers) {
+            return Err(ParseError::Status(status));
+        }
+        if INTERIM_STATUSES.contains(&status) {
             // Interim response; the final one follows.
             self.interim += 1;
             self.interim_bytes += len;
@@ -356,6 +372,22 @@
     }
 }
 
+/// Whether a response with these headers may have the status. An interim response has no body,
+/// so one that states a length is a final response.
+fn is_valid_status(status: u16, headers: &[httparse::Header<'_>]) -> bool {
+    let states_body = |header: &httparse::Header<'_>| {
+        let names = ["content-length", "transfer-encoding"];
+        names
+            .iter()
+            .any(|name| header.name.eq_ignore_ascii_case(name))
+    };
+    match status {
+        SWITCHING_PROTOCOLS => false,
+        status if INTERIM_STATUSES.contains(&status) => !headers.iter().any(states_body),
+        status => FINAL_STATUSES.contains(&status),
+    }
+}
+
 /// Checks that the bytes can be the start of a status line.
 fn check_start(rest: &[u8]) -> Result<(), ParseError> {
     let expected = b"HTTP/1.";
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -285,3 +285,50 @@
     let (message, _) = parse_complete(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
     assert_eq!(message.reply.rate_limit, None);
 }
+
+/// Guards against passing on, or counting as a response, what a server in trouble sends: a
+/// status outside 100 to 599, one that is no number, or an interim status as the final one.
+#[test_case("000 X"; "000")]
+#[test_case("099 X"; "099")]
+#[test_case("600 X"; "600")]
+#[test_case("999 X"; "999")]
+#[test_case("101 Switching Protocols"; "a change of protocol")]
+#[test_case("100 Continue"; "an interim status as the final one")]
+#[test_case("199 X"; "the last interim status as the final one")]
+#[test_case("+20 X"; "a sign")]
+#[test_case("-20 X"; "a negative number")]
+#[test_case(" 20 X"; "a leading space")]
+#[test_case("20  X"; "a trailing space")]
+#[test_case("2000 X"; "four digits")]
+#[test_case("20 X"; "two digits")]
+#[test_case("2x0 X"; "a letter")]
+#[test_case("\u{662}00 X"; "a digit that is not ASCII")]
+#[test_case(""; "no status")]
+fn responses_with_invalid_statuses_are_refused(status: &str) {
+    let headers = "X-Id: 1\r\nX-Stamp: s\r\nServer-Limit: 4\r\n";
+    for body in ["", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"] {
+        let len = body.len();
+        let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {len}\r\n\r\n{body}");
+        let mut buf = text.into_bytes();
+        let mut reader = ResponseReader::default();
+        let parsed = reader.advance(&mut buf, false, &NAMES, EXPECTED);
+        let refused = matches!(parsed, Err(ParseError::Status(_) | ParseError::Head));
+        assert!(refused, "{parsed:?}");
+        assert_eq!(reader.rate_limit(b"1"), None);
+    }
+}
+
+/// Guards against refusing the statuses that a server may send.
+#[test]
+fn responses_with_valid_statuses_are_read() {
+    for status in 200..=599 {
+        let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        let (message, _) = parse_complete(text.as_bytes(), false);
+        assert_eq!(message.reply.status, status);
+    }
+    let (message, _) = parse_complete(
+        b"HTTP/1.1 103 X\r\nLink: a\r\n\r\nHTTP/1.1 204 X\r\n\r\n",
+        false,
+    );
+    assert_eq!(message.reply.status, 204);
+}
--- a/crates/jasminepond-platform/src/http.rs
+++ b/crates/jasminepond-platform/src/http.rs
@@ -83,13 +83,13 @@
         Ok(Self { options, client })
     }
 
-    /// Sends a GET request for `path` and returns the response, whose status is below 500.
-    /// The head of the response may take `extra` in addition to the configured timeout.
+    /// Sends a GET request for `path` and returns the response, whose status is from 200 to
+    /// 499. The head of the response may take `extra` in addition to the configured timeout.
     ///
     /// # Errors
     ///
-    /// Fails if there is no response in time, on status 429, on a status of 500 or more,
-    /// and if the body is too large.
+    /// Fails if there is no response in time, on status 429, on a status below 200 or of 500 or
+    /// more, and if the body is too large.
     pub async fn get(&self, path: &str, extra: Duration) -> Result<HttpResponse, PlatformError> {
         self.get_within(path, self.options.timeout + extra).await
     }
@@ -99,8 +99,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no response in time, on status 429, on a status of 500 or more,
-    /// and if the body is too large.
+    /// Fails if there is no response in time, on status 429, on a status below 200 or of 500 or
+    /// more, and if the body is too large.
     pub async fn get_within(
         &self,
         path: &str,
@@ -129,7 +129,8 @@
             body.map_err(|_| PlatformError::Unreachable("the body is slow".to_owned()))??;
         match status {
             429 => Err(PlatformError::RateLimited),
-            500.. => Err(PlatformError::Unreachable(format!("status {status}"))),
+            // Those outside 200 to 599 are none of a response: hyper skips interim ones.
+            ..200 | 500.. => Err(PlatformError::Unreachable(format!("status {status}"))),
             _ => Ok(HttpResponse {
                 status,
                 headers,
