feat(gateway): bound the memory held for slow callers and servers

Cause: a response was copied into the write buffer of the stream, which accepts 64 MB at once, so the listener did not know whether its caller read it; it was held until the idle timeout. 1,500 callers that read nothing of 400 KB each took the process to 1,327 MB (VmHWM 1,296,384 kB), with 160 MB allowed. A caller could also ask for more responses without reading. A server that read no requests kept getting them until the deadlines of the calls.

Change: `Backlog` (no sockets, no clock) counts the bytes held by kind, caller address and server, with limits derived from the new setting `memory_mb`, and decides: accept, refuse as not run with `Retry-After`, drop a response, or send nothing more to a server. `BufferedBytes` carries this out and still bounds the unfinished responses of servers. The listener writes without a buffer of its own, sets the send buffer to 64 KiB, and resets a connection whose response is dropped. A response that is read slowly is no longer cut off by the idle timeout of its connection, but after 60 s. A server that does not read is unusable in the forwarder until it has read; calls on it that may be repeated go elsewhere within the budget. Metrics, `/status` (`held`), at most one log line a second, design note docs/design/slow-readers.md.

Ruled out: refusing small requests or not reading from callers above the bound, dropping the largest response first, a bound for each connection only, `Standing::Full` for servers that do not read; reasons in the design note.

--- a/crates/jasminepond-daemon/src/net/http.rs
+++ b/crates/jasminepond-daemon/src/net/http.rs
@@ -3,7 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     future::poll_fn,
-    io,
+    io::{self, IoSlice},
+    net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
     task::{Context as TaskContext, Poll, ready},
@@ -16,16 +17,18 @@
 use futures_util::{FutureExt, future::LocalBoxFuture, select_biased};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
-    Request, Response, StatusCode,
-    body::Incoming,
+    Method, Request, Response, StatusCode,
+    body::{Body, Incoming},
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     rt::{Read, ReadBuf, ReadBufCursor, Write},
     server::conn::http1,
     service::service_fn,
 };
 use jasminepond_types::{ErrorKind, Millis, RetryAfter, RunStatus};
+use rustix::net::sockopt;
 use serde_json::json;
 
+use super::flow::{BodyRefused, DirectWriter, Flow, bound_send_buffer};
 use crate::stop::Stop;
 
 /// Limits of one listener.
@@ -104,6 +107,13 @@
     fn refused(&self, kind: ErrorKind) {
         let _ = kind;
     }
+
+    /// Returns the account of the memory held for a new connection. Without one, the memory is
+    /// bounded by the limits of the listener only.
+    fn flow(&self, client: SocketAddr) -> Option<Rc<dyn Flow>> {
+        let _ = client;
+        None
+    }
 }
 
 /// A JSON response.
@@ -181,9 +191,9 @@
     };
     let mut stopped = pin!(stopped.fuse());
     loop {
-        let stream = select_biased! {
+        let (stream, client) = select_biased! {
             accepted = listener.accept().fuse() => match accepted {
-                Ok((stream, _)) => stream,
+                Ok(accepted) => accepted,
                 Err(_) => {
                     // For example out of file descriptors: wait until some are freed.
                     compio::time::sleep(ACCEPT_BACKOFF).await;
@@ -199,7 +209,8 @@
         }
         open.set(open.get() + 1);
         let guard = OpenGuard(open.clone());
-        let conn = connection(stream, handler.clone(), limits, close.clone());
+        let flow = handler.flow(client);
+        let conn = connection(stream, handler.clone(), flow, limits, close.clone());
         compio::runtime::spawn(async move {
             conn.await;
             drop(guard);
@@ -224,19 +235,29 @@
 /// response.
 const LINGER: Duration = Duration::from_millis(500);
 
-async fn connection(stream: TcpStream, handler: Rc<dyn Handler>, limits: Limits, close: Stop) {
-    if stream.set_nodelay(true).is_err() {
+async fn connection(
+    stream: TcpStream,
+    handler: Rc<dyn Handler>,
+    flow: Option<Rc<dyn Flow>>,
+    limits: Limits,
+    close: Stop,
+) {
+    if stream.set_nodelay(true).is_err() || flow.is_some() && bound_send_buffer(&stream).is_err() {
         return;
     }
-    let activity = Rc::new(Activity::default());
+    let activity = Rc::new(Activity::new(flow.clone()));
     let service = {
         let (activity, limits, handler) = (activity.clone(), limits.clone(), handler.clone());
         service_fn(move |req| {
             let first_byte = activity.begin();
             let (handler, activity, limits) = (handler.clone(), activity.clone(), limits.clone());
             async move {
-                let res = respond(req, first_byte, &activity.unread, &*handler, &limits).await;
+                let is_head = req.method() == Method::HEAD;
+                let res = respond(req, first_byte, &activity, &*handler, &limits).await;
                 activity.end();
+                if !is_head {
+                    activity.add_response(res.body().size_hint().lower());
+                }
                 Ok::<_, std::convert::Infallible>(res)
             }
             .boxed_local()
@@ -245,6 +266,7 @@
     let socket = stream.clone();
     let stream = TrackedStream {
         stream: HyperStream::new_plain(stream),
+        writer: DirectWriter::new(socket.clone()),
         activity: activity.clone(),
     };
     let mut conn = http1::Builder::new()
@@ -254,6 +276,11 @@
         .serve_connection(stream, service);
     let mut closing = pin!(close.wait().fuse());
     let mut timed_out = pin!(activity.timed_out(&limits).fuse());
+    let dropped = poll_fn(|cx| match &flow {
+        Some(flow) => flow.poll_dropped(cx),
+        None => Poll::Pending,
+    });
+    let mut dropped = pin!(dropped.fuse());
     let ended = loop {
         select_biased! {
             ended = poll_fn(|cx| conn.poll_without_shutdown(cx)).fuse() =>
@@ -263,6 +290,11 @@
                 Pin::new(&mut conn).graceful_shutdown();
             },
             timeout = timed_out => break ConnectionEnd::TimedOut(timeout),
+            _ = dropped => {
+                // The connection is reset: the client must not take what it has for the whole.
+                let _ = sockopt::set_socket_linger(&socket, Some(Duration::ZERO));
+                return;
+            }
         }
     };
     let mut stream = conn.into_parts().io.stream;
@@ -357,9 +389,11 @@
 /// Maximum size of one read; the size of hyper's initial read buffer.
 const READ_BYTES: usize = 8 << 10;
 
-/// A stream that records when the first byte of a request arrives.
+/// A stream that records when the first byte of a request arrives, and how much of a response
+/// the socket has not accepted.
 struct TrackedStream {
     stream: Stream,
+    writer: DirectWriter,
     activity: Rc<Activity>,
 }
 
@@ -383,15 +417,31 @@
 
 impl Write for TrackedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut TaskContext<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(self.writer.poll_write(cx, bytes))?;
+        self.activity.accepted(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        // hyper has written everything that it holds.
+        self.activity.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
@@ -408,20 +458,61 @@
     head_since: Cell<Option<Instant>>,
     /// Whether part of a refused request is still unread.
     unread: Cell<bool>,
+    /// Bytes of responses that the socket has not accepted. Those of heads are not counted, so
+    /// the last byte stays counted until everything is written.
+    unsent: Cell<usize>,
+    flow: Option<Rc<dyn Flow>>,
 }
 
-impl Default for Activity {
-    fn default() -> Self {
+impl Activity {
+    fn new(flow: Option<Rc<dyn Flow>>) -> Self {
         Self {
             running: Cell::new(0),
             last: Cell::new(Instant::now()),
             head_since: Cell::new(None),
             unread: Cell::new(false),
+            unsent: Cell::new(0),
+            flow,
+        }
+    }
+
+    fn hold_request(&self, bytes: usize) -> Result<(), BodyRefused> {
+        self.flow
+            .as_ref()
+            .map_or(Ok(()), |flow| flow.hold_request(bytes))
+    }
+
+    /// Notes a response of this many bytes. hyper may still hold earlier ones of a client that
+    /// sends requests without waiting for responses.
+    fn add_response(&self, bytes: u64) {
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        self.hold_response(self.unsent.get().saturating_add(bytes));
+    }
+
+    fn hold_response(&self, unsent: usize) {
+        if self.unsent.replace(unsent) != unsent
+            && let Some(flow) = &self.flow
+        {
+            flow.hold_response(unsent);
+        }
+    }
+
+    /// Notes that the socket has accepted bytes of a response.
+    fn accepted(&self, bytes: usize) {
+        let unsent = self.unsent.get();
+        if unsent > 0 {
+            self.hold_response(unsent.saturating_sub(bytes).max(1));
+        }
+    }
+
+    /// Notes that all bytes so far were accepted.
+    fn flushed(&self) {
+        if self.unsent.get() == 1 {
+            self.hold_response(0);
+            self.last.set(Instant::now());
         }
     }
-}
 
-impl Activity {
     fn received(&self) {
         if self.running.get() == 0 && self.head_since.get().is_none() {
             self.head_since.set(Some(Instant::now()));
@@ -445,6 +536,10 @@
             let head_since = self.head_since.get();
             let (since, limit) = match head_since {
                 _ if self.running.get() > 0 => (Instant::now(), limits.read_timeout),
+                // The account limits how long a response may take.
+                _ if self.unsent.get() > 0 && self.flow.is_some() => {
+                    (Instant::now(), limits.read_timeout)
+                }
                 Some(since) => (since, limits.read_timeout),
                 None => (self.last.get(), limits.idle_timeout),
             };
@@ -475,49 +570,84 @@
 async fn respond(
     req: Request<Incoming>,
     first_byte: Instant,
-    unread: &Cell<bool>,
+    activity: &Activity,
     handler: &dyn Handler,
     limits: &Limits,
 ) -> BufferedResponse {
     let (head, body) = req.into_parts();
-    let refuse = |kind: ErrorKind, message: &str| {
+    let refuse_until = |kind: ErrorKind, message: &str, retry_after: Option<Millis>| {
         handler.refused(kind);
-        unread.set(true);
-        let mut res = error_response(kind, message, None);
+        activity.unread.set(true);
+        let mut res = error_response(kind, message, retry_after);
         // The rest of the body is not read, so the connection cannot be reused.
         res.headers_mut()
             .insert("connection", HeaderValue::from_static("close"));
         res
     };
+    let refuse = |kind: ErrorKind, message: &str| refuse_until(kind, message, None);
+    let no_room = |BodyRefused { retry_after }| {
+        let message = "the daemon has no memory for the body";
+        refuse_until(ErrorKind::Overloaded, message, Some(retry_after))
+    };
     if header_bytes(&head) > limits.max_header_bytes {
         let message = format!("the headers exceed {} bytes", limits.max_header_bytes);
         return refuse(ErrorKind::HeadersTooLarge, &message);
     }
     let left = limits.read_timeout.saturating_sub(first_byte.elapsed());
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    // Larger bodies are refused anyway.
+    let stated = stated.min(limits.max_body_bytes);
+    let held = HeldRequest(activity);
+    if let Err(refused) = activity.hold_request(stated) {
+        return no_room(refused);
+    }
     let body = Limited::new(body, limits.max_body_bytes);
-    match compio::time::timeout(left, collect_body(body)).await {
+    let collected = collect_body(body, |len| activity.hold_request(len.max(stated)));
+    match compio::time::timeout(left, collected).await {
         Err(_) => refuse(ErrorKind::SlowRequest, "the body did not arrive in time"),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
             let message = format!("the body exceeds {} bytes", limits.max_body_bytes);
             refuse(ErrorKind::BodyTooLarge, &message)
         }
         Ok(Err(err)) => refuse(ErrorKind::BadRequest, &format!("the body broke off: {err}")),
-        Ok(Ok(body)) => handler.handle(BufferedRequest { head, body }).await,
+        Ok(Ok(Err(refused))) => no_room(refused),
+        Ok(Ok(Ok(body))) => {
+            let res = handler.handle(BufferedRequest { head, body }).await;
+            drop(held);
+            res
+        }
+    }
+}
+
+/// Gives back the memory held for the body of a request, also if its client disconnects.
+struct HeldRequest<'a>(&'a Activity);
+
+impl Drop for HeldRequest<'_> {
+    fn drop(&mut self) {
+        // No bytes always have room.
+        let _ = self.0.hold_request(0);
     }
 }
 
 /// Collects a body into one buffer. One buffer per body frame would take many times
-/// the body's size if a client sends chunks of single bytes.
-async fn collect_body<B>(body: B) -> Result<Bytes, B::Error>
+/// the body's size if a client sends chunks of single bytes. `hold` is told the size after each
+/// frame, and decides whether to go on.
+async fn collect_body<B>(
+    body: B,
+    hold: impl Fn(usize) -> Result<(), BodyRefused>,
+) -> Result<Result<Bytes, BodyRefused>, B::Error>
 where
-    B: hyper::body::Body<Data = Bytes>,
+    B: Body<Data = Bytes>,
 {
     let mut body = pin!(body);
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             bytes.extend_from_slice(&data);
+            if let Err(refused) = hold(bytes.len()) {
+                return Ok(Err(refused));
+            }
         }
     }
-    Ok(bytes.into())
+    Ok(Ok(bytes.into()))
 }
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -41,6 +41,7 @@
 mod relay;
 mod settle;
 mod suspects;
+mod unread;
 
 pub use delegate::{DelegationRequest, Peer};
 use suspects::CutCall;
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -412,7 +412,7 @@
         }
     }
 
-    fn hedge(&mut self, now: Timestamp, key: CallKey) {
+    pub(super) fn hedge(&mut self, now: Timestamp, key: CallKey) {
         let Some(call) = self.calls.get(key) else {
             return;
         };
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -330,6 +330,8 @@
     AddressTaken,
     /// The server announced that it is about to stop and gets no new requests.
     Stopping,
+    /// The server does not read the requests sent to it, and gets no more until it does.
+    Unread,
     /// The server asked for no requests for a time (`Retry-After`).
     BackOff {
         /// The requested time.
--- a/crates/jasminepond-forward/src/report.rs
+++ b/crates/jasminepond-forward/src/report.rs
@@ -133,6 +133,7 @@
     fn why(&self, now: Timestamp, standing: Option<Standing>) -> String {
         let millis = |time: Duration| time.as_millis();
         match (standing, self.reachability, self.leaving_since) {
+            (None, ..) if self.unread => "it does not read the requests sent to it".to_owned(),
             (None, ..) if self.address_taken => "another server answered at its address".to_owned(),
             (None, ..) if !self.back_off_left(now).is_zero() => {
                 let wait = millis(self.back_off_left(now));
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -86,6 +86,8 @@
     pub(crate) limit_usage: LimitUsage,
     /// When queued parts are tried again because a permit may be available.
     pub(crate) permit_timer: Option<Timestamp>,
+    /// Whether it does not read the requests sent to it.
+    pub(crate) unread: bool,
     stalled: bool,
     full_until: Timestamp,
     warm_up_until: Timestamp,
@@ -118,6 +120,7 @@
             reachability: Reachability::Up,
             connect_failures: 0,
             assigned: true,
+            unread: false,
             stalled: false,
             full_until: Timestamp::ZERO,
             slowness: 1.0,
@@ -143,7 +146,7 @@
 
     /// Preference class for a new request, or `None` if the server is unusable.
     pub(crate) fn standing(&self, now: Timestamp, settings: &ForwardSettings) -> Option<Standing> {
-        if self.address_taken || now < self.back_off_until {
+        if self.address_taken || self.unread || now < self.back_off_until {
             return None;
         }
         if let Reachability::Down { .. } = self.reachability
--- a/crates/jasminepond-gateway/src/backend.rs
+++ b/crates/jasminepond-gateway/src/backend.rs
@@ -1,17 +1,25 @@
 //! Task that serves one connection to a backend server.
 
-use std::{future::poll_fn, io, net::SocketAddr, pin::pin, rc::Rc, task::Poll, time::Duration};
+use std::{
+    future::poll_fn, io, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, task::Poll, time::Duration,
+};
 
 use bytes::Bytes;
-use compio::{BufResult, io::AsyncWriteExt, net::TcpStream};
+use compio::{
+    BufResult,
+    buf::{IntoInner, IoBuf},
+    io::AsyncWrite,
+    net::TcpStream,
+};
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
+use jasminepond_daemon::net::flow::bound_send_buffer;
 use jasminepond_forward::{ConnKey, Exchange, LostCall};
 use socket2::SockRef;
 use spdlog::debug;
 
 use crate::{
-    HeaderNames,
+    HeaderNames, UnsentShare,
     hub::Hub,
     response::{ExpectedResponse, Message, Parsed, ResponseReader},
     socket_set::Socket,
@@ -64,6 +72,9 @@
     if let Err(err) = stream.set_nodelay(true) {
         return hub.connect_failed(conn, &err.to_string());
     }
+    if let Err(err) = bound_send_buffer(&stream) {
+        return hub.connect_failed(conn, &err.to_string());
+    }
     let socket = match hub.sockets().add(stream) {
         Ok(socket) => socket,
         Err(err) => return hub.connect_failed(conn, &err.to_string()),
@@ -179,7 +190,7 @@
                     };
                     let bytes = std::mem::take(&mut outgoing.bytes);
                     call = Some(outgoing);
-                    match write(socket, bytes, rx).await {
+                    match write(hub, conn, socket, bytes, rx).await {
                         Written::Complete => {}
                         Written::Released => return End::Aborted,
                         Written::Failed(err) => return End::Failed(LostCall::MayHaveRun, err.to_string()),
@@ -267,25 +278,64 @@
     Failed(io::Error),
 }
 
+/// Writes a request, and tells the hub how the server reads it.
 async fn write(
+    hub: &Rc<Hub>,
+    conn: ConnKey,
     socket: &Socket,
-    mut bytes: Vec<u8>,
+    bytes: Vec<u8>,
     rx: &mut mpsc::UnboundedReceiver<Outgoing>,
 ) -> Written {
-    match socket.try_write(&bytes) {
+    let mut sent = match socket.try_write(&bytes) {
         Ok(len) if len == bytes.len() => return Written::Complete,
-        Ok(len) => drop(bytes.drain(..len)),
+        Ok(len) => len,
         Err(err) => return Written::Failed(err),
-    }
+    };
+    let server = hub.read(|forwarder| forwarder.server_of(conn));
+    let server = server.unwrap_or_default();
+    let unsent = Unsent {
+        hub: hub.clone(),
+        share: hub.buffered_bytes().unsent(server.clone()),
+        server,
+    };
     let mut stream = socket.stream();
-    let mut write = pin!(stream.write_all(bytes).fuse());
-    select_biased! {
-        BufResult(written, _) = write => match written {
-            Ok(()) => Written::Complete,
-            Err(err) => Written::Failed(err),
-        },
-        // The hub sends no request before the response to this one, so the channel was
-        // closed.
-        _ = rx.next() => Written::Released,
+    let mut bytes = bytes;
+    while sent < bytes.len() {
+        unsent.set(bytes.len() - sent);
+        let mut write = pin!(stream.write(bytes.slice(sent..)).fuse());
+        let BufResult(written, rest) = select_biased! {
+            written = write => written,
+            // The hub sends no request before the response to this one, so the channel was
+            // closed.
+            _ = rx.next() => return Written::Released,
+        };
+        bytes = rest.into_inner();
+        match written {
+            Ok(0) => return Written::Failed(io::ErrorKind::WriteZero.into()),
+            Ok(len) => sent += len,
+            Err(err) => return Written::Failed(err),
+        }
+    }
+    Written::Complete
+}
+
+/// Bytes of a request that the socket has not accepted. On drop, the server counts as one that
+/// reads again if nothing else is left for it.
+struct Unsent {
+    hub: Rc<Hub>,
+    server: Arc<str>,
+    share: UnsentShare,
+}
+
+impl Unsent {
+    fn set(&self, bytes: usize) {
+        let room = self.share.set(bytes);
+        self.hub.server_room_changed(&self.server, room);
+    }
+}
+
+impl Drop for Unsent {
+    fn drop(&mut self) {
+        self.set(0);
     }
 }
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -1,6 +1,6 @@
 //! Handles callers' requests.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
@@ -10,7 +10,10 @@
     header::{HeaderName, HeaderValue},
     http::request::Parts,
 };
-use jasminepond_daemon::net::http::{BufferedRequest, BufferedResponse, Handler, error_response};
+use jasminepond_daemon::net::{
+    flow::Flow,
+    http::{BufferedRequest, BufferedResponse, Handler, error_response},
+};
 use jasminepond_forward::{ActiveRoute, Answer, Refusal, Reply, ReqKey, Scope};
 use jasminepond_quarantine::{Fingerprint, RequestParts};
 use jasminepond_types::{ErrorKind, Millis};
@@ -68,6 +71,10 @@
         self.hub.metrics().refused(kind);
         info!("gateway: request refused unread", kv: { kind: });
     }
+
+    fn flow(&self, client: SocketAddr) -> Option<Rc<dyn Flow>> {
+        Some(self.hub.buffered_bytes().caller(client.ip(), true))
+    }
 }
 
 /// Notifies the forwarder on drop if the caller disconnected before its response.
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     fmt, io,
     net::SocketAddr,
     path::PathBuf,
@@ -39,7 +40,7 @@
 use spdlog::{error, info, warn};
 
 use crate::{
-    Log, PlatformAdapter, Settings,
+    BufferedBytes, HeldKind, Log, PlatformAdapter, Settings,
     callers::CallerHandler,
     hub::Hub,
     members,
@@ -134,6 +135,9 @@
 /// Interval at which log lines are written and SIGHUP is checked.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Shortest interval between log lines about callers and servers that read slowly.
+const BACKLOG_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 fn bind(name: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let listen = || {
         let domain = socket2::Domain::for_address(address);
@@ -262,6 +266,25 @@
     })
 }
 
+/// Memory held for callers and servers that read slowly.
+fn held_status(hub: &Hub) -> serde_json::Value {
+    let counts = hub.buffered_bytes().counts();
+    hub.buffered_bytes().read(|backlog| {
+        let kinds = HeldKind::ALL.iter();
+        let bytes: BTreeMap<_, _> = kinds
+            .map(|kind| (kind.as_str(), backlog.held(*kind)))
+            .collect();
+        json!({
+            "bytes": bytes,
+            "peak_bytes": backlog.peak(),
+            "limit_bytes": backlog.limits().daemon,
+            "responses_dropped": counts.dropped.count,
+            "requests_refused": counts.refused,
+            "servers_not_reading": backlog.full_servers(),
+        })
+    })
+}
+
 /// Builds the status page: counts, the active routes, and the presumed state of each
 /// backend server.
 fn status_page(hub: &Hub) -> serde_json::Value {
@@ -298,6 +321,7 @@
             "calls": status.calls,
             "connections": status.connections,
             "waiting": status.waiting,
+            "held": held_status(hub),
             "routes": routes.collect::<Vec<_>>(),
             "suspects": suspects.collect::<Vec<_>>(),
             "backend_servers": servers.collect::<Vec<_>>(),
@@ -390,6 +414,10 @@
                     let read = |f: &Forwarder| (f.status(), f.suspect_counts(now));
                     let (status, suspects) = hub.read(read);
                     let state_age = now.since(hub.store_state().confirmed_at);
+                    hub.buffered_bytes().read(|backlog| {
+                        let counts = hub.buffered_bytes().counts();
+                        hub.metrics().set_backlog(backlog, counts);
+                    });
                     let text = hub.metrics().render(status, suspects, state_age);
                     text_response(StatusCode::OK, METRICS_MEDIA_TYPE, text)
                 }
@@ -456,6 +484,7 @@
         forwarder,
         metrics,
         sockets,
+        BufferedBytes::new(settings.memory_mb, clock.clone()),
         complete.clone(),
     );
     let shared_limits = SharedLimits::new(caller_limits(&CallerLimits::default()).into());
@@ -504,7 +533,7 @@
         closing: closing.clone(),
     };
     let log = Rc::new(log);
-    compio::runtime::spawn(run_housekeeping(hup, path, log.clone())).detach();
+    compio::runtime::spawn(run_housekeeping(hup, path, log.clone(), hub.clone())).detach();
     let operator = Rc::new(OperatorHandler { hub: hub.clone() });
     let peer = Rc::new(PeerHandler {
         hub: hub.clone(),
@@ -568,10 +597,18 @@
     }
 }
 
-/// Writes log lines, and checks the settings file after SIGHUP.
-async fn run_housekeeping(hup: Arc<AtomicBool>, path: PathBuf, log: Rc<Log>) {
+/// Writes log lines, drops responses that nobody reads, and checks the settings file after
+/// SIGHUP.
+async fn run_housekeeping(hup: Arc<AtomicBool>, path: PathBuf, log: Rc<Log>, hub: Rc<Hub>) {
+    let mut logged = hub.clock().now();
     loop {
         compio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        hub.buffered_bytes().drop_unread();
+        let now = hub.clock().now();
+        if now.since(logged) >= BACKLOG_LOG_INTERVAL {
+            logged = now;
+            hub.buffered_bytes().log_changes();
+        }
         if hup.swap(false, Ordering::Relaxed) {
             // Addresses and limits stay unchanged until the process ends. A mistake in the
             // file is reported now rather than at the next start.
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -25,6 +25,7 @@
 use crate::{
     BufferedBytes, HeaderNames,
     backend::{self, Outgoing},
+    backlog::ServerRoom,
     metrics::Metrics,
     peers,
     response::ExpectedResponse,
@@ -95,6 +96,7 @@
         forwarder: Forwarder,
         metrics: Rc<Metrics>,
         sockets: Rc<SocketSet>,
+        buffered: BufferedBytes,
         complete: Rc<Cell<bool>>,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -107,7 +109,7 @@
             timer_waker: AtomicWaker::new(),
             metrics,
             sockets,
-            buffered: BufferedBytes::default(),
+            buffered,
             datagrams: RefCell::default(),
             contact: RefCell::default(),
             complete,
@@ -159,7 +161,7 @@
         &self.sockets
     }
 
-    /// Returns the byte count of incomplete responses.
+    /// Returns the count of the bytes held for callers and servers.
     pub fn buffered_bytes(&self) -> &BufferedBytes {
         &self.buffered
     }
@@ -262,6 +264,16 @@
         self.change(|forwarder, now| forwarder.limit_stated(now, conn, limit));
     }
 
+    /// Handles a server that has stopped to read requests, or reads them again.
+    pub fn server_room_changed(self: &Rc<Self>, server: &str, room: ServerRoom) {
+        let full = match room {
+            ServerRoom::Unchanged => return,
+            ServerRoom::Full => true,
+            ServerRoom::Drained => false,
+        };
+        self.change(|forwarder, now| forwarder.set_unread(now, server, full));
+    }
+
     /// Handles the response to a call.
     pub fn replied(self: &Rc<Self>, conn: ConnKey, exchange: Exchange) {
         self.change(|forwarder, now| forwarder.replied(now, conn, exchange));
@@ -476,6 +488,9 @@
         ServerEvent::Stopping => {
             info!("gateway: a backend server is about to stop; requests go elsewhere", kv: { server });
         }
+        ServerEvent::Unread => {
+            info!("gateway: a backend server does not read requests; they go elsewhere", kv: { server });
+        }
         ServerEvent::BackOff { wait } => {
             let wait_ms = millis(wait);
             info!("gateway: a backend server wants no requests for now", kv: { server, wait_ms });
--- a/crates/jasminepond-gateway/src/lib.rs
+++ b/crates/jasminepond-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod adapter;
 mod backend;
+mod backlog;
 mod buffered;
 mod callers;
 mod gateway;
@@ -23,7 +24,11 @@
 mod store_relay;
 
 pub use adapter::{HeaderNames, PlatformAdapter, StoreError};
-pub use buffered::{BufferShare, BufferedBytes};
+pub use backlog::{
+    Admission, Backlog, BacklogLimits, DroppedResponses, HeldKind, HoldKey, Holder, ResponseRoom,
+    ServerRoom,
+};
+pub use buffered::{BacklogCounts, BufferShare, BufferedBytes, UnsentShare};
 pub use gateway::{Options, Outcome, StartError, run};
 pub use log::Log;
 pub use panics::catch_panic;
--- a/crates/jasminepond-gateway/src/metrics.rs
+++ b/crates/jasminepond-gateway/src/metrics.rs
@@ -13,6 +13,8 @@
     registry::{Registry, Unit},
 };
 
+use crate::{Backlog, BacklogCounts, HeldKind};
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Outcome {
     verdict: &'static str,
@@ -57,6 +59,10 @@
     suspected: Gauge,
     held: Gauge,
     store_down: Cell<bool>,
+    held_bytes: Family<Kind, Gauge>,
+    servers_not_reading: Gauge,
+    responses_dropped: Counter,
+    refused_for_memory: Counter,
 }
 
 impl Default for Metrics {
@@ -90,6 +96,10 @@
             suspected: Gauge::default(),
             held: Gauge::default(),
             store_down: Cell::new(false),
+            held_bytes: Family::default(),
+            servers_not_reading: Gauge::default(),
+            responses_dropped: Counter::default(),
+            refused_for_memory: Counter::default(),
         };
         let mut registry = Registry::with_prefix("jasminepond_gateway");
         metrics.register(&mut registry);
@@ -160,6 +170,16 @@
                 "Times at which a request was held because it ended backend servers",
                 &self.holds,
             ),
+            (
+                "responses_dropped",
+                "Responses dropped because their callers did not read them",
+                &self.responses_dropped,
+            ),
+            (
+                "refused_for_memory",
+                "Requests refused because too much was held for callers that read or send slowly",
+                &self.refused_for_memory,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             (
                 "store_failures",
@@ -175,6 +195,12 @@
             "Requests refused before they were routed, by kind",
             self.refused.clone(),
         );
+        r.register_with_unit(
+            "held",
+            "Memory held for callers and servers, by kind",
+            Unit::Bytes,
+            self.held_bytes.clone(),
+        );
         r.register_with_unit(
             "store_state_age",
             "Time since the store last confirmed the release and the entries in use",
@@ -204,6 +230,11 @@
                 "Those of them that are refused for now",
                 &self.held,
             ),
+            (
+                "servers_not_reading",
+                "Backend servers that get no requests until they read those sent to them",
+                &self.servers_not_reading,
+            ),
             (
                 "waiting",
                 "Parts of requests that wait for a connection",
@@ -238,6 +269,23 @@
         }
     }
 
+    /// Sets what is held for callers and servers.
+    pub fn set_backlog(&self, backlog: &Backlog, counts: BacklogCounts) {
+        for kind in HeldKind::ALL {
+            let label = Kind {
+                kind: kind.as_str(),
+            };
+            let held = self.held_bytes.get_or_create(&label);
+            held.set(backlog.held(kind) as i64);
+        }
+        self.servers_not_reading.set(backlog.full_servers() as i64);
+        let update = |counter: &Counter, count: u64| {
+            counter.inc_by(count.saturating_sub(counter.get()));
+        };
+        update(&self.responses_dropped, counts.dropped.count);
+        update(&self.refused_for_memory, counts.refused);
+    }
+
     /// Records an answered request.
     pub fn answered(&self, summary: &Summary) {
         let outcome = Outcome {
--- a/crates/jasminepond-gateway/src/peers.rs
+++ b/crates/jasminepond-gateway/src/peers.rs
@@ -8,13 +8,17 @@
 
 use std::{
     fmt::{Display, Write},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use jasminepond_daemon::net::http::{BufferedRequest, BufferedResponse, Handler, error_response};
+use jasminepond_daemon::net::{
+    flow::Flow,
+    http::{BufferedRequest, BufferedResponse, Handler, error_response},
+};
 use jasminepond_forward::{DelegatedPart, DelegationRequest, Scope};
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::{ErrorKind, RunStatus};
@@ -194,4 +198,9 @@
         }
         .boxed_local()
     }
+
+    fn flow(&self, client: SocketAddr) -> Option<Rc<dyn Flow>> {
+        // The daemon that took the request has admitted it.
+        Some(self.hub.buffered_bytes().caller(client.ip(), false))
+    }
 }
--- a/crates/jasminepond-gateway/src/settings.rs
+++ b/crates/jasminepond-gateway/src/settings.rs
@@ -6,6 +6,12 @@
 use jasminepond_types::{CpuCapacity, InstanceId, Millis, RegionId, ZoneId};
 use serde::Deserialize;
 
+use crate::backlog::DEFAULT_MEMORY_MB;
+
+/// Sizes of the memory of a process, from less than the smallest instance to more than the
+/// largest machine.
+const MEMORY_MB: std::ops::RangeInclusive<u64> = 32..=16_000_000;
+
 /// Limits on repeated sends, over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -80,6 +86,10 @@
     /// searches that are divided among daemons.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Memory that the process may use, in megabytes. The limits on what is held for callers
+    /// and servers that read slowly follow from it.
+    #[serde(default = "default_memory")]
+    pub memory_mb: u64,
     /// Address of the listener for callers.
     pub callers: SocketAddr,
     /// Address of the listener for the platform's readiness check.
@@ -116,6 +126,10 @@
     pub log_level: LogLevel,
 }
 
+fn default_memory() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
 fn default_cores() -> f64 {
     CpuCapacity::default().cores()
 }
@@ -175,6 +189,9 @@
         if CpuCapacity::from_cores(settings.cores).is_err() {
             return Err(SettingsError::Value("cores out of range"));
         }
+        if !MEMORY_MB.contains(&settings.memory_mb) {
+            return Err(SettingsError::Value("memory_mb out of range"));
+        }
         Ok(settings)
     }
 
--- a/crates/jasminepond-gateway/tests/settings.rs
+++ b/crates/jasminepond-gateway/tests/settings.rs
@@ -21,6 +21,7 @@
 #[test_case("\"instance\": \"entry-1\",", "", "instance"; "a missing key")]
 #[test_case("\"zone\": \"a\"", "\"zone\": \"a\", \"daemons\": 0", "daemons"; "a number out of range")]
 #[test_case("\"zone\": \"a\"", "\"zone\": \"a\", \"announce_ms\": 6000", "announce_ms"; "contradictory times")]
+#[test_case("\"zone\": \"a\"", "\"zone\": \"a\", \"memory_mb\": 0", "memory_mb"; "no memory")]
 #[test_case("\"zone\": \"a\"", "\"zone\": \"a\", \"log_level\": \"loud\"", "loud"; "an unknown level")]
 fn error_names_mistake(from: &str, to: &str, named: &str) {
     let err = Settings::from_json(VALID.replace(from, to).as_bytes()).unwrap_err();
