feat(check): report warnings and differences from the version in force

Cause: `jasminepond check` reported mistakes only. A folder with entries that nothing uses, or with limits that contradict each other, looked the same as one without, and what a deployment changes had to be found by hand. A release of a gateway could not be checked at all.

Change: `jasminepond_config::review` and `jasminepond_routes::review` name entries without effect and contradictions; `--release FILE` checks a release as it is written to the store; `--against` compares with a folder or file value by value, with a daemon by the digest of its files, and with a gateway by its version and the hosts and prefixes of its routes. `--json` prints everything as one object.

Decided: warnings have an exit code of their own, so that scripts can pass over them; differences do not change the exit code. A deadline is questioned above `drain.limit_ms`: above `limit_ms` less `announce_ms` (25 s in both examples), as first written, it questioned the 30 s of the classes `report` and `permit-print`, whose requests are cut off only if they arrive in the last 5 s of the announcement. References to undefined tenants, classes, servers, zones and groups were mistakes before and still are. More requests than connections (`max_in_flight`) is reported since a connection of HTTP/1.1 has one request in progress.

--- a/crates/jasminepond-config/tests/config/main.rs
+++ b/crates/jasminepond-config/tests/config/main.rs
@@ -9,5 +9,6 @@
 mod merging;
 mod mistakes;
 mod reference;
+mod review;
 mod robustness;
 mod settings;
--- a/crates/jasminepond-routes/src/lib.rs
+++ b/crates/jasminepond-routes/src/lib.rs
@@ -6,6 +6,7 @@
 //! weight. Nothing here reads a clock or a socket.
 
 mod release;
+mod review;
 mod split;
 mod table;
 
@@ -13,5 +14,6 @@
     CallerLimits, Release, ReleaseVersion, Repeat, Route, Search, ServiceName, ServiceSpec, Target,
     WeightedService,
 };
+pub use review::{RouteWarning, review};
 pub use split::WeightedRoundRobin;
 pub use table::RouteTable;
--- a/crates/jasminepond/src/args.rs
+++ b/crates/jasminepond/src/args.rs
@@ -13,7 +13,7 @@
     /// Run a gateway.
     Gateway(Gateway),
     /// Check a configuration folder.
-    Check(jasminepond_config::CheckOptions),
+    Check(Check),
     /// Send a search.
     Search(Search),
     /// Send a non-idempotent request.
@@ -51,6 +51,28 @@
     pub log_level: Option<LogLevel>,
 }
 
+/// What `check` compares with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Against {
+    /// A folder, or a file with a release.
+    Path(PathBuf),
+    /// Operators' address of a daemon or gateway.
+    Daemon(SocketAddr),
+}
+
+/// Options of `check`.
+#[derive(Debug)]
+pub struct Check {
+    /// The folder, or the file if `release` is set.
+    pub path: PathBuf,
+    /// Whether to check a release of a gateway.
+    pub release: bool,
+    /// The output format.
+    pub format: OutputFormat,
+    /// The version in force.
+    pub against: Option<Against>,
+}
+
 /// Options common to `search` and `execute`.
 #[derive(Debug, Default)]
 pub struct Request {
@@ -141,7 +163,8 @@
   0  done
   1  failed; for 'check': the folder has mistakes
   2  the command line is invalid
-  3  a search did not cover all shards, or a request was not completed";
+  3  a search did not cover all shards, or a request was not completed
+  4  for 'check': valid, with warnings";
 
 const SERVE_HELP: &str = "\
 Run a daemon until SIGTERM or SIGINT.
@@ -171,15 +194,28 @@
 or with 1 if the drain limit passes first. Exits with 1 if it cannot start.";
 
 const CHECK_HELP: &str = "\
-Check a configuration folder.
+Check a configuration folder, or a release of a gateway, before it is deployed.
 
-Usage: jasminepond check [--format FORMAT] FOLDER
+Usage: jasminepond check [OPTIONS] FOLDER
+       jasminepond check [OPTIONS] --release FILE
 
 Options:
+  --release FILE   check a release of a gateway, as it is written to the store
+  --against WHAT   print the differences from the version in force: a folder or
+                   file, or the operators' address of a daemon or gateway
   --format FORMAT  text or json
+  --json           as --format json
 
-Prints the merged configuration, or each mistake with file, path and reason.
-Exits with 0 if the folder is valid, otherwise with 1.";
+Prints the merged configuration, or each mistake with file, path and reason;
+then warnings about entries that have no effect or contradict each other, and
+the differences. A daemon tells only whether it has the same files, a gateway
+the version and which routes it has.
+
+Exit codes:
+  0  valid
+  1  there are mistakes, or the version in force cannot be read
+  2  the command line is invalid
+  4  valid, with warnings";
 
 const SEARCH_HELP: &str = "\
 Send a search and print the response with its coverage.
@@ -305,7 +341,7 @@
 }
 
 fn check(mut parser: Parser) -> Result<Parsed, UsageError> {
-    let mut folder = None;
+    let (mut path, mut release, mut against) = (None, false, None);
     let mut format = OutputFormat::default();
     while let Some(arg) = parser.next()? {
         if let Some(printed) = help_or_version(&arg, CHECK_HELP) {
@@ -313,17 +349,35 @@
         }
         match arg {
             Arg::Long("format") => format = parser.value()?.parse()?,
-            Arg::Value(path) if folder.is_none() => folder = Some(PathBuf::from(path)),
+            Arg::Long("json") => format = OutputFormat::Json,
+            Arg::Long("release") if path.is_none() => {
+                path = Some(PathBuf::from(parser.value()?));
+                release = true;
+            }
+            Arg::Long("against") => against = Some(Against::from(parser.value()?)),
+            Arg::Value(folder) if path.is_none() => path = Some(PathBuf::from(folder)),
             arg => return Err(arg.unexpected().into()),
         }
     }
-    let folder = folder.ok_or(UsageError::Missing {
+    let path = path.ok_or(UsageError::Missing {
         command: "check",
         what: "FOLDER",
     })?;
-    Ok(Parsed::Run(Command::Check(
-        jasminepond_config::CheckOptions { folder, format },
-    )))
+    Ok(Parsed::Run(Command::Check(Check {
+        path,
+        release,
+        format,
+        against,
+    })))
+}
+
+impl From<OsString> for Against {
+    fn from(value: OsString) -> Self {
+        match value.to_str().and_then(|text| text.parse().ok()) {
+            Some(address) => Self::Daemon(address),
+            None => Self::Path(value.into()),
+        }
+    }
 }
 
 impl Request {
--- a/crates/jasminepond/src/main.rs
+++ b/crates/jasminepond/src/main.rs
@@ -2,6 +2,7 @@
 //! sends requests to running daemons.
 
 mod args;
+mod check;
 mod client;
 mod logging;
 mod status;
@@ -22,6 +23,8 @@
 /// A search did not cover all shards, an operation is not known to have run, or the
 /// daemons have different configuration revisions.
 const EXIT_INCOMPLETE: u8 = 3;
+/// A configuration is valid, but some of its entries are questionable.
+const EXIT_WARNINGS: u8 = 4;
 
 fn main() -> ExitCode {
     let code = match args::parse(lexopt::Parser::from_env()) {
@@ -43,7 +46,7 @@
     match command {
         Command::Serve(serve) => self::serve(serve),
         Command::Gateway(gateway) => self::gateway(gateway),
-        Command::Check(options) => check(options),
+        Command::Check(options) => block_on(check::run(options)),
         Command::Search(search) => block_on(client::search(search)),
         Command::Execute(execute) => block_on(client::execute(execute)),
         Command::Status(status) => block_on(status::show(status)),
@@ -127,13 +130,3 @@
     let runtime = compio::runtime::Runtime::new()?;
     Ok(runtime.block_on(jasminepond_gateway::run(options))?)
 }
-
-fn check(options: jasminepond_config::CheckOptions) -> u8 {
-    let outcome = jasminepond_config::check(&options);
-    print!("{}", outcome.text);
-    if outcome.is_valid() {
-        EXIT_OK
-    } else {
-        EXIT_FAILED
-    }
-}
--- a/tools/cluster/tests/processes/command_line.rs
+++ b/tools/cluster/tests/processes/command_line.rs
@@ -124,6 +124,15 @@
         run(&args)
     };
 
+    // The stand-in publishes a folder with other addresses than the example.
+    let folder = example("foundry");
+    let folder = folder.to_str().expect("a UTF-8 path");
+    let (exit, json) = check_json(&[folder, "--against", &operators]);
+    assert_eq!(exit, 0, "{json}");
+    assert_eq!(json["differences"][0]["path"], "/digest");
+    assert_eq!(json["differences"][0]["after"], json["digest"]);
+    assert!(json["differences"][0]["before"].is_string(), "{json}");
+
     let find = request("search", "sales-office", "archive-search");
     let output = run_with(find.clone(), &["flange"]);
     assert_eq!(code(&output), 0, "{output:?}");
@@ -193,3 +202,89 @@
     let output = run_with(find, &["flange"]);
     assert_eq!(code(&output), 1, "{output:?}");
 }
+
+const RELEASE: &str = r#"{"Version": 3,
+    "Routes": [{"Name": "orders", "Host": "h.example", "Prefix": "/o/", "RouteType": "unsafe", "TimeoutMs": 4000,
+        "SloMs": 500, "Priority": 2, "Service": "one", "MaxAttempts": 2}],
+    "Services": [{"Name": "one", "HealthPath": "/h", "MaxConns": 25}],
+    "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}"#;
+
+/// Runs `check --json` and returns the exit code and the output.
+fn check_json(args: &[&str]) -> (i32, Value) {
+    let output = run(&[&["check", "--json"], args].concat());
+    let json = serde_json::from_slice(&output.stdout).expect("JSON");
+    (code(&output), json)
+}
+
+/// Writes a file in a folder of its own and returns its path.
+fn write(folder: &str, file: &str, content: &str) -> String {
+    let folder = scratch().join(folder);
+    std::fs::create_dir_all(&folder).expect("the folder can be created");
+    let path = folder.join(file);
+    std::fs::write(&path, content).expect("the file can be written");
+    path.to_str().expect("a UTF-8 path").to_owned()
+}
+
+/// Guards against differences from the version in force that are deployed unnoticed, and against
+/// differences or warnings where there are none.
+#[test]
+fn check_compares_folders() {
+    let folder = example("foundry");
+    let folder = folder.to_str().expect("a UTF-8 path");
+    let (exit, json) = check_json(&[folder, "--against", folder]);
+    assert_eq!((exit, &json["differences"]), (0, &json!([])));
+    assert_eq!(json["warnings"], json!([]));
+
+    let changed = scratch().join("changed");
+    std::fs::create_dir_all(&changed).expect("the folder can be created");
+    for entry in std::fs::read_dir(folder).expect("the example exists") {
+        let entry = entry.expect("an entry");
+        std::fs::copy(entry.path(), changed.join(entry.file_name())).expect("a copy");
+    }
+    let patch = r#"{"limits": {"max_hits": 7}, "shapes": {"idle": {"slots": 9}}}"#;
+    std::fs::write(changed.join("95-change.json"), patch).expect("the file can be written");
+    let changed = changed.to_str().expect("a UTF-8 path");
+    let (exit, json) = check_json(&[changed, "--against", folder]);
+    assert_eq!(exit, 4, "{json}");
+    let paths = json["differences"].as_array().expect("a list").iter();
+    let paths: Vec<_> = paths.map(|difference| &difference["path"]).collect();
+    assert_eq!(paths, ["/limits/max_hits", "/shapes/idle"]);
+    assert_eq!(json["warnings"][0]["file"], "95-change.json");
+    assert_eq!(json["warnings"][0]["kind"], "unused");
+    let output = run(&["check", changed, "--against", folder]);
+    let lines = text(&output.stdout);
+    assert!(
+        lines.contains("95-change.json: /shapes/idle: warning: no server"),
+        "{lines}"
+    );
+    assert!(lines.contains("+ /shapes/idle: {\"slots\":9}"), "{lines}");
+
+    let (exit, json) = check_json(&[folder, "--against", "/no/such/folder"]);
+    assert_eq!(exit, 1, "{json}");
+    let (exit, json) = check_json(&[folder, "--against", "127.0.0.1:1"]);
+    assert_eq!(exit, 1, "{json}");
+    assert!(json["comparison_error"].is_string(), "{json}");
+}
+
+/// Guards against releases of a gateway that are deployed unchecked.
+#[test]
+fn check_accepts_and_compares_releases() {
+    let before = write("releases", "before.json", RELEASE);
+    let (exit, json) = check_json(&["--release", &before]);
+    assert_eq!(
+        (exit, &json["valid"], &json["version"]),
+        (0, &json!(true), &json!(3))
+    );
+
+    let changed = RELEASE.replace("\"SloMs\": 500", "\"SloMs\": 5000");
+    let after = write("releases", "after.json", &changed);
+    let (exit, json) = check_json(&["--release", &after, "--against", &before]);
+    assert_eq!(exit, 4, "{json}");
+    let expected = json!([{"path": "/Routes/orders/SloMs", "before": 500, "after": 5000}]);
+    assert_eq!(json["differences"], expected);
+    assert_eq!(json["warnings"][0]["kind"], "contradiction");
+
+    let broken = write("releases", "broken.json", "{}");
+    let (exit, json) = check_json(&["--release", &broken]);
+    assert_eq!((exit, &json["valid"]), (1, &json!(false)));
+}
