--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -32,6 +32,10 @@
 /// Bounds of a slowness sample, so that a single outlier has limited effect.
 const SLOWNESS_BOUNDS: std::ops::RangeInclusive<f64> = 0.5..=20.0;
 
+/// Presumed time until a server that does not read requests does so again: longer than the
+/// pauses of 200 ms.
+const UNREAD_WAIT: Duration = Duration::from_millis(500);
+
 /// Preference class of a server for new requests, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Standing {
@@ -190,6 +194,9 @@
         if self.address_taken || retired {
             return None;
         }
+        if self.unread {
+            return Some(UNREAD_WAIT);
+        }
         let reconnect_in = match self.reachability {
             Reachability::Down { until } if self.conns.is_empty() => until.since(now),
             Reachability::Down { .. } | Reachability::Up => Duration::ZERO,
--- a/crates/jasminepond-gateway/src/backlog.rs
+++ b/crates/jasminepond-gateway/src/backlog.rs
@@ -316,6 +316,11 @@
         Admission::Accept
     }
 
+    /// Sets the bytes of a request that another daemon has accepted.
+    pub fn set_accepted_request(&mut self, key: HoldKey, bytes: usize) {
+        self.set(key, bytes);
+    }
+
     /// Sets the bytes of a response that its caller has not read. Returns the connections whose
     /// responses must be dropped, so that this one fits.
     pub fn set_response(&mut self, now: Timestamp, key: HoldKey, bytes: usize) -> Vec<HoldKey> {
--- a/crates/jasminepond-gateway/src/buffered.rs
+++ b/crates/jasminepond-gateway/src/buffered.rs
@@ -231,16 +231,17 @@
 impl Flow for CallerFlow {
     fn hold_request(&self, bytes: usize) -> Result<(), BodyRefused> {
         let all = &self.request.all;
-        let admission = {
-            let mut backlog = all.0.backlog.borrow_mut();
-            backlog.set_request(self.request.key, bytes)
-        };
-        match admission {
-            Admission::Refuse { retry_after } if self.refuses => {
+        let mut backlog = all.0.backlog.borrow_mut();
+        if !self.refuses {
+            backlog.set_accepted_request(self.request.key, bytes);
+            return Ok(());
+        }
+        match backlog.set_request(self.request.key, bytes) {
+            Admission::Accept => Ok(()),
+            Admission::Refuse { retry_after } => {
                 all.count(|counts| counts.refused += 1);
                 Err(BodyRefused { retry_after })
             }
-            Admission::Accept | Admission::Refuse { .. } => Ok(()),
         }
     }
 
