--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -48,6 +48,7 @@
 mod resume;
 mod settle;
 mod suspects;
+mod unread;
 
 pub use admit::AdmissionCounts;
 use admit::Admitted;
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -34,6 +34,10 @@
 /// Cost factor of a server that is warming up.
 const WARM_UP_COST: f64 = 1.8;
 
+/// Presumed time until a server that does not read requests does so again: longer than the
+/// pauses of 200 ms.
+const UNREAD_WAIT: Duration = Duration::from_millis(500);
+
 /// Preference class of a server for new requests, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Standing {
@@ -100,6 +104,8 @@
     pub(crate) limit_usage: LimitUsage,
     /// When queued parts are tried again because a permit may be available.
     pub(crate) permit_timer: Option<Timestamp>,
+    /// Whether it does not read the requests sent to it.
+    pub(crate) unread: bool,
     stalled: bool,
     full_until: Timestamp,
     pub(crate) warm_up_until: Timestamp,
@@ -141,6 +147,7 @@
             assigned: true,
             guest: true,
             room: Room::default(),
+            unread: false,
             stalled: false,
             full_until: Timestamp::ZERO,
             slowness: 1.0,
@@ -167,7 +174,8 @@
 
     /// Preference class for a new request, or `None` if the server is unusable.
     pub(crate) fn standing(&self, now: Timestamp, settings: &ForwardSettings) -> Option<Standing> {
-        if self.address_taken || now < self.back_off_until || !self.access.is_open(now) {
+        let held_back = self.unread || now < self.back_off_until;
+        if self.address_taken || held_back || !self.access.is_open(now) {
             return None;
         }
         if let Reachability::Down { .. } = self.reachability
@@ -229,6 +237,9 @@
         if self.access == ZoneAccess::Open && !self.may_connect() {
             return None;
         }
+        if self.unread {
+            return Some(UNREAD_WAIT);
+        }
         let reconnect_at = self.room.blocked_until().max(self.back_off_until);
         let reconnect_in = match self.reachability {
             Reachability::Down { until } if self.conns.is_empty() => until.since(now),
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -1,6 +1,6 @@
 //! Handles callers' requests.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
@@ -10,8 +10,9 @@
     header::{HeaderName, HeaderValue},
     http::request::Parts,
 };
-use jasminepond_daemon::net::http::{
-    BufferedRequest, BufferedResponse, ClientAddress, Handler, error_response,
+use jasminepond_daemon::net::{
+    flow::Flow,
+    http::{BufferedRequest, BufferedResponse, ClientAddress, Handler, error_response},
 };
 use jasminepond_forward::{ActiveRoute, Answer, CallerId, Refusal, Reply, ReqKey, Scope};
 use jasminepond_quarantine::{Fingerprint, RequestParts};
@@ -70,6 +71,10 @@
         self.hub.metrics().refused(kind);
         info!("gateway: request refused unread", kv: { kind: });
     }
+
+    fn flow(&self, client: SocketAddr) -> Option<Rc<dyn Flow>> {
+        Some(self.hub.buffered_bytes().caller(client.ip(), true))
+    }
 }
 
 /// Notifies the forwarder on drop if the caller disconnected before its response.
@@ -291,8 +296,13 @@
 }
 
 fn forwarded_response(hub: &Hub, reply: Reply) -> BufferedResponse {
+    let Ok(status) = StatusCode::from_u16(reply.status) else {
+        // The parser of responses refuses these.
+        let message = "the response has an invalid status";
+        return error_response(ErrorKind::OutcomeUnknown, message, None);
+    };
     let mut res = Response::new(Full::new(reply.body));
-    *res.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *res.status_mut() = status;
     for (name, value) in &reply.headers {
         let name = HeaderName::from_bytes(name);
         let value = HeaderValue::from_bytes(value);
--- a/crates/jasminepond-gateway/src/hub.rs
+++ b/crates/jasminepond-gateway/src/hub.rs
@@ -27,6 +27,7 @@
 use crate::{
     BufferedBytes, HeaderNames,
     backend::{self, Outgoing},
+    backlog::ServerRoom,
     metrics::Metrics,
     peers,
     response::ExpectedResponse,
@@ -97,6 +98,7 @@
         forwarder: Forwarder,
         metrics: Rc<Metrics>,
         sockets: Rc<SocketSet>,
+        buffered: BufferedBytes,
         complete: Rc<Cell<bool>>,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -109,7 +111,7 @@
             timer_waker: AtomicWaker::new(),
             metrics,
             sockets,
-            buffered: BufferedBytes::default(),
+            buffered,
             datagrams: RefCell::default(),
             contact: RefCell::default(),
             complete,
@@ -161,7 +163,7 @@
         &self.sockets
     }
 
-    /// Returns the byte count of incomplete responses.
+    /// Returns the count of the bytes held for callers and servers.
     pub fn buffered_bytes(&self) -> &BufferedBytes {
         &self.buffered
     }
@@ -268,6 +270,16 @@
         self.change(|forwarder, now| forwarder.limit_stated(now, conn, limit));
     }
 
+    /// Handles a server that has stopped to read requests, or reads them again.
+    pub fn server_room_changed(self: &Rc<Self>, server: &str, room: ServerRoom) {
+        let full = match room {
+            ServerRoom::Unchanged => return,
+            ServerRoom::Full => true,
+            ServerRoom::Drained => false,
+        };
+        self.change(|forwarder, now| forwarder.set_unread(now, server, full));
+    }
+
     /// Handles the response to a call.
     pub fn replied(self: &Rc<Self>, conn: ConnKey, exchange: Exchange) {
         if exchange.reply.server_load == Some(StatedLoad::Invalid) {
@@ -550,6 +562,9 @@
         ServerEvent::Stopping => {
             info!("gateway: a backend server is about to stop; requests go elsewhere", kv: { server });
         }
+        ServerEvent::Unread => {
+            info!("gateway: a backend server does not read requests; they go elsewhere", kv: { server });
+        }
         ServerEvent::BackOff { wait } => {
             let wait_ms = millis(wait);
             info!("gateway: a backend server wants no requests for now", kv: { server, wait_ms });
