--- a/crates/jasminepond-routes/src/review.rs
+++ b/crates/jasminepond-routes/src/review.rs
@@ -25,7 +25,8 @@
 ///
 /// let mut release = Release::default();
 /// let orders: ServiceName = "orders".parse().unwrap();
-/// release.services.insert(orders, ServiceSpec { max_connections: 25 });
+/// let spec = ServiceSpec { max_connections: 25, ..ServiceSpec::default() };
+/// release.services.insert(orders, spec);
 /// assert_eq!(review(&release)[0].reason, "no route sends requests to it");
 /// ```
 pub fn review(release: &Release) -> Vec<RouteWarning> {
