fix(forward): no third run of a part when the rest of a search is asked for; prefer the own zone

And calls that are spread over zones cost callers of both new sites more than uneven servers did. Change: such parts go through the limits of retries. The own zone is always preferred unless max_zone_imbalance is set; the test of the ratio sets it.

--- a/crates/jasminepond-forward/src/forwarder/resume.rs
+++ b/crates/jasminepond-forward/src/forwarder/resume.rs
@@ -106,7 +106,11 @@
             .filter(|index| waiting(&req.parts[*index]))
             .collect();
         for index in unsent {
-            self.place(now, key, index);
+            match self.reqs[key].parts[index].sends {
+                0 => self.place(now, key, index),
+                // Its call was lost in the meantime.
+                _ => self.retry_part(now, key, index, "connection_lost"),
+            }
         }
         self.settle(now, key);
     }
--- a/crates/jasminepond-forward/src/settings.rs
+++ b/crates/jasminepond-forward/src/settings.rs
@@ -138,7 +138,7 @@
             half_life_max: Duration::from_millis(4_000),
             daemons_sharing: SMALL_SITE_DAEMONS,
             remote_cost_factor: 1.4,
-            max_zone_imbalance: 1.25,
+            max_zone_imbalance: f64::INFINITY,
             idle_margin: Duration::from_millis(300),
             lapse_grace: Duration::from_millis(2_000),
             drain_bound: Duration::from_millis(3_000),
--- a/crates/jasminepond-forward/tests/even_load.rs
+++ b/crates/jasminepond-forward/tests/even_load.rs
@@ -192,6 +192,7 @@
     let settings = ForwardSettings {
         zone: ZONES[0].to_owned(),
         processor: CpuCapacity::from_cores(0.5).expect("valid"),
+        max_zone_imbalance: 1.25,
         ..settings(0)
     };
     let mut sim = Sim::new(settings, 1);
