feat(gateway): make even load an option, off by default; key searches answered in part by their shards

Change: setting even_load; searches answered in part are found by request id and shard, and a shard that is not part of them is not asked; an interval counts as busy only if parts waited at both ends.

--- a/crates/jasminepond-forward/src/admission.rs
+++ b/crates/jasminepond-forward/src/admission.rs
@@ -172,6 +172,8 @@
     /// Parts answered per second while others waited, and when that was measured last.
     throughput: Option<(f64, Timestamp)>,
     answered: u32,
+    /// Whether parts waited at the end of the last interval.
+    busy: bool,
 }
 
 impl ShardLoad {
@@ -179,12 +181,12 @@
         self.answered = self.answered.saturating_add(1);
     }
 
-    /// Ends an interval of the measurement. `busy` states whether parts wait: otherwise, the
-    /// servers may be able to process more.
+    /// Ends an interval of the measurement. `busy` states whether parts wait: unless they did at
+    /// both ends of the interval, the servers may be able to process more.
     pub(crate) fn measure(&mut self, now: Timestamp, busy: bool) {
         let rate = f64::from(std::mem::take(&mut self.answered)) / MEASURE_INTERVAL.as_secs_f64();
         let known = self.known(now).unwrap_or(rate);
-        if busy {
+        if std::mem::replace(&mut self.busy, busy) && busy {
             let throughput = known + (rate - known) * INTERVAL_WEIGHT;
             self.throughput = Some((throughput, now));
         } else if rate > known {
--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -205,8 +205,9 @@
     /// When servers were last probed because of such calls.
     links_probed_at: Timestamp,
     admission: admit::Admission,
-    /// Searches that were answered in part.
-    parked: HashMap<SearchId, ReqKey>,
+    /// Searches that were answered in part, by id and the first shard: a daemon may handle
+    /// several parts of one search.
+    parked: BTreeMap<(SearchId, ServiceKey), ReqKey>,
     timers: Timers,
     queue_waits: queued::Waits,
     actions: VecDeque<Action>,
--- a/crates/jasminepond-forward/src/forwarder/balance.rs
+++ b/crates/jasminepond-forward/src/forwarder/balance.rs
@@ -41,18 +41,23 @@
     /// An idle connection decides between servers of equal load.
     pub(super) fn weighted_cost(&self, now: Timestamp, key: ServerKey, by: Preference) -> f64 {
         let server = &self.servers[key];
-        let remote = by.own_zone && server.backend.zone != self.settings.zone;
+        let even = self.settings.even_load;
+        let remote = (by.own_zone || !even) && server.backend.zone != self.settings.zone;
         let zone = if remote {
             self.settings.remote_cost_factor
         } else {
             1.0
         };
+        let cost = server.cost(now, &self.settings) * zone;
+        if !even {
+            return cost;
+        }
         let connection = match self.idle_conn(now, key, 0) {
             Some(_) => 1.0,
             None => SPREAD,
         };
         let factor = by.turn.factor(&server.backend.id);
-        server.cost(now, &self.settings) * zone * connection * factor
+        cost * connection * factor
     }
 
     /// Records the load that a server states in a response.
--- a/crates/jasminepond-forward/src/forwarder/resume.rs
+++ b/crates/jasminepond-forward/src/forwarder/resume.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use jasminepond_types::Timestamp;
+use slotmap::KeyData;
 
 use super::Forwarder;
 use crate::{
-    message::{Action, Answer, ReqKey, Verdict},
+    message::{Action, Answer, ReqKey, SearchId, Verdict},
     request::{Part, PartState, Req},
+    service::ServiceKey,
 };
 
 /// Time before the deadline of a search within which the rest is not asked for.
@@ -40,9 +42,10 @@
     /// Answers a delegated search in part and keeps its calls in progress. Parts that were not
     /// sent yet are withdrawn.
     pub(super) fn park(&mut self, now: Timestamp, key: ReqKey, answer: Answer, verdict: Verdict) {
-        if self.parked.len() >= MAX_PARKED {
+        let id = self.parked_id(key);
+        let Some(id) = id.filter(|_| self.parked.len() < MAX_PARKED) else {
             return self.finish(now, key, Some(answer), verdict);
-        }
+        };
         let summary = self.summary(now, &self.reqs[key], verdict);
         self.unqueue_all(key);
         let req = &mut self.reqs[key];
@@ -50,7 +53,7 @@
         for part in req.parts.iter_mut().filter(|part| part.is_waiting()) {
             part.state = PartState::Held;
         }
-        self.parked.insert(req.search, key);
+        self.parked.insert(id, key);
         self.actions.push_back(Action::Answer {
             req: key,
             answer: Some(answer),
@@ -58,24 +61,58 @@
         });
     }
 
+    /// Id of a search that is answered in part: no two parts of it have a shard in common.
+    fn parked_id(&self, key: ReqKey) -> Option<(SearchId, ServiceKey)> {
+        let req = &self.reqs[key];
+        Some((req.search, req.parts.first()?.service))
+    }
+
     /// Forgets a search that was answered in part.
     pub(super) fn unpark(&mut self, key: ReqKey) {
+        self.unqueue_all(key);
+        let id = self.parked_id(key);
         if let Some(req) = self.reqs.remove(key) {
-            self.parked.remove(&req.search);
+            if let Some(id) = id
+                && self.parked.get(&id) == Some(&key)
+            {
+                self.parked.remove(&id);
+            }
             self.keep_request_answered(&req);
         }
     }
 
+    /// Takes the search that was answered in part and of which a request asks for the rest.
+    fn take_parked(&mut self, key: ReqKey) -> Option<Req> {
+        let req = &self.reqs[key];
+        let (search, fingerprint) = (req.search, req.fingerprint);
+        let shard = req.parts.first()?.service;
+        let range = (search, ServiceKey::from(KeyData::from_ffi(0)))
+            ..=(search, ServiceKey::from(KeyData::from_ffi(u64::MAX)));
+        let has_shard = |parked: &Req| parked.parts.iter().any(|part| part.service == shard);
+        let mut found = self.parked.range(range);
+        let (id, parked) = found.find(|(_, parked)| {
+            let parked = self.reqs.get(**parked);
+            // A caller may use a request id twice at the same time.
+            parked.is_some_and(|parked| has_shard(parked) && parked.fingerprint == fingerprint)
+        })?;
+        let (id, parked) = (*id, *parked);
+        self.parked.remove(&id);
+        self.reqs.remove(parked)
+    }
+
     /// Continues a search that was answered in part, as a request for the shards of `key`.
-    /// Refuses it as not run if nothing is known of it.
+    /// Refuses it as not run if nothing is known of it. A shard that is not part of it is not
+    /// asked: other servers may have run its part.
     pub(super) fn complete_parked(&mut self, now: Timestamp, key: ReqKey) {
-        let (search, fingerprint) = (self.reqs[key].search, self.reqs[key].fingerprint);
-        let parked = self.parked.remove(&search);
-        let parked = parked.and_then(|parked| self.reqs.remove(parked));
-        // A caller may use a request id twice at the same time.
-        let Some(parked) = parked.filter(|parked| parked.fingerprint == fingerprint) else {
+        let Some(parked) = self.take_parked(key) else {
             return self.refuse(now, key, jasminepond_types::ErrorKind::NoBackend, None);
         };
+        for index in 0..self.reqs[key].parts.len() {
+            let service = self.reqs[key].parts[index].service;
+            if !parked.parts.iter().any(|part| part.service == service) {
+                self.mark_missing(key, index, "unknown");
+            }
+        }
         for mut part in parked.parts {
             let req = &mut self.reqs[key];
             let same = |other: &Part| other.service == part.service;
--- a/crates/jasminepond-forward/src/message.rs
+++ b/crates/jasminepond-forward/src/message.rs
@@ -85,7 +85,7 @@
 /// let id: SearchId = "00000000000000ff".parse().unwrap();
 /// assert_eq!(id.to_string(), "00000000000000ff");
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SearchId(pub u64);
 
 impl SearchId {
--- a/crates/jasminepond-forward/src/server.rs
+++ b/crates/jasminepond-forward/src/server.rs
@@ -34,6 +34,9 @@
 /// Cost factor of a server that is warming up.
 const WARM_UP_COST: f64 = 1.8;
 
+/// Bounds of a slowness sample, so that a single outlier has limited effect.
+const SLOWNESS_BOUNDS: std::ops::RangeInclusive<f64> = 0.5..=20.0;
+
 /// Presumed time until a server that does not read requests does so again: longer than the
 /// pauses of 200 ms.
 const UNREAD_WAIT: Duration = Duration::from_millis(500);
@@ -264,7 +267,11 @@
         let load = self
             .heard
             .map_or(1.0, |heard| heard.cost_factor(now, self.calls.len()));
-        calls * load * slowness_cost(slowness) * warm_up * (1.0 + FAILURE_COST * failure_rate)
+        let slowness = match settings.even_load {
+            true => slowness_cost(slowness),
+            false => slowness,
+        };
+        calls * load * slowness * warm_up * (1.0 + FAILURE_COST * failure_rate)
     }
 
     fn decay_factor(&self, now: Timestamp, settings: &ForwardSettings) -> f64 {
@@ -283,7 +290,10 @@
         let decayed = 1.0 + (self.slowness - 1.0) * decay;
         self.slowness = match slowness {
             Some(sample) => {
-                let sample = slowness_sample(sample);
+                let sample = match settings.even_load {
+                    true => slowness_sample(sample),
+                    false => sample.clamp(*SLOWNESS_BOUNDS.start(), *SLOWNESS_BOUNDS.end()),
+                };
                 decayed + (sample - decayed) * SAMPLE_WEIGHT
             }
             None => decayed,
--- a/crates/jasminepond-forward/src/settings.rs
+++ b/crates/jasminepond-forward/src/settings.rs
@@ -90,6 +90,9 @@
     /// of 2 ms compared with a few milliseconds of work, and billed traffic between
     /// zones.
     pub remote_cost_factor: f64,
+    /// Whether daemons spread their calls evenly over servers of equal speed. Otherwise most
+    /// of them prefer the same ones, about whose pauses they then know more.
+    pub even_load: bool,
     /// Calls of a server relative to the mean of its service up to which servers in the own
     /// zone are preferred. Infinite: they always are.
     pub max_zone_imbalance: f64,
@@ -138,6 +141,7 @@
             half_life_max: Duration::from_millis(4_000),
             daemons_sharing: SMALL_SITE_DAEMONS,
             remote_cost_factor: 1.4,
+            even_load: false,
             max_zone_imbalance: f64::INFINITY,
             idle_margin: Duration::from_millis(300),
             lapse_grace: Duration::from_millis(2_000),
--- a/crates/jasminepond-forward/tests/even_load.rs
+++ b/crates/jasminepond-forward/tests/even_load.rs
@@ -27,6 +27,7 @@
 fn settings(daemon: usize) -> ForwardSettings {
     ForwardSettings {
         instance: format!("gateway-{daemon}").as_str().into(),
+        even_load: true,
         ..ForwardSettings::default()
     }
 }
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -196,6 +196,7 @@
 
 fn forward_settings(settings: &Settings) -> ForwardSettings {
     ForwardSettings {
+        even_load: settings.even_load,
         instance: settings.instance.as_str().into(),
         zone: settings.zone.to_string(),
         processor: settings.processor(),
--- a/crates/jasminepond-gateway/src/settings.rs
+++ b/crates/jasminepond-gateway/src/settings.rs
@@ -128,6 +128,9 @@
     /// `membership`.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether daemons spread their calls evenly over servers of equal speed.
+    #[serde(default)]
+    pub even_load: bool,
     /// Minimum level of log lines.
     #[serde(default)]
     pub log_level: LogLevel,
