--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -617,6 +617,7 @@
             given_up: false,
             search: arrival.search,
             resumable: only.is_some(),
+            resumed: false,
             parked: false,
             route: route.clone(),
         });
--- a/crates/jasminepond-forward/src/forwarder/place.rs
+++ b/crates/jasminepond-forward/src/forwarder/place.rs
@@ -413,7 +413,8 @@
         };
         let part = &req.parts[index];
         let may_run_again = part.runs < req.max_attempts && part.delegated.is_none();
-        let may_hedge = !req.late && may_run_again && part.calls.len() <= 1;
+        let in_time = !req.late || req.resumed;
+        let may_hedge = in_time && may_run_again && part.calls.len() <= 1;
         if !matches!(part.state, PartState::Sent) || !may_hedge {
             return;
         }
--- a/crates/jasminepond-forward/src/forwarder/resume.rs
+++ b/crates/jasminepond-forward/src/forwarder/resume.rs
@@ -14,6 +14,7 @@
     message::{Action, Answer, ReqKey, SearchId, Verdict},
     request::{Part, PartState, Req},
     service::ServiceKey,
+    timers::Timer,
 };
 
 /// Time before the deadline of a search within which the rest is not asked for.
@@ -135,9 +136,17 @@
         let req = &mut self.reqs[key];
         (req.answered, req.past_answer_by) = (parked.answered, true);
         // Searches that can still be in time go first.
-        req.late = true;
-        self.timers
-            .set(req.deadline, crate::timers::Timer::Deadline(key));
+        (req.late, req.resumed) = (true, true);
+        // Slow calls were not hedged in the meantime.
+        let calls: Vec<_> = req
+            .parts
+            .iter()
+            .flat_map(|part| part.calls.clone())
+            .collect();
+        for call in calls {
+            self.timers.set(now, Timer::Hedge(call));
+        }
+        self.timers.set(req.deadline, Timer::Deadline(key));
         let waiting = |part: &Part| part.is_waiting() && part.calls.is_empty();
         let unsent: Vec<_> = (0..req.parts.len())
             .filter(|index| waiting(&req.parts[*index]))
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -288,6 +288,8 @@
     pub(crate) search: SearchId,
     /// Whether another daemon that delegated the search may ask for the rest of it.
     pub(crate) resumable: bool,
+    /// Whether it is the rest of a search that was answered in part.
+    pub(crate) resumed: bool,
     /// Whether the search was answered in part, and its calls in progress are kept in case the
     /// other daemon asks for the rest.
     pub(crate) parked: bool,
