docs(forward): wording of two comments of admission control

Cause: two comments could be read as notes on how a value was chosen. Change: comments only. Measured: the formatter passes; nothing else is run by this commit.

--- a/crates/jasminepond-forward/src/admission.rs
+++ b/crates/jasminepond-forward/src/admission.rs
@@ -169,7 +169,7 @@
 /// Throughput of one shard, as measured by a daemon that sends requests to its servers.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) struct ShardLoad {
-    /// Parts answered per second while others waited, and when that was measured last.
+    /// Parts answered per second while others waited, and the end of that interval.
     throughput: Option<(f64, Timestamp)>,
     answered: u32,
     /// Whether parts waited at the end of the last interval.
@@ -199,7 +199,7 @@
         (now.since(at) < THROUGHPUT_LIFETIME).then_some(throughput)
     }
 
-    /// Parts per second that the shard can process. `nominal` is assumed until it was measured.
+    /// Parts per second that the shard can process. `nominal` applies until there is a measurement.
     pub(crate) fn throughput(&self, now: Timestamp, nominal: f64) -> f64 {
         self.known(now).unwrap_or(nominal).max(MIN_THROUGHPUT)
     }
