--- a/crates/jasminepond-forward/src/forwarder/admit.rs
+++ b/crates/jasminepond-forward/src/forwarder/admit.rs
@@ -93,9 +93,6 @@
         if shares.iter().any(|share| *share < 1.0) {
             self.arm_admission(now);
         }
-        if shares.iter().any(|share| *share < 1.0) {
-            self.arm_admission(now);
-        }
         let missing = route.shards().len().saturating_sub(route.min_shards());
         let period = now.as_micros() / DRAW_PERIOD.as_micros() as u64;
         let seed = xxh3_64_with_seed(fingerprint.to_string().as_bytes(), period);
