--- a/review/trial-2/case6.rs
+++ b/review/trial-2/case6.rs
@@ -21,6 +21,13 @@
 const SHARDS: usize = 40;
 const SERVERS_PER_SHARD: usize = 2;
 const DAEMONS: usize = 9;
+
+/// With `STORM=1`: more daemons, and configurations in quick succession instead of a store that
+/// turns daemons away. Above 16 daemons, most learn of a configuration from others.
+const STORM_DAEMONS: usize = 20;
+const STORM_CHANGES: u64 = 12;
+const STORM_GAP: Duration = Duration::from_millis(330);
+
 const CLIENTS_PER_DAEMON: usize = 2;
 const RECORDS_PER_PART: usize = 62;
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -104,6 +111,8 @@
 }
 
 pub fn run(trouble: bool) -> Result<bool, String> {
+    let storm = std::env::var("STORM").is_ok_and(|value| value == "1");
+    let daemon_count = if storm { STORM_DAEMONS } else { DAEMONS };
     let store = Store::default();
     let runs = Runs::default();
     for shard in 0..SHARDS {
@@ -121,9 +130,9 @@
     store.put("op/config", &config(1, false));
 
     let folder = Folder::new()?;
-    let ports = free_ports(DAEMONS)?;
+    let ports = free_ports(daemon_count)?;
     let seeds: Vec<_> = ports.iter().take(3).map(|p| p.operators).collect();
-    let doors: Vec<Door> = (0..DAEMONS).map(|_| store.open_door()).collect();
+    let doors: Vec<Door> = (0..daemon_count).map(|_| store.open_door()).collect();
     let mut daemons = Vec::new();
     for (n, ports) in ports.iter().enumerate() {
         let instance = Instance {
@@ -140,14 +149,14 @@
     }
     thread::sleep(Duration::from_secs(4));
     say(&format!(
-        "{DAEMONS} daemons are ready, configuration 1 is in force"
+        "{daemon_count} daemons are ready, configuration 1 is in force"
     ));
 
     let counts = Arc::new(Mutex::new(Counts::default()));
     let stop = Arc::new(AtomicBool::new(false));
-    for number in 0..DAEMONS * CLIENTS_PER_DAEMON {
+    for number in 0..daemon_count * CLIENTS_PER_DAEMON {
         let (counts, stop, runs) = (counts.clone(), stop.clone(), runs.clone());
-        let to = ports[number % DAEMONS].callers;
+        let to = ports[number % daemon_count].callers;
         spawn(move || {
             let mut client = Client::new(to);
             for count in 0.. {
@@ -198,12 +207,26 @@
             say(&format!("the store {change} to daemons {TURNED_AWAY:?}"));
         }
     };
-    turn_away(true);
-    thread::sleep(Duration::from_secs(1));
-    store.put("op/config", &config(2, true));
-    say("configuration 2 adds the route /p/sweep/");
-    thread::sleep(DOWN - Duration::from_secs(1));
-    turn_away(false);
+    if storm {
+        for version in 2..2 + STORM_CHANGES {
+            thread::sleep(STORM_GAP);
+            if trouble {
+                let adds = version % 2 == 0;
+                store.put("op/config", &config(version, adds));
+                let change = if adds { "adds" } else { "removes" };
+                say(&format!(
+                    "configuration {version} {change} the route /p/sweep/"
+                ));
+            }
+        }
+    } else {
+        turn_away(true);
+        thread::sleep(Duration::from_secs(1));
+        store.put("op/config", &config(2, true));
+        say("configuration 2 adds the route /p/sweep/");
+        thread::sleep(DOWN - Duration::from_secs(1));
+        turn_away(false);
+    }
     thread::sleep(Duration::from_secs(4));
     stop.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(1_500));
