Show that a daemon goes back to an older configuration

A daemon without a path to the backend servers lets others route its requests, by a newer release than its own. Once it has a path again it routes by its own release.

Shown by review/9/run.sh: the store turns 1 of 3 daemons away for 9 s, which has no path to the backend servers for 3 s of these, and a configuration moves a route.

--- a/review/trial-2/main.rs
+++ b/review/trial-2/main.rs
@@ -4,6 +4,7 @@
 //! Uses the standard library only, so that `rustc` alone builds it.
 
 mod backend;
+mod case10;
 mod case6;
 mod case7;
 mod case8;
@@ -11,6 +12,7 @@
 mod client;
 mod desk;
 mod gateway;
+mod link;
 mod net;
 mod store;
 
@@ -24,6 +26,7 @@
         "7" => case7::run(trouble),
         "8" => case8::run(trouble),
         "9" => case9::run(trouble),
+        "10" => case10::run(trouble),
         other => Err(format!("there is no case {other:?}")),
     };
     match result {
--- a/review/trial-2/store.rs
+++ b/review/trial-2/store.rs
@@ -30,6 +30,8 @@
     pub address: SocketAddr,
     turns_away: Arc<AtomicBool>,
     closed: Arc<AtomicBool>,
+    /// Addresses of servers, and those by which a daemon reaches them from its place.
+    paths: Arc<Vec<(SocketAddr, SocketAddr)>>,
     store: Store,
 }
 
@@ -51,11 +53,17 @@
 
 impl Store {
     pub fn open_door(&self) -> Door {
+        self.open_door_with(Vec::new())
+    }
+
+    /// Opens an address for a daemon that reaches servers over links of its own.
+    pub fn open_door_with(&self, paths: Vec<(SocketAddr, SocketAddr)>) -> Door {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let door = Door {
             address: listener.local_addr().unwrap(),
             turns_away: Arc::default(),
             closed: Arc::default(),
+            paths: Arc::new(paths),
             store: self.clone(),
         };
         let serving = door.clone();
@@ -84,8 +92,12 @@
     }
 }
 
-fn item(key: &str, revision: u64, value: &[u8]) -> String {
-    let value = base64(value);
+fn item(key: &str, revision: u64, value: &[u8], paths: &[(SocketAddr, SocketAddr)]) -> String {
+    let mut text = String::from_utf8_lossy(value).into_owned();
+    for (address, path) in paths {
+        text = text.replace(&format!("\"{address}\""), &format!("\"{path}\""));
+    }
+    let value = base64(text.as_bytes());
     format!(
         r#"{{"Key":"{key}","Value":"{value}","Revision":{revision},"Created":{revision},"Lease":0}}"#
     )
@@ -135,7 +147,9 @@
         let mut items = state.items.iter().filter(|(key, _)| inside(key));
         let page: Vec<_> = items.by_ref().take(500).collect();
         let has_more = items.next().is_some();
-        let page = page.iter().map(|(key, (r, value))| item(key, *r, value));
+        let page = page
+            .iter()
+            .map(|(key, (r, value))| item(key, *r, value, &self.paths));
         let page: Vec<_> = page.collect();
         let revision = state.revision;
         let items = page.join(",");
@@ -153,7 +167,9 @@
                 return (503, "{}".to_owned());
             }
             let newer = state.history.iter().filter(|(r, _, _)| *r > after);
-            let events: Vec<_> = newer.map(|(r, key, value)| item(key, *r, value)).collect();
+            let events: Vec<_> = newer
+                .map(|(r, key, value)| item(key, *r, value, &self.paths))
+                .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let revision = state.revision;
