Show that a partitioned zone goes on refusing its callers

Contact with the backend servers counts as kept while any connection seems open, also one that nobody uses. Daemons of a partitioned zone go on stating that they reach servers, and send each other their requests.

The cases are numbered by gravity: 8 was 9, 9 was 7 and 10 was 8. The stand-ins end the processes that they started also when they are killed themselves.

--- a/review/trial-2/gateway.rs
+++ b/review/trial-2/gateway.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::{self, File},
     net::{IpAddr, SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     thread,
@@ -11,6 +12,14 @@
 
 use crate::{client::get, store::Door};
 
+/// Ends the process when this one ends, also if that is killed.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// Addresses of one daemon.
 #[derive(Clone, Copy)]
 pub struct Ports {
@@ -126,12 +135,17 @@
             .append(true)
             .open(folder.0.join(format!("{name}.log")))
             .map_err(|err| err.to_string())?;
-        let child = Command::new("target/release/jasminepond")
-            .args(["gateway", "--settings"])
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::inherit())
+        let mut command = Command::new("target/release/jasminepond");
+        command.args(["gateway", "--settings"]).arg(&path);
+        command.stdin(Stdio::null()).stdout(log);
+        // SAFETY: the call is allowed between fork and exec, and allocates nothing.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .spawn()
             .map_err(|err| format!("target/release/jasminepond: {err}"))?;
         Ok(Self { ports, child })
--- a/review/trial-2/link.rs
+++ b/review/trial-2/link.rs
@@ -1,10 +1,11 @@
-//! The links of one daemon to a backend server, which can be cut.
+//! The links of one daemon to backend servers, which can be cut.
 
 use std::{
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -19,7 +20,6 @@
     pub address: SocketAddr,
     target: SocketAddr,
     is_cut: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Link {
@@ -29,21 +29,16 @@
             address: listener.local_addr().unwrap(),
             target,
             is_cut: Arc::default(),
-            streams: Arc::default(),
         };
         let serving = link.clone();
         spawn(move || serving.listen(Some(listener)));
         link
     }
 
-    /// Ends all connections and refuses new ones, or accepts them again.
+    /// While the link is cut, new connections are refused, and an open one is reset once the
+    /// daemon sends something over it. Nothing reaches either side.
     pub fn cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::Relaxed);
-        if is_cut {
-            for stream in self.streams.lock().unwrap().drain(..) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-        }
     }
 
     fn listen(self, mut listener: Option<TcpListener>) {
@@ -59,36 +54,79 @@
             });
             match accepted {
                 Some(Ok((stream, _))) => self.connect(stream),
-                _ => thread::sleep(Duration::from_millis(1)),
+                _ => thread::sleep(Duration::from_millis(2)),
             }
         }
     }
 
-    fn connect(&self, stream: TcpStream) {
+    fn connect(&self, daemon: TcpStream) {
         let Ok(server) = TcpStream::connect(self.target) else {
             return;
         };
-        let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
+        let _ = (daemon.set_nonblocking(false), daemon.set_nodelay(true));
         let _ = server.set_nodelay(true);
-        let ends = [stream.try_clone(), server.try_clone()];
-        let [Ok(stream_out), Ok(server_out)] = ends else {
+        let (Ok(to_daemon), Ok(to_server)) = (daemon.try_clone(), server.try_clone()) else {
             return;
         };
-        if let (Ok(a), Ok(b)) = (stream.try_clone(), server.try_clone()) {
-            self.streams.lock().unwrap().extend([a, b]);
+        let (is_cut, is_cut_too) = (self.is_cut.clone(), self.is_cut.clone());
+        spawn(move || copy_to_server(daemon, to_server, &is_cut));
+        spawn(move || copy_to_daemon(server, to_daemon, &is_cut_too));
+    }
+}
+
+fn copy_to_server(mut daemon: TcpStream, mut server: TcpStream, is_cut: &AtomicBool) {
+    let mut bytes = [0; 16 << 10];
+    while let Ok(len) = daemon.read(&mut bytes) {
+        if len == 0 {
+            break;
+        }
+        if is_cut.load(Ordering::Relaxed) {
+            reset_on_close(&daemon);
+            // Ends the other direction, which holds the connection open as well.
+            let _ = server.shutdown(Shutdown::Both);
+            return;
+        }
+        if server.write_all(&bytes[..len]).is_err() {
+            break;
         }
-        spawn(move || copy(stream, server_out));
-        spawn(move || copy(server, stream_out));
     }
+    let _ = server.shutdown(Shutdown::Both);
+    let _ = daemon.shutdown(Shutdown::Both);
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream) {
+fn copy_to_daemon(mut server: TcpStream, mut daemon: TcpStream, is_cut: &AtomicBool) {
     let mut bytes = [0; 16 << 10];
-    while let Ok(len) = from.read(&mut bytes) {
-        if len == 0 || to.write_all(&bytes[..len]).is_err() {
+    while let Ok(len) = server.read(&mut bytes) {
+        if is_cut.load(Ordering::Relaxed) {
+            // Lost on the way. The connection ends once the daemon uses it.
+            return;
+        }
+        if len == 0 || daemon.write_all(&bytes[..len]).is_err() {
             break;
         }
     }
-    let _ = to.shutdown(Shutdown::Both);
-    let _ = from.shutdown(Shutdown::Both);
+    let _ = daemon.shutdown(Shutdown::Both);
+    let _ = server.shutdown(Shutdown::Both);
+}
+
+#[repr(C)]
+struct Linger {
+    on: i32,
+    seconds: i32,
+}
+
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, len: u32) -> i32;
+}
+
+/// Makes the last close of a socket reset its connection.
+fn reset_on_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    const LEN: u32 = size_of::<Linger>() as u32;
+    let linger = Linger { on: 1, seconds: 0 };
+    // SAFETY: the value is a `struct linger` of the stated size, which lives during the call.
+    unsafe {
+        setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, LEN);
+    }
 }
--- a/review/trial-2/main.rs
+++ b/review/trial-2/main.rs
@@ -4,17 +4,17 @@
 //! Uses the standard library only, so that `rustc` alone builds it.
 
 mod backend;
-mod case10;
-mod case6;
-mod case7;
-mod case8;
-mod case9;
 mod client;
 mod desk;
+mod divided_search;
 mod gateway;
+mod limit;
 mod link;
 mod net;
+mod partition;
+mod regress;
 mod store;
+mod store_moved;
 
 use std::process::exit;
 
@@ -22,11 +22,11 @@
     let case = std::env::args().nth(1).unwrap_or_default();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
-        "6" => case6::run(trouble),
-        "7" => case7::run(trouble),
-        "8" => case8::run(trouble),
-        "9" => case9::run(trouble),
-        "10" => case10::run(trouble),
+        "6" => divided_search::run(trouble),
+        "7" => partition::run(trouble),
+        "8" => regress::run(trouble),
+        "9" => limit::run(trouble),
+        "10" => store_moved::run(trouble),
         other => Err(format!("there is no case {other:?}")),
     };
     match result {
