--- a/review/trial-2/backend.rs
+++ b/review/trial-2/backend.rs
@@ -5,11 +5,13 @@
     io::BufReader,
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
-    thread,
     time::Duration,
 };
 
-use crate::net::{random, read_message, respond, spawn};
+use crate::net::{Slots, random, read_message, respond, spawn};
+
+/// Requests that a server works on at a time.
+const SLOTS: usize = 2;
 
 /// Bytes of a record.
 pub const RECORD: usize = 16;
@@ -46,10 +48,12 @@
         let address = listener.local_addr().unwrap();
         let body: Arc<Vec<u8>> = Arc::new(records(shard, count).concat());
         let (name, runs) = (id.to_owned(), runs.clone());
+        let slots = Arc::new(Slots::new(SLOTS));
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (name, body, runs) = (name.clone(), body.clone(), runs.clone());
-                spawn(move || serve(stream, (&name, shard), &body, work, &runs));
+                let slots = slots.clone();
+                spawn(move || serve(stream, (&name, shard), &body, (work, &slots), &runs));
             }
         });
         Self {
@@ -61,7 +65,7 @@
     /// The server's entry in the store.
     pub fn entry(&self, service: &str, zone: &str) -> String {
         format!(
-            r#"{{"Service":"{service}","Address":"{}","Zone":"{zone}","Version":"v1","Slots":2,"State":"ready","WarmupLeftMs":0,"Sequence":1,"born":1780000000000}}"#,
+            r#"{{"Service":"{service}","Address":"{}","Zone":"{zone}","Version":"v1","Slots":{SLOTS},"State":"ready","WarmupLeftMs":0,"Sequence":1,"born":1780000000000}}"#,
             self.address
         )
     }
@@ -71,7 +75,7 @@
     stream: TcpStream,
     (name, shard): (&str, usize),
     body: &[u8],
-    work: Duration,
+    (work, slots): (Duration, &Slots),
     runs: &Mutex<HashMap<String, Vec<String>>>,
 ) {
     let _ = stream.set_nodelay(true);
@@ -91,7 +95,7 @@
         let mut all = runs.lock().unwrap();
         all.entry(id.to_owned()).or_default().push(name.to_owned());
         drop(all);
-        thread::sleep(work);
+        slots.work(work);
         let headers = format!("X-Request-Id: {id}\r\nX-Response-Stamp: {shard}.{name}.{id}\r\n");
         if !respond(&mut out, 200, &headers, body) {
             return;
--- a/review/trial-2/limit.rs
+++ b/review/trial-2/limit.rs
@@ -16,7 +16,7 @@
 use crate::{
     client::Client,
     gateway::{Folder, Gateway, Instance, free_ports},
-    net::{Message, elapsed, note, read_message, respond, save_record, say, spawn},
+    net::{Message, Slots, elapsed, note, read_message, respond, save_record, say, spawn},
     store::{Door, Store},
 };
 
@@ -40,6 +40,9 @@
 
 const WORK: Duration = Duration::from_millis(8);
 
+/// Requests that a server works on at a time.
+const SLOTS: usize = 8;
+
 /// A request that a server began to run.
 struct Arrival {
     at: f64,
@@ -53,6 +56,7 @@
     runs: AtomicBool,
     /// Starts so far. From the second on the server states its limit.
     starts: AtomicU64,
+    slots: Slots,
     arrivals: Mutex<Vec<Arrival>>,
     first_stated: Mutex<Option<f64>>,
 }
@@ -66,6 +70,7 @@
             address: listener.local_addr().unwrap(),
             runs: AtomicBool::new(true),
             starts: AtomicU64::new(1),
+            slots: Slots::new(SLOTS),
             arrivals: Mutex::default(),
             first_stated: Mutex::default(),
         });
@@ -136,7 +141,7 @@
                 at: elapsed(),
                 daemon: daemon.unwrap_or(usize::MAX),
             });
-            thread::sleep(WORK);
+            self.slots.work(WORK);
             if !self.is_up(start) {
                 return;
             }
@@ -157,7 +162,7 @@
     fn entry(&self) -> String {
         let start = self.starts.load(Ordering::Relaxed);
         format!(
-            r#"{{"Service":"desk","Address":"{}","Zone":"{}","Version":"v1","Slots":3,"State":"ready","WarmupLeftMs":0,"Sequence":1,"born":{}}}"#,
+            r#"{{"Service":"desk","Address":"{}","Zone":"{}","Version":"v1","Slots":{SLOTS},"State":"ready","WarmupLeftMs":0,"Sequence":1,"born":{}}}"#,
             self.address,
             self.zone,
             1_780_000_000_000 + start
--- a/review/trial-2/net.rs
+++ b/review/trial-2/net.rs
@@ -3,9 +3,9 @@
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::TcpStream,
-    sync::{Mutex, OnceLock},
+    sync::{Condvar, Mutex, OnceLock},
     thread,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Time since the first call, in seconds.
@@ -138,3 +138,23 @@
     *state ^= *state << 17;
     *state
 }
+
+/// Slots of a server: it works on so many requests at a time, and the others wait.
+pub struct Slots(Mutex<usize>, Condvar);
+
+impl Slots {
+    pub const fn new(count: usize) -> Self {
+        Self(Mutex::new(count), Condvar::new())
+    }
+
+    /// Works for this long in a slot.
+    pub fn work(&self, time: Duration) {
+        let free = self.0.lock().unwrap();
+        let mut free = self.1.wait_while(free, |free| *free == 0).unwrap();
+        *free -= 1;
+        drop(free);
+        thread::sleep(time);
+        *self.0.lock().unwrap() += 1;
+        self.1.notify_one();
+    }
+}
