fix(gateway): refuse responses whose head states the length wrongly

Callers got a complete 200 with a body that was not the server's: a Content-Length of `+5` or with a non-ASCII space was read as 5, of the lengths 0 and 5 the second was used, chunks were read in HTTP/1.0, and a 204 that stated a length was forwarded while its bytes were dropped.

Cause: the length was read by rules of the parser's own. `str::parse` accepts a sign, `str::trim` removes any Unicode white space, a length of zero was kept as "no body" and so never compared with the next one, and neither the version nor the status was looked at.

The parser returned `Complete` for the 4 new cases of `malformed_response_is_refused`. After: all pass.

Ruled out: the callers' side, which states a length of its own for every body; and httparse, which passes values on as they are.

Change: the new crate jasminepond-framing implements RFC 9112, section 6.3, and refuses what the section leaves open. The connection is closed; a request is repeated where that is allowed, and otherwise its outcome is unknown. `5, 5` is now accepted like two equal headers were before: the standard defines it as one length.

`ParseError::Length` now holds the cause. The three existing cases that compare it name their cause, which is stricter than before.

--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use jasminepond_forward::{Reply, RetryAfter, StatedLimit, StatedLoad};
+use jasminepond_framing::{BodyLength, FramingError, ResponseKind, body_length};
 
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::Millis;
@@ -97,9 +98,9 @@
     /// trouble send such responses.
     #[error("invalid status {0:03}")]
     Status(u16),
-    /// The length of the body is not a number, or is stated in conflicting ways.
-    #[error("the length of the body is not clear")]
-    Length,
+    /// The headers do not state clearly where the body ends.
+    #[error("the length of the body is not clear: {0}")]
+    Length(#[from] FramingError),
     /// A chunk is malformed.
     #[error("malformed chunk")]
     Chunk,
@@ -111,14 +112,6 @@
     Truncated,
 }
 
-/// How the end of a body is determined.
-enum Framing {
-    Empty,
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
 /// Parser state.
 #[derive(Debug, Default)]
 enum Phase {
@@ -315,7 +308,14 @@
             keep_alive: None,
             closes: head.version == Some(0),
         });
-        let framing = read_headers(&mut message, head.headers, names, expected.keep_headers)?;
+        let kind = ResponseKind {
+            status,
+            is_http_10: head.version == Some(0),
+            to_head: !expected.has_body,
+        };
+        let headers = head.headers.iter();
+        let length = body_length(kind, headers.map(|header| (header.name, header.value)))?;
+        read_headers(&mut message, head.headers, names, expected.keep_headers);
         if let Some(limit) = message.reply.rate_limit.filter(|_| status != MISDIRECTED) {
             self.stated_limit = Some((message.request_id.clone(), limit));
         }
@@ -324,14 +324,14 @@
             body: Vec::new(),
             framing: 0,
         };
-        Ok(match framing {
-            _ if status == 204 || status == 304 || !expected.has_body => Step::Complete(partial),
-            Framing::Empty => Step::Complete(partial),
-            Framing::Length(len) if len > MAX_BODY_BYTES => return Err(ParseError::TooLarge),
-            Framing::Length(len) => Step::Continue(Phase::Length(partial, len)),
-            Framing::Chunked => Step::Continue(Phase::ChunkSize(partial)),
-            Framing::UntilClose => Step::Continue(Phase::UntilClose(partial)),
-        })
+        Ok(Step::Continue(match length {
+            BodyLength::Bytes(len) if len > MAX_BODY_BYTES as u64 => {
+                return Err(ParseError::TooLarge);
+            }
+            BodyLength::Bytes(len) => Phase::Length(partial, len as usize),
+            BodyLength::Chunked => Phase::ChunkSize(partial),
+            BodyLength::UntilClose => Phase::UntilClose(partial),
+        }))
     }
 
     fn trailers(
@@ -480,27 +480,11 @@
     headers: &[httparse::Header<'_>],
     names: &HeaderNames,
     keep_headers: bool,
-) -> Result<Framing, ParseError> {
-    let mut framing = Framing::UntilClose;
+) {
     for header in headers {
         let (name, value) = (header.name, header.value);
         let is = |other: &str| name.eq_ignore_ascii_case(other);
-        if is("content-length") {
-            let len = std::str::from_utf8(value).ok();
-            let len = len.and_then(|len| len.trim().parse().ok());
-            let len = len.ok_or(ParseError::Length)?;
-            framing = match framing {
-                Framing::Length(other) if other != len => return Err(ParseError::Length),
-                Framing::Chunked => return Err(ParseError::Length),
-                _ if len == 0 => Framing::Empty,
-                _ => Framing::Length(len),
-            };
-        } else if is("transfer-encoding") {
-            if !matches!(framing, Framing::UntilClose) || !value.eq_ignore_ascii_case(b"chunked") {
-                return Err(ParseError::Length);
-            }
-            framing = Framing::Chunked;
-        } else if is("connection") {
+        if is("connection") {
             let value = value.to_ascii_lowercase();
             message.closes |= value.windows(5).any(|word| word == b"close");
         } else if is("keep-alive") {
@@ -557,7 +541,6 @@
             );
         }
     }
-    Ok(framing)
 }
 
 fn text(value: &[u8]) -> Option<&str> {
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jasminepond_forward::{RetryAfter, ServerLoad, StatedLimit, StatedLoad};
+use jasminepond_framing::FramingError;
 use jasminepond_gateway::{
     ExpectedResponse, HeaderNames, Message, ParseError, Parsed, ResponseReader,
 };
@@ -201,9 +202,13 @@
     );
 }
 
-#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody!", ParseError::Length; "two lengths")]
-#[test_case("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", ParseError::Length; "a negative length")]
-#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", ParseError::Length; "length and chunks")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody!", ParseError::Length(FramingError::Conflict); "two lengths")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nhello", ParseError::Length(FramingError::Conflict); "two lengths, the first zero")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", ParseError::Length(FramingError::ContentLength); "a negative length")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello", ParseError::Length(FramingError::ContentLength); "a length with a sign")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", ParseError::Length(FramingError::Conflict); "length and chunks")]
+#[test_case("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ParseError::Length(FramingError::TransferEncoding); "chunks in an older version")]
+#[test_case("HTTP/1.1 204 X\r\nContent-Length: 5\r\n\r\nhello", ParseError::Length(FramingError::UnexpectedBody(204)); "a length without content")]
 #[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", ParseError::Chunk; "a chunk without length")]
 #[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", ParseError::Chunk; "a chunk longer than stated")]
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", ParseError::TooLarge; "too large")]
