fix(gateway): refuse lines of a response that end with a line feed alone

Callers got a complete 200 whose body began with a part of the head: `Content-Length: 5\r\n\r\nhello` in place of `hello`, with the server's stamp.

Cause: the search for the end of the head, and httparse, accept a line feed without a carriage return. If such a line comes before the empty one, or is empty itself, the head ends there. The line with the length is then a part of the body, which lasts until the server closes the connection. Trailers were read in the same way.

Ruled out: names and values of fields.

Change: a line feed must follow a carriage return. RFC 9112, section 2.2, leaves it to the recipient whether to accept one alone. An empty line before the status line was skipped if it arrived with the whole head, and refused otherwise; now it is always refused.

--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -146,6 +146,16 @@
     Complete(Partial),
 }
 
+/// End of a block of lines, which is an empty line.
+enum BlockEnd {
+    /// The block has this many bytes, including the empty line.
+    At(usize),
+    /// The empty line has not been received yet.
+    Incomplete,
+    /// A line ends with a line feed alone.
+    Malformed,
+}
+
 /// Parses consecutive responses from the bytes of a connection.
 ///
 /// ```
@@ -256,13 +266,14 @@
         expected: ExpectedResponse,
     ) -> Result<Step, ParseError> {
         let rest = &buf[*pos..];
-        let Some(len) = self.block_end(rest) else {
-            if self.interim_bytes + rest.len() > MAX_HEAD_BYTES {
+        check_start(rest)?;
+        let len = match self.block_end(rest) {
+            BlockEnd::At(len) => len,
+            BlockEnd::Incomplete if self.interim_bytes + rest.len() > MAX_HEAD_BYTES => {
                 return Err(ParseError::TooLarge);
             }
-            // Fail early if the bytes cannot be the start of a status line.
-            check_start(rest)?;
-            return Ok(Step::Wait(Phase::Head));
+            BlockEnd::Incomplete => return Ok(Step::Wait(Phase::Head)),
+            BlockEnd::Malformed => return Err(ParseError::Head),
         };
         if self.interim_bytes + len > MAX_HEAD_BYTES {
             return Err(ParseError::TooLarge);
@@ -341,12 +352,13 @@
         pos: &mut usize,
     ) -> Result<Step, ParseError> {
         let rest = &buf[*pos..];
-        let empty = rest.starts_with(b"\r\n").then_some(2);
-        let Some(len) = empty.or_else(|| self.block_end(rest)) else {
-            if rest.len() > MAX_TRAILER_BYTES {
+        let len = match self.block_end(rest) {
+            BlockEnd::At(len) => len,
+            BlockEnd::Incomplete if rest.len() > MAX_TRAILER_BYTES => {
                 return Err(ParseError::TooLarge);
             }
-            return Ok(Step::Wait(Phase::Trailers(partial)));
+            BlockEnd::Incomplete => return Ok(Step::Wait(Phase::Trailers(partial))),
+            BlockEnd::Malformed => return Err(ParseError::Chunk),
         };
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         match httparse::parse_headers(&rest[..len], &mut headers) {
@@ -358,22 +370,23 @@
         }
     }
 
-    /// Returns the length of `rest` up to and including the first empty line, or `None` if
-    /// there is none yet. Examines each byte once.
-    fn block_end(&mut self, rest: &[u8]) -> Option<usize> {
+    /// Searches `rest` for the first empty line. Examines each byte once.
+    fn block_end(&mut self, rest: &[u8]) -> BlockEnd {
         let mut at = self.scanned.min(rest.len());
-        let mut end = None;
+        self.scanned = rest.len();
         while let Some(len) = rest[at..].iter().position(|byte| *byte == b'\n') {
-            let line_end = at + len;
-            let before = &rest[..line_end];
-            at = line_end + 1;
-            if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
-                end = Some(at);
-                break;
+            // httparse accepts a line feed alone. An empty line of that kind within the head
+            // would make the rest of the head a part of the body.
+            let Some(before) = rest[..at + len].strip_suffix(b"\r") else {
+                return BlockEnd::Malformed;
+            };
+            at += len + 1;
+            if before.is_empty() || before.ends_with(b"\n") {
+                self.scanned = 0;
+                return BlockEnd::At(at);
             }
         }
-        self.scanned = if end.is_some() { 0 } else { rest.len() };
-        end
+        BlockEnd::Incomplete
     }
 }
 
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -378,3 +378,27 @@
     );
     assert_eq!(message.reply.status, 204);
 }
+
+/// Guards against an empty line within the head that ends with a line feed alone: the rest of the
+/// head would be the body. An empty line before the head is refused in whatever parts it arrives.
+#[test_case("HTTP/1.1 200 OK\nContent-Length: 5\r\n\r\nhello", ParseError::Head; "after the status line")]
+#[test_case("HTTP/1.1 200 OK\r\nX-A: 1\nContent-Length: 5\r\n\r\nhello", ParseError::Head; "after a field")]
+#[test_case("HTTP/1.1 200 OK\r\nX-A: 1\n\r\nContent-Length: 5\r\n\r\nhello", ParseError::Head; "before an empty line")]
+#[test_case("HTTP/1.1 200 OK\r\n\nContent-Length: 5\r\n\r\nhello", ParseError::Head; "as an empty line")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nhello", ParseError::Head; "at the end of the head")]
+#[test_case("HTTP/1.1 100 X\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", ParseError::Head; "in an interim response")]
+#[test_case("\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", ParseError::Head; "before the status line")]
+#[test_case("\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", ParseError::Head; "an empty line before the status line")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\nX-A: 1\r\n\r\n", ParseError::Chunk; "before a trailer")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: 1\n\r\n", ParseError::Chunk; "after a trailer")]
+fn malformed_lines_are_refused(text: &str, expected: ParseError) {
+    assert_eq!(parse(text.as_bytes(), true, EXPECTED), Err(expected));
+    // Fed byte by byte, the response is refused as well.
+    let mut reader = ResponseReader::default();
+    let mut buf = Vec::new();
+    let refused = text.bytes().find_map(|byte| {
+        buf.push(byte);
+        reader.advance(&mut buf, false, &NAMES, EXPECTED).err()
+    });
+    assert_eq!(refused, Some(expected));
+}
