fix(gateway): refuse chunk-size lines without a size

Callers got the first chunks of a body as a complete 200 with the server's stamp, if an empty line or an extension followed in place of the next chunk.

Cause: httparse reads a chunk-size line without digits as the size 0, which ends the body. It also accepts control bytes and line feeds in extensions, so that two readers of the same bytes may see different chunks.

Ruled out: the data of chunks. Their line end and length were checked already.

Change: jasminepond-framing parses the line by the grammar of RFC 9112, section 7.1. A space between the size and the end of the line is refused now, since the grammar has none.

--- a/crates/jasminepond-framing/src/lib.rs
+++ b/crates/jasminepond-framing/src/lib.rs
@@ -99,6 +99,28 @@
     }
 }
 
+/// Parses a chunk-size line without its line end. Extensions are ignored. Returns `None` if the
+/// line is malformed or the size does not fit.
+///
+/// ```
+/// use jasminepond_framing::parse_chunk_size;
+///
+/// assert_eq!(parse_chunk_size(b"1a;name=value"), Some(26));
+/// // An empty line is not the last chunk.
+/// assert_eq!(parse_chunk_size(b""), None);
+/// ```
+pub fn parse_chunk_size(line: &[u8]) -> Option<u64> {
+    let digits = line.iter().take_while(|byte| byte.is_ascii_hexdigit());
+    let (size, rest) = line.split_at(digits.count());
+    let is_text = |byte: &u8| *byte == b'\t' || !byte.is_ascii_control();
+    let is_extension = trim(rest).starts_with(b";") && rest.iter().all(is_text);
+    if !rest.is_empty() && !is_extension {
+        return None;
+    }
+    // Fails for a line without digits.
+    u64::from_str_radix(std::str::from_utf8(size).ok()?, 16).ok()
+}
+
 /// Parses a `Content-Length`: a number, or a list that repeats it.
 fn content_length(value: &[u8]) -> Result<u64, FramingError> {
     let mut elements = value.split(|byte| *byte == b',').map(decimal);
--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use jasminepond_forward::{Reply, RetryAfter, StatedLimit, StatedLoad};
-use jasminepond_framing::{BodyLength, FramingError, ResponseKind, body_length};
+use jasminepond_framing::{BodyLength, FramingError, ResponseKind, body_length, parse_chunk_size};
 
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::Millis;
@@ -428,17 +428,18 @@
 
 fn chunk_size(mut partial: Partial, buf: &[u8], pos: &mut usize) -> Result<Step, ParseError> {
     let rest = &buf[*pos..];
-    let (line, len) =
-        match httparse::parse_chunk_size(&rest[..rest.len().min(MAX_CHUNK_LINE_BYTES)]) {
-            Ok(httparse::Status::Complete(chunk)) => chunk,
-            Ok(httparse::Status::Partial) if rest.len() >= MAX_CHUNK_LINE_BYTES => {
-                return Err(ParseError::TooLarge);
-            }
-            Ok(httparse::Status::Partial) => return Ok(Step::Wait(Phase::ChunkSize(partial))),
-            Err(_) => return Err(ParseError::Chunk),
-        };
-    *pos += line;
-    partial.framing += line + 2;
+    let rest = &rest[..rest.len().min(MAX_CHUNK_LINE_BYTES)];
+    let Some(end) = rest.iter().position(|byte| *byte == b'\n') else {
+        if rest.len() == MAX_CHUNK_LINE_BYTES {
+            return Err(ParseError::TooLarge);
+        }
+        return Ok(Step::Wait(Phase::ChunkSize(partial)));
+    };
+    let line = rest[..end].strip_suffix(b"\r");
+    let len = line.and_then(parse_chunk_size).ok_or(ParseError::Chunk)?;
+    *pos += end + 1;
+    // The line and the line end after the chunk.
+    partial.framing += end + 1 + 2;
     let framing_allowed = partial.body.len() + MAX_FRAMING_BYTES;
     if len > (MAX_BODY_BYTES - partial.body.len()) as u64 || partial.framing > framing_allowed {
         return Err(ParseError::TooLarge);
--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -402,3 +402,41 @@
     });
     assert_eq!(refused, Some(expected));
 }
+
+/// Guards against a chunk-size line without a number that is read as the last chunk, so that a
+/// body that broke off looks complete, and against lines that other readers end elsewhere.
+#[test_case(""; "nothing")]
+#[test_case(" "; "a space")]
+#[test_case(";a=b"; "an extension alone")]
+#[test_case("0 "; "a space at the end")]
+#[test_case(" 0"; "a leading space")]
+#[test_case("+0"; "a sign")]
+#[test_case("0x0"; "a prefix")]
+#[test_case("0 0"; "two numbers")]
+#[test_case("0;a\nb"; "a line feed in an extension")]
+#[test_case("0;a\rb"; "a carriage return in an extension")]
+#[test_case("0;a\0b"; "a control byte in an extension")]
+#[test_case("10000000000000000"; "a number too large")]
+fn malformed_chunk_sizes_are_refused(line: &str) {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let text = format!("{head}5\r\nhello\r\n{line}\r\n\r\n");
+    let parsed = parse(text.as_bytes(), true, EXPECTED);
+    let refused = [ParseError::Chunk, ParseError::TooLarge];
+    assert!(
+        parsed.as_ref().is_err_and(|err| refused.contains(err)),
+        "{parsed:?}"
+    );
+}
+
+/// Guards against refusing chunk-size lines that the standard allows.
+#[test_case("5"; "a number")]
+#[test_case("005"; "leading zeros")]
+#[test_case("5;a"; "an extension")]
+#[test_case("5;a=\"b;\tc\";d=\u{e9}"; "a quoted extension")]
+#[test_case("5 \t; a = b"; "spaces around an extension")]
+fn valid_chunk_sizes_are_read(line: &str) {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let text = format!("{head}{line}\r\nhello\r\n0\r\nX-A: 1\r\n\r\n");
+    let (message, _) = parse_complete(text.as_bytes(), false);
+    assert_eq!(&message.reply.body[..], b"hello");
+}
