--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -440,3 +440,36 @@
     let (message, _) = parse_complete(text.as_bytes(), false);
     assert_eq!(&message.reply.body[..], b"hello");
 }
+
+/// Guards against passing on a field whose name is no token (RFC 9110, section 5.1), or whose
+/// value holds a control byte. Names of 40 bytes are read in vectors of several bytes at a time.
+#[test]
+fn fields_that_are_malformed_are_refused() {
+    let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    let is_text = |byte: u8| byte == b'\t' || !byte.is_ascii_control();
+    let response = |field: &[u8]| {
+        let (start, end) = ("HTTP/1.1 200 OK\r\n", "\r\nContent-Length: 2\r\n\r\nok");
+        let bytes = [start.as_bytes(), field, end.as_bytes()].concat();
+        parse(&bytes, false, EXPECTED)
+    };
+    for (byte, len) in (0..=u8::MAX).flat_map(|byte| [(byte, 3), (byte, 40)]) {
+        for at in [0, 1, len - 1] {
+            let mut text = vec![b'x'; len];
+            text[at] = byte;
+            let parsed = response(&[&text, &b": 1"[..]].concat());
+            // A colon within the name ends it.
+            let is_name = is_token(byte) || (byte == b':' && at > 0);
+            assert_eq!(
+                parsed.is_ok(),
+                is_name,
+                "{byte:#x} at {at} of a name: {parsed:?}"
+            );
+            let parsed = response(&[&b"x-a: "[..], &text].concat());
+            assert_eq!(
+                parsed.is_ok(),
+                is_text(byte),
+                "{byte:#x} at {at} of a value: {parsed:?}"
+            );
+        }
+    }
+}
