refactor(framing): parse the heads of responses in their own crate

The gateway's parser checks more than hyper does: line ends, statuses, the length of the body. Other readers of responses need the same checks, so the parsing of heads moves to jasminepond-framing. No change in behaviour.

--- a/crates/jasminepond-gateway/src/response.rs
+++ b/crates/jasminepond-gateway/src/response.rs
@@ -3,25 +3,22 @@
 //! A faulty server may send arbitrary bytes without end. The parser therefore examines each
 //! byte at most twice, and limits everything that it stores.
 
-use std::{ops::Range, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use jasminepond_forward::{Reply, RetryAfter, StatedLimit, StatedLoad};
-use jasminepond_framing::{BodyLength, FramingError, ResponseKind, body_length, parse_chunk_size};
+use jasminepond_framing::{
+    BlockEnd, BlockReader, BodyLength, FramingError, HeadError, HeadReader, HeadStep,
+    parse_chunk_size,
+};
 
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::Millis;
 
 use crate::{HeaderNames, peers};
 
-/// Maximum number of headers in a response.
-const MAX_HEADERS: usize = 64;
-
-/// Maximum bytes of status lines and headers, including those of interim responses.
-const MAX_HEAD_BYTES: usize = 32 << 10;
-
-/// Maximum number of interim responses before the final one.
-const MAX_INTERIM: u32 = 16;
+/// Maximum number of trailers of a response.
+const MAX_TRAILERS: usize = 64;
 
 /// Maximum bytes of a body.
 const MAX_BODY_BYTES: usize = 2 << 20;
@@ -38,15 +35,6 @@
 /// Status with which a server refuses a request that names a different server.
 const MISDIRECTED: u16 = 421;
 
-/// Statuses of interim responses, which other responses follow.
-const INTERIM_STATUSES: Range<u16> = 100..200;
-
-/// Statuses of final responses.
-const FINAL_STATUSES: Range<u16> = 200..600;
-
-/// Status with which a server changes to another protocol. No request asks for that.
-const SWITCHING_PROTOCOLS: u16 = 101;
-
 /// Properties of the expected response that follow from the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExpectedResponse {
@@ -100,7 +88,7 @@
     Status(u16),
     /// The headers do not state clearly where the body ends.
     #[error("the length of the body is not clear: {0}")]
-    Length(#[from] FramingError),
+    Length(FramingError),
     /// A chunk is malformed.
     #[error("malformed chunk")]
     Chunk,
@@ -112,6 +100,17 @@
     Truncated,
 }
 
+impl From<HeadError> for ParseError {
+    fn from(err: HeadError) -> Self {
+        match err {
+            HeadError::Malformed => Self::Head,
+            HeadError::TooLarge => Self::TooLarge,
+            HeadError::Status(status) => Self::Status(status),
+            HeadError::Length(err) => Self::Length(err),
+        }
+    }
+}
+
 /// Parser state.
 #[derive(Debug, Default)]
 enum Phase {
@@ -146,16 +145,6 @@
     Complete(Partial),
 }
 
-/// End of a block of lines, which is an empty line.
-enum BlockEnd {
-    /// The block has this many bytes, including the empty line.
-    At(usize),
-    /// The empty line has not been received yet.
-    Incomplete,
-    /// A line ends with a line feed alone.
-    Malformed,
-}
-
 /// Parses consecutive responses from the bytes of a connection.
 ///
 /// ```
@@ -183,12 +172,9 @@
 #[derive(Debug, Default)]
 pub struct ResponseReader {
     phase: Phase,
-    /// Bytes at the start of the buffer already searched for the end of the head or of the
-    /// trailers.
-    scanned: usize,
-    /// Bytes of interim responses before the final one.
-    interim_bytes: usize,
-    interim: u32,
+    heads: HeadReader,
+    /// Trailers of a body in chunks.
+    trailers: BlockReader,
     /// Rate limit in the headers of the incomplete response, with its request id.
     stated_limit: Option<(Option<Bytes>, StatedLimit)>,
 }
@@ -265,69 +251,23 @@
         names: &HeaderNames,
         expected: ExpectedResponse,
     ) -> Result<Step, ParseError> {
+        let read = |head: &httparse::Response<'_, '_>, length| {
+            (read_message(head, names, expected.keep_headers), length)
+        };
         let rest = &buf[*pos..];
-        check_start(rest)?;
-        let len = match self.block_end(rest) {
-            BlockEnd::At(len) => len,
-            BlockEnd::Incomplete if self.interim_bytes + rest.len() > MAX_HEAD_BYTES => {
-                return Err(ParseError::TooLarge);
+        let (message, length) = match self.heads.advance(rest, !expected.has_body, read)? {
+            HeadStep::Incomplete => return Ok(Step::Wait(Phase::Head)),
+            HeadStep::Interim(len) => {
+                *pos += len;
+                return Ok(Step::Continue(Phase::Head));
             }
-            BlockEnd::Incomplete => return Ok(Step::Wait(Phase::Head)),
-            BlockEnd::Malformed => return Err(ParseError::Head),
-        };
-        if self.interim_bytes + len > MAX_HEAD_BYTES {
-            return Err(ParseError::TooLarge);
-        }
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut head = httparse::Response::new(&mut headers);
-        match head.parse(&rest[..len]) {
-            Ok(httparse::Status::Complete(_)) => {}
-            Ok(httparse::Status::Partial) | Err(_) => return Err(ParseError::Head),
-        }
-        *pos += len;
-        let status = head.code.ok_or(ParseError::Head)?;
-        if !is_valid_status(status, head.headers) {
-            return Err(ParseError::Status(status));
-        }
-        if INTERIM_STATUSES.contains(&status) {
-            // Interim response; the final one follows.
-            self.interim += 1;
-            self.interim_bytes += len;
-            if self.interim > MAX_INTERIM {
-                return Err(ParseError::TooLarge);
+            HeadStep::Final(len, read) => {
+                *pos += len;
+                read
             }
-            return Ok(Step::Continue(Phase::Head));
-        }
-        let mut message = Box::new(Message {
-            request_id: None,
-            reply: Reply {
-                status,
-                stamp: None,
-                missing: 0,
-                peer: None,
-                not_run: false,
-                wrong_server: status == MISDIRECTED,
-                leaving: false,
-                retry_after: None,
-                rate_limit: None,
-                server_load: None,
-                warm_up_left: None,
-                encoded: false,
-                headers: Vec::new(),
-                body: Bytes::new(),
-            },
-            keep_alive: None,
-            closes: head.version == Some(0),
-        });
-        let kind = ResponseKind {
-            status,
-            is_http_10: head.version == Some(0),
-            to_head: !expected.has_body,
         };
-        let headers = head.headers.iter();
-        let length = body_length(kind, headers.map(|header| (header.name, header.value)))?;
-        read_headers(&mut message, head.headers, names, expected.keep_headers);
-        if let Some(limit) = message.reply.rate_limit.filter(|_| status != MISDIRECTED) {
+        let reply = &message.reply;
+        if let Some(limit) = reply.rate_limit.filter(|_| reply.status != MISDIRECTED) {
             self.stated_limit = Some((message.request_id.clone(), limit));
         }
         let partial = Partial {
@@ -352,7 +292,7 @@
         pos: &mut usize,
     ) -> Result<Step, ParseError> {
         let rest = &buf[*pos..];
-        let len = match self.block_end(rest) {
+        let len = match self.trailers.advance(rest) {
             BlockEnd::At(len) => len,
             BlockEnd::Incomplete if rest.len() > MAX_TRAILER_BYTES => {
                 return Err(ParseError::TooLarge);
@@ -360,8 +300,8 @@
             BlockEnd::Incomplete => return Ok(Step::Wait(Phase::Trailers(partial))),
             BlockEnd::Malformed => return Err(ParseError::Chunk),
         };
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        match httparse::parse_headers(&rest[..len], &mut headers) {
+        let mut trailers = [httparse::EMPTY_HEADER; MAX_TRAILERS];
+        match httparse::parse_headers(&rest[..len], &mut trailers) {
             Ok(httparse::Status::Complete(_)) => {
                 *pos += len;
                 Ok(Step::Complete(partial))
@@ -369,51 +309,6 @@
             _ => Err(ParseError::Chunk),
         }
     }
-
-    /// Searches `rest` for the first empty line. Examines each byte once.
-    fn block_end(&mut self, rest: &[u8]) -> BlockEnd {
-        let mut at = self.scanned.min(rest.len());
-        self.scanned = rest.len();
-        while let Some(len) = rest[at..].iter().position(|byte| *byte == b'\n') {
-            // httparse accepts a line feed alone. An empty line of that kind within the head
-            // would make the rest of the head a part of the body.
-            let Some(before) = rest[..at + len].strip_suffix(b"\r") else {
-                return BlockEnd::Malformed;
-            };
-            at += len + 1;
-            if before.is_empty() || before.ends_with(b"\n") {
-                self.scanned = 0;
-                return BlockEnd::At(at);
-            }
-        }
-        BlockEnd::Incomplete
-    }
-}
-
-/// Whether a response with these headers may have the status. An interim response has no body,
-/// so one that states a length is a final response.
-fn is_valid_status(status: u16, headers: &[httparse::Header<'_>]) -> bool {
-    let states_body = |header: &httparse::Header<'_>| {
-        let names = ["content-length", "transfer-encoding"];
-        names
-            .iter()
-            .any(|name| header.name.eq_ignore_ascii_case(name))
-    };
-    match status {
-        SWITCHING_PROTOCOLS => false,
-        status if INTERIM_STATUSES.contains(&status) => !headers.iter().any(states_body),
-        status => FINAL_STATUSES.contains(&status),
-    }
-}
-
-/// Checks that the bytes can be the start of a status line.
-fn check_start(rest: &[u8]) -> Result<(), ParseError> {
-    let expected = b"HTTP/1.";
-    let len = rest.len().min(expected.len());
-    match rest[..len] == expected[..len] {
-        true => Ok(()),
-        false => Err(ParseError::Head),
-    }
 }
 
 fn body(mut partial: Partial, left: usize, buf: &[u8], pos: &mut usize) -> Step {
@@ -489,6 +384,38 @@
     Ok(Step::Complete(partial))
 }
 
+/// Reads the status and headers of a final response.
+fn read_message(
+    head: &httparse::Response<'_, '_>,
+    names: &HeaderNames,
+    keep_headers: bool,
+) -> Box<Message> {
+    let status = head.code.unwrap_or_default();
+    let mut message = Box::new(Message {
+        request_id: None,
+        reply: Reply {
+            status,
+            stamp: None,
+            missing: 0,
+            peer: None,
+            not_run: false,
+            wrong_server: status == MISDIRECTED,
+            leaving: false,
+            retry_after: None,
+            rate_limit: None,
+            server_load: None,
+            warm_up_left: None,
+            encoded: false,
+            headers: Vec::new(),
+            body: Bytes::new(),
+        },
+        keep_alive: None,
+        closes: head.version == Some(0),
+    });
+    read_headers(&mut message, head.headers, names, keep_headers);
+    message
+}
+
 fn read_headers(
     message: &mut Message,
     headers: &[httparse::Header<'_>],
