fix(platform): refuse malformed responses of the store and of other daemons

A daemon read its state from responses whose head does not state clearly where the body ends, and became ready with it. This holds for the store, its relay in other daemons, and the configuration service of `serve`, which share a client.

Cause: hyper reads a body in a transfer coding that it does not decode until the connection ends, ignores a length beside a transfer coding, accepts lines that end with a line feed alone and a length in an interim response or with the status 204. The client only checked the status.

Ruled out: a check of hyper's headers after the fact. A trial showed that hyper removes the length beside a transfer coding, and that lines and interim responses are not visible any more.

Change: the new crate jasminepond-http opens connections whose stream passes the head of each response to the parser that the gateway uses for backend servers. hyper still reads the body. The client opens these connections itself instead of through cyper, which has no place for such a stream; it keeps idle ones, and replaces one that was closed while idle (`connections_are_reused_while_open`). Redirects are no longer followed. Creating a client cannot fail any more.

--- a/crates/jasminepond-daemon/src/daemon.rs
+++ b/crates/jasminepond-daemon/src/daemon.rs
@@ -16,7 +16,7 @@
 use jasminepond_config::{Config, Settings};
 use jasminepond_dispatch::Health;
 use jasminepond_membership::{LocalMember, Member, MemberState, ReportKind};
-use jasminepond_platform::{HttpPlatform, PlatformError};
+use jasminepond_platform::HttpPlatform;
 use jasminepond_types::{CpuCapacity, Incarnation, InstanceId};
 use jasminepond_wire::{Frame, KeyRing, SharedKey};
 use spdlog::{error, info, warn};
@@ -93,9 +93,6 @@
     /// The settings contain no peer key.
     #[error("the settings have no peer key")]
     NoPeerKey,
-    /// The client of the platform could not be set up.
-    #[error(transparent)]
-    Platform(#[from] PlatformError),
     /// The signal handlers could not be set up.
     #[error("signals: {0}")]
     Signals(io::Error),
@@ -358,7 +355,7 @@
             address,
             timeout: PLATFORM_TIMEOUT,
         };
-        let platform = Rc::new(HttpPlatform::new(platform)?);
+        let platform = Rc::new(HttpPlatform::new(platform));
         let sockets = bind(&settings).await?;
         let bound = sockets.bound;
         let me = entry::Identity {
--- a/crates/jasminepond-gateway/src/gateway.rs
+++ b/crates/jasminepond-gateway/src/gateway.rs
@@ -34,7 +34,7 @@
     ServiceReport, WarmUpReport,
 };
 use jasminepond_membership::LocalMember;
-use jasminepond_platform::{HttpReader, PlatformError};
+use jasminepond_platform::HttpReader;
 use jasminepond_quarantine::{Fingerprint, Report};
 use jasminepond_ratelimit::LimitReport;
 use jasminepond_routes::CallerLimits;
@@ -109,9 +109,6 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The client for the store could not be created.
-    #[error(transparent)]
-    Store(#[from] PlatformError),
     /// A signal handler could not be installed.
     #[error("signals: {0}")]
     Signals(io::Error),
@@ -536,7 +533,7 @@
     let http = HttpReader::new(jasminepond_platform::Options {
         address: settings.store.address,
         timeout: settings.store.timeout_ms.duration(),
-    })?;
+    });
     info!("gateway: starting", kv: {
         instance: = settings.instance,
         zone: = settings.zone,
--- a/crates/jasminepond-gateway/src/store.rs
+++ b/crates/jasminepond-gateway/src/store.rs
@@ -280,7 +280,7 @@
         self.wait_for_members(started).await;
         let address = self.next_running_daemon()?;
         let timeout = PEER_SNAPSHOT_TIMEOUT;
-        let http = HttpReader::new(jasminepond_platform::Options { address, timeout }).ok()?;
+        let http = HttpReader::new(jasminepond_platform::Options { address, timeout });
         let path = store_relay::snapshot_path(Duration::ZERO, Accept::Current);
         // The snapshot is optional: a daemon may be down or may not have read the store.
         let answer = http.get(&path, Duration::ZERO).await.ok()?;
@@ -364,10 +364,7 @@
         limits: (Duration, Duration),
     ) -> CallResult {
         let called_at = self.clock.now();
-        let http = match self.client(&mut progress.peer, address) {
-            Ok(http) => http,
-            Err(err) => return unreachable(err),
-        };
+        let http = self.client(&mut progress.peer, address);
         let reader = &mut progress.reader;
         let request = reader.peer_request(&step);
         let (path, timeout) = peer_call(request, &step, limits);
@@ -422,22 +419,17 @@
         &self,
         peer: &'a mut Option<(SocketAddr, HttpReader)>,
         address: SocketAddr,
-    ) -> Result<&'a HttpReader, PlatformError> {
+    ) -> &'a HttpReader {
         if peer
             .as_ref()
             .is_some_and(|(current, _)| *current != address)
         {
             *peer = None;
         }
-        let (_, http) = match peer {
-            Some(current) => current,
-            None => {
-                let timeout = self.timeout;
-                let options = jasminepond_platform::Options { address, timeout };
-                peer.insert((address, HttpReader::new(options)?))
-            }
-        };
-        Ok(http)
+        let timeout = self.timeout;
+        let options = jasminepond_platform::Options { address, timeout };
+        let (_, http) = peer.get_or_insert_with(|| (address, HttpReader::new(options)));
+        http
     }
 
     /// Executes a step of the reader with a call to the store. A watch waits for at most
--- a/crates/jasminepond-platform/src/http.rs
+++ b/crates/jasminepond-platform/src/http.rs
@@ -1,10 +1,11 @@
 //! HTTP client of the platform.
 
-use std::{cell::RefCell, net::SocketAddr, pin::pin, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
-use cyper::Client;
-use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture};
-use hyper::HeaderMap;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, Response, body::Incoming};
+use jasminepond_http::{SendError, Sender, connect};
 use jasminepond_types::Revision;
 use serde::{Deserialize, de::DeserializeOwned};
 
@@ -31,7 +32,8 @@
 /// Reads over HTTP with limits on time and response size.
 pub struct HttpReader {
     options: Options,
-    client: RefCell<Client>,
+    /// Open connections without a request.
+    idle: RefCell<Vec<Sender>>,
 }
 
 /// A complete HTTP response.
@@ -57,13 +59,9 @@
 
 impl HttpPlatform {
     /// Creates a client without opening a connection.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the HTTP client cannot be set up.
-    pub fn new(options: Options) -> Result<Self, PlatformError> {
-        let reader = HttpReader::new(options)?;
-        Ok(Self { reader })
+    pub fn new(options: Options) -> Self {
+        let reader = HttpReader::new(options);
+        Self { reader }
     }
 
     async fn get(&self, path: &str, extra: Duration) -> Result<(u16, Vec<u8>), PlatformError> {
@@ -74,13 +72,9 @@
 
 impl HttpReader {
     /// Creates a reader without opening a connection.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the HTTP client cannot be set up.
-    pub fn new(options: Options) -> Result<Self, PlatformError> {
-        let client = RefCell::new(new_client()?);
-        Ok(Self { options, client })
+    pub fn new(options: Options) -> Self {
+        let idle = RefCell::default();
+        Self { options, idle }
     }
 
     /// Sends a GET request for `path` and returns the response, whose status is from 200 to
@@ -88,8 +82,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no response in time, on status 429, on a status below 200 or of 500 or
-    /// more, and if the body is too large.
+    /// Fails if there is no response in time, if it is malformed, on status 429, on a status of 500
+    /// or more, and if the body is too large.
     pub async fn get(&self, path: &str, extra: Duration) -> Result<HttpResponse, PlatformError> {
         self.get_within(path, self.options.timeout + extra).await
     }
@@ -99,59 +93,83 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no response in time, on status 429, on a status below 200 or of 500 or
-    /// more, and if the body is too large.
+    /// Fails if there is no response in time, if it is malformed, on status 429, on a status of 500
+    /// or more, and if the body is too large.
     pub async fn get_within(
         &self,
         path: &str,
         timeout: Duration,
     ) -> Result<HttpResponse, PlatformError> {
-        let url = format!("http://{}{path}", self.options.address);
-        let client = self.client.borrow().clone();
-        let head = async { client.get(url)?.send().await };
-        let result = match compio::time::timeout(timeout, head).await {
+        let result = match compio::time::timeout(timeout, self.send(path)).await {
             Err(_) => Err(PlatformError::Unreachable("no response in time".to_owned())),
-            Ok(Err(err)) => Err(PlatformError::Unreachable(err.to_string())),
-            Ok(Ok(res)) => self.read_response(res).await,
+            Ok(Err(err)) => Err(err),
+            Ok(Ok((conn, res))) => self.read_response(conn, res).await,
         };
         if matches!(result, Err(PlatformError::Unreachable(_))) {
-            // A pooled connection may be dead, so the next read opens a new one.
-            *self.client.borrow_mut() = new_client()?;
+            // An idle connection may be dead, so the next read opens a new one.
+            self.idle.borrow_mut().clear();
         }
         result
     }
 
-    async fn read_response(&self, res: cyper::Response) -> Result<HttpResponse, PlatformError> {
-        let (status, headers) = (res.status().as_u16(), res.headers().clone());
-        let body = read_body(res, self.options.timeout);
+    /// Sends a request over an idle connection, or over a new one if there is none.
+    async fn send(&self, path: &str) -> Result<(Sender, Response<Incoming>), PlatformError> {
+        loop {
+            let idle = self.idle.borrow_mut().pop();
+            let is_reused = idle.is_some();
+            let mut conn = match idle {
+                Some(conn) => conn,
+                None => connect(self.options.address).await.map_err(unreachable)?,
+            };
+            let req = Request::get(path).header("host", self.options.address.to_string());
+            let req = req.body(Full::default()).map_err(unreachable)?;
+            match conn.send(req).await {
+                Ok(res) => return Ok((conn, res)),
+                // Closed while it was idle.
+                Err(SendError::NotSent(_)) if is_reused => {}
+                Err(err) => return Err(unreachable(err)),
+            }
+        }
+    }
+
+    async fn read_response(
+        &self,
+        conn: Sender,
+        res: Response<Incoming>,
+    ) -> Result<HttpResponse, PlatformError> {
+        let (head, body) = res.into_parts();
+        let body = read_body(body, self.options.timeout);
         let body = compio::time::timeout(MAX_BODY_TIME, body).await;
         let body =
             body.map_err(|_| PlatformError::Unreachable("the body is slow".to_owned()))??;
-        match status {
+        self.idle.borrow_mut().push(conn);
+        match head.status.as_u16() {
             429 => Err(PlatformError::RateLimited),
-            // Those outside 200 to 599 are none of a response: hyper skips interim ones.
-            ..200 | 500.. => Err(PlatformError::Unreachable(format!("status {status}"))),
-            _ => Ok(HttpResponse {
+            status @ 500.. => Err(PlatformError::Unreachable(format!("status {status}"))),
+            status => Ok(HttpResponse {
                 status,
-                headers,
+                headers: head.headers,
                 body,
             }),
         }
     }
 }
 
+fn unreachable(err: impl ToString) -> PlatformError {
+    PlatformError::Unreachable(err.to_string())
+}
+
 /// Reads the whole body, of which each part has to arrive within `timeout`.
-async fn read_body(res: cyper::Response, timeout: Duration) -> Result<Vec<u8>, PlatformError> {
-    let mut chunks = pin!(res.bytes_stream());
+async fn read_body(mut res: Incoming, timeout: Duration) -> Result<Vec<u8>, PlatformError> {
     let mut body = Vec::new();
     loop {
-        let chunk = match compio::time::timeout(timeout, chunks.next()).await {
+        let frame = match compio::time::timeout(timeout, res.frame()).await {
             Err(_) => return Err(PlatformError::Unreachable("the body broke off".to_owned())),
             Ok(None) => return Ok(body),
-            Ok(Some(Err(err))) => return Err(PlatformError::Unreachable(err.to_string())),
-            Ok(Some(Ok(chunk))) => chunk,
+            Ok(Some(frame)) => frame.map_err(unreachable)?,
         };
-        let chunk: bytes::Bytes = chunk;
+        // Trailers are ignored.
+        let chunk = frame.into_data().unwrap_or_default();
         body.extend_from_slice(&chunk);
         if body.len() > MAX_BODY_BYTES {
             return Err(PlatformError::TooLarge {
@@ -161,14 +179,6 @@
     }
 }
 
-fn new_client() -> Result<Client, PlatformError> {
-    // The platform is addressed by IP, so proxy settings of the environment are ignored.
-    Client::builder()
-        .no_proxy()
-        .build()
-        .map_err(|err| PlatformError::Unreachable(err.to_string()))
-}
-
 fn json<T: DeserializeOwned>((status, body): (u16, Vec<u8>)) -> Result<T, PlatformError> {
     if status != 200 {
         return Err(PlatformError::Malformed(format!("status {status}")));
--- /dev/null
+++ b/crates/jasminepond-platform/tests/responses.rs
@@ -0,0 +1,134 @@
+//! Tests of the client against malformed responses.
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use jasminepond_platform::{HttpReader, Options, PlatformError};
+use test_case::test_case;
+
+/// Answers one request with `response` and then closes the connection.
+fn answer_once(response: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let lines = BufReader::new(stream.try_clone().unwrap()).lines();
+        let mut lines = lines.map_while(Result::ok);
+        lines.find(String::is_empty);
+        stream.write_all(response.as_bytes()).unwrap();
+    });
+    address
+}
+
+/// Guards against taking the headers, such as the era of the store, and the body of a response
+/// with an invalid status for those of the store.
+#[test_case("000"; "000")]
+#[test_case("099"; "099")]
+#[test_case("100"; "an interim status as the final one")]
+#[test_case("101"; "a change of protocol")]
+#[test_case("600"; "600")]
+#[test_case("999"; "999")]
+#[test_case("+20"; "a sign")]
+#[test_case("2000"; "four digits")]
+#[compio::test]
+async fn responses_with_invalid_statuses_are_refused(status: &str) {
+    let address = answer_once(format!(
+        "HTTP/1.1 {status} X\r\nStore-Era: 9\r\nContent-Length: 2\r\n\r\n{{}}"
+    ));
+    let timeout = Duration::from_secs(5);
+    let reader = HttpReader::new(Options { address, timeout });
+    let read = reader.get("/v1/kv-key", Duration::ZERO).await;
+    assert!(
+        matches!(read, Err(PlatformError::Unreachable(_))),
+        "{read:?}"
+    );
+}
+
+/// Guards against a body that is not that of the store: in a transfer coding that is not decoded,
+/// of a length that is stated in several ways, or after a line of the head that is no field.
+#[test_case("200 X", "Content-Length: +2", "{}"; "a length with a sign")]
+#[test_case("200 X", "Content-Length: 0\r\nContent-Length: 2", "{}"; "two lengths")]
+#[test_case("200 X", "Content-Length: 2\r\nTransfer-Encoding: chunked", "2\r\n{}\r\n0\r\n\r\n"; "a length and chunks")]
+#[test_case("200 X", "Transfer-Encoding: gzip", "{}"; "another coding")]
+#[test_case("200 X", "Transfer-Encoding: identity\r\nContent-Length: 2", "{}"; "an unknown coding and a length")]
+#[test_case("200 X", "Transfer-Encoding: gzip, chunked", "2\r\n{}\r\n0\r\n\r\n"; "two codings")]
+#[test_case("200 X", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "2\r\n{}\r\n0\r\n\r\n"; "chunks twice")]
+#[test_case("200 X", "Transfer-Encoding: chunked", "2\r\n{}\r\n\r\n\r\n"; "a chunk without a size")]
+#[test_case("200 X", "Transfer-Encoding: chunked", "2\r\n{}\r\n"; "no last chunk")]
+#[test_case("200 X", "X-A: 1\n\r\nContent-Length: 2", "{}"; "a field that ends with a line feed alone")]
+#[test_case("200 X", "X-A: 1\nContent-Length: 2", "{}"; "two fields in a line")]
+#[test_case("103 X", "Content-Length: 41", "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}"; "a response within an interim one")]
+#[test_case("204 X", "Content-Length: 2", "{}"; "a length without content")]
+#[test_case("204 X", "Transfer-Encoding: chunked", "0\r\n\r\n"; "chunks without content")]
+#[test_case("200 X", "X A: 1\r\nContent-Length: 2", "{}"; "a space in a name")]
+#[test_case("200 X", "X\u{1}A: 1\r\nContent-Length: 2", "{}"; "a control byte in a name")]
+#[test_case("200 X", "no field\r\nContent-Length: 2", "{}"; "no colon")]
+#[compio::test]
+async fn malformed_heads_and_bodies_are_refused(status: &str, fields: &str, body: &str) {
+    let address = answer_once(format!(
+        "HTTP/1.1 {status}\r\nStore-Era: 9\r\n{fields}\r\n\r\n{body}"
+    ));
+    let timeout = Duration::from_secs(5);
+    let reader = HttpReader::new(Options { address, timeout });
+    let read = reader.get("/v1/kv-key", Duration::ZERO).await;
+    assert!(
+        matches!(read, Err(PlatformError::Unreachable(_))),
+        "{read:?}"
+    );
+}
+
+/// Guards against refusing the responses that the standard allows.
+#[test_case("1.1 200 X", "Content-Length: 2", "{}"; "a length")]
+#[test_case("1.1 200 X", "Content-Length: 2\r\nContent-Length: 2", "{}"; "a repeated length")]
+#[test_case("1.1 404 X", "Transfer-Encoding: Chunked", "2;a=b\r\n{}\r\n0\r\nX-A: 1\r\n\r\n"; "chunks")]
+#[test_case("1.1 200 X", "X-A: 1", "{}"; "a body until the end of the connection")]
+#[test_case("1.0 200 X", "X-A: 1", "{}"; "an older version")]
+#[test_case("1.1 103 X", "Link: a", "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}"; "an interim response")]
+#[compio::test]
+async fn valid_responses_are_read(status: &str, fields: &str, body: &str) {
+    let address = answer_once(format!("HTTP/{status}\r\n{fields}\r\n\r\n{body}"));
+    let timeout = Duration::from_secs(5);
+    let reader = HttpReader::new(Options { address, timeout });
+    let read = reader.get("/v1/kv-key", Duration::ZERO).await.unwrap();
+    assert_eq!(read.body, b"{}");
+}
+
+/// Guards against a new connection for each read, and against a read that fails because the store
+/// closed the connection while it was idle.
+#[test_case(3, 1; "connections stay open")]
+#[test_case(1, 3; "each is closed after one response")]
+#[compio::test]
+async fn connections_are_reused_while_open(per_connection: usize, connections: usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let opened = Arc::new(AtomicUsize::new(0));
+    let counter = opened.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            counter.fetch_add(1, Ordering::Relaxed);
+            let mut out = stream.try_clone().unwrap();
+            let lines = BufReader::new(stream).lines().map_while(Result::ok);
+            for _ in lines.filter(String::is_empty).take(per_connection) {
+                out.write_all(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}")
+                    .unwrap();
+            }
+        }
+    });
+    let timeout = Duration::from_secs(5);
+    let reader = HttpReader::new(Options { address, timeout });
+    for _ in 0..3 {
+        let read = reader.get("/v1/kv-key", Duration::ZERO).await.unwrap();
+        assert_eq!(read.body, b"{}");
+        // Lets the end of the connection arrive.
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(opened.load(Ordering::Relaxed), connections);
+}
