fix(backend): refuse malformed responses of backend servers in serve

`serve` counted responses as the outcome of a call although their heads do not state clearly where the body ends, or hold a line that is no field. The worst of them promised with X-Not-Run that the call did not run, upon which it is sent again.

Ruled out: a wrong state of the connection after the call; it was closed in all cases that hyper refuses, and is closed in the others now.

Change: connections come from jasminepond-http, which checks the head before hyper reads it. The check of the status in `parse` is dropped: the head is checked by the same rule, whose tests stay as they are.

--- a/crates/jasminepond-backend/src/conn.rs
+++ b/crates/jasminepond-backend/src/conn.rs
@@ -4,14 +4,11 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select_biased};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{
-    Request,
-    client::conn::http1::{self, SendRequest},
-};
+use hyper::Request;
+use jasminepond_http::{Driver, SendError, Sender, handshake};
 
 use crate::{
     Dialer,
@@ -118,22 +115,14 @@
     }
 }
 
-type Io = HyperStream<TcpStream>;
-type Client = (SendRequest<Full<Bytes>>, http1::Connection<Io, Full<Bytes>>);
-
-async fn open(options: &Options) -> Result<Client, String> {
+async fn open(options: &Options) -> Result<(Sender, Driver), String> {
     let connect = TcpStream::connect(options.address);
     let stream = match compio::time::timeout(options.connect_timeout, connect).await {
         Err(_) => return Err("TCP handshake timed out".to_owned()),
         Ok(Err(err)) => return Err(err.to_string()),
         Ok(Ok(stream)) => stream,
     };
-    // Disables Nagle's algorithm: small requests must not wait for the
-    // acknowledgement of earlier ones.
-    stream.set_nodelay(true).map_err(|err| err.to_string())?;
-    http1::handshake(HyperStream::new_plain(stream))
-        .await
-        .map_err(|err| err.to_string())
+    handshake(stream).await.map_err(|err| err.to_string())
 }
 
 async fn run(options: Options, mut rx: mpsc::UnboundedReceiver<Command>, events: EventHandler) {
@@ -160,8 +149,8 @@
 
 async fn run_calls(
     options: &Options,
-    mut sender: SendRequest<Full<Bytes>>,
-    conn: http1::Connection<Io, Full<Bytes>>,
+    mut sender: Sender,
+    conn: Driver,
     rx: &mut mpsc::UnboundedReceiver<Command>,
     events: &EventHandler,
 ) -> CloseReason {
@@ -201,25 +190,18 @@
 
 async fn exchange(
     options: &Options,
-    sender: &mut SendRequest<Full<Bytes>>,
+    sender: &mut Sender,
     id: CallId,
     call: &Call,
 ) -> Result<Reply, (Sent, String)> {
-    sender
-        .ready()
-        .await
-        .map_err(|err| (Sent::No, err.to_string()))?;
     let req = request(options, id, call).map_err(|err| (Sent::No, err.to_string()))?;
-    let res = sender.try_send_request(req).await.map_err(|mut err| {
-        // hyper returns the request only if no byte of it was written.
-        let sent = if err.take_message().is_some() {
-            Sent::No
-        } else if err.error().is_parse() {
-            Sent::InvalidResponse
-        } else {
-            Sent::Maybe
+    let res = sender.send(req).await.map_err(|err| {
+        let sent = match err {
+            SendError::NotSent(_) => Sent::No,
+            SendError::MalformedHead(_) | SendError::Malformed(_) => Sent::InvalidResponse,
+            SendError::Lost(_) => Sent::Maybe,
         };
-        (sent, err.error().to_string())
+        (sent, err.to_string())
     })?;
     let (parts, body) = res.into_parts();
     let body = Limited::new(body, options.max_body).collect().await;
--- a/crates/jasminepond-backend/src/response.rs
+++ b/crates/jasminepond-backend/src/response.rs
@@ -20,9 +20,6 @@
         /// Request id in the response.
         found: String,
     },
-    /// The status is outside 200 to 599. Servers in trouble send such responses.
-    #[error("invalid status {0:03}")]
-    Status(u16),
     /// The body does not conform to the protocol.
     #[error("response body: {0}")]
     Body(#[from] serde_json::Error),
@@ -80,10 +77,9 @@
 ///
 /// # Errors
 ///
-/// [`ResponseError::OtherRequest`] if the response has the id of another request,
-/// [`ResponseError::Status`] if its status is none of a final response, and
+/// [`ResponseError::OtherRequest`] if the response has the id of another request, and
 /// [`ResponseError::Body`] if the body of a successful response is malformed. The
-/// connection must be closed after any of them.
+/// connection must be closed after either of them.
 pub fn parse(
     id: &str,
     call: &Call,
@@ -91,11 +87,6 @@
     headers: &HeaderMap,
     body: Bytes,
 ) -> Result<Reply, ResponseError> {
-    // hyper skips interim responses but for a change of protocol, and reads any three digits
-    // of at least 100.
-    if !(200..600).contains(&status.as_u16()) {
-        return Err(ResponseError::Status(status.as_u16()));
-    }
     if let Some(found) = header_str(headers, "x-request-id")
         && found != id
     {
