fix(cli): refuse malformed responses of daemons

`jasminepond search` printed a result, and exited with 0, for responses with the status 600 or 999, in another transfer coding, or with an empty line that ends the head early. `execute` and `status` use the same client.

Cause: the client took any response that hyper reads and whose body is JSON.

Ruled out: refusing statuses of 400 and more, whose bodies describe the error.

--- a/crates/jasminepond/src/client.rs
+++ b/crates/jasminepond/src/client.rs
@@ -2,6 +2,9 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use jasminepond_http::{SendError, connect};
 use serde_json::{Value, json};
 
 use crate::{
@@ -23,11 +26,11 @@
     NoAddress,
     /// The request failed.
     #[error("{address}: {source}")]
-    Http {
+    Call {
         /// Address of the daemon.
         address: SocketAddr,
         /// Cause of the failure.
-        source: cyper::Error,
+        source: CallError,
     },
     /// The daemon did not respond in time.
     #[error("{0}: timed out waiting for the response")]
@@ -40,31 +43,60 @@
     UnexpectedResponse(SocketAddr, Value),
 }
 
+/// A request has no usable response.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The connection could not be opened.
+    #[error(transparent)]
+    Connect(#[from] io::Error),
+    /// The request could not be built.
+    #[error(transparent)]
+    Request(#[from] hyper::http::Error),
+    /// The daemon did not respond, or with a malformed head.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The body of the response broke off or is malformed.
+    #[error(transparent)]
+    Body(#[from] hyper::Error),
+    /// The body of the response is not JSON.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+}
+
 /// Sends a request with an optional JSON body and returns the JSON response.
 pub async fn call(
     address: SocketAddr,
     path: &str,
     body: Option<&Value>,
 ) -> Result<Value, ClientError> {
-    let http_error = |source| ClientError::Http { address, source };
-    let exchange = async {
-        let client = cyper::Client::builder().no_proxy().build()?;
-        let url = format!("http://{address}{path}");
-        let req = match body {
-            Some(body) => client
-                .post(url)?
-                .header("content-type", "application/json")?
-                .body(body.to_string()),
-            None => client.get(url)?,
-        };
-        req.send().await?.json::<Value>().await
-    };
+    let exchange = exchange(address, path, body);
     match compio::time::timeout(TIMEOUT, exchange).await {
-        Ok(result) => result.map_err(http_error),
+        Ok(result) => result.map_err(|source| ClientError::Call { address, source }),
         Err(_) => Err(ClientError::Timeout(address)),
     }
 }
 
+async fn exchange(
+    address: SocketAddr,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<Value, CallError> {
+    let req = Request::builder()
+        .uri(path)
+        .header("host", address.to_string());
+    let req = match body {
+        Some(body) => req
+            .method(Method::POST)
+            .header("content-type", "application/json")
+            .body(Full::from(body.to_string())),
+        None => req.body(Full::default()),
+    };
+    let mut conn = connect(address).await?;
+    let res = conn.send(req?).await?;
+    let body = res.into_body().collect().await?;
+    Ok(serde_json::from_slice(&body.to_bytes())?)
+}
+
 /// Prints an error response.
 fn print_error(error: &Value) {
     let text = |name: &str| error[name].as_str().unwrap_or_default();
