--- a/crates/jasminepond-backend/tests/responses.rs
+++ b/crates/jasminepond-backend/tests/responses.rs
@@ -16,6 +16,9 @@
 };
 use test_case::test_case;
 
+/// Body of a successful health check.
+const READY: &str = "{\"state\":\"ready\"}";
+
 /// Answers one request with `response`, and closes the connection once the client has closed it or
 /// waits for more.
 fn answer_once(response: String) -> SocketAddr {
@@ -37,6 +40,42 @@
     address
 }
 
+/// Returns the event of a health check to which the server sends `response`.
+async fn health_check(response: String) -> Option<Event> {
+    let address = answer_once(response);
+    let options = Options {
+        address,
+        id_prefix: "p".into(),
+        connect_timeout: Duration::from_secs(5),
+        max_body: 1 << 10,
+    };
+    let (tx, mut events) = mpsc::unbounded();
+    let tx = RefCell::new(tx);
+    let conn = HttpDialer.dial(
+        options,
+        Rc::new(move |event| {
+            let _ = tx.borrow_mut().unbounded_send(event);
+        }),
+    );
+    let connected = events.next().await;
+    assert!(matches!(connected, Some(Event::Connected)), "{connected:?}");
+    let (id, call) = (CallId(1), Call::Health);
+    conn.send(Command::Call { id, call });
+    let event = compio::time::timeout(Duration::from_secs(5), events.next()).await;
+    event.expect("an event in time")
+}
+
+/// Whether the server's response is invalid and its connection closed.
+fn is_refused(event: &Option<Event>) -> bool {
+    matches!(
+        event,
+        Some(Event::Closed {
+            call: Some((CallId(1), Sent::InvalidResponse)),
+            ..
+        })
+    )
+}
+
 /// Guards against counting a response with an invalid status as the outcome of a call, in
 /// particular as one that guarantees that the call did not run.
 #[test_case("000", ""; "000")]
@@ -89,42 +128,3 @@
     let ready = CallOutcome::Health(ServerState::Ready);
     assert_eq!(reply.outcome, ready);
 }
-
-/// Body of a successful health check.
-const READY: &str = "{\"state\":\"ready\"}";
-
-/// Returns the event of a health check to which the server sends `response`.
-async fn health_check(response: String) -> Option<Event> {
-    let address = answer_once(response);
-    let options = Options {
-        address,
-        id_prefix: "p".into(),
-        connect_timeout: Duration::from_secs(5),
-        max_body: 1 << 10,
-    };
-    let (tx, mut events) = mpsc::unbounded();
-    let tx = RefCell::new(tx);
-    let conn = HttpDialer.dial(
-        options,
-        Rc::new(move |event| {
-            let _ = tx.borrow_mut().unbounded_send(event);
-        }),
-    );
-    let connected = events.next().await;
-    assert!(matches!(connected, Some(Event::Connected)), "{connected:?}");
-    let (id, call) = (CallId(1), Call::Health);
-    conn.send(Command::Call { id, call });
-    let event = compio::time::timeout(Duration::from_secs(5), events.next()).await;
-    event.expect("an event in time")
-}
-
-/// Whether the server's response is invalid and its connection closed.
-fn is_refused(event: &Option<Event>) -> bool {
-    matches!(
-        event,
-        Some(Event::Closed {
-            call: Some((CallId(1), Sent::InvalidResponse)),
-            ..
-        })
-    )
-}
--- a/crates/jasminepond-http/src/lib.rs
+++ b/crates/jasminepond-http/src/lib.rs
@@ -99,6 +99,31 @@
 /// # Errors
 ///
 /// Fails if the connection cannot be opened.
+///
+/// ```
+/// use std::{error::Error, io::{Read, Write}, net::TcpListener, thread};
+///
+/// use http_body_util::{BodyExt, Full};
+/// use hyper::Request;
+///
+/// # fn main() -> Result<(), Box<dyn Error>> {
+/// let server = TcpListener::bind("127.0.0.1:0")?;
+/// let address = server.local_addr()?;
+/// thread::spawn(move || {
+///     let (mut stream, _) = server.accept().unwrap();
+///     let _ = stream.read(&mut [0; 512]).unwrap();
+///     let response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+///     stream.write_all(response).unwrap();
+/// });
+/// compio::runtime::Runtime::new()?.block_on(async {
+///     let mut conn = jasminepond_http::connect(address).await?;
+///     let req = Request::get("/").header("host", address.to_string());
+///     let res = conn.send(req.body(Full::default())?).await?;
+///     assert_eq!(res.into_body().collect().await?.to_bytes(), "ok");
+///     Ok(())
+/// })
+/// # }
+/// ```
 pub async fn connect(address: SocketAddr) -> io::Result<Sender> {
     let (sender, driver) = handshake(TcpStream::connect(address).await?).await?;
     compio::runtime::spawn(async move {
--- a/crates/jasminepond-platform/tests/responses.rs
+++ b/crates/jasminepond-platform/tests/responses.rs
@@ -1,7 +1,7 @@
 //! Tests of the client against malformed responses.
 
 use std::{
-    io::{BufRead, BufReader, Write},
+    io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener},
     sync::{
         Arc,
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use jasminepond_platform::{HttpReader, Options, PlatformError};
+use jasminepond_platform::{HttpReader, HttpResponse, Options, PlatformError};
 use test_case::test_case;
 
 /// Answers one request with `response` and then closes the connection.
@@ -28,6 +28,12 @@
     address
 }
 
+async fn read(address: SocketAddr) -> Result<HttpResponse, PlatformError> {
+    let timeout = Duration::from_secs(5);
+    let reader = HttpReader::new(Options { address, timeout });
+    reader.get("/v1/kv-key", Duration::ZERO).await
+}
+
 /// Guards against taking the headers, such as the era of the store, and the body of a response
 /// with an invalid status for those of the store.
 #[test_case("000"; "000")]
@@ -43,9 +49,7 @@
     let address = answer_once(format!(
         "HTTP/1.1 {status} X\r\nStore-Era: 9\r\nContent-Length: 2\r\n\r\n{{}}"
     ));
-    let timeout = Duration::from_secs(5);
-    let reader = HttpReader::new(Options { address, timeout });
-    let read = reader.get("/v1/kv-key", Duration::ZERO).await;
+    let read = read(address).await;
     assert!(
         matches!(read, Err(PlatformError::Unreachable(_))),
         "{read:?}"
@@ -76,9 +80,7 @@
     let address = answer_once(format!(
         "HTTP/1.1 {status}\r\nStore-Era: 9\r\n{fields}\r\n\r\n{body}"
     ));
-    let timeout = Duration::from_secs(5);
-    let reader = HttpReader::new(Options { address, timeout });
-    let read = reader.get("/v1/kv-key", Duration::ZERO).await;
+    let read = read(address).await;
     assert!(
         matches!(read, Err(PlatformError::Unreachable(_))),
         "{read:?}"
@@ -95,10 +97,7 @@
 #[compio::test]
 async fn valid_responses_are_read(status: &str, fields: &str, body: &str) {
     let address = answer_once(format!("HTTP/{status}\r\n{fields}\r\n\r\n{body}"));
-    let timeout = Duration::from_secs(5);
-    let reader = HttpReader::new(Options { address, timeout });
-    let read = reader.get("/v1/kv-key", Duration::ZERO).await.unwrap();
-    assert_eq!(read.body, b"{}");
+    assert_eq!(read(address).await.unwrap().body, b"{}");
 }
 
 /// Guards against a new connection for each read, and against a read that fails because the store
@@ -132,3 +131,32 @@
     }
     assert_eq!(opened.load(Ordering::Relaxed), connections);
 }
+
+/// Guards against connections that stay open after their reads have been given up.
+#[test_case(""; "no response")]
+#[test_case("HTTP/1.1 200 X\r\nContent-Le"; "a part of the head")]
+#[test_case("HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{"; "a part of the body")]
+#[compio::test]
+async fn connections_without_a_response_are_closed(response: &'static str) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.write_all(response.as_bytes()).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
+        let mut received = Vec::new();
+        stream.read_to_end(&mut received).map(|_| ())
+    });
+    let timeout = Duration::from_millis(100);
+    let reader = HttpReader::new(Options { address, timeout });
+    let read = reader.get("/v1/kv-key", Duration::ZERO).await;
+    assert!(
+        matches!(read, Err(PlatformError::Unreachable(_))),
+        "{read:?}"
+    );
+    // Lets the task of the connection end.
+    compio::time::sleep(Duration::from_millis(200)).await;
+    server.join().unwrap().expect("the connection is closed");
+}
