test: malformed responses are refused however they arrive

In one piece, byte by byte, after other responses of the connection, in interim responses and in trailers; and sound fields are still read. The client of the store is tested on a connection that is in use.

--- a/crates/jasminepond-gateway/tests/response.rs
+++ b/crates/jasminepond-gateway/tests/response.rs
@@ -473,3 +473,58 @@
         }
     }
 }
+
+const SOUND: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Guards against a malformed response that is refused only if it arrives in one piece, or as the
+/// first one of a connection, or as a final one.
+#[test_case("HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello"; "a status")]
+#[test_case("HTTP/1.1 200 X\r\nContent-Length: +5\r\n\r\nhello"; "a length")]
+#[test_case("HTTP/1.1 200 X\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nhello"; "two lengths")]
+#[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\nhello"; "chunks and a length")]
+#[test_case("HTTP/1.1 200 X\r\nX A: 1\r\nContent-Length: 5\r\n\r\nhello"; "a space in a name")]
+#[test_case("HTTP/1.1 200 X\r\nX\u{1}A: 1\r\nContent-Length: 5\r\n\r\nhello"; "a control byte in a name")]
+#[test_case("HTTP/1.1 200 X\r\nno field\r\nContent-Length: 5\r\n\r\nhello"; "no colon")]
+#[test_case("HTTP/1.1 200 X\r\nX-A: 1\n\r\nContent-Length: 5\r\n\r\nhello"; "a line feed alone")]
+#[test_case("HTTP/1.1 103 X\r\nX A: 1\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"; "a name in an interim response")]
+#[test_case("HTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"; "a length in an interim response")]
+#[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\r\n\r\n"; "a chunk size")]
+#[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX A: 1\r\n\r\n"; "a name in trailers")]
+fn malformed_responses_are_refused_however_they_arrive(text: &str) {
+    assert!(parse(text.as_bytes(), true, EXPECTED).is_err());
+    for parts in [1, usize::MAX] {
+        let mut reader = ResponseReader::default();
+        let mut buf = Vec::new();
+        let mut complete = 0;
+        let text = [SOUND, SOUND, text].concat();
+        let refused = text.as_bytes().chunks(parts).any(|part| {
+            buf.extend_from_slice(part);
+            loop {
+                match reader.advance(&mut buf, false, &NAMES, EXPECTED) {
+                    Ok(Parsed::Complete(_)) => complete += 1,
+                    Ok(Parsed::Incomplete) => return false,
+                    Err(_) => return true,
+                }
+            }
+        });
+        assert!(refused && complete == 2, "{complete} responses");
+    }
+}
+
+/// Guards against refusing fields that the standard allows.
+#[test_case("X-A:"; "an empty value")]
+#[test_case("X-A: \t "; "a value of spaces")]
+#[test_case("X-A:1"; "no space")]
+#[test_case("X-A: \t1 2\t "; "spaces around a value")]
+#[test_case("X-A: \u{e9}"; "letters beyond ASCII")]
+#[test_case("!#$%&'*+-.^_`|~0aZ: 1"; "all special characters of a name")]
+fn valid_fields_are_read(field: &str) {
+    for status in [200, 204, 304] {
+        let text = format!("HTTP/1.1 {status} X\r\n{field}\r\nContent-Length: 0\r\n\r\n");
+        let (message, used) = parse_complete(text.as_bytes(), false);
+        assert_eq!((message.reply.status, used), (status, text.len()));
+        let kept = message.reply.headers.iter();
+        let kept = kept.filter(|(name, _)| !name.eq_ignore_ascii_case(b"content-length"));
+        assert_eq!(kept.count(), 1);
+    }
+}
--- a/crates/jasminepond-platform/tests/responses.rs
+++ b/crates/jasminepond-platform/tests/responses.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use jasminepond_framing::{FramingError, HeadError};
 use jasminepond_platform::{HttpReader, HttpResponse, Options, PlatformError};
 use test_case::test_case;
 
@@ -160,3 +161,37 @@
     compio::time::sleep(Duration::from_millis(200)).await;
     server.join().unwrap().expect("the connection is closed");
 }
+
+/// Guards against a malformed head that is refused only in the first response of a connection, or
+/// only if it arrives in one piece.
+#[test_case("X-A: 1\n\r\nContent-Length: 2", HeadError::Malformed; "a line feed alone")]
+#[test_case("Transfer-Encoding: gzip", HeadError::Length(FramingError::TransferEncoding); "another coding")]
+#[compio::test]
+async fn malformed_heads_are_refused_on_connections_in_use(fields: &'static str, cause: HeadError) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.set_nodelay(true).unwrap();
+        let lines = BufReader::new(stream.try_clone().unwrap()).lines();
+        let mut lines = lines.map_while(Result::ok);
+        for fields in ["Content-Length: 2", "Content-Length: 2", fields] {
+            lines.find(String::is_empty);
+            for byte in format!("HTTP/1.1 200 X\r\n{fields}\r\n\r\n{{}}").bytes() {
+                // The client closes the connection within a malformed head.
+                let _ = stream.write_all(&[byte]);
+            }
+        }
+    });
+    let timeout = Duration::from_secs(5);
+    let reader = HttpReader::new(Options { address, timeout });
+    for _ in 0..2 {
+        let read = reader.get("/v1/kv-key", Duration::ZERO).await.unwrap();
+        assert_eq!(read.body, b"{}");
+    }
+    let read = reader.get("/v1/kv-key", Duration::ZERO).await;
+    let Err(PlatformError::Unreachable(stated)) = read else {
+        panic!("{read:?}");
+    };
+    assert_eq!(stated, cause.to_string());
+}
