test(platform): wait for the end of connections instead of sleeping

The two tests of connections waited 50 and 200 ms for the server or the task of a connection, which is not enough on any machine under load. They now wait for the event.

--- a/crates/jasminepond-platform/tests/responses.rs
+++ b/crates/jasminepond-platform/tests/responses.rs
@@ -15,6 +15,9 @@
 use jasminepond_platform::{HttpReader, HttpResponse, Options, PlatformError};
 use test_case::test_case;
 
+/// Interval between checks of what a server has done.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Answers one request with `response` and then closes the connection.
 fn answer_once(response: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -109,26 +112,31 @@
 async fn connections_are_reused_while_open(per_connection: usize, connections: usize) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let opened = Arc::new(AtomicUsize::new(0));
-    let counter = opened.clone();
+    let (opened, closed) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let counters = (opened.clone(), closed.clone());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            counter.fetch_add(1, Ordering::Relaxed);
+            counters.0.fetch_add(1, Ordering::Relaxed);
             let mut out = stream.try_clone().unwrap();
             let lines = BufReader::new(stream).lines().map_while(Result::ok);
             for _ in lines.filter(String::is_empty).take(per_connection) {
                 out.write_all(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}")
                     .unwrap();
             }
+            drop(out);
+            counters.1.fetch_add(1, Ordering::Relaxed);
         }
     });
     let timeout = Duration::from_secs(5);
     let reader = HttpReader::new(Options { address, timeout });
-    for _ in 0..3 {
+    for responses in 1..=3 {
         let read = reader.get("/v1/kv-key", Duration::ZERO).await.unwrap();
         assert_eq!(read.body, b"{}");
-        // Lets the end of the connection arrive.
-        compio::time::sleep(Duration::from_millis(50)).await;
+        while closed.load(Ordering::Relaxed) < responses / per_connection {
+            compio::time::sleep(POLL_INTERVAL).await;
+        }
+        // The runtime reports the end of the connection to its task.
+        compio::time::sleep(POLL_INTERVAL).await;
     }
     assert_eq!(opened.load(Ordering::Relaxed), connections);
 }
@@ -157,8 +165,10 @@
         matches!(read, Err(PlatformError::Unreachable(_))),
         "{read:?}"
     );
-    // Lets the task of the connection end.
-    compio::time::sleep(Duration::from_millis(200)).await;
+    // The task of the connection ends while this one sleeps.
+    while !server.is_finished() {
+        compio::time::sleep(POLL_INTERVAL).await;
+    }
     server.join().unwrap().expect("the connection is closed");
 }
 
