--- a/crates/jasminepond-framing/src/head.rs
+++ b/crates/jasminepond-framing/src/head.rs
@@ -67,8 +67,9 @@
 #[derive(Debug, Default)]
 pub struct HeadReader {
     block: BlockReader,
-    /// Number and bytes of the interim responses before the final one.
+    /// Number of interim responses so far.
     interim: u32,
+    /// Bytes of these responses.
     interim_bytes: usize,
 }
 
--- a/crates/jasminepond-platform/src/http.rs
+++ b/crates/jasminepond-platform/src/http.rs
@@ -32,7 +32,7 @@
 /// Reads over HTTP with limits on time and response size.
 pub struct HttpReader {
     options: Options,
-    /// Open connections without a request.
+    /// Open connections without a request: at most as many as there were reads at a time.
     idle: RefCell<Vec<Sender>>,
 }
 
--- a/crates/jasminepond-platform/tests/responses.rs
+++ b/crates/jasminepond-platform/tests/responses.rs
@@ -97,6 +97,7 @@
 #[test_case("1.1 404 X", "Transfer-Encoding: Chunked", "2;a=b\r\n{}\r\n0\r\nX-A: 1\r\n\r\n"; "chunks")]
 #[test_case("1.1 200 X", "X-A: 1", "{}"; "a body until the end of the connection")]
 #[test_case("1.0 200 X", "X-A: 1", "{}"; "an older version")]
+#[test_case("1.1 200 X", "X-A:\r\nX-B: \t1 \r\nContent-Length:2\t", "{}"; "spaces and an empty value")]
 #[test_case("1.1 103 X", "Link: a", "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}"; "an interim response")]
 #[compio::test]
 async fn valid_responses_are_read(status: &str, fields: &str, body: &str) {
@@ -104,6 +105,17 @@
     assert_eq!(read(address).await.unwrap().body, b"{}");
 }
 
+/// Guards against refusing responses without a body, or waiting for one.
+#[test_case(204, "X-A: 1"; "no content")]
+#[test_case(204, "Content-Length: 0"; "no content and a length of zero")]
+#[test_case(304, "Content-Length: 2"; "not modified")]
+#[compio::test]
+async fn valid_responses_without_a_body_are_read(status: u16, fields: &str) {
+    let address = answer_once(format!("HTTP/1.1 {status} X\r\n{fields}\r\n\r\n"));
+    let read = read(address).await.unwrap();
+    assert_eq!((read.status, &read.body[..]), (status, &b""[..]));
+}
+
 /// Guards against a new connection for each read, and against a read that fails because the store
 /// closed the connection while it was idle.
 #[test_case(3, 1; "connections stay open")]
