--- a/crates/jasminepond-forward/tests/deadly_requests.rs
+++ b/crates/jasminepond-forward/tests/deadly_requests.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use cluster::{Answered, World};
-use jasminepond_forward::Verdict;
+use jasminepond_forward::{ForwardSettings, ReqKey, Verdict};
 use jasminepond_routes::{Repeat, Route};
 use jasminepond_types::Timestamp;
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use sim::{MS, search, single};
+use sim::{Behavior, MS, Sim, search, single};
 use test_case::test_case;
 
 const CALLER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -152,6 +152,45 @@
     }
 }
 
+/// Ends the server that runs a request. It refuses new connections after a time.
+fn end_server_of(sim: &mut Sim, req: ReqKey, refuses_after: Duration) {
+    let id = sim.forwarder.server_of(sim.conn_of(req)).unwrap();
+    let server = sim.servers.iter().position(|s| s.id == id).unwrap();
+    sim.servers[server].refuses_after = refuses_after;
+    sim.set_behavior(server, Behavior::Crashed);
+}
+
+/// Guards against an answer while it is not known of one server whether it has ended: the caller
+/// comes back at once, and the request, which is not suspected yet, ends a third server.
+#[test_case(2 * MS, 2 * MS; "at the same time")]
+#[test_case(14 * MS, 2 * MS; "the first server later")]
+#[test_case(2 * MS, 14 * MS; "the second server later")]
+fn a_request_is_answered_when_all_its_servers_are_known_to_have_ended(
+    first: Duration,
+    second: Duration,
+) {
+    let mut sim = Sim::new(ForwardSettings::default(), 1);
+    for n in 0..5 {
+        sim.add(&format!("one-{n}"), "one", 30 * MS);
+    }
+    sim.add_shards(3, 10 * MS, Duration::ZERO, Duration::ZERO);
+    let one = Route {
+        max_attempts: 2,
+        ..single(Repeat::Allowed)
+    };
+    sim.put_release(1, vec![one, search(3, 150, 0.85)]);
+    sim.run_for(Duration::from_secs(1));
+    let req = sim.submit(ONE, CALLER_TIMEOUT);
+    end_server_of(&mut sim, req, first);
+    end_server_of(&mut sim, req, second);
+    while sim.answers.is_empty() {
+        sim.run_for(MS);
+    }
+    assert_eq!(sim.answers[0].summary.verdict, Verdict::Failed);
+    let (suspected, _) = sim.forwarder.suspect_counts(sim.now);
+    assert_eq!(suspected, 1);
+}
+
 /// Guards against a search that ends the servers of one shard again and again, since the others
 /// answer it.
 #[test_case(6, 20; "searches")]
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -64,6 +64,8 @@
     pub work: Duration,
     /// Length, period and offset of its pauses.
     pub pause: Option<(Duration, Duration, Duration)>,
+    /// Time after which it refuses a connection while it has crashed.
+    pub refuses_after: Duration,
     busy: usize,
     waiting: VecDeque<(ConnKey, ReqKey)>,
     /// Requests that the server started to run.
@@ -162,6 +164,7 @@
             queue: 12,
             work,
             pause: None,
+            refuses_after: ROUND_TRIP,
             busy: 0,
             waiting: VecDeque::new(),
             ran: Vec::new(),
@@ -186,6 +189,7 @@
             queue: 12,
             work: 30 * MS,
             pause: None,
+            refuses_after: ROUND_TRIP,
             busy: 0,
             waiting: VecDeque::new(),
             ran: Vec::new(),
@@ -554,7 +558,7 @@
         self.attempts += 1;
         let (after, event) = match self.servers[index].behavior {
             _ if self.refuse_new => (ROUND_TRIP, Event::Refused(conn)),
-            Behavior::Crashed => (ROUND_TRIP, Event::Refused(conn)),
+            Behavior::Crashed => (self.servers[index].refuses_after, Event::Refused(conn)),
             Behavior::Silent | Behavior::Vanishes => {
                 (Duration::from_millis(600), Event::Refused(conn))
             }
