--- a/crates/jasminepond-forward/src/forwarder/suspects.rs
+++ b/crates/jasminepond-forward/src/forwarder/suspects.rs
@@ -207,8 +207,9 @@
         self.timers.set(now + LINKS_WAIT, Timer::Cut);
         self.timers.set(now + VERDICT_WAIT, Timer::Verdict(req));
         if let Some(state) = self.reqs.get_mut(req).filter(|_| restrains) {
-            // The first end of a request with a single part did not count. Otherwise the request
-            // is answered or sent again before that one is confirmed, and not yet suspected.
+            // The first end does not restrain a request with a single part. From the second one on
+            // the answer waits for both: a caller that has it earlier comes back before the request
+            // is suspected.
             let of_req = |cut: &&mut CutCall| cut.req == req && cut.fingerprint == fingerprint;
             for cut in self.cut_calls.iter_mut().filter(of_req) {
                 state.cut += u32::from(!cut.restrains);
