fix(forward): handle parts of a search by the terms of the search

Cause: a daemon that handles a part for another one cut its records down to the TopK of the route in its own release. Time limit, attempts, priority and repetition came from there as well. Only the names of the shards were compared.

Ruled out: the merge of the asking daemon (with one release everywhere no answer is wrong), the stale release by itself (the answers of daemons that are behind are right for their release), and requests to one server, which state the oldest release.

Change: each part carries the terms of its search, and the daemon that handles it uses no others. The response states the release of the terms; a part by another release, which only older builds return, is not taken. Older builds state no terms and get all records. A daemon without a route over the same shards declines, as before. The merge no longer reserves room for TopK records, which had no upper bound.

The test of delegated headers names one header more: builds before it pass it on to the servers, which ignore it. It still compares all bytes.

--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -31,6 +31,7 @@
     server::{Reachability, Server, ServerKey},
     service::{Service, ServiceKey},
     settings::ForwardSettings,
+    terms::SearchTerms,
     timers::{Timer, Timers},
 };
 
@@ -440,6 +441,34 @@
         self.table.find(host, path).cloned()
     }
 
+    /// Finds the shards of a part of a search that another daemon delegates, and returns a route
+    /// with the terms of that search. Returns `None` if the release in force has no route over
+    /// the same shards: this daemon may not use their servers.
+    ///
+    /// Builds before the terms do not state any. As their `top_k` is unknown, all records are
+    /// returned to them.
+    pub fn route_of_part(
+        &self,
+        host: &str,
+        path: &str,
+        shard_set: u64,
+        terms: Option<&SearchTerms>,
+    ) -> Option<Rc<ActiveRoute>> {
+        let is_over_shards =
+            |route: &&Rc<ActiveRoute>| route.is_search() && route.shard_set == shard_set;
+        let matching = self.table.find(host, path).filter(is_over_shards);
+        let route = matching.or_else(|| self.active.iter().find(is_over_shards))?;
+        let own = route.terms()?;
+        let terms = terms.copied().unwrap_or(SearchTerms {
+            top_k: usize::MAX,
+            ..own
+        });
+        Some(match terms == own {
+            true => route.clone(),
+            false => Rc::new(route.with_terms(&terms)),
+        })
+    }
+
     /// Handles a new or changed entry of a backend server.
     pub fn put_backend(&mut self, now: Timestamp, backend: Backend) {
         let service = self.service(&backend.service);
--- a/crates/jasminepond-forward/src/forwarder/delegate.rs
+++ b/crates/jasminepond-forward/src/forwarder/delegate.rs
@@ -21,6 +21,7 @@
     service::ServiceKey,
     settings::RepeatSettings,
     shard_groups::{Demand, HelperCandidate, ShardGroups, connection_share, helper_share},
+    terms::SearchTerms,
 };
 
 /// Number of helpers per group to which connections are kept.
@@ -73,8 +74,10 @@
     pub shards: Option<Rc<[usize]>>,
     /// Fingerprint by which both daemons check that they know the same shards.
     pub shard_set: u64,
-    /// Oldest release by which the request may be routed.
+    /// Oldest release by which a request to one server may be routed.
     pub release: ReleaseVersion,
+    /// Terms by which the other daemon handles a part of a search.
+    pub terms: Option<SearchTerms>,
     /// Time after which the other daemon returns the results of a search received so far.
     pub answer_within: Millis,
     /// Number of shards below which the results are of no use, so that the other daemon goes
@@ -415,6 +418,7 @@
             shards,
             shard_set: req.route.shard_set,
             release: req.route.version.max(self.newest_release),
+            terms: req.route.terms(),
             answer_within: Millis((left.as_millis() as u64).max(1)),
             min_shards: self.shards_needed(req, index),
             repeat: part.repeat && part.resumes.is_none(),
--- a/crates/jasminepond-forward/src/forwarder/settle.rs
+++ b/crates/jasminepond-forward/src/forwarder/settle.rs
@@ -107,9 +107,13 @@
         if !part.is_open() {
             return;
         }
+        let has_other_terms = call.delegated && !call.route.is_route_of(&reply);
         let suspects = reply.peer.as_ref().is_some_and(|peer| peer.suspects);
         if suspects && !reply.is_success() {
             self.on_peer_suspects(now, call.req, call.part, &reply);
+        } else if reply.is_success() && has_other_terms {
+            // Only builds before the terms of searches use others than those they are sent.
+            self.retry_delegated(now, call.req, call.part);
         } else if reply.is_success() {
             let missing = reply.missing.min(part.weight);
             req.done += part.weight - missing;
--- a/crates/jasminepond-forward/src/lib.rs
+++ b/crates/jasminepond-forward/src/lib.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod shard_groups;
 mod stated_load;
+mod terms;
 mod timers;
 mod window;
 
@@ -57,3 +58,4 @@
 pub use settings::{ForwardSettings, RepeatSettings, SMALL_SITE_DAEMONS};
 pub use shard_groups::{Demand, Group, HelperCandidate, ShardGroups};
 pub use stated_load::{InvalidServerLoad, ServerLoad, StatedLoad};
+pub use terms::{InvalidTerms, SearchTerms};
--- a/crates/jasminepond-forward/src/merge.rs
+++ b/crates/jasminepond-forward/src/merge.rs
@@ -7,6 +7,9 @@
 /// Size of one record. A shorter remainder at the end of a part is ignored.
 pub const RECORD_BYTES: usize = 16;
 
+/// Records for which room is reserved before any is read. `top_k` has no upper bound.
+const RESERVED_RECORDS: usize = 64;
+
 /// Returns the `top_k` greatest records of all parts in descending bytewise order.
 /// Duplicates are kept.
 ///
@@ -21,7 +24,8 @@
         return Bytes::new();
     }
     // The greatest records so far, with the least of them on top.
-    let mut kept: BinaryHeap<Reverse<u128>> = BinaryHeap::with_capacity(top_k + 1);
+    let mut kept: BinaryHeap<Reverse<u128>> =
+        BinaryHeap::with_capacity(top_k.min(RESERVED_RECORDS));
     for part in parts {
         for record in part.as_chunks::<RECORD_BYTES>().0 {
             // Big-endian integers compare in bytewise order.
--- a/crates/jasminepond-forward/src/request.rs
+++ b/crates/jasminepond-forward/src/request.rs
@@ -13,6 +13,7 @@
     message::{CallKey, ConnKey, Reply, SearchId},
     server::ServerKey,
     service::ServiceKey,
+    terms::SearchTerms,
 };
 
 /// Target of a route, resolved to services.
@@ -100,6 +101,32 @@
         self.shard_set
     }
 
+    /// The terms of a search, or `None` if requests of the route are not searches.
+    pub(crate) fn terms(&self) -> Option<SearchTerms> {
+        SearchTerms::of(&self.route, self.version)
+    }
+
+    /// The search route with other terms.
+    pub(crate) fn with_terms(&self, terms: &SearchTerms) -> Self {
+        Self {
+            route: terms.apply(&self.route),
+            version: terms.release,
+            destination: Destination::Search {
+                shards: self.shards().to_vec(),
+                top_k: terms.top_k,
+                min_shards: self.min_shards(),
+            },
+            stats: self.stats.clone(),
+            shard_set: self.shard_set,
+        }
+    }
+
+    /// Whether another daemon has handled a part of a search by the terms of this route.
+    pub(crate) fn is_route_of(&self, reply: &Reply) -> bool {
+        let release = reply.peer.as_ref().map(|peer| peer.release);
+        !self.is_search() || release == Some(self.version)
+    }
+
     /// The shards of a search.
     pub(crate) fn shards(&self) -> &[ServiceKey] {
         match &self.destination {
--- a/crates/jasminepond-forward/tests/cluster/mod.rs
+++ b/crates/jasminepond-forward/tests/cluster/mod.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use jasminepond_forward::{
     Action, Answer, Arrival, Backend, BackendState, Cluster, ConnKey, ContactEvent, DelegatedPart,
     DelegationRequest, Exchange, ForwardSettings, Forwarder, LostCall, Peer, PeerReply, Reply,
@@ -56,6 +57,8 @@
     pub limit: Option<StatedLimit>,
     /// Status of its responses. It states that it has not run a request with status 503.
     pub status: u16,
+    /// Body of its responses.
+    pub records: Bytes,
     /// The server is cold until then.
     pub cold_until: Timestamp,
     /// Status of its health responses.
@@ -145,6 +148,8 @@
     /// The daemon is partitioned from all servers until then.
     partitioned_until: Timestamp,
     excused_until: Timestamp,
+    /// Whether the daemon neither states nor uses the terms of searches, like builds before them.
+    ignores_terms: bool,
     /// Which daemons it considers running.
     view: Vec<bool>,
     /// Which daemons it considers in contact with servers.
@@ -171,7 +176,7 @@
     /// The response to a health request, with the time for which the server stays cold.
     HealthReplied(ConnKey, Millis, u16),
     /// A delegated request arrives, with its number, path and time left.
-    Delegated(Origin, u64, &'static str, Duration, DelegatedPart),
+    Delegated(Origin, u64, &'static str, Duration, DelegationRequest),
     DelegatedReply(ConnKey, Box<Reply>),
     /// A connection was refused.
     Refused(ConnKey),
@@ -233,7 +238,8 @@
     pub delegated: usize,
     next_number: u64,
     next_event: u64,
-    release: Release,
+    /// Release that daemons know at their start.
+    pub release: Release,
     rng: StdRng,
 }
 
@@ -285,6 +291,7 @@
                 cut_until: Timestamp::ZERO,
                 partitioned_until: Timestamp::ZERO,
                 excused_until: Timestamp::ZERO,
+                ignores_terms: false,
                 view: vec![true; daemons],
                 reaching: vec![true; daemons],
             });
@@ -333,6 +340,19 @@
         self.run_actions(daemon);
     }
 
+    /// Lets a daemon behave like a build before the terms of searches.
+    pub fn ignore_terms(&mut self, daemon: usize) {
+        self.daemons[daemon].ignores_terms = true;
+    }
+
+    /// Lets a daemon learn of a release.
+    pub fn put_release(&mut self, daemon: usize, release: &Release) {
+        self.daemons[daemon]
+            .forwarder
+            .put_release(self.now, release);
+        self.run_actions(daemon);
+    }
+
     /// Starts all daemons anew.
     pub fn restart_all(&mut self) {
         for daemon in 0..self.daemons.len() {
@@ -388,6 +408,7 @@
             work,
             limit: None,
             status: 200,
+            records: reply(200, "").body,
             cold_until: Timestamp::ZERO,
             health_status: 200,
             accepts: None,
@@ -646,22 +667,8 @@
                 self.daemons[daemon].reaching[other] = reaches;
                 self.apply_view(daemon);
             }
-            Event::Delegated(origin, number, path, time_left, part) => {
-                let fingerprint = self.fingerprint(path, number);
-                let forwarder = &mut self.daemons[daemon].forwarder;
-                let route = forwarder.route("localhost", path).expect("a route");
-                let arrival = Arrival {
-                    route,
-                    time_left,
-                    fingerprint,
-                    search: SearchId(number),
-                    caller: Default::default(),
-                    draw: number,
-                    delegated: Some(part),
-                };
-                let key = forwarder.submit(now, arrival);
-                self.reqs
-                    .insert((daemon, key), (number, path, Some(origin)));
+            Event::Delegated(origin, number, path, time_left, delegation) => {
+                self.accept_delegated(daemon, origin, (number, path), time_left, delegation);
             }
             Event::DelegatedReply(conn, reply) => forwarder.replied(now, conn, exchange(*reply)),
             Event::Datagram(from, message) => {
@@ -736,6 +743,7 @@
                 let reply = Reply {
                     rate_limit: limit,
                     not_run: status == 503,
+                    body: self.servers[index].records.clone(),
                     ..reply(status, &format!("{index}-{number}"))
                 };
                 forwarder.replied(now, conn, exchange(reply));
@@ -962,26 +970,81 @@
             Target::Daemon(other) => {
                 assert_eq!(origin, None, "a delegated request is delegated again");
                 self.delegated += 1;
-                let delegation = delegation.expect("only delegated requests go to daemons");
-                let part = DelegatedPart {
-                    scope: match delegation.shards {
-                        Some(shards) => Scope::Shards(shards.to_vec()),
-                        None => Scope::Whole,
-                    },
-                    answer_within: delegation.answer_within.duration(),
-                    min_shards: delegation.min_shards,
-                    repeat: delegation.repeat,
-                    max_attempts: delegation.max_attempts,
-                    admitted: delegation.admitted,
-                    resumes: delegation.resumes,
-                };
+                let mut delegation = delegation.expect("only delegated requests go to daemons");
+                if self.daemons[daemon].ignores_terms {
+                    delegation.terms = None;
+                }
                 let origin = (daemon, self.daemons[daemon].starts, conn);
-                let event = Event::Delegated(origin, number, path, left.duration(), part);
+                let event = Event::Delegated(origin, number, path, left.duration(), delegation);
                 self.push_event(LATENCY, other, event);
             }
         }
     }
 
+    /// Handles a request that another daemon delegates, or refuses it as not run.
+    fn accept_delegated(
+        &mut self,
+        daemon: usize,
+        origin: Origin,
+        (number, path): (u64, &'static str),
+        time_left: Duration,
+        delegation: DelegationRequest,
+    ) {
+        let fingerprint = self.fingerprint(path, number);
+        let Daemon {
+            forwarder,
+            ignores_terms,
+            ..
+        } = &mut self.daemons[daemon];
+        let route = match &delegation.shards {
+            Some(_) if *ignores_terms => {
+                let route = forwarder.route("localhost", path);
+                route.filter(|route| route.shard_set() == delegation.shard_set)
+            }
+            Some(_) => {
+                let terms = delegation.terms.as_ref();
+                forwarder.route_of_part("localhost", path, delegation.shard_set, terms)
+            }
+            None => {
+                let route = forwarder.route("localhost", path);
+                route.filter(|route| route.version() >= delegation.release)
+            }
+        };
+        let Some(route) = route else {
+            let (asking, _, conn) = origin;
+            let reply = Box::new(Reply {
+                stamp: None,
+                not_run: true,
+                ..reply(503, "")
+            });
+            return self.push_event(LATENCY, asking, Event::DelegatedReply(conn, reply));
+        };
+        let part = DelegatedPart {
+            scope: match delegation.shards {
+                Some(shards) => Scope::Shards(shards.to_vec()),
+                None => Scope::Whole,
+            },
+            answer_within: delegation.answer_within.duration(),
+            min_shards: delegation.min_shards,
+            repeat: delegation.repeat,
+            max_attempts: delegation.max_attempts,
+            admitted: delegation.admitted,
+            resumes: delegation.resumes,
+        };
+        let arrival = Arrival {
+            route,
+            time_left,
+            fingerprint,
+            search: SearchId(number),
+            caller: Default::default(),
+            draw: number,
+            delegated: Some(part),
+        };
+        let key = forwarder.submit(self.now, arrival);
+        self.reqs
+            .insert((daemon, key), (number, path, Some(origin)));
+    }
+
     fn answer(&mut self, daemon: usize, req: ReqKey, answer: Option<Answer>, summary: Summary) {
         let (number, _, origin) = self.reqs.remove(&(daemon, req)).expect("a known request");
         let Some((asking, starts, conn)) = origin else {
@@ -995,7 +1058,13 @@
         };
         let answer = answer.expect("no daemon leaves before its answer");
         if starts == self.daemons[asking].starts {
-            let reply = Box::new(delegated_reply(answer));
+            let asking_daemon = &self.daemons[asking];
+            let release = match asking_daemon.ignores_terms {
+                // Builds before the terms accept a part by any release.
+                true => asking_daemon.forwarder.version().unwrap_or_default(),
+                false => summary.version,
+            };
+            let reply = Box::new(delegated_reply(answer, release));
             self.push_event(LATENCY, asking, Event::DelegatedReply(conn, reply));
         }
     }
@@ -1037,21 +1106,24 @@
 }
 
 /// The answer of a daemon as another one receives it.
-fn delegated_reply(answer: Answer) -> Reply {
+fn delegated_reply(answer: Answer, release: ReleaseVersion) -> Reply {
     match answer {
         Answer::Forwarded { reply, .. } => reply,
         Answer::Merged {
             stamps,
             missing,
             unfinished,
-            ..
+            body,
         } => Reply {
             missing,
             peer: Some(Box::new(PeerReply {
+                release,
                 unfinished,
                 ..PeerReply::default()
             })),
-            ..reply(200, &format!("{} parts", stamps.len()))
+            stamp: Some(stamps.join(&b", "[..]).into()),
+            body,
+            ..reply(200, "")
         },
         Answer::Refused(refusal) => {
             let response = refusal.kind.response();
--- a/crates/jasminepond-forward/tests/sim/mod.rs
+++ b/crates/jasminepond-forward/tests/sim/mod.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use jasminepond_forward::{
     Action, Answer, Arrival, Backend, BackendState, CallerId, Cluster, ConnKey, ContactEvent,
-    EvacuatedZones, Exchange, ForwardSettings, Forwarder, LostCall, Peer, Reply, ReqKey,
+    EvacuatedZones, Exchange, ForwardSettings, Forwarder, LostCall, Peer, PeerReply, Reply, ReqKey,
     RetryAfter, SearchId, Summary,
 };
 use jasminepond_quarantine::{Fingerprint, RequestParts};
@@ -462,9 +462,17 @@
             _ => false,
         };
         let status = if failing { 500 } else { 200 };
+        let is_daemon = self.servers[index].id.starts_with("daemon/");
+        let peer = is_daemon.then(|| PeerReply {
+            release: self.forwarder.version().unwrap_or_default(),
+            ..PeerReply::default()
+        });
         self.reply(
             conn,
-            reply(status, &format!("{}-{req:?}", self.servers[index].id)),
+            Reply {
+                peer: peer.map(Box::new),
+                ..reply(status, &format!("{}-{req:?}", self.servers[index].id))
+            },
         );
     }
 
--- a/crates/jasminepond-gateway/src/callers.rs
+++ b/crates/jasminepond-gateway/src/callers.rs
@@ -116,17 +116,19 @@
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let host = header("host").unwrap_or_default();
-    let Some(route) = hub.read(|forwarder| forwarder.route(host, path)) else {
-        if delegated.is_some() {
-            let message = "this daemon does not know the route";
-            return refuse(hub, request_id, ErrorKind::NotReady, message, None);
-        }
-        let message = format!("no route for {path} of host {host}");
-        return refuse(hub, request_id, ErrorKind::NotFound, &message, None);
+    let route = match &delegated {
+        Some(delegated) => match delegated_route(hub, host, path, delegated) {
+            Ok(route) => route,
+            Err(message) => return refuse(hub, request_id, ErrorKind::NotReady, message, None),
+        },
+        None => match hub.read(|forwarder| forwarder.route(host, path)) {
+            Some(route) => route,
+            None => {
+                let message = format!("no route for {path} of host {host}");
+                return refuse(hub, request_id, ErrorKind::NotFound, &message, None);
+            }
+        },
     };
-    if let Some(message) = delegated.as_ref().and_then(|d| mismatch(d, &route)) {
-        return refuse(hub, request_id, ErrorKind::NotReady, message, None);
-    }
     let version = route.version();
     let from_peer = delegated.is_some();
     let caller = caller_id(&head, delegated.as_ref());
@@ -228,14 +230,26 @@
     stated.or(credentials).or(address).unwrap_or_default()
 }
 
-/// Why this daemon cannot handle a delegated request, if it cannot.
-fn mismatch(delegated: &DelegatedRequest, route: &ActiveRoute) -> Option<&'static str> {
-    if delegated.shard_set != route.shard_set() || is_part(delegated) != route.is_search() {
-        Some("this daemon knows other shards of the route")
+/// The route by which this daemon handles a delegated request, or why it cannot handle it.
+fn delegated_route(
+    hub: &Hub,
+    host: &str,
+    path: &str,
+    delegated: &DelegatedRequest,
+) -> Result<Rc<ActiveRoute>, &'static str> {
+    if is_part(delegated) {
+        let (shard_set, terms) = (delegated.shard_set, delegated.terms.as_ref());
+        let route = hub.read(|forwarder| forwarder.route_of_part(host, path, shard_set, terms));
+        return route.ok_or("this daemon knows no route over the shards");
+    }
+    let route = hub.read(|forwarder| forwarder.route(host, path));
+    let route = route.ok_or("this daemon does not know the route")?;
+    if route.is_search() {
+        Err("requests of the route are searches here")
     } else if route.version() < delegated.release {
-        Some("this daemon knows an older release")
+        Err("this daemon knows an older release")
     } else {
-        None
+        Ok(route)
     }
 }
 
--- a/crates/jasminepond-gateway/src/peers.rs
+++ b/crates/jasminepond-gateway/src/peers.rs
@@ -19,7 +19,7 @@
     flow::Flow,
     http::{BufferedRequest, BufferedResponse, Handler, error_response},
 };
-use jasminepond_forward::{CallerId, DelegatedPart, DelegationRequest, Scope};
+use jasminepond_forward::{CallerId, DelegatedPart, DelegationRequest, Scope, SearchTerms};
 use jasminepond_routes::ReleaseVersion;
 use jasminepond_types::{ErrorKind, RunStatus};
 
@@ -63,10 +63,14 @@
 /// Present in a response without success if the request is presumed to end servers.
 pub const SUSPECTED: &str = "x-jasminepond-suspected";
 
-/// In a request to one server, the oldest release by which it may be routed. In the response,
-/// the release by which it was routed.
+/// In a request to one server, the oldest release by which it may be routed. In a response, the
+/// release by which the request or the part of a search was handled.
 pub const RELEASE: &str = "x-jasminepond-release";
 
+/// Terms by which a part of a search is handled (see [`SearchTerms`]). Builds before this header
+/// do not send it and use the terms of their own routes.
+pub const TERMS: &str = "x-jasminepond-terms";
+
 /// Id of the server whose response is forwarded.
 pub const SERVER: &str = "x-jasminepond-server";
 
@@ -81,7 +85,7 @@
 pub const UNFINISHED: &str = "x-jasminepond-unfinished";
 
 /// Headers that daemons add to each other's requests and responses.
-pub const HEADERS: [&str; 14] = [
+pub const HEADERS: [&str; 15] = [
     SHARDS,
     SHARD_SET,
     ANSWER_WITHIN_MS,
@@ -92,6 +96,7 @@
     CALLER,
     SUSPECTED,
     RELEASE,
+    TERMS,
     SERVER,
     LOAD,
     RESUME,
@@ -109,6 +114,8 @@
     pub caller: Option<CallerId>,
     /// Oldest release by which a request to one server may be routed.
     pub release: ReleaseVersion,
+    /// Terms of a part of a search, if the other daemon states them.
+    pub terms: Option<SearchTerms>,
 }
 
 /// Appends the headers that delegate a request or a part of a search to another daemon.
@@ -145,6 +152,9 @@
     if delegation.resumes {
         header(RESUME, &1);
     }
+    if let Some(terms) = &delegation.terms {
+        header(TERMS, terms);
+    }
     if let Some(caller) = &delegation.caller {
         header(CALLER, caller);
     }
@@ -167,6 +177,10 @@
         true => text(name)?.parse().ok(),
         false => Some(default),
     };
+    let terms = match headers.contains_key(TERMS) {
+        true => Some(text(TERMS)?.parse().ok()?),
+        false => None,
+    };
     let release = match scope {
         Scope::Shards(_) => ReleaseVersion::default(),
         Scope::Whole => ReleaseVersion(text(RELEASE)?.parse().ok()?),
@@ -185,6 +199,7 @@
         // Only the order among callers depends on it.
         caller: text(CALLER).and_then(|caller| caller.parse().ok()),
         release,
+        terms,
     })
 }
 
--- a/crates/jasminepond-gateway/tests/build_before.rs
+++ b/crates/jasminepond-gateway/tests/build_before.rs
@@ -53,13 +53,18 @@
     );
 }
 
-/// Guards against headers that the build before does not know where no request is suspected.
+const TERMS: &str =
+    "release=3 top-k=50 attempts=2 repeat=1 timeout-ms=1200 objective-ms=80 priority=1";
+
+/// Guards against further headers that the builds before do not know where no request is
+/// suspected. They pass the terms on to servers, which ignore them.
 #[test]
 fn parts_of_ordinary_requests_are_delegated_as_before() {
     let delegation = DelegationRequest {
         shards: Some([10].into()),
         shard_set: 17_760_946_852_244_074_613,
         release: ReleaseVersion(3),
+        terms: TERMS.parse().ok(),
         answer_within: Millis(29),
         min_shards: 1,
         repeat: false,
@@ -70,13 +75,27 @@
     };
     let mut bytes = Vec::new();
     write_headers(&mut bytes, &delegation);
-    let expected: String = RECORDED
-        .iter()
+    let expected = RECORDED.iter().chain(&[("x-jasminepond-terms", TERMS)]);
+    let expected: String = expected
         .map(|(name, value)| format!("{name}: {value}\r\n"))
         .collect();
     assert_eq!(String::from_utf8(bytes).unwrap(), expected);
 }
 
+/// Guards against refusing the parts of builds that do not state the terms of searches, and
+/// against handling a part by other terms because some are malformed.
+#[test]
+fn the_terms_of_a_part_are_optional_but_complete() {
+    assert_eq!(read_headers(&recorded()).unwrap().terms, None);
+    let read = |terms: &'static str| {
+        let mut headers = recorded();
+        headers.insert("x-jasminepond-terms", HeaderValue::from_static(terms));
+        read_headers(&headers).map(|read| read.terms)
+    };
+    assert_eq!(read(TERMS), Some(TERMS.parse().ok()));
+    assert_eq!(read("release=3 top-k=50"), None);
+}
+
 /// Guards against refusing the parts of builds that do not name the caller, and against taking
 /// the value of another build for a malformed part.
 #[test_case("", None; "a build before the header")]
@@ -98,6 +117,7 @@
         shards: Some([10].into()),
         shard_set: 1,
         release: ReleaseVersion(3),
+        terms: None,
         answer_within: Millis(29),
         min_shards: 1,
         repeat: false,
