--- a/crates/jasminepond-forward/src/forwarder.rs
+++ b/crates/jasminepond-forward/src/forwarder.rs
@@ -443,7 +443,7 @@
 
     /// Finds the shards of a part of a search that another daemon delegates, and returns a route
     /// with the terms of that search. Returns `None` if the release in force has no route over
-    /// the same shards: this daemon may not use their servers.
+    /// the same shards: this daemon then keeps no connections to their servers.
     ///
     /// Builds before the terms do not state any. As their `top_k` is unknown, all records are
     /// returned to them.
