--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -2,20 +2,11 @@
 
 use std::{
     path::{Path, PathBuf},
-    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
 
-use crate::site::{Client, End, Options, Service, Site, Stop, route};
-
-/// `ConfigApplyMs`, `DrainMs` and `RollbackSlackMs` of the sites.
-const CONFIG_APPLY_MS: u64 = 3_000;
-const DRAIN_MS: u64 = 3_000;
-const ROLLBACK_SLACK_S: f64 = 0.25;
-
-/// Time for which the store turns a daemon away: 9 s at most. The last request takes some of it.
-const REJECTED: Duration = Duration::from_millis(8_750);
+use crate::site::{Client, End, Options, Service, Site, route};
 
 /// `LossSlackMs` of the sites.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -30,7 +21,6 @@
 ) -> Result<bool, String> {
     let held = match case {
         "second-sigterm" => second_sigterm(trouble, program, dir),
-        "older-release" => older_release(trouble, program, dir),
         "spoilt-length" => spoilt_length(trouble, program, dir),
         _ => return Err(format!("no case {case}")),
     };
@@ -88,13 +78,13 @@
     wave(&mut clients, 0);
     thread::sleep(Duration::from_millis(200));
     site.record.line("SIGTERM to the daemon");
-    site.gateways[0].signal("TERM");
+    site.gateways[0].terminate();
     thread::sleep(Duration::from_millis(700));
     wave(&mut clients, 10);
     thread::sleep(Duration::from_millis(300));
     if trouble {
         site.record.line("SIGTERM to the same daemon again");
-        site.gateways[0].signal("TERM");
+        site.gateways[0].terminate();
     }
     let ends = clients.into_iter().filter_map(|client| client.join().ok());
     let ends: Vec<_> = ends.collect();
@@ -119,121 +109,6 @@
     Ok((held, site))
 }
 
-/// The store turns a daemon away while a configuration moves two routes and the servers of one of
-/// the old services are emptied and taken away.
-fn older_release(trouble: bool, program: PathBuf, dir: PathBuf) -> Result<(bool, Site), String> {
-    let service = |name: &str| Service {
-        name: name.into(),
-        servers: 2,
-        slots: 4,
-    };
-    let names = ["orders-old", "orders-new", "checks-old", "checks-new"];
-    let routes = |age: &str| {
-        let to = |name: &str| format!("{name}-{age}");
-        [
-            route("orders", "/orders/", &to("orders"), "safe", 2_000),
-            route("checks", "/checks/", &to("checks"), "safe", 2_000),
-        ]
-    };
-    let site = Site::start(
-        Options {
-            services: names.map(service).to_vec(),
-            routes: routes("old").to_vec(),
-            daemons: 4,
-        },
-        program,
-        dir,
-    )?;
-    let sent = Mutex::new(Vec::new());
-    let ask = |name: &str, n: usize| {
-        let (id, at) = (format!("{name}-{n}"), site.record.seconds());
-        let Some(mut client) = Client::connect(site.gateways[0].callers) else {
-            return;
-        };
-        client.send("GET", &format!("/{name}/x"), &id, 2_000, b"");
-        let end = client.receive(Duration::from_secs(3));
-        let text = end.text();
-        site.record
-            .line(format!("client {id}: sent at {at:.3}, {text}"));
-        sent.lock().unwrap().push((id, at));
-    };
-    let sleep = |millis| thread::sleep(Duration::from_millis(millis));
-    let stop = Stop::default();
-    thread::scope(|scope| {
-        scope.spawn(|| {
-            for n in 1.. {
-                if stop.is_set() {
-                    return;
-                }
-                ask("checks", n);
-                sleep(80);
-            }
-        });
-        (1..=5).for_each(|n| ask("orders", n));
-        sleep(500);
-        if trouble {
-            site.record.line("the store turns daemon 1 away");
-            site.store.reject(1, true);
-        }
-        let rejected = Instant::now();
-        sleep(200);
-        site.publish(2, &routes("new"));
-        sleep(CONFIG_APPLY_MS);
-        let leaving: Vec<_> = (0..2).map(|n| site.backend("orders-old", n)).collect();
-        for server in &leaving {
-            server.set_leaving();
-            let entry = server.entry("draining", 2);
-            site.store.put(&server.key(), Some(&entry));
-            site.record
-                .line(format!("server {} is draining", server.id));
-        }
-        sleep(DRAIN_MS + 200);
-        for server in &leaving {
-            site.store.put(&server.key(), None);
-            server.end();
-        }
-        sleep(200);
-        let mut n = 6;
-        while rejected.elapsed() < REJECTED {
-            ask("orders", n);
-            sleep(100);
-            n += 1;
-        }
-        site.record.line("the store serves daemon 1");
-        site.store.reject(1, false);
-        sleep(2_000);
-        stop.set();
-    });
-    let held = regressions(&site, &sent.into_inner().unwrap()) == 0;
-    Ok((held, site))
-}
-
-/// Number of requests that ran by configuration 1 although one that was sent more than
-/// `RollbackSlackMs` before had run by configuration 2.
-fn regressions(site: &Site, sent: &[(String, f64)]) -> usize {
-    let ran = site.ran.lock().unwrap();
-    let is_of = |id: &str, age: &str| {
-        let runs = ran.runs.get(id);
-        runs.is_some_and(|runs| runs.iter().any(|run| run.server.contains(age)))
-    };
-    let runs = sent.iter().filter_map(|(id, _)| ran.runs.get(id));
-    let newer = runs.flatten().filter(|run| run.server.contains("-new-"));
-    let Some(newer) = newer.map(|run| run.at).reduce(f64::min) else {
-        return 0;
-    };
-    site.record.line(format!(
-        "at {newer:.3} a server first saw the effect of configuration 2"
-    ));
-    let older = sent
-        .iter()
-        .filter(|(id, at)| *at > newer + ROLLBACK_SLACK_S && is_of(id, "-old-"));
-    for (id, at) in older.clone() {
-        site.record
-            .line(format!("{id}, sent at {at:.3}, ran by configuration 1"));
-    }
-    older.count()
-}
-
 /// One of two servers loses the first digit of the length in one of twenty answers.
 fn spoilt_length(trouble: bool, program: PathBuf, dir: PathBuf) -> Result<(bool, Site), String> {
     let archive = Service {
--- a/review/harness-3/site.rs
+++ b/review/harness-3/site.rs
@@ -9,7 +9,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -129,8 +129,6 @@
     revision: u64,
     items: BTreeMap<String, (u64, String)>,
     history: Vec<(u64, String, Option<String>)>,
-    /// Daemons that are turned away, by number.
-    rejected: Vec<u8>,
 }
 
 /// The platform's store.
@@ -146,25 +144,15 @@
         }
     }
 
-    /// Opens the path by which one daemon reaches the store.
-    pub fn listen(&self, daemon: u8) -> SocketAddr {
+    /// Opens the path by which a daemon reaches the store.
+    pub fn listen(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
         let address = listener.local_addr().expect("its address");
         let shared = self.clone();
-        accept(listener, move |stream| shared.serve(daemon, stream));
+        accept(listener, move |stream| shared.serve(stream));
         address
     }
 
-    /// Turns a daemon away with 503, or serves it again.
-    pub fn reject(&self, daemon: u8, rejects: bool) {
-        let mut state = self.state.0.lock().unwrap();
-        state.rejected.retain(|n| *n != daemon);
-        if rejects {
-            state.rejected.push(daemon);
-        }
-        self.state.1.notify_all();
-    }
-
     /// Writes an item, or removes it.
     pub fn put(&self, key: &str, value: Option<&str>) {
         let mut state = self.state.0.lock().unwrap();
@@ -183,12 +171,12 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, daemon: u8, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream) {
         let mut out = stream.try_clone().expect("a socket");
         let mut reader = BufReader::new(stream);
         while let Some(head) = Head::read(&mut reader) {
             let path = head.first.split(' ').nth(1).unwrap_or_default();
-            let (status, body) = self.call(daemon, path);
+            let (status, body) = self.call(path);
             let fields = "Content-Type: application/json\r\n";
             if !respond(&mut out, status, fields, body.as_bytes()) {
                 return;
@@ -196,7 +184,7 @@
         }
     }
 
-    fn call(&self, daemon: u8, path: &str) -> (u16, String) {
+    fn call(&self, path: &str) -> (u16, String) {
         let (call, query) = path.split_once('?').unwrap_or((path, ""));
         let param = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -204,9 +192,6 @@
             value.map_or("", |(_, value)| value).to_owned()
         };
         let mut state = self.state.0.lock().unwrap();
-        if state.rejected.contains(&daemon) {
-            return (503, "{}".to_owned());
-        }
         let item = |key: &str, revision: u64, value: &str| {
             format!(
                 r#"{{"Key":"{key}","Value":"{value}","Revision":{revision},"Created":1,"Lease":0}}"#
@@ -232,9 +217,6 @@
         let wait = Duration::from_millis(param("WaitMs").parse().unwrap_or(0));
         let end = Instant::now() + wait;
         loop {
-            if state.rejected.contains(&daemon) {
-                return (503, "{}".to_owned());
-            }
             let newer = state.history.iter().filter(|(r, _, _)| *r > after);
             let events: Vec<_> = newer
                 .map(|(revision, key, value)| match value {
@@ -261,18 +243,11 @@
     pub slots: usize,
 }
 
-/// A request that a server began to work on.
-pub struct Run {
-    pub server: String,
-    /// Seconds since the start of the case.
-    pub at: f64,
-}
-
 /// What all backend servers of a run have done.
 #[derive(Default)]
 pub struct Ran {
-    /// Servers that began to work on each request.
-    pub runs: HashMap<String, Vec<Run>>,
+    /// How many servers began to work on each request.
+    pub runs: HashMap<String, usize>,
     /// Answers by their signature: request and body.
     pub answers: HashMap<String, (String, Vec<u8>)>,
 }
@@ -290,9 +265,6 @@
     /// Every so many answers state a length that lacks its first digit; none if 0.
     spoils: AtomicU64,
     answers: AtomicU64,
-    leaving: AtomicBool,
-    gone: AtomicBool,
-    streams: Mutex<Vec<TcpStream>>,
     ran: Arc<Mutex<Ran>>,
     record: Record,
 }
@@ -314,51 +286,19 @@
             work_ms: AtomicU64::new(5),
             spoils: AtomicU64::new(0),
             answers: AtomicU64::new(0),
-            leaving: AtomicBool::new(false),
-            gone: AtomicBool::new(false),
-            streams: Mutex::default(),
             ran,
             record,
         });
         let shared = backend.clone();
-        spawn(move || shared.listen(&listener));
+        accept(listener, move |stream| shared.serve(stream));
         backend
     }
 
-    fn listen(self: Arc<Self>, listener: &TcpListener) {
-        for stream in listener.incoming().flatten() {
-            if self.gone.load(Ordering::SeqCst) {
-                return;
-            }
-            let _ = stream.set_nodelay(true);
-            let copy = stream.try_clone().expect("a socket");
-            self.streams.lock().unwrap().push(copy);
-            let shared = self.clone();
-            spawn(move || shared.serve(stream));
-        }
-    }
-
     /// Loses the first digit of the length in one of so many answers.
     pub fn set_spoils(&self, one_of: u64) {
         self.spoils.store(one_of, Ordering::SeqCst);
     }
 
-    /// Says from now on in its answers that it leaves.
-    pub fn set_leaving(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
-    }
-
-    /// Ends the server: closes its connections and refuses new ones.
-    pub fn end(&self) {
-        self.gone.store(true, Ordering::SeqCst);
-        // Ends the thread that accepts, and so closes its listener.
-        drop(TcpStream::connect(self.address));
-        for stream in self.streams.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
-        self.note(format!("server {} has ended", self.id));
-    }
-
     pub fn set_work(&self, work: Duration) {
         self.work_ms
             .store(work.as_millis() as u64, Ordering::SeqCst);
@@ -396,11 +336,7 @@
 
     fn handle(&self, head: &Head, body: &[u8], out: &mut TcpStream) -> bool {
         let id = head.get("x-request-id").to_owned();
-        let leaving = match self.leaving.load(Ordering::SeqCst) {
-            true => "Server-Leaving: 1\r\n",
-            false => "",
-        };
-        let echo = format!("X-Request-Id: {id}\r\n{leaving}");
+        let echo = format!("X-Request-Id: {id}\r\n");
         let not_run = |out: &mut TcpStream, status| {
             respond(out, status, &format!("{echo}X-Not-Executed: 1\r\n"), b"")
         };
@@ -433,11 +369,8 @@
         let runs = {
             let mut ran = self.ran.lock().unwrap();
             let runs = ran.runs.entry(id.clone()).or_default();
-            runs.push(Run {
-                server: self.id.clone(),
-                at: self.record.seconds(),
-            });
-            runs.len()
+            *runs += 1;
+            *runs
         };
         self.note(format!("server {} runs {id} (run {runs} of it)", self.id));
         thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::SeqCst)));
@@ -485,6 +418,12 @@
     }
 }
 
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// A gateway process.
 pub struct Gateway {
     child: Child,
@@ -511,11 +450,12 @@
             .expect("the gateway")
     }
 
-    /// Sends a signal to this process.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &pid]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "kill -s {name}");
+    /// Sends SIGTERM to this process.
+    pub fn terminate(&self) {
+        let pid = i32::try_from(self.child.id()).expect("a process id");
+        // SAFETY: the process is a child that has not been waited for, so the id is its own.
+        let sent = unsafe { kill(pid, SIGTERM) };
+        assert_eq!(sent, 0, "SIGTERM to {pid}");
     }
 
     /// Waits for the end of the process, for at most `limit`.
@@ -635,14 +575,6 @@
         Ok(site)
     }
 
-    /// Writes a configuration with these routes.
-    pub fn publish(&self, version: u64, routes: &[String]) {
-        let config = config(version, routes, &self.services);
-        self.store.put("op/config", Some(&config));
-        self.record
-            .line(format!("configuration {version} is acknowledged"));
-    }
-
     /// The settings that the platform makes from the template of the deploy file.
     fn start_gateway(&self, n: u8, ports: &[u16], program: &PathBuf, dir: &PathBuf) -> Gateway {
         let ip = ip(n);
@@ -657,7 +589,7 @@
             address(2),
             address(3),
             seeds.join(","),
-            self.store.listen(n)
+            self.store.listen()
         );
         let settings = dir.join(format!("front-a-{n}.json"));
         std::fs::write(&settings, text).expect("a settings file");
@@ -805,17 +737,3 @@
         _ => End::Cut { begun },
     }
 }
-
-/// Stops threads of a case.
-#[derive(Clone, Default)]
-pub struct Stop(Arc<AtomicBool>);
-
-impl Stop {
-    pub fn set(&self) {
-        self.0.store(true, Ordering::SeqCst);
-    }
-
-    pub fn is_set(&self) -> bool {
-        self.0.load(Ordering::SeqCst)
-    }
-}
