--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -109,7 +109,7 @@
     Ok((held, site))
 }
 
-/// One of two servers loses the first digit of the length in one of twenty answers.
+/// One of two servers spoils the head of one of twenty answers.
 fn spoilt_length(trouble: bool, program: PathBuf, dir: PathBuf) -> Result<(bool, Site), String> {
     let archive = Service {
         name: "archive".into(),
@@ -152,9 +152,11 @@
         let is_whole = whole.is_some_and(|(known, whole)| *known == id && whole == body);
         if (200..300).contains(status) && !is_whole {
             wrong += 1;
+            let start = body[..body.len().min(26)].escape_ascii();
             let (got, all) = (body.len(), whole.map_or(0, |(_, whole)| whole.len()));
             site.record.line(format!(
-                "client {id}: answered {status} with {got} bytes of a body of {all}, stamp {stamp}"
+                "client {id}: answered {status}, stamp {stamp}, body of {got} bytes in place of \
+                 {all}: {start}"
             ));
         }
     }
--- a/review/harness-3/site.rs
+++ b/review/harness-3/site.rs
@@ -262,7 +262,7 @@
     freed: Condvar,
     queued: AtomicUsize,
     work_ms: AtomicU64,
-    /// Every so many answers state a length that lacks its first digit; none if 0.
+    /// One of so many answers has a spoilt head; none if 0.
     spoils: AtomicU64,
     answers: AtomicU64,
     ran: Arc<Mutex<Ran>>,
@@ -294,7 +294,8 @@
         backend
     }
 
-    /// Loses the first digit of the length in one of so many answers.
+    /// Spoils the head of one of so many answers: by turns, the length lacks its first digit, and
+    /// an empty line stands before the last field.
     pub fn set_spoils(&self, one_of: u64) {
         self.spoils.store(one_of, Ordering::SeqCst);
     }
@@ -385,21 +386,23 @@
             .unwrap()
             .answers
             .insert(stamp.clone(), known);
-        let fields = format!("{echo}X-Response-Stamp: {stamp}\r\n");
         let spoils = self.spoils.load(Ordering::SeqCst);
         let n = self.answers.fetch_add(1, Ordering::SeqCst);
-        if spoils > 0 && n % spoils == 0 {
-            let length = answer.len().to_string();
-            let length = &length[1..];
-            self.note(format!(
-                "server {} answers {id}, and states a length of {length}",
-                self.id
-            ));
-            let head = format!("HTTP/1.1 200 X\r\nContent-Length: {length}\r\n{fields}\r\n");
-            return out.write_all(&[head.as_bytes(), &answer].concat()).is_ok();
+        let mut length = answer.len().to_string();
+        let (mut empty_line, mut spoilt) = ("", "");
+        if spoils > 0 && n % spoils == 0 && n / spoils % 2 == 0 {
+            length.remove(0);
+            spoilt = ", with a length that lacks its first digit";
+        } else if spoils > 0 && n % spoils == 0 {
+            empty_line = "\r\n";
+            spoilt = ", with an empty line before the last field";
         }
-        self.note(format!("server {} answers {id}", self.id));
-        respond(out, 200, &fields, &answer)
+        self.note(format!("server {} answers {id}{spoilt}", self.id));
+        let head = format!(
+            "HTTP/1.1 200 X\r\nContent-Length: {length}\r\n{echo}X-Response-Stamp: {stamp}\r\n\
+             {empty_line}Keep-Alive: timeout=30\r\n\r\n"
+        );
+        out.write_all(&[head.as_bytes(), &answer].concat()).is_ok()
     }
 
     /// Records of 16 bytes that name the server and the request.
